--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behave features and their runner."""
--- /dev/null
+++ b/poplarlane/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer for services whose targets' load shifts within milliseconds."""
--- /dev/null
+++ b/poplarlane/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, experiment runner and reports."""
--- /dev/null
+++ b/poplarlane/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no clock, socket or random source."""
--- /dev/null
+++ b/poplarlane/logs.py
@@ -0,0 +1,61 @@
+"""Structured logs: eliot messages written as one key=value line per event."""
+
+import json
+import re
+import sys
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+import eliot
+
+LEVELS = ("debug", "info", "warning", "error")
+PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.,:/@%+*()\[\]{}<>=-]+\Z")
+ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
+
+
+class KeyValueDestination:
+    """Write each eliot message as one key=value line; drop those below `level`."""
+
+    __slots__ = ("stream", "minimum")
+
+    def __init__(self, stream: TextIO, level: str) -> None:
+        self.stream = stream
+        self.minimum = LEVELS.index(level)
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        if LEVELS.index(message.get("level", "info")) < self.minimum:
+            return
+        self.stream.write(format_line(message) + "\n")
+        self.stream.flush()
+
+
+def format_value(value: Any) -> str:
+    """Format a value, quoted as JSON when it holds spaces or quotes."""
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = value if isinstance(value, str) else str(value)
+    return text if PLAIN_VALUE.match(text) else json.dumps(text)
+
+
+def format_line(message: dict[str, Any]) -> str:
+    """Format an eliot message as `time=... level=... event=... key=value ...`."""
+    at = datetime.fromtimestamp(message["timestamp"], UTC).isoformat(timespec="milliseconds")
+    pairs = [f"time={at}", f"level={message.get('level', 'info')}"]
+    pairs.append(f"event={message.get('message_type', 'message')}")
+    pairs.extend(
+        f"{key}={format_value(value)}"
+        for key, value in message.items()
+        if key not in ELIOT_FIELDS and key != "level"
+    )
+    return " ".join(pairs)
+
+
+def start_logging(level: str, stream: TextIO = sys.stderr, **fields: str) -> None:
+    """Send eliot messages to a stream; `fields` are added to every line."""
+    eliot.add_global_fields(**fields)
+    eliot.add_destinations(KeyValueDestination(stream, level))
+
+
+def log(event: str, level: str = "info", **fields: Any) -> None:
+    """Log one event."""
+    eliot.log_message(message_type=event, level=level, **fields)
--- /dev/null
+++ b/poplarlane/messages.py
@@ -0,0 +1,75 @@
+"""Typed messages between poplarlane's own processes, msgpack over pyzmq."""
+
+import msgspec
+
+
+class EntryHello(msgspec.Struct, tag=1, array_like=True):
+    """Announce an entry to its agent and ask for every service newer than `applied`."""
+
+    entry: str
+    incarnation: int
+    applied: dict[str, int]
+
+
+class ServiceBody(msgspec.Struct, array_like=True):
+    """Carry one accepted service object as its stored JSON."""
+
+    service: str
+    revision: int
+    body: bytes
+
+
+class MemberNotice(msgspec.Struct, array_like=True):
+    """Carry one member fact; `kind` and `state` hold MemberKind and MemberState values."""
+
+    name: str
+    kind: str
+    incarnation: int
+    state: str
+    observed_at: float
+    source: str
+
+
+class VerdictNotice(msgspec.Struct, array_like=True):
+    """Carry an entry's verdict on a target; `valid_for_s` counts from the time of receipt."""
+
+    service: str
+    target: str
+    verdict: str
+    source: str
+    valid_for_s: float
+
+
+class ViewUpdate(msgspec.Struct, tag=2, array_like=True):
+    """Bring an entry's view up to date; `complete` says that nothing is missing.
+
+    `fleet_entries` is the number of live entries, which divides connections and slots.
+    """
+
+    agent: str
+    agent_incarnation: int
+    sequence: int
+    complete: bool
+    services: list[ServiceBody]
+    members: list[MemberNotice]
+    verdicts: list[VerdictNotice]
+    fleet_entries: int
+
+
+class EntryReport(msgspec.Struct, tag=3, array_like=True):
+    """Tell the agent what an entry applied and observed."""
+
+    entry: str
+    incarnation: int
+    ready: bool
+    draining: bool
+    applied: dict[str, int]
+    rejected: dict[str, str]
+    leaving_targets: list[str]
+    verdicts: list[VerdictNotice]
+
+
+EntryMessage = EntryHello | EntryReport
+ENCODER = msgspec.msgpack.Encoder()
+ENTRY_MESSAGE_DECODER = msgspec.msgpack.Decoder(EntryMessage)
+VIEW_DECODER = msgspec.msgpack.Decoder(ViewUpdate)
--- /dev/null
+++ b/poplarlane/objects.py
@@ -0,0 +1,94 @@
+"""Configuration objects as the platform stores them, in JSON."""
+
+import msgspec
+
+from poplarlane.types import Priority
+
+SERVICES_KIND = "services"
+SERVICE_COPIES_KIND = "service-copies"
+PROBE_GRANTS_KIND = "probe-grants"
+MAX_VALUE_BYTES = 1_000_000
+MAX_RECORDED_CHANGES = 50
+
+
+class RequestKindObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Describe one kind of request; the first kind whose method and prefix match applies."""
+
+    name: str
+    methods: list[str]
+    path_prefix: str = "/"
+    idempotent: bool = False
+    priority: Priority = Priority.NORMAL
+    deadline_ms: int = 2_000
+    hedge: bool = False
+
+
+class LimitsObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Bound what all entries together may ask of one target, and one entry's queue."""
+
+    slots_per_target: int = 6
+    connections_per_target: int = 330
+    queue_length: int = 256
+    retry_ratio: float = 0.1
+    hedge_ratio: float = 0.05
+    subset_size: int = 0
+
+
+class ProbeBudgetObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Bound the probes that all VMs together send to one target."""
+
+    per_target_per_s: float = 0.0
+    target_time_share: float = 0.0
+    probe_cost_ms: float = 0.0
+
+
+class TargetObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Place one target and label it."""
+
+    address: str
+    port: int
+    data_centre: str
+    labels: dict[str, str] = {}
+
+
+class SelectorObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Allow requests of the selected callers to reach the selected targets."""
+
+    callers: str
+    targets: str
+
+
+class ChangeObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Record one accepted change."""
+
+    revision: int
+    change_id: str
+    operator: str
+    at: str
+    summary: str
+
+
+class ServiceObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Hold everything that is configured for one service; targets and selectors go by name."""
+
+    service: str
+    revision: int
+    change_id: str
+    hosts: list[str]
+    requests: list[RequestKindObject] = []
+    policy: str = "adaptive"
+    limits: LimitsObject = msgspec.field(default_factory=LimitsObject)
+    probe_budget: ProbeBudgetObject = msgspec.field(default_factory=ProbeBudgetObject)
+    targets: dict[str, TargetObject] = {}
+    selectors: dict[str, SelectorObject] = {}
+    changes: list[ChangeObject] = []
+    deleted: bool = False
+
+
+SERVICE_DECODER = msgspec.json.Decoder(ServiceObject)
+JSON_ENCODER = msgspec.json.Encoder()
+
+
+def encode_service(service: ServiceObject) -> bytes:
+    """Encode a service object as the platform stores it."""
+    return JSON_ENCODER.encode(service)
--- /dev/null
+++ b/poplarlane/outcomes.py
@@ -0,0 +1,65 @@
+"""Tagged outcomes with numbered result codes.
+
+Codes 1200 to 1299 mean that the request was not run, 1300 to 1399 that its outcome is unknown,
+and 1400 to 1499 that the request itself was malformed and was not run. 2000 to 2999 belong to
+configuration and control. `docs/result-codes.md` lists every code.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class ResultCode(IntEnum):
+    """Number every outcome that a caller or an operator can see."""
+
+    ANSWERED = 1000
+    TARGET_FAILED = 1100
+    NOT_READY = 1200
+    NO_SERVICE = 1201
+    NO_TARGET = 1202
+    NOT_ALLOWED = 1203
+    QUEUE_FULL = 1204
+    DEADLINE_UNMEETABLE = 1205
+    CONNECT_FAILED = 1206
+    REFUSED_BY_TARGET = 1207
+    SHUTTING_DOWN = 1208
+    DEADLINE_BEFORE_SEND = 1209
+    OUTCOME_UNKNOWN = 1300
+    DEADLINE_AFTER_SEND = 1301
+    ANSWER_TRUNCATED = 1302
+    ANSWER_INVALID = 1303
+    BAD_REQUEST = 1400
+    HEAD_TOO_LARGE = 1401
+    BODY_TOO_LARGE = 1402
+    REQUEST_TIMEOUT = 1403
+    METHOD_UNSUPPORTED = 1404
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Refuse a request that no target can have started."""
+
+    code: ResultCode
+    detail: str
+    status: int = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Report that a target may have run a request whose answer is missing."""
+
+    code: ResultCode
+    detail: str
+    status: int = 502
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """Refuse a request that breaks HTTP or a size bound."""
+
+    code: ResultCode
+    detail: str
+    status: int = 400
+
+
+Refusal = NotRun | Unknown | Malformed
--- /dev/null
+++ b/poplarlane/plumbing/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, pyzmq and the platform client."""
--- /dev/null
+++ b/poplarlane/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs over the library."""
--- /dev/null
+++ b/poplarlane/settings.py
@@ -0,0 +1,281 @@
+"""Settings of every daemon: JSON files checked at start.
+
+Durations in settings are milliseconds; the composition root turns them into deadlines.
+"""
+
+import argparse
+import ipaddress
+import re
+import socket
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Milliseconds = Annotated[int, Meta(ge=0, le=3_600_000)]
+PositiveCount = Annotated[int, Meta(ge=1, le=10_000_000)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+Level = Literal["debug", "info", "warning", "error"]
+
+EXIT_BAD_SETTINGS = 2
+
+S = TypeVar("S", bound="Settings")
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Hold the settings that all daemons share."""
+
+    name: Name
+    log_level: Level = "info"
+
+
+class TracingSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Choose which requests are traced and where spans are written."""
+
+    sample_ratio: Share = 0.0
+    file: str = ""
+
+
+class EntrySettings(Settings, kw_only=True):
+    """Hold the settings of an entry."""
+
+    data_centre: Name
+    listen_address: str
+    listen_port: Port
+    admin_port: Port
+    agent_address: str
+    agent_port: Port
+    seed: int = 0
+    policy: str = ""
+    trusted_sources: list[str] = []
+    data_centre_delay_ms: dict[str, float] = {}
+    max_head_bytes: PositiveCount = 16_384
+    max_body_bytes: PositiveCount = 1_048_576
+    hold_answer_bytes: PositiveCount = 262_144
+    stream_buffer_bytes: PositiveCount = 65_536
+    head_timeout_ms: Milliseconds = 5_000
+    body_timeout_ms: Milliseconds = 15_000
+    idle_timeout_ms: Milliseconds = 60_000
+    max_caller_connections: PositiveCount = 2_000
+    drain_accept_ms: Milliseconds = 2_000
+    drain_limit_ms: Milliseconds = 30_000
+    tracing: TracingSettings = msgspec.field(default_factory=TracingSettings)
+
+
+class PeerSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Place one agent that a fresh agent may contact before it knows the fleet."""
+
+    name: Name
+    address: str
+    port: Port
+    data_centre: Name
+
+
+class AgentSettings(Settings, kw_only=True):
+    """Hold the settings of an agent."""
+
+    data_centre: Name
+    listen_address: str
+    exchange_port: Port
+    entry_port: Port
+    admin_port: Port
+    platform_address: str
+    platform_port: Port
+    seed_peers: list[PeerSettings] = []
+    seed: int = 0
+    watchers_per_data_centre: PositiveCount = 2
+    exchange_interval_ms: Milliseconds = 1_000
+    vm_list_interval_ms: Milliseconds = 2_000
+    platform_timeout_ms: Milliseconds = 2_000
+    platform_calls_per_s: Annotated[float, Meta(gt=0.0, le=1000.0)] = 5.0
+    grant_duration_ms: Milliseconds = 10_000
+
+
+class CtlSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Hold the settings of poplarctl."""
+
+    platform_address: str
+    platform_port: Port
+    operator: str = "unknown"
+    agents: list[PeerSettings] = []
+    timeout_ms: Milliseconds = 5_000
+
+
+class PlatformSettings(Settings, kw_only=True):
+    """Hold the settings of the stand-in platform."""
+
+    listen_address: str
+    listen_port: Port
+    seed: int = 0
+    reads_per_s: PositiveCount = 2_000
+    writes_per_s: PositiveCount = 300
+    vm_list_lag_ms: Milliseconds = 1_000
+
+
+class TargetSettings(Settings, kw_only=True):
+    """Hold the settings of a stand-in target; the seed fixes its service times."""
+
+    listen_address: str
+    listen_port: Port
+    seed: int = 0
+    slots: PositiveCount = 6
+    max_connections: PositiveCount = 330
+    queue_length: PositiveCount = 1_000
+    service_ms: float = 10.0
+    service_distribution: Literal["exponential", "fixed", "lognormal"] = "exponential"
+    connect_ms: float = 1.0
+    probe_ms: float = 0.0
+    report_lag_ms: float = 0.0
+    delay_ms_by_source: dict[str, float] = {}
+
+
+class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Forward one listening address to one upstream address, as TCP bytes or pyzmq messages."""
+
+    name: Name
+    mode: Literal["tcp", "zmq"] = "tcp"
+    listen_address: str
+    listen_port: Port
+    upstream_address: str
+    upstream_port: Port
+
+
+class ProxySettings(Settings, kw_only=True):
+    """Hold the settings of the fault-injecting proxy."""
+
+    admin_address: str
+    admin_port: Port
+    seed: int = 0
+    routes: list[ProxyRoute] = []
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """Name the key, the value and what is accepted."""
+
+    text: str
+
+
+def load(path: str, kind: type[S]) -> S | SettingsFault:
+    """Read and check a settings file; the fault's text is one line."""
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        return SettingsFault(f"settings file {path}: {error.strerror}")
+    try:
+        settings = msgspec.json.decode(text, type=kind)
+    except msgspec.ValidationError as error:
+        return SettingsFault(explain_validation_error(str(error), text, kind))
+    except msgspec.DecodeError as error:
+        return SettingsFault(f"settings file {path} is not JSON: {error}")
+    return check_networks(settings)
+
+
+def explain_validation_error(reason: str, text: bytes, kind: type) -> str:
+    """Name the key, its value and what is accepted, from a msgspec error."""
+    message, _, path = reason.partition(" - at `$")
+    path = path.rstrip("`").lstrip(".")
+    if message.startswith("Object contains unknown field"):
+        key = message.split("`")[1]
+        accepted = ", ".join(accepted_fields(kind, path))
+        full = f"{path}.{key}" if path else key
+        return f"settings key {full!r} is unknown; accepted keys: {accepted}"
+    if message.startswith("Object missing required field"):
+        key = message.split("`")[1]
+        return f"settings key {f'{path}.{key}' if path else key!r} is required"
+    value = value_at(msgspec.json.decode(text), path)
+    return f"settings key {path!r} has value {value!r}: {message}"
+
+
+def accepted_fields(kind: type, path: str) -> tuple[str, ...]:
+    """List the field names accepted at a path such as `tracing` or `seed_peers[...]`."""
+    info: Any = msgspec.inspect.type_info(kind)
+    for step in re.findall(r"\w+|\[\.\.\.\]", path):
+        if step == "[...]":
+            info = getattr(info, "item_type", None) or info.value_type
+        else:
+            info = next(field.type for field in info.fields if field.name == step)
+    return tuple(field.name for field in info.fields)
+
+
+def value_at(document: Any, path: str) -> Any:
+    """Find the value at a path; an indexed path gives the whole list."""
+    for step in path.split("."):
+        name = step.partition("[")[0]
+        if not isinstance(document, dict) or name not in document:
+            return document
+        document = document[name]
+        if "[" in step:
+            return document
+    return document
+
+
+def check_networks(settings: S) -> S | SettingsFault:
+    """Check every address and network of the settings."""
+    for key in msgspec.structs.fields(settings):
+        value = getattr(settings, key.name)
+        if key.name.endswith("_address") and not is_ip(value):
+            return SettingsFault(f"settings key {key.name!r} has value {value!r}: expected an IP")
+    for network in getattr(settings, "trusted_sources", []):
+        try:
+            ipaddress.ip_network(network)
+        except ValueError:
+            return SettingsFault(
+                f"settings key 'trusted_sources' has value {network!r}: expected a network, "
+                "for example 10.0.0.0/8"
+            )
+    return settings
+
+
+def is_ip(text: str) -> bool:
+    """Tell whether the text is an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def check_listen(key: str, address: str, port: int) -> SettingsFault | None:
+    """Check that a listen address can be bound."""
+    with socket.socket(socket.AF_INET6 if ":" in address else socket.AF_INET) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        try:
+            probe.bind((address, port))
+        except OSError as error:
+            return SettingsFault(
+                f"settings key {key!r} has value {address}:{port}: {error.strerror}; "
+                "expected a local address and a free port"
+            )
+    return None
+
+
+def listen_keys(settings: Settings) -> list[tuple[str, str, int]]:
+    """List the ports that the daemon listens on, with the settings key of each."""
+    address = getattr(settings, "listen_address", None) or getattr(settings, "admin_address", None)
+    names = ("listen_port", "admin_port", "exchange_port", "entry_port")
+    return [(name, address, getattr(settings, name)) for name in names if hasattr(settings, name)]
+
+
+def settings_from_arguments(kind: type[S], description: str) -> S:
+    """Load settings for a daemon; exit with status 2 on a fault, 0 on a passed `--check`."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--settings", required=True, metavar="FILE", help="JSON settings file")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    arguments = parser.parse_args()
+    result = load(arguments.settings, kind)
+    if not isinstance(result, SettingsFault):
+        faults = (check_listen(*key) for key in listen_keys(result))
+        result = next((fault for fault in faults if fault), result)
+    if isinstance(result, SettingsFault):
+        print(result.text, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if arguments.check:
+        sys.exit(0)
+    return result
--- /dev/null
+++ b/poplarlane/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
--- /dev/null
+++ b/poplarlane/types.py
@@ -0,0 +1,157 @@
+"""Core data types shared by decisions, plumbing and programs."""
+
+from enum import StrEnum
+
+
+class Priority(StrEnum):
+    """Name the order in which queued requests are served."""
+
+    HIGH = "high"
+    NORMAL = "normal"
+    LOW = "low"
+
+
+class MemberKind(StrEnum):
+    """Name what a member of the fleet is."""
+
+    AGENT = "agent"
+    ENTRY = "entry"
+    TARGET = "target"
+
+
+class MemberState(StrEnum):
+    """Name what is known of a member within one incarnation."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Verdict(StrEnum):
+    """Name what an entry concludes about a target from its traffic."""
+
+    HEALTHY = "healthy"
+    SUSPECT = "suspect"
+    AVOIDED = "avoided"
+
+
+class RequestKind:
+    """Describe how one kind of request of a service is treated."""
+
+    __slots__ = (
+        "name",
+        "methods",
+        "path_prefix",
+        "idempotent",
+        "priority",
+        "deadline_ms",
+        "hedge",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        methods: frozenset[str],
+        path_prefix: str,
+        idempotent: bool,
+        priority: Priority,
+        deadline_ms: int,
+        hedge: bool,
+    ) -> None:
+        self.name = name
+        self.methods = methods
+        self.path_prefix = path_prefix
+        self.idempotent = idempotent
+        self.priority = priority
+        self.deadline_ms = deadline_ms
+        self.hedge = hedge
+
+
+class Target:
+    """Describe one target of a service as configured."""
+
+    __slots__ = ("name", "address", "port", "data_centre", "labels")
+
+    def __init__(
+        self, name: str, address: str, port: int, data_centre: str, labels: dict[str, str]
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.port = port
+        self.data_centre = data_centre
+        self.labels = labels
+
+
+class TargetLoad:
+    """Hold what one entry knows about the load and health of one target.
+
+    Times are seconds of the monotonic clock; latencies are seconds.
+    """
+
+    __slots__ = (
+        "target",
+        "outstanding",
+        "sent_at",
+        "reported_in_flight",
+        "reported_at",
+        "latency_s",
+        "latency_at",
+        "error_rate",
+        "error_at",
+        "consecutive_failures",
+        "answers",
+        "verdict",
+        "peer_verdict",
+        "peer_verdict_expires_at",
+        "next_trial_at",
+        "ramp_until",
+        "leaving",
+        "probe_pending",
+    )
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.outstanding = 0
+        # Send times of outstanding requests by request id, oldest first.
+        self.sent_at: dict[int, float] = {}
+        self.reported_in_flight = 0.0
+        self.reported_at = 0.0
+        self.latency_s = 0.0
+        self.latency_at = 0.0
+        self.error_rate = 0.0
+        self.error_at = 0.0
+        self.consecutive_failures = 0
+        self.answers = 0
+        self.verdict = Verdict.HEALTHY
+        self.peer_verdict = Verdict.HEALTHY
+        self.peer_verdict_expires_at = 0.0
+        self.next_trial_at = 0.0
+        self.ramp_until = 0.0
+        self.leaving = False
+        self.probe_pending = False
+
+
+class MemberFact:
+    """State what one source knows about one member at one time.
+
+    `observed_at` is wall-clock seconds, because facts travel between VMs.
+    """
+
+    __slots__ = ("name", "kind", "incarnation", "state", "observed_at", "source")
+
+    def __init__(
+        self,
+        name: str,
+        kind: MemberKind,
+        incarnation: int,
+        state: MemberState,
+        observed_at: float,
+        source: str,
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.incarnation = incarnation
+        self.state = state
+        self.observed_at = observed_at
+        self.source = source
