--- /dev/null
+++ b/poplarlane/decisions/validation.py
@@ -0,0 +1,85 @@
+"""Validation of stored configuration objects: every fault, each with its field and reason."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from poplarlane.decisions import content
+from poplarlane.decisions.shape import check_shape
+from poplarlane.objects import MAX_VALUE_BYTES, SERVICE_DECODER, SERVICES_KIND, ServiceObject
+
+WHOLE_OBJECT = "(object)"
+# A hostile object could hold one fault per byte; more than this does not help an operator.
+MAX_FAULTS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectFault:
+    """Name the object, the field and what is wrong with it."""
+
+    object_name: str
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.object_name}: {self.field}: {self.reason}"
+
+
+class DuplicateKey(ValueError):
+    """Report a JSON object that holds a key twice."""
+
+
+def check_service(
+    body: bytes, name: str, kind: str = SERVICES_KIND
+) -> ServiceObject | list[ObjectFault]:
+    """Decode and check a stored service object; return it or all its faults."""
+    object_name = f"{kind}/{name}"
+    faults = document_faults(body, name)
+    if not faults:
+        try:
+            return SERVICE_DECODER.decode(body)
+        except (msgspec.DecodeError, RecursionError) as error:
+            faults = [(WHOLE_OBJECT, str(error))]
+    return [ObjectFault(object_name, field, reason) for field, reason in faults[:MAX_FAULTS]]
+
+
+def document_faults(body: bytes, name: str) -> list[tuple[str, str]]:
+    """List the faults of an encoded service as pairs of field and reason."""
+    if len(body) > MAX_VALUE_BYTES:
+        return [(WHOLE_OBJECT, f"has {len(body)} bytes; at most {MAX_VALUE_BYTES} are accepted")]
+    try:
+        document = json.loads(
+            body.decode("utf-8"),
+            object_pairs_hook=without_duplicates,
+            parse_constant=refuse_constant,
+        )
+    except DuplicateKey as error:
+        return [(WHOLE_OBJECT, str(error))]
+    except (ValueError, RecursionError) as error:
+        return [(WHOLE_OBJECT, f"is not JSON: {error}")]
+    faults = check_shape(document, ServiceObject)
+    # Rules about content read typed fields, so they wait until every field has its type.
+    if not faults:
+        faults = content.service_faults(msgspec.convert(document, ServiceObject), name)
+    elif isinstance(document, dict) and document.get("service", name) != name:
+        faults.append(("service", content.name_mismatch(document["service"], name)))
+    return faults
+
+
+def without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Build a JSON object; a repeated key is a fault because one of its values would be lost."""
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        seen: set[str] = set()
+        for key, _ in pairs:
+            if key in seen:
+                raise DuplicateKey(f"key {key!r} occurs twice in one JSON object")
+            seen.add(key)
+    return document
+
+
+def refuse_constant(text: str) -> None:
+    """Refuse NaN and infinities, which are not JSON."""
+    raise ValueError(f"{text} is not a JSON number")
