--- /dev/null
+++ b/poplarlane/metrics.py
@@ -0,0 +1,156 @@
+"""Metrics and the admin HTTP server that entry and agent share."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from aioprometheus import Counter, Gauge, Registry, render
+
+ADMIN_READ_BYTES = 65_536
+ADMIN_MAX_BODY_BYTES = 1_048_576
+ADMIN_TIMEOUT_S = 10.0
+
+Labels = dict[str, str]
+
+
+class Metrics:
+    """Hold a registry and create counters and gauges on first use."""
+
+    __slots__ = ("registry", "collectors")
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.collectors: dict[str, Counter | Gauge] = {}
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Give the counter with this name."""
+        return self.collector(Counter, name, doc)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Give the gauge with this name."""
+        return self.collector(Gauge, name, doc)
+
+    def collector(self, kind: type, name: str, doc: str) -> Any:
+        """Give or create a collector."""
+        if name not in self.collectors:
+            self.collectors[name] = kind(name, doc, registry=self.registry)
+        return self.collectors[name]
+
+    def count(self, name: str, labels: Labels, amount: float = 1.0) -> None:
+        """Add to a counter that needs no longer description than its name."""
+        self.counter(name, name.replace("_", " ")).add(labels, amount)
+
+    def set(self, name: str, labels: Labels, value: float) -> None:
+        """Set a gauge that needs no longer description than its name."""
+        self.gauge(name, name.replace("_", " ")).set(labels, value)
+
+    def render(self) -> bytes:
+        """Render all metrics in the Prometheus text format."""
+        body, _ = render(self.registry, ["text/plain"])
+        return body
+
+
+class AdminRequest:
+    """Hold one admin request; `path` is without the query."""
+
+    __slots__ = ("method", "path", "query", "body")
+
+    def __init__(self, method: str, path: str, query: str, body: bytes) -> None:
+        self.method = method
+        self.path = path
+        self.query = query
+        self.body = body
+
+
+class AdminAnswer:
+    """Hold one admin answer."""
+
+    __slots__ = ("status", "content_type", "body")
+
+    def __init__(self, status: int, body: bytes, content_type: str = "text/plain") -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+AdminHandler = Callable[[AdminRequest], AdminAnswer]
+
+
+def json_answer(document: Any, status: int = 200) -> AdminAnswer:
+    """Answer with a JSON document."""
+    return AdminAnswer(status, json.dumps(document).encode() + b"\n", "application/json")
+
+
+class AdminServer:
+    """Serve `/metrics` and the given handlers, which are keyed by path."""
+
+    __slots__ = ("handlers", "server")
+
+    def __init__(self, metrics: Metrics, handlers: dict[str, AdminHandler]) -> None:
+        self.handlers = {"/metrics": lambda _: AdminAnswer(200, metrics.render())} | handlers
+        self.server: asyncio.Server | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Bind and serve; raises OSError when the address is taken."""
+        self.server = await asyncio.start_server(self.serve, address, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one request and close the connection."""
+        try:
+            async with asyncio.timeout(ADMIN_TIMEOUT_S):
+                writer.write(await self.exchange(reader))
+                await writer.drain()
+        except (OSError, TimeoutError, h11.ProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    async def exchange(self, reader: asyncio.StreamReader) -> bytes:
+        """Read one request and give the bytes of its answer."""
+        connection = h11.Connection(h11.SERVER)
+        request = await read_request(connection, reader)
+        answer = self.answer(request)
+        headers = [
+            ("content-type", answer.content_type),
+            ("content-length", str(len(answer.body))),
+            ("connection", "close"),
+        ]
+        head = connection.send(h11.Response(status_code=answer.status, headers=headers))
+        body = b"" if request.method == "HEAD" else connection.send(h11.Data(data=answer.body))
+        return head + body
+
+    def answer(self, request: AdminRequest) -> AdminAnswer:
+        """Call the handler of the request's path."""
+        handler = self.handlers.get(request.path)
+        if handler is None:
+            return json_answer({"error": f"no such path {request.path}"}, 404)
+        return handler(request)
+
+
+async def read_request(connection: h11.Connection, reader: asyncio.StreamReader) -> AdminRequest:
+    """Read one whole request; raises h11.RemoteProtocolError on malformed input."""
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(ADMIN_READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > ADMIN_MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError("admin request body too large")
+        elif head is not None and isinstance(event, h11.EndOfMessage):
+            break
+        else:
+            raise h11.RemoteProtocolError("admin connection closed without a request")
+    path, _, query = head.target.decode("ascii", "replace").partition("?")
+    return AdminRequest(head.method.decode("ascii"), path, query, bytes(body))
