--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -108,10 +108,17 @@
         "ramp_until",
         "leaving",
         "probe_pending",
+        "distance_s",
+        "sent_since_report",
+        "latency_weight",
+        "trials",
+        "avoided_since",
     )
 
-    def __init__(self, target: Target) -> None:
+    def __init__(self, target: Target, distance_s: float = 0.0) -> None:
         self.target = target
+        # Round trip between the entry's and the target's data centre, without connection set-up.
+        self.distance_s = distance_s
         self.outstanding = 0
         # Send times of outstanding requests by request id, oldest first.
         self.sent_at: dict[int, float] = {}
@@ -130,6 +137,11 @@
         self.ramp_until = 0.0
         self.leaving = False
         self.probe_pending = False
+        self.sent_since_report = 0
+        # Number of recent answers behind latency_s, decayed with age.
+        self.latency_weight = 0.0
+        self.trials = 0
+        self.avoided_since = 0.0
 
 
 class MemberFact:
