--- a/poplarlane/messages.py
+++ b/poplarlane/messages.py
@@ -40,6 +40,25 @@
     valid_for_s: float
 
 
+class ProbeNotice(msgspec.Struct, array_like=True):
+    """Carry one probe result; `age_s` counts back from sending, `term` is that of the grant.
+
+    `reachable` is false when the target refused the connection or did not answer in time; the
+    load fields are -1 then.
+    """
+
+    service: str
+    target: str
+    reachable: bool
+    leaving: bool
+    in_flight: int
+    queued: int
+    latency_s: float
+    age_s: float
+    term: int
+    source: str
+
+
 class ViewUpdate(msgspec.Struct, tag=2, array_like=True):
     """Bring an entry's view up to date; `complete` says that nothing is missing.
 
@@ -54,6 +73,7 @@
     members: list[MemberNotice]
     verdicts: list[VerdictNotice]
     fleet_entries: int
+    probes: list[ProbeNotice] = []
 
 
 class EntryReport(msgspec.Struct, tag=3, array_like=True):
