--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -115,6 +115,7 @@
     reads_per_s: PositiveCount = 2_000
     writes_per_s: PositiveCount = 300
     vm_list_lag_ms: Milliseconds = 1_000
+    kept_changes: PositiveCount = 10_000
 
 
 class TargetSettings(Settings, kw_only=True):
