--- a/poplarlane/decisions/agent_events.py
+++ b/poplarlane/decisions/agent_events.py
@@ -198,7 +198,8 @@
 class ProbeFinished(AgentEvent):
     """A probe ended; `sent` is false only when its bytes certainly never left this process.
 
-    `in_flight` is -1 when the target did not answer properly.
+    `in_flight` is -1 when the target did not answer properly. `reason` is `deadline` when the
+    grant ended before the first byte could leave.
     """
 
     __slots__ = (
@@ -211,6 +212,7 @@
         "leaving",
         "started_at",
         "latency_s",
+        "reason",
     )
 
     def __init__(
@@ -227,6 +229,7 @@
         leaving: bool,
         started_at: float,
         latency_s: float,
+        reason: str,
     ) -> None:
         super().__init__(now, wall, draw)
         self.service = service
@@ -238,3 +241,4 @@
         self.leaving = leaving
         self.started_at = started_at
         self.latency_s = latency_s
+        self.reason = reason
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -119,6 +119,7 @@
         "sequence",
         "rejected",
         "sent_at",
+        "leaving",
     )
 
     def __init__(self, name: str, identity: bytes, incarnation: int, now: float) -> None:
@@ -133,6 +134,7 @@
         self.rejected: dict[str, str] = {}
         # When each service was last sent, so that a slow entry is not sent it twice a second.
         self.sent_at: dict[str, float] = {}
+        self.leaving: set[str] = set()
 
 
 class Verification:
@@ -232,7 +234,7 @@
         "usable_at",
         "grant_until",
         "calling",
-        "releasing",
+        "announced_at",
         "next_try_at",
         "covered_at",
         "outranked_at",
@@ -247,7 +249,7 @@
         self.usable_at: float | None = None
         self.grant_until = 0.0
         self.calling = False
-        self.releasing = False
+        self.announced_at = 0.0
         self.next_try_at = now
         # When a result under any agent's grant last arrived.
         self.covered_at = now
@@ -262,6 +264,7 @@
     __slots__ = (
         "name",
         "incarnation",
+        "process",
         "data_centre",
         "address",
         "port",
@@ -294,6 +297,8 @@
         "changed",
         "changed_facts",
         "changed_verdicts",
+        "new_probes",
+        "housekeeping_at",
         "fleet_sent",
         "backlog",
         "tokens",
@@ -311,6 +316,8 @@
         self.data_centre = data_centre
         self.address = address
         self.port = port
+        # Unlike the incarnation, this never changes while the process runs.
+        self.process = incarnation
         self.nonce = incarnation
         self.watchers = 2
         self.exchange_s = 1.0
@@ -345,6 +352,8 @@
         self.changed: dict[str, bool] = {}
         self.changed_facts: list[MemberFact] = []
         self.changed_verdicts: list[VerdictNotice] = []
+        self.new_probes: list[ProbeNotice] = []
+        self.housekeeping_at = 0.0
         self.fleet_sent = 0
         # Services still to be sent, per peer; only names, so the newest revision is sent.
         self.backlog: dict[str, OrderedDict[str, None]] = {}
--- /dev/null
+++ b/poplarlane/decisions/control.py
@@ -0,0 +1,177 @@
+"""The agent's handlers in the reducer, and what follows every event."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from poplarlane.decisions import (
+    distribution,
+    grants,
+    membership,
+    probes,
+    verification,
+    views,
+    watching,
+)
+from poplarlane.decisions.agent_effects import ConnectPeer, SendToPeer, StopAgent
+from poplarlane.decisions.agent_events import (
+    AgentEvent,
+    AgentPaused,
+    AgentStarted,
+    AgentStopRequested,
+    AgentTick,
+    EntryMessageReceived,
+    GrantFailed,
+    GrantRead,
+    PeerMessage,
+    PlatformFailed,
+    PlatformObjects,
+    ProbeFinished,
+    VmsListed,
+)
+from poplarlane.decisions.agent_state import AgentState
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.reducer import reduce
+from poplarlane.exchange_messages import Digest, FactHoldings, Holdings, News, Want
+from poplarlane.types import MemberState
+
+Handler = Callable[[Any, AgentState], list[Effect]]
+HOUSEKEEPING_S = 1.0
+
+
+def register(kind: type[AgentEvent], handler: Handler) -> None:
+    """Register a handler, surrounded by what every agent event needs."""
+
+    def run(event: AgentEvent, state: AgentState) -> list[Effect]:
+        state.now, state.wall = event.now, event.wall
+        was_ready = state.verification.ready
+        effects = handler(event, state)
+        return effects + follow_up(event, state, was_ready)
+
+    reduce.register(kind)(run)
+
+
+def follow_up(event: AgentEvent, state: AgentState, was_ready: bool) -> list[Effect]:
+    """Pass on what the event changed."""
+    generator = random.Random(event.draw)
+    effects: list[Effect] = []
+    if state.verification.ready and not was_ready:
+        state.next_digest_at = min(state.next_digest_at, state.now)
+        effects += views.send_all_views(state)
+    else:
+        effects += views.pass_on(state, state.new_probes)
+    if state.changed:
+        effects += distribution.spread_changes(state, generator)
+    if state.changed_facts or state.changed_verdicts:
+        first_hand = not isinstance(event, PeerMessage)
+        effects += distribution.spread_notices(state, generator, first_hand)
+    effects += distribution.flush(state)
+    state.changed.clear()
+    state.changed_facts.clear()
+    state.changed_verdicts = []
+    state.new_probes = []
+    return effects
+
+
+def on_started(event: AgentStarted, state: AgentState) -> list[Effect]:
+    """Connect to the seeds and start to learn the view."""
+    generator = random.Random(event.draw)
+    verification.begin(state, generator)
+    membership.announce_self(state, MemberState.LIVE)
+    state.next_digest_at = state.now + state.exchange_s * generator.random()
+    return [ConnectPeer(peer.name, peer.address, peer.port) for peer in state.peers.values()]
+
+
+def on_tick(event: AgentTick, state: AgentState) -> list[Effect]:
+    """Do what is due."""
+    generator = random.Random(event.draw)
+    effects: list[Effect] = []
+    if state.stopping:
+        return effects
+    if state.now >= state.housekeeping_at:
+        state.housekeeping_at = state.now + HOUSEKEEPING_S
+        effects += membership.check_silence(state)
+        effects += watching.decide_watching(state, generator)
+        effects += views.expire(state)
+    effects += verification.tick(state, generator)
+    effects += watching.tick(state, generator)
+    if state.now >= state.next_digest_at:
+        effects += distribution.send_digests(state, generator)
+    effects += probes.tick(state)
+    return effects + probes.flush(state)
+
+
+def on_paused(event: AgentPaused, state: AgentState) -> list[Effect]:
+    """Distrust everything that depends on time until peers or the platform confirm the view."""
+    state.pauses += 1
+    for peer in state.peers.values():
+        # The silence was this agent's own.
+        peer.heard_at += event.gap_s
+        peer.ready = False
+    for link in state.entries.values():
+        link.heard_at += event.gap_s
+    state.watch.since = None
+    verification.begin(state, random.Random(event.draw))
+    return [Log("paused", "warning", {"gap_ms": round(event.gap_s * 1000)})]
+
+
+def on_peer(event: PeerMessage, state: AgentState) -> list[Effect]:
+    """Handle a message of another agent."""
+    message = event.message
+    accepted, effects = membership.meet(state, message.sender)
+    if not accepted:
+        return effects
+    generator = random.Random(event.draw)
+    if isinstance(message, Digest):
+        effects += distribution.on_digest(state, message, generator)
+        effects += verification.on_digest(state, message, generator)
+    elif isinstance(message, Holdings):
+        effects += distribution.on_holdings(state, message)
+        effects += verification.on_holdings(state, message)
+    elif isinstance(message, FactHoldings):
+        effects += distribution.on_fact_holdings(state, message)
+    elif isinstance(message, Want):
+        effects += distribution.on_want(state, message)
+    elif isinstance(message, News):
+        effects += distribution.on_news(state, message)
+        for verdict in message.verdicts:
+            views.learn_verdict(state, verdict)
+        probes.on_peer_results(state, message.probes)
+    return effects
+
+
+def on_vms(event: VmsListed, state: AgentState) -> list[Effect]:
+    """Take in the platform's list of VMs."""
+    state.watch.vm_list_pending = False
+    state.watch.answered_at = state.now
+    return membership.take_vm_list(state, event.as_of, event.vms)
+
+
+def on_stop(_event: AgentStopRequested, state: AgentState) -> list[Effect]:
+    """Tell the peers, give grants back and end."""
+    if state.stopping:
+        return [StopAgent()]
+    state.stopping = True
+    membership.announce_self(state, MemberState.LEAVING)
+    fact = membership.to_notice(state.changed_facts[-1])
+    news = News(distribution.sender(state), [], [fact], [], [])
+    effects: list[Effect] = [SendToPeer(peer, news) for peer in state.peers]
+    state.changed_facts.clear()
+    for name, held in state.probes.items():
+        if grants.holds(held, state.now) and not held.calling:
+            effects += grants.release(state, name, held)
+    return [*effects, Log("leaving", "info", {"peers": len(state.peers)}), StopAgent()]
+
+
+register(AgentStarted, on_started)
+register(AgentTick, on_tick)
+register(AgentPaused, on_paused)
+register(AgentStopRequested, on_stop)
+register(PeerMessage, on_peer)
+register(EntryMessageReceived, views.on_message)
+register(PlatformObjects, watching.on_objects)
+register(PlatformFailed, watching.on_failed)
+register(VmsListed, on_vms)
+register(GrantRead, grants.on_read)
+register(GrantFailed, grants.on_failed)
+register(ProbeFinished, probes.on_finished)
--- /dev/null
+++ b/poplarlane/decisions/distribution.py
@@ -0,0 +1,320 @@
+"""Exchange between agents: digests, holdings, requests, news and the bound on bytes sent."""
+
+import random
+
+from poplarlane.decisions import intake, membership
+from poplarlane.decisions.agent_effects import SendToPeer
+from poplarlane.decisions.agent_state import (
+    EXCHANGE_BURST_BYTES,
+    EXCHANGE_BYTES_PER_S,
+    AgentState,
+    Peer,
+    bucket_of,
+)
+from poplarlane.decisions.effects import Effect
+from poplarlane.exchange_messages import (
+    MAX_MESSAGE_BODY_BYTES,
+    AliveNotice,
+    Digest,
+    FactHoldings,
+    Holdings,
+    News,
+    Sender,
+    Want,
+)
+from poplarlane.messages import MemberNotice, ServiceBody
+from poplarlane.objects import SERVICES_KIND
+
+DIGEST_PEERS = 2
+FORWARD_PEERS = 3
+FOREIGN_SHARE = 0.25
+MAX_ALIVE_NOTICES = 16
+MAX_REJECTION_NOTICES = 16
+RECENT_S = 10.0
+MAX_FACTS_PER_MESSAGE = 500
+# Facts and verdicts go to every peer directly up to this fleet size, then by forwarding.
+MAX_DIRECT_PEERS = 64
+BODY_OVERHEAD_BYTES = 64
+FACTS_INTERVAL_S = 2.0
+
+
+def sender(state: AgentState) -> Sender:
+    """Describe this agent in a message."""
+    return Sender(
+        state.name,
+        state.incarnation,
+        state.data_centre,
+        state.address,
+        state.port,
+        state.verification.ready and not state.stopping,
+    )
+
+
+def make_digest(
+    state: AgentState, generator: random.Random, nonce: int = 0, reply_to: int = 0
+) -> Digest:
+    """Summarise what this agent holds."""
+    since = state.now - RECENT_S
+    recent = [(name, state.services[name].revision) for name, at in state.recent.items()]
+    recent = [pair for pair in recent if state.recent[pair[0]] >= since]
+    return Digest(
+        sender(state),
+        nonce,
+        reply_to,
+        state.service_index.pack(),
+        state.fact_index.pack(),
+        recent,
+        alive_notices(state, generator),
+        list(state.rejected.values())[:MAX_REJECTION_NOTICES],
+        state.now - state.watch.answered_at,
+        state.now - state.watch.tried_at,
+    )
+
+
+def alive_notices(state: AgentState, generator: random.Random) -> list[AliveNotice]:
+    """Sample the agents that were heard of lately."""
+    limit = state.now - membership.SUSPECT_AFTER_S
+    heard = [peer for peer in state.peers.values() if peer.contacted and peer.heard_at > limit]
+    if len(heard) > MAX_ALIVE_NOTICES:
+        heard = generator.sample(heard, MAX_ALIVE_NOTICES)
+    return [
+        AliveNotice(
+            peer.name,
+            peer.incarnation,
+            peer.data_centre,
+            peer.advertised or peer.address,
+            peer.port,
+            peer.ready,
+            state.now - peer.heard_at,
+        )
+        for peer in heard
+    ]
+
+
+def choose_peers(state: AgentState, generator: random.Random, count: int) -> list[Peer]:
+    """Choose random agents, mostly of the own data centre."""
+    live = membership.live_peers(state)
+    near = [peer for peer in live if peer.data_centre == state.data_centre]
+    far = [peer for peer in live if peer.data_centre != state.data_centre]
+    chosen: list[Peer] = []
+    for _ in range(count):
+        pool = far if not near or (far and generator.random() < FOREIGN_SHARE) else near
+        if pool:
+            peer = generator.choice(pool)
+            pool.remove(peer)
+            chosen.append(peer)
+    return chosen
+
+
+def send_digests(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Send the periodic digests; also to one silent agent, which may be back."""
+    state.next_digest_at = state.now + state.exchange_s * generator.uniform(0.75, 1.25)
+    peers = choose_peers(state, generator, DIGEST_PEERS)
+    live = {peer.name for peer in membership.live_peers(state)}
+    silent = [peer for peer in state.peers.values() if peer.name not in live]
+    if silent:
+        peers.append(generator.choice(silent))
+    return [SendToPeer(peer.name, make_digest(state, generator)) for peer in peers]
+
+
+def on_digest(state: AgentState, digest: Digest, generator: random.Random) -> list[Effect]:
+    """Compare a digest with the own holdings and answer with the difference."""
+    name = digest.sender.name
+    effects = membership.hear_of(state, digest.alive)
+    note_platform(state, digest)
+    for notice in digest.rejected:
+        effects += intake.report_rejection(state, notice)
+    if digest.nonce:
+        effects.append(SendToPeer(name, make_digest(state, generator, reply_to=digest.nonce)))
+    effects += request(state, name, digest.recent)
+    differing = state.service_index.differing(digest.services)
+    if differing and not digest.nonce:
+        effects.append(SendToPeer(name, holdings(state, differing, True, digest.reply_to)))
+    return effects + compare_facts(state, name, digest.facts)
+
+
+def note_platform(state: AgentState, digest: Digest) -> None:
+    """Take over when the platform last answered, and was last tried."""
+    watch = state.watch
+    watch.answered_at = max(watch.answered_at, state.now - max(digest.platform_age_s, 0.0))
+    watch.tried_at = max(watch.tried_at, state.now - max(digest.try_age_s, 0.0))
+
+
+def compare_facts(state: AgentState, name: str, packed: bytes) -> list[Effect]:
+    """Exchange facts in the buckets that differ, at a bounded rate per peer."""
+    differing = state.fact_index.differing(packed)
+    peer = state.peers.get(name)
+    if not differing or peer is None or state.now - peer.wanted_facts_at < FACTS_INTERVAL_S:
+        return []
+    peer.wanted_facts_at = state.now
+    return send_facts(state, name, differing, True)
+
+
+def send_facts(state: AgentState, name: str, buckets: list[int], ask: bool) -> list[Effect]:
+    """Send all facts of some buckets, split into messages."""
+    wanted = set(buckets)
+    facts = [
+        membership.to_notice(fact)
+        for (kind, member), fact in state.facts.items()
+        if bucket_of(f"{kind}/{member}") in wanted
+    ]
+    effects: list[Effect] = []
+    for start in range(0, max(len(facts), 1), MAX_FACTS_PER_MESSAGE):
+        part = facts[start : start + MAX_FACTS_PER_MESSAGE]
+        last = start + MAX_FACTS_PER_MESSAGE >= len(facts)
+        message = FactHoldings(sender(state), buckets if last else [], part, ask and last)
+        effects.append(SendToPeer(name, message))
+    return effects
+
+
+def on_fact_holdings(state: AgentState, message: FactHoldings) -> list[Effect]:
+    """Merge facts, and answer with the own facts of the same buckets."""
+    effects = membership.learn_notices(state, message.facts)
+    if message.ask:
+        effects += send_facts(state, message.sender.name, message.buckets, False)
+    return effects
+
+
+def holdings(state: AgentState, buckets: list[int], ask: bool, nonce: int) -> Holdings:
+    """List all held revisions of some buckets."""
+    wanted = set(buckets)
+    revisions = [
+        (name, held.revision) for name, held in state.services.items() if bucket_of(name) in wanted
+    ]
+    return Holdings(sender(state), buckets, revisions, ask, nonce)
+
+
+def on_holdings(state: AgentState, message: Holdings) -> list[Effect]:
+    """Send what the peer lacks, request what this agent lacks."""
+    name = message.sender.name
+    effects = request(state, name, message.revisions)
+    if not message.buckets:
+        return effects
+    theirs = dict(message.revisions)
+    wanted = set(message.buckets)
+    newer = [
+        service
+        for service, held in state.services.items()
+        if bucket_of(service) in wanted and held.revision > theirs.get(service, 0)
+    ]
+    if message.ask:
+        reply = holdings(state, message.buckets, False, message.nonce)
+        effects.append(SendToPeer(name, reply))
+    queue(state, name, newer)
+    return effects
+
+
+def request(state: AgentState, name: str, revisions: list[tuple[str, int]]) -> list[Effect]:
+    """Request the services of which a peer holds a newer revision."""
+    lacking = [service for service, revision in revisions if revision > revision_of(state, service)]
+    for service, revision in revisions:
+        state.floors[service] = max(state.floors.get(service, 0), revision)
+    return [SendToPeer(name, Want(sender(state), lacking))] if lacking else []
+
+
+def revision_of(state: AgentState, service: str) -> int:
+    """Give the held revision, 0 for an unknown service."""
+    held = state.services.get(service)
+    return held.revision if held else 0
+
+
+def on_want(state: AgentState, message: Want) -> list[Effect]:
+    """Queue the requested bodies."""
+    queue(state, message.sender.name, [name for name in message.services if name in state.services])
+    return []
+
+
+def on_news(state: AgentState, message: News) -> list[Effect]:
+    """Take in bodies and facts of a peer."""
+    effects: list[Effect] = []
+    for item in message.services:
+        if item.revision < revision_of(state, item.service):
+            state.count("stale_objects")
+            continue
+        effects += intake.offer(state, item.service, item.body, SERVICES_KIND, False)
+    return effects + membership.learn_notices(state, message.facts)
+
+
+def queue(state: AgentState, peer: str, services: list[str]) -> None:
+    """Queue services for a peer; a service that is queued twice is sent once."""
+    if not services or peer not in state.peers:
+        return
+    backlog = state.backlog.setdefault(peer, type(state.recent)())
+    for service in services:
+        backlog[service] = None
+
+
+def flush(state: AgentState) -> list[Effect]:
+    """Send queued bodies as far as the bound on bytes allows."""
+    refilled = state.tokens + (state.now - state.tokens_at) * EXCHANGE_BYTES_PER_S
+    state.tokens = min(EXCHANGE_BURST_BYTES, refilled)
+    state.tokens_at = state.now
+    effects: list[Effect] = []
+    for peer in list(state.backlog):
+        backlog = state.backlog[peer]
+        while backlog and state.tokens > 0:
+            bodies = take_bodies(state, backlog)
+            effects.append(SendToPeer(peer, News(sender(state), bodies, [], [], [])))
+        if not backlog:
+            del state.backlog[peer]
+    return effects
+
+
+def take_bodies(state: AgentState, backlog: dict[str, None]) -> list[ServiceBody]:
+    """Take the bodies of one message from a backlog and pay for their bytes."""
+    bodies: list[ServiceBody] = []
+    size = 0
+    while backlog and size < MAX_MESSAGE_BODY_BYTES:
+        name = next(iter(backlog))
+        held = state.services[name]
+        if bodies and size + len(held.body) > MAX_MESSAGE_BODY_BYTES:
+            break
+        del backlog[name]
+        bodies.append(ServiceBody(name, held.revision, held.body))
+        size += len(held.body) + BODY_OVERHEAD_BYTES
+    state.tokens -= size
+    return bodies
+
+
+def spread_changes(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Push what the platform sent; announce to a few peers what a peer sent."""
+    own = [name for name, from_platform in state.changed.items() if from_platform]
+    if own:
+        for peer in push_peers(state):
+            queue(state, peer, own)
+    heard = [(name, revision_of(state, name)) for name in state.changed if name not in own]
+    if not heard:
+        return []
+    message = Holdings(sender(state), [], heard, False, 0)
+    chosen = choose_peers(state, generator, FORWARD_PEERS)
+    return [SendToPeer(peer.name, message) for peer in chosen]
+
+
+def push_peers(state: AgentState) -> list[str]:
+    """List who gets bodies from the platform first: the own data centre, and foreign watchers."""
+    live = membership.live_peers(state)
+    names = [peer.name for peer in live if peer.data_centre == state.data_centre]
+    foreign: dict[str, list[str]] = {}
+    for peer in live:
+        if peer.data_centre != state.data_centre:
+            foreign.setdefault(peer.data_centre, []).append(peer.name)
+    for data_centre, members in foreign.items():
+        ranked = membership.rank_by_hash(f"watch/{data_centre}", members)
+        names += ranked[:1]
+    return names
+
+
+def spread_notices(state: AgentState, generator: random.Random, first_hand: bool) -> list[Effect]:
+    """Send changed facts and verdicts on: to everyone at first hand, else to a few."""
+    facts: list[MemberNotice] = [membership.to_notice(fact) for fact in state.changed_facts]
+    peers = [peer for peer in state.peers.values() if peer.contacted]
+    limit = MAX_DIRECT_PEERS if first_hand else FORWARD_PEERS
+    if len(peers) > limit:
+        peers = generator.sample(peers, limit)
+    effects: list[Effect] = []
+    for start in range(0, max(len(facts), 1), MAX_FACTS_PER_MESSAGE):
+        part = facts[start : start + MAX_FACTS_PER_MESSAGE]
+        verdicts = state.changed_verdicts if start == 0 else []
+        message = News(sender(state), [], part, verdicts, [])
+        effects += [SendToPeer(peer.name, message) for peer in peers]
+    return effects
--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -51,7 +51,9 @@
     if known is not None and same_standing(known, merged):
         return False
     state.fact_index.put(f"{fact.kind}/{fact.name}", f"{merged.incarnation}/{merged.state}")
-    state.changed_facts.append(merged)
+    # Most targets are live; a list of all of them is no news for anyone.
+    if known is not None or fact.kind != MemberKind.TARGET or fact.state != MemberState.LIVE:
+        state.changed_facts.append(merged)
     state.recent_facts[key] = state.now
     state.recent_facts.move_to_end(key)
     while len(state.recent_facts) > MAX_RECENT_FACTS:
@@ -142,9 +144,7 @@
     incarnation = known.incarnation if known else 0
     return learn(
         state,
-        MemberFact(
-            name, MemberKind.TARGET, incarnation, MemberState.LEAVING, state.wall, source
-        ),
+        MemberFact(name, MemberKind.TARGET, incarnation, MemberState.LEAVING, state.wall, source),
     )
 
 
@@ -233,9 +233,7 @@
         if vm.role == MemberKind.TARGET:
             learn_listed_target(state, vm, as_of)
         elif vm.address not in known and vm.state == MemberState.LIVE:
-            state.peers[vm.name] = Peer(
-                vm.name, vm.data_centre, vm.address, state.port, state.now
-            )
+            state.peers[vm.name] = Peer(vm.name, vm.data_centre, vm.address, state.port, state.now)
             effects.append(ConnectPeer(vm.name, vm.address, state.port))
     effects += confirm_losses(state, {vm.address for vm in vms if vm.state == MemberState.LIVE})
     return effects
--- /dev/null
+++ b/poplarlane/decisions/verification.py
@@ -0,0 +1,149 @@
+"""When a view counts as complete: after a start, and again after a pause."""
+
+import random
+
+from poplarlane.decisions import distribution, membership
+from poplarlane.decisions.agent_effects import ListObjects, SendToPeer
+from poplarlane.decisions.agent_state import AgentState, Verification
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.exchange_messages import Digest, Holdings
+from poplarlane.objects import SERVICE_COPIES_KIND, SERVICES_KIND
+
+PEERS_WANTED = 2
+# How long a ready second peer is waited for, and ready peers at all before the platform is asked.
+PEER_WAIT_S = 2.0
+TRY_INTERVAL_S = 0.3
+PEERS_PER_TRY = 4
+LIST_JITTER_S = 0.2
+LIST_RETRY_S = (1.0, 4.0)
+# Agents that are not among the first to list leave them this time to do so and to answer.
+SECOND_LIST_DELAY_S = (1.5, 4.0)
+
+
+def begin(state: AgentState, generator: random.Random) -> None:
+    """Treat the view as unverified and start an attempt."""
+    ever_ready = state.verification.ever_ready
+    verification = Verification()
+    state.nonce += 1
+    verification.nonce = state.nonce
+    verification.ever_ready = ever_ready
+    verification.started_at = state.now
+    verification.next_try_at = state.now
+    wait_s = PEER_WAIT_S if state.peers else 0.0
+    verification.list_at = state.now + wait_s + generator.uniform(0.0, LIST_JITTER_S)
+    if not is_first_lister(state):
+        verification.list_at += generator.uniform(*SECOND_LIST_DELAY_S)
+    state.verification = verification
+
+
+def is_first_lister(state: AgentState) -> bool:
+    """Tell whether this agent lists early when a whole data centre starts at once."""
+    names = [state.name]
+    names += [peer.name for peer in state.peers.values() if peer.data_centre == state.data_centre]
+    ranked = membership.rank_by_hash(f"watch/{state.data_centre}", names)
+    return state.name in ranked[: state.watchers]
+
+
+def tick(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Ask peers and, where they do not suffice, the platform."""
+    verification = state.verification
+    if verification.ready:
+        return []
+    effects: list[Effect] = []
+    if state.now >= verification.next_try_at:
+        verification.next_try_at = state.now + TRY_INTERVAL_S * generator.uniform(0.7, 1.3)
+        effects += ask_peers(state, generator)
+    if state.now >= verification.list_at:
+        verification.list_at = state.now + generator.uniform(*LIST_RETRY_S) + PEER_WAIT_S
+        if not verification.ready_peers or state.now - verification.started_at > 2 * PEER_WAIT_S:
+            effects += [ListObjects(SERVICES_KIND), ListObjects(SERVICE_COPIES_KIND)]
+    return effects + conclude(state)
+
+
+def ask_peers(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Send digests that ask for an answer; agents known to be ready come first."""
+    peers = list(state.peers.values())
+    generator.shuffle(peers)
+    peers.sort(key=lambda peer: not peer.ready)
+    digest = distribution.make_digest(state, generator, nonce=state.verification.nonce)
+    return [SendToPeer(peer.name, digest) for peer in peers[:PEERS_PER_TRY]]
+
+
+def on_digest(state: AgentState, digest: Digest, generator: random.Random) -> list[Effect]:
+    """Note the answer of a peer; equal holdings verify the view at once."""
+    verification = state.verification
+    if verification.ready or digest.reply_to != verification.nonce:
+        return []
+    if digest.sender.ready:
+        verification.ready_peers.add(digest.sender.name)
+        if not state.service_index.differing(digest.services):
+            verification.verified_by.add(digest.sender.name)
+    elif all(peer.contacted and not peer.ready for peer in state.peers.values()):
+        hasten_list(state, generator)
+    return conclude(state)
+
+
+def hasten_list(state: AgentState, generator: random.Random) -> None:
+    """Ask the platform without further waiting when no peer has a complete view."""
+    if is_first_lister(state) and not state.verification.listed:
+        soon = state.now + generator.uniform(0.0, LIST_JITTER_S)
+        if state.verification.list_at - state.now <= PEER_WAIT_S + LIST_JITTER_S:
+            state.verification.list_at = min(state.verification.list_at, soon)
+
+
+def on_holdings(state: AgentState, message: Holdings) -> list[Effect]:
+    """Note that a ready peer holds nothing newer in the buckets that differed."""
+    verification = state.verification
+    if verification.ready or message.ask or message.nonce != verification.nonce:
+        return []
+    behind = any(
+        revision > distribution.revision_of(state, name) for name, revision in message.revisions
+    )
+    if message.sender.ready and not behind:
+        verification.verified_by.add(message.sender.name)
+    return conclude(state)
+
+
+def on_listed(state: AgentState, kind: str) -> list[Effect]:
+    """Note that the platform's list was taken in."""
+    state.verification.listed.add(kind)
+    return conclude(state)
+
+
+def conclude(state: AgentState) -> list[Effect]:
+    """Become ready when the view is known to be complete."""
+    verification = state.verification
+    if verification.ready or state.stopping or not enough(state):
+        return []
+    behind = services_behind(state)
+    if behind:
+        return []
+    verification.ready = True
+    verification.ever_ready = True
+    fields = {
+        "services": len(state.services),
+        "peers": ",".join(sorted(verification.verified_by)) or "none",
+        "platform": int(len(verification.listed) == 2),
+        "after_ms": round((state.now - verification.started_at) * 1000),
+    }
+    return [Log("ready", "info", fields)]
+
+
+def enough(state: AgentState) -> bool:
+    """Tell whether enough sources confirmed the view."""
+    verification = state.verification
+    confirmed = len(verification.verified_by)
+    waited = state.now - verification.started_at >= PEER_WAIT_S
+    if confirmed >= PEERS_WANTED or (confirmed == 1 and (waited or len(state.peers) == 1)):
+        return True
+    listed = verification.listed >= {SERVICES_KIND, SERVICE_COPIES_KIND}
+    return listed and (not verification.ready_peers or waited)
+
+
+def services_behind(state: AgentState) -> list[str]:
+    """List services of which a newer revision is known to exist."""
+    return [
+        name
+        for name, floor in state.floors.items()
+        if floor > distribution.revision_of(state, name)
+    ]
--- /dev/null
+++ b/poplarlane/decisions/views.py
@@ -0,0 +1,230 @@
+"""What the agent tells the entries of its VM, and what it learns from them."""
+
+from poplarlane.decisions import distribution, membership
+from poplarlane.decisions.agent_effects import SendToEntry
+from poplarlane.decisions.agent_events import EntryMessageReceived
+from poplarlane.decisions.agent_state import AgentState, EntryLink
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.messages import (
+    EntryHello,
+    EntryReport,
+    MemberNotice,
+    ProbeNotice,
+    ServiceBody,
+    VerdictNotice,
+    ViewUpdate,
+)
+from poplarlane.types import MemberFact, MemberKind, MemberState
+
+MAX_UPDATE_BYTES = 262_144
+RESEND_S = 1.0
+MAX_VERDICTS = 2_000
+
+
+def on_message(event: EntryMessageReceived, state: AgentState) -> list[Effect]:
+    """Handle a hello or a report."""
+    if isinstance(event.message, EntryHello):
+        return on_hello(event.identity, event.message, state)
+    return on_report(event.identity, event.message, state)
+
+
+def on_hello(identity: bytes, hello: EntryHello, state: AgentState) -> list[Effect]:
+    """Connect an entry and send it everything newer than what it applied."""
+    link = EntryLink(hello.entry, identity, hello.incarnation, state.now)
+    known = state.entries.get(hello.entry)
+    if known is not None and known.incarnation > hello.incarnation:
+        return []
+    state.entries[hello.entry] = link
+    take_applied(state, link, hello.applied)
+    announce(state, link, MemberState.LIVE)
+    effects: list[Effect] = []
+    if known is None or known.incarnation != hello.incarnation:
+        effects.append(Log("entry_connected", "info", {"entry": hello.entry}))
+    return effects + send_view(state, link)
+
+
+def take_applied(state: AgentState, link: EntryLink, applied: dict[str, int]) -> None:
+    """Note what an entry applied; the agent must not be behind its own entries."""
+    link.applied = applied
+    for name, revision in applied.items():
+        if revision > state.floors.get(name, 0):
+            state.floors[name] = revision
+
+
+def announce(state: AgentState, link: EntryLink, standing: MemberState) -> None:
+    """State a fact about an entry of this VM; its source is this agent."""
+    membership.learn(
+        state,
+        MemberFact(link.name, MemberKind.ENTRY, link.incarnation, standing, state.wall, state.name),
+    )
+
+
+def on_report(identity: bytes, report: EntryReport, state: AgentState) -> list[Effect]:
+    """Take in what an entry applied and observed."""
+    link = state.entries.get(report.entry)
+    if link is None or link.incarnation < report.incarnation:
+        link = EntryLink(report.entry, identity, report.incarnation, state.now)
+        state.entries[report.entry] = link
+        announce(state, link, MemberState.LIVE)
+    if link.incarnation > report.incarnation:
+        return []
+    link.identity = identity
+    link.heard_at = state.now
+    link.ready = report.ready
+    link.rejected = report.rejected
+    take_applied(state, link, report.applied)
+    if report.draining and not link.draining:
+        link.draining = True
+        announce(state, link, MemberState.LEAVING)
+    effects = take_leaving(state, link, report.leaving_targets)
+    for verdict in report.verdicts:
+        learn_verdict(state, verdict)
+    return effects + resend(state, link)
+
+
+def take_leaving(state: AgentState, link: EntryLink, names: list[str]) -> list[Effect]:
+    """Record targets that an entry newly saw leaving.
+
+    An entry repeats its list; only additions count, because a repeated name may describe an
+    incarnation that has been replaced since.
+    """
+    added = set(names) - link.leaving
+    link.leaving = set(names)
+    effects: list[Effect] = []
+    for name in sorted(added):
+        if membership.leave_target(state, name, link.name):
+            effects.append(Log("target_leaving", "info", {"target": name, "source": link.name}))
+    return effects
+
+
+def learn_verdict(state: AgentState, verdict: VerdictNotice) -> None:
+    """Keep a verdict and pass it on when it is new or about to run out."""
+    key = (verdict.service, verdict.target, verdict.source)
+    known = state.verdicts.get(key)
+    expires_at = state.now + verdict.valid_for_s
+    if known is not None:
+        same = known[0].verdict == verdict.verdict
+        if same and known[1] - state.now > verdict.valid_for_s / 2:
+            return
+    state.verdicts[key] = (verdict, expires_at)
+    state.changed_verdicts.append(verdict)
+    while len(state.verdicts) > MAX_VERDICTS:
+        del state.verdicts[next(iter(state.verdicts))]
+
+
+def expire(state: AgentState) -> list[Effect]:
+    """Drop verdicts that ran out, and entries that fell silent."""
+    over = [key for key, (_, expires_at) in state.verdicts.items() if expires_at <= state.now]
+    for key in over:
+        del state.verdicts[key]
+    limit = state.now - membership.SILENT_ENTRY_S
+    silent = [link for link in state.entries.values() if link.heard_at < limit]
+    for link in silent:
+        del state.entries[link.name]
+        announce(state, link, MemberState.GONE)
+    return [Log("entry_silent", "warning", {"entry": link.name}) for link in silent]
+
+
+def resend(state: AgentState, link: EntryLink) -> list[Effect]:
+    """Send again what an entry did not apply in time."""
+    if not state.verification.ready:
+        return []
+    names = [
+        name
+        for name, held in state.services.items()
+        if held.revision > link.applied.get(name, 0)
+        and name not in link.rejected
+        and state.now - link.sent_at.get(name, 0.0) > RESEND_S
+    ]
+    return send_services(state, link, names, [], [], []) if names else []
+
+
+def send_view(state: AgentState, link: EntryLink) -> list[Effect]:
+    """Send an entry everything it lacks; an unverified view is not sent."""
+    if not state.verification.ready:
+        return [update(state, link, False, [], [], [], [])]
+    names = [
+        name for name, held in state.services.items() if held.revision > link.applied.get(name, 0)
+    ]
+    facts = [fact for fact in state.facts.values() if fact.kind == MemberKind.TARGET]
+    verdicts = [verdict for verdict, _ in state.verdicts.values()]
+    return send_services(state, link, names, facts, verdicts, [])
+
+
+def send_services(
+    state: AgentState,
+    link: EntryLink,
+    names: list[str],
+    facts: list[MemberFact],
+    verdicts: list[VerdictNotice],
+    probes: list[ProbeNotice],
+) -> list[Effect]:
+    """Send services in updates of bounded size; the last one carries the rest."""
+    effects: list[Effect] = []
+    bodies: list[ServiceBody] = []
+    size = 0
+    for name in names:
+        held = state.services[name]
+        if bodies and size + len(held.body) > MAX_UPDATE_BYTES:
+            effects.append(update(state, link, False, bodies, [], [], []))
+            bodies, size = [], 0
+        bodies.append(ServiceBody(name, held.revision, held.body))
+        size += len(held.body)
+        link.sent_at[name] = state.now
+    members = [membership.to_notice(fact) for fact in facts]
+    effects.append(update(state, link, True, bodies, members, verdicts, probes))
+    return effects
+
+
+def update(
+    state: AgentState,
+    link: EntryLink,
+    complete: bool,
+    bodies: list[ServiceBody],
+    members: list[MemberNotice],
+    verdicts: list[VerdictNotice],
+    probes: list[ProbeNotice],
+) -> Effect:
+    """Number one update for an entry."""
+    link.sequence += 1
+    view = ViewUpdate(
+        state.name,
+        state.incarnation,
+        link.sequence,
+        complete,
+        bodies,
+        members,
+        verdicts,
+        membership.fleet_entries(state),
+        probes,
+    )
+    return SendToEntry(link.identity, view)
+
+
+def pass_on(state: AgentState, probes: list[ProbeNotice]) -> list[Effect]:
+    """Send what the current event changed to every entry of this VM."""
+    if not state.verification.ready:
+        return []
+    facts = [fact for fact in state.changed_facts if fact.kind == MemberKind.TARGET]
+    entries = membership.fleet_entries(state) if state.changed_facts else state.fleet_sent
+    resized = entries != state.fleet_sent
+    state.fleet_sent = entries
+    if not (state.changed or facts or state.changed_verdicts or probes or resized):
+        return []
+    effects: list[Effect] = []
+    for link in state.entries.values():
+        newer = [
+            name
+            for name in state.changed
+            if distribution.revision_of(state, name) > link.applied.get(name, 0)
+        ]
+        effects += send_services(state, link, newer, facts, state.changed_verdicts, probes)
+    return effects
+
+
+def send_all_views(state: AgentState) -> list[Effect]:
+    """Bring every entry up to date after the view became complete."""
+    effects: list[Effect] = []
+    for link in state.entries.values():
+        effects += send_view(state, link)
+    return effects
--- /dev/null
+++ b/poplarlane/decisions/watching.py
@@ -0,0 +1,131 @@
+"""Which agents watch the platform, and when calls are made to it."""
+
+import random
+
+from poplarlane.decisions import intake, membership, verification
+from poplarlane.decisions.agent_effects import ListObjects, ListVms, WatchObjects
+from poplarlane.decisions.agent_events import PlatformFailed, PlatformObjects
+from poplarlane.decisions.agent_state import AgentState
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.objects import SERVICES_KIND
+
+# Shorter than the age at which others start to watch themselves.
+WATCH_WAIT_MS = 2_000
+FRESH_S = 6.0
+# A full list repairs what a stale list followed by a watch could have missed.
+RELIST_S = 60.0
+MAX_BACKOFF_S = 2.0
+FIRST_BACKOFF_S = 0.25
+# A platform that answers watches at once without changes must not be asked in a tight loop.
+EMPTY_WATCH_PAUSE_S = 0.2
+HTTP_GONE = 410
+
+
+def decide_watching(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Decide by rendezvous hashing whether this agent watches for its data centre."""
+    peers = membership.live_peers(state)
+    names = [peer.name for peer in peers if peer.data_centre == state.data_centre]
+    ranked = membership.rank_by_hash(f"watch/{state.data_centre}", [*names, state.name])
+    chosen = state.name in ranked[: state.watchers] and not state.stopping
+    watching = chosen or falls_back(state, generator, len(names) + 1)
+    if watching == state.watch.watching:
+        return []
+    state.watch.watching = watching
+    return [Log("watching" if watching else "not_watching", "info", {})]
+
+
+def falls_back(state: AgentState, generator: random.Random, near: int) -> bool:
+    """Tell whether this agent watches because nobody has heard from the platform.
+
+    The delay grows with the data centre, so that the calls of all agents in an outage do not.
+    """
+    watch = state.watch
+    if state.now - watch.answered_at < FRESH_S:
+        watch.fallback_at = 0.0
+        return False
+    if watch.fallback_at == 0.0:
+        watch.fallback_at = state.now + generator.uniform(0.0, 2.0 * near)
+    if state.now < watch.fallback_at:
+        return False
+    if watch.failures > 0:
+        watch.fallback_at = state.now + generator.uniform(0.0, 4.0 * near)
+        watch.failures = 0
+        return False
+    return True
+
+
+def tick(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Start the next call to the platform when it is due."""
+    effects = list_vms(state)
+    watch = state.watch
+    if not watch.watching or watch.calling or state.now < watch.next_at:
+        return effects
+    watch.calling = True
+    watch.tried_at = state.now
+    relist_at = watch.listed_at + RELIST_S * generator.uniform(1.0, 1.5)
+    if watch.since is None or state.now > relist_at:
+        return [*effects, ListObjects(SERVICES_KIND)]
+    return [*effects, WatchObjects(SERVICES_KIND, watch.since, WATCH_WAIT_MS)]
+
+
+def list_vms(state: AgentState) -> list[Effect]:
+    """Fetch the list of VMs when it is this agent's turn.
+
+    Turns rotate over the fleet, so that the number of calls does not grow with it and no agent
+    carries the whole cost of a long list.
+    """
+    watch = state.watch
+    slot = int(state.wall / state.vm_list_s)
+    if slot == watch.vm_list_slot or watch.vm_list_pending or state.stopping:
+        return []
+    watch.vm_list_slot = slot
+    names = [peer.name for peer in membership.live_peers(state) if peer.contacted]
+    if membership.rank_by_hash(f"vms/{slot}", [*names, state.name])[0] != state.name:
+        return []
+    watch.vm_list_pending = True
+    return [ListVms()]
+
+
+def on_objects(event: PlatformObjects, state: AgentState) -> list[Effect]:
+    """Take in objects of the platform; older revisions among them change nothing."""
+    watch = state.watch
+    watch.answered_at = watch.tried_at = state.now
+    watch.failures = 0
+    effects: list[Effect] = []
+    for item in event.items:
+        effects += intake.offer(state, item.name, item.body, event.kind, True)
+    if event.call == "read":
+        watch.copies_pending -= {item.name for item in event.items}
+        return effects
+    if event.kind == SERVICES_KIND:
+        watch.since = max(watch.since or 0, event.revision)
+    if event.call == "list":
+        watch.listed_at = state.now
+        effects += verification.on_listed(state, event.kind)
+    if event.kind == SERVICES_KIND:
+        watch.calling = False
+        quiet = event.call == "watch" and not event.items
+        watch.next_at = state.now + (EMPTY_WATCH_PAUSE_S if quiet else 0.0)
+    return effects
+
+
+def on_failed(event: PlatformFailed, state: AgentState) -> list[Effect]:
+    """Back off after a failed call."""
+    watch = state.watch
+    watch.tried_at = state.now
+    if event.call == "vms":
+        watch.vm_list_pending = False
+        return []
+    if event.call == "read":
+        watch.copies_pending.discard(event.name)
+        return []
+    if event.kind != SERVICES_KIND:
+        return []
+    watch.calling = False
+    watch.failures += 1
+    if event.status == HTTP_GONE:
+        watch.since = None
+    generator = random.Random(event.draw)
+    ceiling = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(watch.failures, 8))
+    watch.next_at = state.now + ceiling * generator.uniform(0.5, 1.0)
+    return []
--- a/poplarlane/objects.py
+++ b/poplarlane/objects.py
@@ -92,3 +92,21 @@
 def encode_service(service: ServiceObject) -> bytes:
     """Encode a service object as the platform stores it."""
     return JSON_ENCODER.encode(service)
+
+
+class ProbeGrantObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Allow one process to probe the targets of one service.
+
+    The grant ends `duration_ms` after a time before its write was sent. `process` tells processes
+    of one name apart. A released grant has ended already.
+    """
+
+    service: str
+    holder: str
+    process: int
+    term: int
+    duration_ms: int
+    released: bool = False
+
+
+PROBE_GRANT_DECODER = msgspec.json.Decoder(ProbeGrantObject)
--- /dev/null
+++ b/poplarlane/plumbing/agent_shell.py
@@ -0,0 +1,316 @@
+"""Shell of the agent: events into the reducer, effects out of it."""
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from poplarlane.decisions import agent_effects as effects
+from poplarlane.decisions import agent_events as events
+from poplarlane.decisions import control  # noqa: F401  registers the handlers
+from poplarlane.decisions.agent_state import AgentState
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.reducer import reduce
+from poplarlane.exchange_messages import EXCHANGE_DECODER
+from poplarlane.logs import log
+from poplarlane.messages import ENCODER, ENTRY_MESSAGE_DECODER
+from poplarlane.metrics import Metrics
+from poplarlane.objects import JSON_ENCODER, PROBE_GRANTS_KIND
+from poplarlane.plumbing.exchange_sockets import ExchangeSockets
+from poplarlane.plumbing.platform_client import PlatformAnswer, PlatformClient, PlatformFailure
+from poplarlane.plumbing.platform_objects import decode_grant, decode_list, decode_vms
+from poplarlane.plumbing.probe_client import probe
+
+TICK_S = 0.1
+# A process that did not run for this long may have missed deadlines; busy machines stay below.
+PAUSE_S = 1.5
+STOP_LIMIT_S = 1.0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 412
+
+
+def clock() -> float:
+    """Give seconds of a clock that also runs while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class AgentShell:
+    """Run one agent."""
+
+    __slots__ = (
+        "state",
+        "sockets",
+        "platform",
+        "metrics",
+        "generator",
+        "source",
+        "last_step_at",
+        "tasks",
+        "stopped",
+    )
+
+    def __init__(
+        self,
+        state: AgentState,
+        sockets: ExchangeSockets,
+        platform: PlatformClient,
+        metrics: Metrics,
+        generator: random.Random,
+        source: str,
+    ) -> None:
+        self.state = state
+        self.sockets = sockets
+        self.platform = platform
+        self.metrics = metrics
+        self.generator = generator
+        self.source = source
+        self.last_step_at = clock()
+        self.tasks: set[asyncio.Task] = set()
+        self.stopped = asyncio.Event()
+
+    def stamp(self) -> tuple[float, float, int]:
+        """Give `now`, `wall` and `draw` of the next event."""
+        return clock(), time.time(), self.generator.getrandbits(64)
+
+    def step(self, kind: type[events.AgentEvent], *fields: Any) -> None:
+        """Apply one event; a pause is noticed before anything else is done."""
+        now, wall, draw = self.stamp()
+        gap_s = now - self.last_step_at
+        self.last_step_at = now
+        if gap_s > PAUSE_S:
+            pause = events.AgentPaused(now, wall, self.generator.getrandbits(64), gap_s)
+            self.execute(reduce(pause, self.state))
+        self.execute(reduce(kind(now, wall, draw, *fields), self.state))
+
+    def execute(self, results: list[Effect]) -> None:
+        """Execute effects in order."""
+        for effect in results:
+            execute(effect, self)
+
+    def spawn(self, work: Coroutine) -> None:
+        """Run a call in the background."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finish)
+
+    def finish(self, task: asyncio.Task) -> None:
+        """Drop a finished call; a fault in it must be seen."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            log("call_failed", level="error", reason=f"{type(error).__name__}: {error}")
+
+    def on_peer(self, _identity: bytes, payload: bytes) -> None:
+        """Deliver a message of another agent."""
+        self.step(events.PeerMessage, EXCHANGE_DECODER.decode(payload))
+
+    def on_entry(self, identity: bytes, payload: bytes) -> None:
+        """Deliver a message of an entry."""
+        self.step(events.EntryMessageReceived, identity, ENTRY_MESSAGE_DECODER.decode(payload))
+
+    async def run(self) -> None:
+        """Tick until the agent stops."""
+        self.step(events.AgentStarted)
+        while not self.stopped.is_set():
+            try:
+                self.step(events.AgentTick)
+            except Exception as error:
+                # A fault in one tick must not end the control work of a VM.
+                log("tick_failed", level="error", reason=f"{type(error).__name__}: {error}")
+            await asyncio.sleep(TICK_S)
+
+    async def finish_calls(self) -> None:
+        """Let calls that give grants back end, within a limit."""
+        others = self.tasks - {asyncio.current_task()}
+        if others:
+            await asyncio.wait(others, timeout=STOP_LIMIT_S)
+        for task in others:
+            task.cancel()
+        self.stopped.set()
+
+    async def read_objects(self, call: str, kind: str, name: str, path: str, wait_s: float) -> None:
+        """Read, list or watch objects."""
+        answer = await self.platform.read(f"{call}_{kind}", path, wait_s)
+        revision, items = 0, []
+        if isinstance(answer, PlatformAnswer) and answer.status == HTTP_OK:
+            try:
+                if name:
+                    answer_body = b'{"revision":0,"items":[' + answer.body + b"]}"
+                else:
+                    answer_body = answer.body
+                revision, items = decode_list(answer_body)
+            except msgspec.MsgspecError as error:
+                answer = PlatformFailure(f"undecodable answer: {error}", True)
+        if isinstance(answer, PlatformAnswer) and answer.status == HTTP_OK:
+            self.step(events.PlatformObjects, call, kind, revision, items)
+        else:
+            status, reason = failure_of(answer)
+            self.step(events.PlatformFailed, call, kind, name, status, reason)
+
+    async def list_vms(self) -> None:
+        """Fetch the list of VMs."""
+        answer = await self.platform.read("list_vms", "/v1/vms")
+        if isinstance(answer, PlatformAnswer) and answer.status == HTTP_OK:
+            try:
+                as_of, vms = decode_vms(answer.body)
+            except msgspec.MsgspecError as error:
+                answer = PlatformFailure(f"undecodable answer: {error}", True)
+            else:
+                self.step(events.VmsListed, as_of, vms)
+                return
+        status, reason = failure_of(answer)
+        self.step(events.PlatformFailed, "vms", "", "", status, reason)
+
+    async def read_grant(self, service: str) -> None:
+        """Read a probe grant."""
+        sent_at = clock()
+        answer = await self.platform.read("read_grant", grant_path(service))
+        self.settle_grant(service, answer, None, sent_at)
+
+    async def write_grant(self, effect: effects.WriteGrant) -> None:
+        """Write a probe grant under its condition."""
+        sent_at = clock()
+        body = JSON_ENCODER.encode(effect.grant)
+        path = grant_path(effect.service)
+        answer = await self.platform.write("write_grant", path, body, effect.version)
+        self.settle_grant(effect.service, answer, effect.grant, sent_at)
+
+    def settle_grant(
+        self,
+        service: str,
+        answer: PlatformAnswer | PlatformFailure,
+        written: object | None,
+        sent_at: float,
+    ) -> None:
+        """Turn an answer about a grant into an event."""
+        status, reason = failure_of(answer)
+        try:
+            if status == HTTP_OK and written is not None:
+                version = msgspec.json.decode(answer.body)["version"]
+                self.step(events.GrantRead, service, True, version, written, sent_at)
+            elif status in (HTTP_OK, HTTP_CONFLICT):
+                version, grant = decode_grant(answer.body)
+                self.step(events.GrantRead, service, False, version, grant, sent_at)
+            elif status == HTTP_NOT_FOUND and written is None:
+                self.step(events.GrantRead, service, False, 0, None, sent_at)
+            else:
+                self.step(events.GrantFailed, service, reason)
+        except (msgspec.MsgspecError, KeyError) as error:
+            self.step(events.GrantFailed, service, f"undecodable answer: {error}")
+
+    async def send_probe(self, effect: effects.SendProbe) -> None:
+        """Probe a target."""
+        started = clock()
+        outcome = await probe(
+            effect.address, effect.port, self.source, effect.not_after, effect.timeout_s, clock
+        )
+        found = outcome.answer
+        self.step(
+            events.ProbeFinished,
+            effect.service,
+            effect.target,
+            outcome.sent,
+            found is not None,
+            found.in_flight if found else -1,
+            found.queued if found else -1,
+            bool(found and found.leaving),
+            started,
+            outcome.latency_s,
+            outcome.reason,
+        )
+
+
+def failure_of(answer: PlatformAnswer | PlatformFailure) -> tuple[int, str]:
+    """Give status and reason; status 0 stands for no answer."""
+    if isinstance(answer, PlatformFailure):
+        return 0, answer.reason
+    return answer.status, f"status {answer.status}"
+
+
+def grant_path(service: str) -> str:
+    """Give the path of a grant object."""
+    return f"/v1/objects/{PROBE_GRANTS_KIND}/{service}"
+
+
+@singledispatch
+def execute(effect: Effect, shell: AgentShell) -> None:
+    """Execute one effect."""
+    raise TypeError(f"no executor for effect {type(effect).__name__}")
+
+
+@execute.register
+def execute_log(effect: Log, _shell: AgentShell) -> None:
+    log(effect.event, level=effect.level, **effect.fields)
+
+
+@execute.register
+def execute_count(effect: Count, shell: AgentShell) -> None:
+    shell.metrics.count(effect.metric, effect.labels, effect.amount)
+
+
+@execute.register
+def execute_connect(effect: effects.ConnectPeer, shell: AgentShell) -> None:
+    shell.sockets.connect(effect.name, effect.address, effect.port)
+
+
+@execute.register
+def execute_disconnect(effect: effects.DisconnectPeer, shell: AgentShell) -> None:
+    shell.sockets.disconnect(effect.name)
+
+
+@execute.register
+def execute_peer(effect: effects.SendToPeer, shell: AgentShell) -> None:
+    shell.sockets.send(effect.name, ENCODER.encode(effect.message))
+
+
+@execute.register
+def execute_entry(effect: effects.SendToEntry, shell: AgentShell) -> None:
+    shell.sockets.send_to_entry(effect.identity, ENCODER.encode(effect.update))
+
+
+@execute.register
+def execute_list(effect: effects.ListObjects, shell: AgentShell) -> None:
+    path = f"/v1/objects/{effect.kind}"
+    shell.spawn(shell.read_objects("list", effect.kind, "", path, 0.0))
+
+
+@execute.register
+def execute_read(effect: effects.ReadObject, shell: AgentShell) -> None:
+    path = f"/v1/objects/{effect.kind}/{effect.name}"
+    shell.spawn(shell.read_objects("read", effect.kind, effect.name, path, 0.0))
+
+
+@execute.register
+def execute_watch(effect: effects.WatchObjects, shell: AgentShell) -> None:
+    path = f"/v1/watch/{effect.kind}?since={effect.since}&wait_ms={effect.wait_ms}"
+    shell.spawn(shell.read_objects("watch", effect.kind, "", path, effect.wait_ms / 1000))
+
+
+@execute.register
+def execute_vms(_effect: effects.ListVms, shell: AgentShell) -> None:
+    shell.spawn(shell.list_vms())
+
+
+@execute.register
+def execute_read_grant(effect: effects.ReadGrant, shell: AgentShell) -> None:
+    shell.spawn(shell.read_grant(effect.service))
+
+
+@execute.register
+def execute_write_grant(effect: effects.WriteGrant, shell: AgentShell) -> None:
+    shell.spawn(shell.write_grant(effect))
+
+
+@execute.register
+def execute_probe(effect: effects.SendProbe, shell: AgentShell) -> None:
+    shell.spawn(shell.send_probe(effect))
+
+
+@execute.register
+def execute_stop(_effect: effects.StopAgent, shell: AgentShell) -> None:
+    shell.spawn(shell.finish_calls())
--- /dev/null
+++ b/poplarlane/plumbing/exchange_sockets.py
@@ -0,0 +1,132 @@
+"""pyzmq sockets of an agent: to and from other agents, and to the entries of its VM."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from poplarlane.logs import log
+
+# Messages that wait for a peer that does not read; more are dropped, which digests repair.
+SEND_QUEUE_MESSAGES = 1_000
+LINGER_MS = 300
+MAX_MESSAGE_BYTES = 4_000_000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2_000
+RECEIVE_BATCH = 64
+
+Deliver = Callable[[bytes, bytes], None]
+
+
+class ExchangeSockets:
+    """Hold the ROUTER for other agents, a DEALER per agent, and the ROUTER for entries."""
+
+    __slots__ = ("context", "router", "entries", "dealers", "counts", "source", "tasks")
+
+    def __init__(self, source: str) -> None:
+        self.context = zmq.asyncio.Context()
+        self.router: zmq.asyncio.Socket | None = None
+        self.entries: zmq.asyncio.Socket | None = None
+        self.dealers: dict[str, zmq.Socket] = {}
+        self.counts = {
+            "sent": 0,
+            "sent_bytes": 0,
+            "received": 0,
+            "received_bytes": 0,
+            "dropped": 0,
+        }
+        self.source = source
+        self.tasks: set[asyncio.Future] = set()
+
+    def bind(
+        self, address: str, exchange_port: int, entry_port: int, peer: Deliver, entry: Deliver
+    ) -> None:
+        """Bind both ROUTERs; raises zmq.ZMQError when a port is taken."""
+        self.router = self.make_router(address, exchange_port)
+        self.entries = self.make_router(address, entry_port)
+        self.keep(asyncio.ensure_future(self.receive(self.router, peer, True)))
+        self.keep(asyncio.ensure_future(self.receive(self.entries, entry, False)))
+
+    def make_router(self, address: str, port: int) -> zmq.asyncio.Socket:
+        """Bind one ROUTER."""
+        router = self.context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, LINGER_MS)
+        router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        # An entry that reconnects under its identity replaces its old connection.
+        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        router.bind(f"tcp://{address}:{port}")
+        return router
+
+    def keep(self, future: asyncio.Future) -> None:
+        """Hold a reference to a future until it is done."""
+        self.tasks.add(future)
+        future.add_done_callback(self.forget)
+
+    def forget(self, future: asyncio.Future) -> None:
+        """Drop a finished future; a send to a vanished entry needs no handling."""
+        self.tasks.discard(future)
+        if not future.cancelled() and future.exception() is not None:
+            self.counts["dropped"] += 1
+
+    async def receive(self, socket: zmq.asyncio.Socket, deliver: Deliver, counted: bool) -> None:
+        """Deliver messages; a malformed one is logged and dropped."""
+        while True:
+            frames = await socket.recv_multipart()
+            if counted:
+                self.counts["received"] += 1
+                self.counts["received_bytes"] += sum(map(len, frames))
+            try:
+                deliver(frames[0], frames[-1])
+            except msgspec.MsgspecError as error:
+                log("message_malformed", level="warning", reason=str(error))
+            except Exception as error:
+                # One message must not end the control work of a VM.
+                log("message_failed", level="error", reason=f"{type(error).__name__}: {error}")
+
+    def connect(self, name: str, address: str, port: int) -> None:
+        """Open or replace the DEALER to an agent."""
+        self.disconnect(name)
+        dealer = zmq.Socket(zmq.Context.shadow(self.context.underlying), zmq.DEALER)
+        dealer.setsockopt(zmq.LINGER, LINGER_MS)
+        dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        dealer.connect(f"tcp://{self.source}:0;{address}:{port}")
+        self.dealers[name] = dealer
+
+    def disconnect(self, name: str) -> None:
+        """Close the DEALER to an agent."""
+        dealer = self.dealers.pop(name, None)
+        if dealer is not None:
+            dealer.close(0)
+
+    def send(self, name: str, payload: bytes) -> None:
+        """Send to an agent; the message is dropped when its queue is full."""
+        dealer = self.dealers.get(name)
+        if dealer is None:
+            return
+        try:
+            dealer.send(payload, zmq.NOBLOCK)
+        except zmq.Again:
+            self.counts["dropped"] += 1
+            return
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(payload)
+
+    def send_to_entry(self, identity: bytes, payload: bytes) -> None:
+        """Send to an entry."""
+        self.keep(self.entries.send_multipart([identity, payload], zmq.NOBLOCK))
+
+    def close(self) -> None:
+        """Close all sockets; queued messages get a short time to leave."""
+        for task in list(self.tasks):
+            task.cancel()
+        for dealer in self.dealers.values():
+            dealer.close(LINGER_MS)
+        for router in (self.router, self.entries):
+            if router is not None:
+                router.close(LINGER_MS)
+        self.context.term()
--- /dev/null
+++ b/poplarlane/plumbing/platform_client.py
@@ -0,0 +1,235 @@
+"""Client of the platform's object API, with h11 over asyncio streams."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+READ_BYTES = 65_536
+MAX_ANSWER_BYTES = 64_000_000
+MAX_IDLE_CONNECTIONS = 4
+CALLER_HEADER = "x-poplarlane-caller"
+# Reads may be repeated once, and only 10% of them on average.
+RETRY_RATIO = 0.1
+MAX_SAVED_RETRIES = 3.0
+RETRY_JITTER_S = (0.05, 0.3)
+# During slow periods of the platform a fixed limit would cut every call.
+MAX_PATIENCE_FACTOR = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformAnswer:
+    """Hold an answer; the body is complete."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformFailure:
+    """Tell why there is no answer; `sent` means that a write may have taken effect."""
+
+    reason: str
+    sent: bool
+
+
+class CallRate:
+    """Admit calls at a rate, with bursts of up to one second's worth."""
+
+    __slots__ = ("rate", "tokens", "at")
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.rate = rate
+        self.tokens = max(1.0, rate)
+        self.at = now
+
+    def wait_s(self, now: float) -> float:
+        """Take a token and give how long to wait until it is due."""
+        self.tokens = min(max(1.0, self.rate), self.tokens + (now - self.at) * self.rate)
+        self.at = now
+        self.tokens -= 1.0
+        return max(0.0, -self.tokens / self.rate)
+
+    def give_back(self) -> None:
+        """Return a token that was not used."""
+        self.tokens += 1.0
+
+
+class PlatformClient:
+    """Make calls with a deadline each, within a rate and a retry budget."""
+
+    __slots__ = (
+        "address",
+        "port",
+        "source",
+        "caller",
+        "timeout_s",
+        "clock",
+        "generator",
+        "rate",
+        "retries",
+        "idle",
+        "counts",
+        "timeouts",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        source: str,
+        caller: str,
+        timeout_s: float,
+        calls_per_s: float,
+        clock: Callable[[], float],
+        generator: random.Random,
+    ) -> None:
+        self.address = address
+        self.port = port
+        self.source = source
+        self.caller = caller
+        self.timeout_s = timeout_s
+        self.clock = clock
+        self.generator = generator
+        self.rate = CallRate(calls_per_s, clock())
+        self.retries = MAX_SAVED_RETRIES
+        self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]] = []
+        self.counts: Counter[str] = Counter()
+        self.timeouts = 0
+
+    async def read(
+        self, operation: str, path: str, wait_s: float = 0.0
+    ) -> PlatformAnswer | PlatformFailure:
+        """Read; a failure is repeated once if the retry budget allows it.
+
+        `wait_s` is how long the platform itself may hold the answer back.
+        """
+        self.retries = min(MAX_SAVED_RETRIES, self.retries + RETRY_RATIO)
+        answer = await self.call(operation, "GET", path, b"", {}, wait_s)
+        if isinstance(answer, PlatformAnswer) or wait_s > 0 or self.retries < 1.0:
+            return answer
+        self.retries -= 1.0
+        self.counts["retries"] += 1
+        await asyncio.sleep(self.generator.uniform(*RETRY_JITTER_S))
+        return await self.call(operation, "GET", path, b"", {}, wait_s)
+
+    async def write(
+        self, operation: str, path: str, body: bytes, version: int
+    ) -> PlatformAnswer | PlatformFailure:
+        """Write if the stored version is still `version`; 0 creates. Never repeated here."""
+        condition = {"if-match": str(version)} if version else {"if-none-match": "*"}
+        return await self.call(operation, "PUT", path, body, condition, 0.0)
+
+    async def call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        wait_s: float,
+    ) -> PlatformAnswer | PlatformFailure:
+        """Make one call, which counts against the rate."""
+        delay_s = self.rate.wait_s(self.clock())
+        if delay_s > self.timeout_s:
+            self.rate.give_back()
+            self.counts["withheld"] += 1
+            return PlatformFailure("the rate of calls is used up", False)
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+        self.counts[operation] += 1
+        patience = min(MAX_PATIENCE_FACTOR, 1.0 + self.timeouts)
+        sent: list[bool] = []
+        try:
+            async with asyncio.timeout(self.timeout_s * patience + wait_s):
+                answer = await self.exchange(method, path, body, headers, sent)
+        except TimeoutError:
+            self.timeouts += 1
+            self.counts["failures"] += 1
+            return PlatformFailure("no answer in time", bool(sent))
+        except (OSError, h11.ProtocolError, asyncio.IncompleteReadError) as error:
+            self.counts["failures"] += 1
+            return PlatformFailure(f"{type(error).__name__}: {error}", bool(sent))
+        self.timeouts = 0
+        if answer.status >= 429:
+            self.counts["refused"] += 1
+        return answer
+
+    async def exchange(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], sent: list[bool]
+    ) -> PlatformAnswer:
+        """Send a request on an idle or new connection and read the whole answer."""
+        reader, writer, connection = await self.connection()
+        finished = False
+        try:
+            writer.write(self.encode(connection, method, path, body, headers))
+            sent.append(True)
+            answer = await read_answer(reader, connection)
+            finished = connection.our_state is connection.their_state is h11.DONE
+            return answer
+        finally:
+            if finished and len(self.idle) < MAX_IDLE_CONNECTIONS:
+                connection.start_next_cycle()
+                self.idle.append((reader, writer, connection))
+            else:
+                writer.transport.abort()
+
+    async def connection(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]:
+        """Give an idle connection that is still open, or a new one."""
+        while self.idle:
+            reader, writer, connection = self.idle.pop()
+            if not reader.at_eof() and not writer.transport.is_closing():
+                return reader, writer, connection
+            writer.transport.abort()
+        reader, writer = await asyncio.open_connection(
+            self.address, self.port, local_addr=(self.source, 0)
+        )
+        return reader, writer, h11.Connection(h11.CLIENT)
+
+    def encode(
+        self,
+        connection: h11.Connection,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> bytes:
+        """Encode a request."""
+        fields = [("host", self.address), (CALLER_HEADER, self.caller), *headers.items()]
+        if body:
+            fields += [("content-type", "application/json"), ("content-length", str(len(body)))]
+        data = connection.send(h11.Request(method=method, target=path, headers=fields))
+        if body:
+            data += connection.send(h11.Data(data=body))
+        return data + (connection.send(h11.EndOfMessage()) or b"")
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for _, writer, _ in self.idle:
+            writer.transport.abort()
+        self.idle.clear()
+
+
+async def read_answer(reader: asyncio.StreamReader, connection: h11.Connection) -> PlatformAnswer:
+    """Read one whole answer; raises h11.RemoteProtocolError on a broken one."""
+    status = 0
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise h11.RemoteProtocolError("the platform's answer is too large")
+        elif isinstance(event, h11.EndOfMessage):
+            return PlatformAnswer(status, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("the connection closed before the answer")
--- /dev/null
+++ b/poplarlane/plumbing/probe_client.py
@@ -0,0 +1,90 @@
+"""Probes of targets: one request on a connection of its own."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+import h11
+import msgspec
+
+from poplarlane.plumbing.platform_client import read_answer
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ProbeDocument(msgspec.Struct):
+    """Hold a target's answer to a probe."""
+
+    in_flight: int = 0
+    queued: int = 0
+    leaving: bool = False
+
+
+class ProbeOutcome:
+    """Hold what came of a probe; `sent` is false only when no byte can have left."""
+
+    __slots__ = ("sent", "answer", "latency_s", "reason")
+
+    def __init__(
+        self, sent: bool, answer: ProbeDocument | None, latency_s: float, reason: str
+    ) -> None:
+        self.sent = sent
+        self.answer = answer
+        self.latency_s = latency_s
+        self.reason = reason
+
+
+PROBE_DECODER = msgspec.json.Decoder(ProbeDocument)
+
+
+async def probe(
+    address: str,
+    port: int,
+    source: str,
+    not_after: float,
+    timeout_s: float,
+    clock: Callable[[], float],
+) -> ProbeOutcome:
+    """Send one probe unless `not_after` has passed by the time its first byte can leave."""
+    started = clock()
+    sent = False
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(address, port, local_addr=(source, 0))
+            bound_flight(writer, timeout_s)
+            connection = h11.Connection(h11.CLIENT)
+            data = request_bytes(connection, f"{address}:{port}")
+            # Nothing may come between this check and the write: the process could be paused
+            # anywhere before it, and the grant may have ended meanwhile.
+            if clock() >= not_after:
+                return ProbeOutcome(False, None, 0.0, "deadline")
+            sent = True
+            writer.write(data)
+            answer = await read_answer(reader, connection)
+        document = PROBE_DECODER.decode(answer.body) if answer.status == 200 else None
+        reason = "" if document else f"status {answer.status}"
+        return ProbeOutcome(sent, document, clock() - started, reason)
+    except TimeoutError:
+        return ProbeOutcome(sent, None, clock() - started, "timeout")
+    except (OSError, h11.ProtocolError, msgspec.MsgspecError) as error:
+        return ProbeOutcome(sent, None, clock() - started, type(error).__name__)
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+
+
+def bound_flight(writer: asyncio.StreamWriter, timeout_s: float) -> None:
+    """Make the kernel give up unacknowledged bytes in time, even while this process is paused."""
+    peer: socket.socket = writer.get_extra_info("socket")
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1000))
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+def request_bytes(connection: h11.Connection, host: str) -> bytes:
+    """Encode the probe request."""
+    headers = [("host", host), ("connection", "close")]
+    head = connection.send(h11.Request(method="GET", target="/_probe", headers=headers))
+    return head + (connection.send(h11.EndOfMessage()) or b"")
