--- /dev/null
+++ b/poplarlane/decisions/entry_effects.py
@@ -0,0 +1,142 @@
+"""Effects of the entry, executed by its shell."""
+
+from poplarlane.decisions.effects import Effect
+from poplarlane.messages import EntryHello, EntryReport
+from poplarlane.outcomes import Refusal, ResultCode
+from poplarlane.types import Target
+
+
+class SendRequest(Effect):
+    """Send a request to a target as one attempt."""
+
+    __slots__ = ("request_id", "attempt_id", "target", "number", "retried", "deadline")
+
+    def __init__(
+        self,
+        request_id: int,
+        attempt_id: int,
+        target: Target,
+        number: int,
+        retried: bool,
+        deadline: float,
+    ) -> None:
+        self.request_id = request_id
+        self.attempt_id = attempt_id
+        self.target = target
+        self.number = number
+        self.retried = retried
+        self.deadline = deadline
+
+
+class CancelAttempt(Effect):
+    """Give up an attempt and close its connection."""
+
+    __slots__ = ("attempt_id",)
+
+    def __init__(self, attempt_id: int) -> None:
+        self.attempt_id = attempt_id
+
+
+class DeliverAnswer(Effect):
+    """Give a target's whole answer to the caller."""
+
+    __slots__ = ("request_id", "attempt_id", "code", "retried", "close")
+
+    def __init__(
+        self, request_id: int, attempt_id: int, code: ResultCode, retried: bool, close: bool
+    ) -> None:
+        self.request_id = request_id
+        self.attempt_id = attempt_id
+        self.code = code
+        self.retried = retried
+        self.close = close
+
+
+class StreamAnswer(DeliverAnswer):
+    """Start to pass on an answer that is too large to be held whole."""
+
+    __slots__ = ()
+
+
+class FinishStream(Effect):
+    """End a streamed answer after its last byte."""
+
+    __slots__ = ("request_id", "attempt_id")
+
+    def __init__(self, request_id: int, attempt_id: int) -> None:
+        self.request_id = request_id
+        self.attempt_id = attempt_id
+
+
+class CutAnswer(Effect):
+    """Reset the caller's connection, so that a truncated answer cannot look complete."""
+
+    __slots__ = ("request_id",)
+
+    def __init__(self, request_id: int) -> None:
+        self.request_id = request_id
+
+
+class RefuseRequest(Effect):
+    """Give the caller an answer that this entry generates."""
+
+    __slots__ = ("request_id", "outcome", "retried", "close")
+
+    def __init__(self, request_id: int, outcome: Refusal, retried: bool, close: bool) -> None:
+        self.request_id = request_id
+        self.outcome = outcome
+        self.retried = retried
+        self.close = close
+
+
+class RefuseCaller(Effect):
+    """Answer malformed input and close the caller's connection."""
+
+    __slots__ = ("caller_id", "outcome")
+
+    def __init__(self, caller_id: int, outcome: Refusal) -> None:
+        self.caller_id = caller_id
+        self.outcome = outcome
+
+
+class SetTimer(Effect):
+    """Feed TimerFired at an instant; replaces an earlier SetTimer."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+
+
+class SetConnectionLimit(Effect):
+    """Bound the connections kept to one target; 0 closes its idle ones."""
+
+    __slots__ = ("target", "limit")
+
+    def __init__(self, target: Target, limit: int) -> None:
+        self.target = target
+        self.limit = limit
+
+
+class SendToAgent(Effect):
+    """Send a message to the agent."""
+
+    __slots__ = ("message",)
+
+    def __init__(self, message: EntryHello | EntryReport) -> None:
+        self.message = message
+
+
+class StopAccepting(Effect):
+    """Close the listener and the idle connections of callers."""
+
+    __slots__ = ()
+
+
+class Stop(Effect):
+    """End the process once every caller's connection is closed; `at_once` does not wait."""
+
+    __slots__ = ("at_once",)
+
+    def __init__(self, at_once: bool) -> None:
+        self.at_once = at_once
--- /dev/null
+++ b/poplarlane/decisions/entry_events.py
@@ -0,0 +1,178 @@
+"""Events of the entry, as its shell reports them."""
+
+from enum import IntEnum
+
+from poplarlane.decisions.events import Event
+from poplarlane.messages import ViewUpdate
+from poplarlane.outcomes import Malformed
+
+
+class EntryEvent(Event):
+    """Base class of the entry's events; `draw` is 64 random bits."""
+
+    __slots__ = ("draw",)
+
+    def __init__(self, now: float, draw: int) -> None:
+        self.now = now
+        self.draw = draw
+
+
+class RequestArrived(EntryEvent):
+    """Report a whole request; `labels` is empty and `deadline_ms` None from untrusted sources."""
+
+    __slots__ = (
+        "request_id",
+        "host",
+        "method",
+        "path",
+        "labels",
+        "deadline_ms",
+        "attempt",
+        "retried",
+    )
+
+    def __init__(
+        self,
+        now: float,
+        draw: int,
+        request_id: int,
+        host: str,
+        method: str,
+        path: str,
+        labels: str,
+        deadline_ms: float | None,
+        attempt: int,
+        retried: bool,
+    ) -> None:
+        self.now = now
+        self.draw = draw
+        self.request_id = request_id
+        self.host = host
+        self.method = method
+        self.path = path
+        self.labels = labels
+        self.deadline_ms = deadline_ms
+        self.attempt = attempt
+        self.retried = retried
+
+
+class RequestMalformed(EntryEvent):
+    """Report input from which no request could be read."""
+
+    __slots__ = ("caller_id", "source", "refusal")
+
+    def __init__(
+        self, now: float, draw: int, caller_id: int, source: str, refusal: Malformed
+    ) -> None:
+        super().__init__(now, draw)
+        self.caller_id = caller_id
+        self.source = source
+        self.refusal = refusal
+
+
+class CallerGone(EntryEvent):
+    """Report that the caller of a request closed its connection."""
+
+    __slots__ = ("request_id",)
+
+    def __init__(self, now: float, draw: int, request_id: int) -> None:
+        super().__init__(now, draw)
+        self.request_id = request_id
+
+
+class AttemptSent(EntryEvent):
+    """Report that the first byte of a request was handed to a target's socket."""
+
+    __slots__ = ("attempt_id",)
+
+    def __init__(self, now: float, draw: int, attempt_id: int) -> None:
+        self.now = now
+        self.draw = draw
+        self.attempt_id = attempt_id
+
+
+class FailureCause(IntEnum):
+    """Name how an attempt ended without a whole answer."""
+
+    CONNECT_FAILED = 1
+    CLOSED_BEFORE_ANSWER = 2
+    ANSWER_TRUNCATED = 3
+    ANSWER_INVALID = 4
+
+
+class AttemptFailed(EntryEvent):
+    """Report that an attempt ended without a whole answer."""
+
+    __slots__ = ("attempt_id", "cause", "detail")
+
+    def __init__(
+        self, now: float, draw: int, attempt_id: int, cause: FailureCause, detail: str
+    ) -> None:
+        super().__init__(now, draw)
+        self.attempt_id = attempt_id
+        self.cause = cause
+        self.detail = detail
+
+
+class AnswerNotes:
+    """Hold what the head of an answer says about its target; `in_flight` includes queued work."""
+
+    __slots__ = ("status", "not_run", "retried", "in_flight", "leaving")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.not_run = False
+        self.retried = False
+        self.in_flight: float | None = None
+        self.leaving = False
+
+
+class AnswerStarted(EntryEvent):
+    """Report that an answer is too large to be held whole."""
+
+    __slots__ = ("attempt_id", "notes")
+
+    def __init__(self, now: float, draw: int, attempt_id: int, notes: AnswerNotes) -> None:
+        super().__init__(now, draw)
+        self.attempt_id = attempt_id
+        self.notes = notes
+
+
+class AnswerCompleted(EntryEvent):
+    """Report a whole, cleanly parsed answer."""
+
+    __slots__ = ("attempt_id", "notes")
+
+    def __init__(self, now: float, draw: int, attempt_id: int, notes: AnswerNotes) -> None:
+        self.now = now
+        self.draw = draw
+        self.attempt_id = attempt_id
+        self.notes = notes
+
+
+class TimerFired(EntryEvent):
+    """Report that the instant asked for by SetTimer has passed."""
+
+    __slots__ = ()
+
+
+class ViewReceived(EntryEvent):
+    """Report a view update from the agent."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, now: float, draw: int, view: ViewUpdate) -> None:
+        super().__init__(now, draw)
+        self.view = view
+
+
+class ReportDue(EntryEvent):
+    """Report that the next periodic report to the agent is due."""
+
+    __slots__ = ()
+
+
+class StopSignalled(EntryEvent):
+    """Report a signal that asks the entry to stop."""
+
+    __slots__ = ()
