Add edits of service objects that name the value they replace

Cause: operators race with each other and answers get lost. Change: an edit sets or removes the value at one path and carries the value it expects there, so edits of different labels both survive and of the same label the later one is a conflict.

--- /dev/null
+++ b/poplarlane/decisions/edits.py
@@ -0,0 +1,228 @@
+"""Edits of a service object, each naming the value that it replaces.
+
+An edit sets or removes the value at one path of the object. Edits of different paths therefore
+both survive a race, and of two edits of the same path the later one finds another value than it
+expected.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+from poplarlane.decisions.validation import ObjectFault, check_service
+from poplarlane.objects import (
+    JSON_ENCODER,
+    SERVICES_KIND,
+    SelectorObject,
+    ServiceObject,
+    TargetObject,
+)
+from poplarlane.outcomes import ResultCode
+
+# These fields are written by the change procedure, never by an edit.
+BOOKKEEPING_FIELDS = ("revision", "change_id", "changes")
+
+
+class Mark(Enum):
+    """Stand for a value that is not there."""
+
+    ABSENT = "absent"
+    # The operator named no expected value: the one found first is expected from then on.
+    UNSEEN = "unseen"
+
+
+class Edit:
+    """Replace the value at one path of a service object.
+
+    `path` is empty for the whole object; `value` and `expected` are JSON values or a mark.
+    """
+
+    __slots__ = ("path", "value", "expected", "summary")
+
+    def __init__(self, path: tuple[str, ...], value: Any, expected: Any, summary: str) -> None:
+        self.path = path
+        self.value = value
+        self.expected = expected
+        self.summary = summary
+
+
+@dataclass(frozen=True, slots=True)
+class EditConflict:
+    """Tell an operator that the value was changed by somebody else; None means absent."""
+
+    field: str
+    expected: Any
+    current: Any
+    revision: int
+    code: ResultCode = ResultCode.CHANGE_CONFLICT
+
+
+@dataclass(frozen=True, slots=True)
+class EditInvalid:
+    """Tell an operator why the edited object would be bad."""
+
+    faults: list[ObjectFault]
+    code: ResultCode = ResultCode.OBJECT_INVALID
+
+
+def set_label(target: str, key: str, value: str, expected: Any = Mark.UNSEEN) -> Edit:
+    """Set a label of a target."""
+    summary = f"set label {key}={value} on target {target}"
+    return Edit(("targets", target, "labels", key), value, expected, summary)
+
+
+def remove_label(target: str, key: str, expected: Any = Mark.UNSEEN) -> Edit:
+    """Remove a label of a target."""
+    summary = f"remove label {key} from target {target}"
+    return Edit(("targets", target, "labels", key), Mark.ABSENT, expected, summary)
+
+
+def set_selector(name: str, selector: SelectorObject, expected: Any = Mark.UNSEEN) -> Edit:
+    """Set a named selector pair."""
+    summary = f"set selector {name}: callers {selector.callers!r}, targets {selector.targets!r}"
+    return Edit(("selectors", name), msgspec.to_builtins(selector), expected, summary)
+
+
+def remove_selector(name: str, expected: Any = Mark.UNSEEN) -> Edit:
+    """Remove a named selector pair."""
+    return Edit(("selectors", name), Mark.ABSENT, expected, f"remove selector {name}")
+
+
+def add_target(name: str, target: TargetObject) -> Edit:
+    """Add a target that must not be there yet."""
+    summary = f"add target {name} at {target.address}:{target.port}"
+    return Edit(("targets", name), msgspec.to_builtins(target), Mark.ABSENT, summary)
+
+
+def remove_target(name: str, expected: Any = Mark.UNSEEN) -> Edit:
+    """Remove a target."""
+    return Edit(("targets", name), Mark.ABSENT, expected, f"remove target {name}")
+
+
+def apply_object(service: ServiceObject, expected: Any = Mark.UNSEEN) -> Edit:
+    """Replace everything that is configured for a service."""
+    return Edit((), content_of(service), expected, "apply object")
+
+
+def content_of(service: ServiceObject) -> dict[str, Any]:
+    """Give a service as JSON values without revision, change id and history."""
+    document = msgspec.to_builtins(service)
+    for field in BOOKKEEPING_FIELDS:
+        del document[field]
+    return document
+
+
+def observe(edit: Edit, service: ServiceObject | None, name: str) -> Edit | EditInvalid:
+    """Bind the expected value of an edit to the one that is found first."""
+    current, missing = look_up(edit.path, service)
+    if missing:
+        return invalid(name, missing, "does not exist")
+    if edit.value is Mark.ABSENT and current is Mark.ABSENT and edit.expected is Mark.UNSEEN:
+        return invalid(name, dotted(edit.path), "is not there, so it cannot be removed")
+    if edit.expected is not Mark.UNSEEN:
+        return edit
+    return Edit(edit.path, edit.value, current, edit.summary)
+
+
+def invalid(name: str, field: str, reason: str) -> EditInvalid:
+    """Make an outcome with one fault."""
+    return EditInvalid([ObjectFault(f"{SERVICES_KIND}/{name}", field, reason)])
+
+
+def look_up(path: tuple[str, ...], service: ServiceObject | None) -> tuple[Any, str]:
+    """Find the value at a path; the second item names the container that is missing."""
+    if service is None:
+        return Mark.ABSENT, "service" if path else ""
+    value: Any = content_of(service)
+    for depth, step in enumerate(path):
+        if step not in value:
+            is_leaf = depth == len(path) - 1
+            return Mark.ABSENT, "" if is_leaf else dotted(path[: depth + 1])
+        value = value[step]
+    return value, ""
+
+
+def dotted(path: tuple[str, ...]) -> str:
+    """Name a path the way faults name fields."""
+    return ".".join(path) or "(object)"
+
+
+def plain(value: Any) -> Any:
+    """Show a mark as None."""
+    return None if isinstance(value, Mark) else value
+
+
+def apply_edit(
+    edit: Edit, service: ServiceObject | None, name: str
+) -> ServiceObject | EditConflict | EditInvalid:
+    """Apply an observed edit; the result keeps the revision of `service` and is validated."""
+    current, missing = look_up(edit.path, service)
+    revision = service.revision if service else 0
+    if missing or current != edit.expected:
+        field = missing or dotted(edit.path)
+        return EditConflict(field, plain(edit.expected), plain(current), revision)
+    document = edited_document(edit, service)
+    document.update(bookkeeping(service))
+    checked = check_service(JSON_ENCODER.encode(document), name)
+    return EditInvalid(checked) if isinstance(checked, list) else checked
+
+
+def edited_document(edit: Edit, service: ServiceObject | None) -> dict[str, Any]:
+    """Build the content after an edit whose containers exist."""
+    if not edit.path:
+        return dict(edit.value)
+    document = content_of(service)
+    container = document
+    for step in edit.path[:-1]:
+        container = container[step]
+    if edit.value is Mark.ABSENT:
+        del container[edit.path[-1]]
+    else:
+        container[edit.path[-1]] = edit.value
+    return document
+
+
+def bookkeeping(service: ServiceObject | None) -> dict[str, Any]:
+    """Give the fields that no edit changes; a new service starts at revision 1."""
+    if service is None:
+        return {"revision": 1, "change_id": "new", "changes": []}
+    document = msgspec.to_builtins(service)
+    return {field: document[field] for field in BOOKKEEPING_FIELDS}
+
+
+def check_based_on(
+    service: ServiceObject | None, revision: int, name: str
+) -> EditConflict | EditInvalid | None:
+    """Check that an operator's file is based on the current revision."""
+    current = service.revision if service else 0
+    if revision == current:
+        return None
+    if service is None:
+        return invalid(name, "revision", f"is {revision}, but the service does not exist yet")
+    return EditConflict("revision", revision, current, current)
+
+
+def conflict_reason(conflict: EditConflict) -> str:
+    """Describe a conflict in one line that names the current value."""
+    return (
+        f"{conflict.field} was expected to be {show(conflict.expected)}, "
+        f"but is {show(conflict.current)} in revision {conflict.revision}"
+    )
+
+
+def show(value: Any) -> str:
+    """Show a JSON value; None is an absent one."""
+    return "absent" if value is None else JSON_ENCODER.encode(value).decode()
+
+
+def differences(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
+    """List the fields in which two JSON values differ, with both values; None is absent."""
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        return [] if old == new else [(path or "(object)", old, new)]
+    found = []
+    for key in sorted(old.keys() | new.keys()):
+        where = f"{path}.{key}" if path else key
+        found.extend(differences(old.get(key), new.get(key), where))
+    return found
