--- /dev/null
+++ b/poplarlane/decisions/answers.py
@@ -0,0 +1,293 @@
+"""Handlers for what targets answer or fail to answer, and for timers of requests."""
+
+import heapq
+
+from poplarlane.decisions import health, limits, retries
+from poplarlane.decisions.drain import accept_ended, drain_limit_passed, mark_leaving
+from poplarlane.decisions.effects import Count, Effect
+from poplarlane.decisions.entry_effects import (
+    DeliverAnswer,
+    FinishStream,
+    SetTimer,
+    StreamAnswer,
+)
+from poplarlane.decisions.entry_events import (
+    AnswerCompleted,
+    AnswerNotes,
+    AnswerStarted,
+    AttemptFailed,
+    FailureCause,
+    TimerFired,
+)
+from poplarlane.decisions.entry_state import (
+    Attempt,
+    EntryState,
+    Request,
+    RequestState,
+    TimerKind,
+    next_draw,
+    reachable_targets,
+)
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.reports import verdict_report
+from poplarlane.decisions.requests import (
+    cancel_attempts,
+    choose,
+    end_attempt,
+    enqueue,
+    finish_refused,
+    forget,
+    send,
+    send_queued,
+)
+from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
+
+SERVER_ERROR = 500
+# A deadline that passes sooner than this many typical latencies says nothing about the target.
+TIMEOUT_LATENCIES = 4.0
+FAILURE_CODES = {
+    FailureCause.CLOSED_BEFORE_ANSWER: ResultCode.OUTCOME_UNKNOWN,
+    FailureCause.ANSWER_TRUNCATED: ResultCode.ANSWER_TRUNCATED,
+    FailureCause.ANSWER_INVALID: ResultCode.ANSWER_INVALID,
+}
+
+
+@reduce.register
+def answer_completed(event: AnswerCompleted, state: EntryState) -> list[Effect]:
+    """Deliver a whole answer, or send a refused request elsewhere."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return []
+    request = attempt.request
+    notes = event.notes
+    effects: list[Effect] = []
+    observe_whole_answer(state, attempt, notes, event.now, effects)
+    end_attempt(state, attempt)
+    if request.streaming is attempt:
+        effects.append(FinishStream(request.request_id, attempt.attempt_id))
+        forget(state, request, effects)
+    elif notes.not_run:
+        request.uncertain -= 1
+        request.retried_below = request.retried_below or notes.retried
+        outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
+        send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
+    else:
+        deliver(state, request, attempt, notes, effects)
+    send_queued(state, request.service, event.now, next_draw(event.draw), effects)
+    return effects
+
+
+def observe_whole_answer(
+    state: EntryState, attempt: Attempt, notes: AnswerNotes, now: float, effects: list[Effect]
+) -> None:
+    """Learn from an answer about its target and its service."""
+    load, service = attempt.load, attempt.request.service
+    latency_s = now - attempt.sent_at
+    ok = notes.status < SERVER_ERROR
+    health.observe_answer(load, latency_s, ok, now)
+    if ok:
+        health.observe_latency(service.health, latency_s)
+    if notes.in_flight is not None:
+        # The report was true when the answer left the target.
+        health.observe_report(load, notes.in_flight, now - load.distance_s / 2.0, now)
+    if notes.leaving and not load.leaving:
+        mark_leaving(state, load.target, "answer", effects)
+    changed = health.review(service.health, service.limits.loads, now)
+    if changed:
+        effects.append(verdict_report(state, service, changed))
+
+
+def deliver(
+    state: EntryState,
+    request: Request,
+    attempt: Attempt,
+    notes: AnswerNotes,
+    effects: list[Effect],
+) -> None:
+    """Give the first whole answer to the caller and cancel every other attempt."""
+    request.state = RequestState.ANSWERED
+    if request.attempts:
+        cancel_attempts(state, request, effects)
+    effects.append(
+        DeliverAnswer(
+            request.request_id,
+            attempt.attempt_id,
+            answer_code(notes),
+            notes.retried or request.retried,
+            state.draining,
+        )
+    )
+    forget(state, request, effects)
+
+
+def answer_code(notes: AnswerNotes) -> ResultCode:
+    """Number an answer that a target gave."""
+    return ResultCode.ANSWERED if notes.status < SERVER_ERROR else ResultCode.TARGET_FAILED
+
+
+@reduce.register
+def answer_started(event: AnswerStarted, state: EntryState) -> list[Effect]:
+    """Commit to an answer that is too large to be held."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return []
+    request = attempt.request
+    effects: list[Effect] = []
+    request.streaming = attempt
+    cancel_attempts(state, request, effects, kept=attempt)
+    notes = event.notes
+    effects.append(
+        StreamAnswer(
+            request.request_id,
+            attempt.attempt_id,
+            answer_code(notes),
+            notes.retried or request.retried,
+            state.draining,
+        )
+    )
+    return effects
+
+
+@reduce.register
+def attempt_failed(event: AttemptFailed, state: EntryState) -> list[Effect]:
+    """Send a request again where that is safe, or report its outcome."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return []
+    request = attempt.request
+    effects: list[Effect] = []
+    health.observe_failure(attempt.load, event.now)
+    end_attempt(state, attempt)
+    labels = {"service": request.service.name, "cause": event.cause.name.lower()}
+    effects.append(Count("attempt_failed_total", 1.0, labels))
+    outcome = failure_outcome(attempt, event)
+    if request.streaming is attempt:
+        finish_refused(state, request, outcome, effects)
+    else:
+        send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
+    changed = health.review(request.service.health, request.service.limits.loads, event.now)
+    if changed:
+        effects.append(verdict_report(state, request.service, changed))
+    send_queued(state, request.service, event.now, next_draw(event.draw), effects)
+    return effects
+
+
+def failure_outcome(attempt: Attempt, event: AttemptFailed) -> Refusal:
+    """Say what a failed attempt means; only one that was never sent is certainly not run."""
+    detail = f"{attempt.load.target.name}: {event.detail}"
+    if event.cause is FailureCause.CONNECT_FAILED and not attempt.sent_at:
+        return NotRun(ResultCode.CONNECT_FAILED, detail)
+    return Unknown(FAILURE_CODES.get(event.cause, ResultCode.OUTCOME_UNKNOWN), detail)
+
+
+def send_again_or_finish(
+    state: EntryState,
+    attempt: Attempt,
+    outcome: Refusal,
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Retry within the budget, wait for another attempt, or answer the caller."""
+    request = attempt.request
+    request.tried.append(attempt.load)
+    if request.attempts:
+        # The other attempt of a hedged read may still be answered.
+        request.last_refusal = outcome
+        return
+    service = request.service
+    targets = reachable_targets(service, request.labels)
+    if not targets or not retries.may_retry(service.retry_budget, request, outcome, now):
+        finish_refused(state, request, outcome, effects)
+        return
+    request.retried = True
+    request.attempt += 1
+    effects.append(Count("retry_total", 1.0, {"service": service.name}))
+    load = choose(request, targets, now, draw)
+    if load is not None:
+        send(state, request, load, now, effects)
+    else:
+        enqueue(state, request, effects)
+
+
+@reduce.register
+def timer_fired(event: TimerFired, state: EntryState) -> list[Effect]:
+    """Handle every timer that is due and ask for the next one."""
+    effects: list[Effect] = []
+    draw = event.draw
+    timers = state.timers
+    while timers and (timers[0][0] <= event.now or is_stale(state, timers[0])):
+        at, _, kind, request_id = heapq.heappop(timers)
+        if at > event.now:
+            continue
+        if kind is TimerKind.ACCEPT_END:
+            accept_ended(state, effects)
+        elif kind is TimerKind.DRAIN_LIMIT:
+            drain_limit_passed(state, effects)
+        elif request_id in state.requests:
+            request_timer(state, state.requests[request_id], kind, event.now, draw, effects)
+            draw = next_draw(draw)
+    state.timer_at = timers[0][0] if timers else 0.0
+    if timers:
+        effects.append(SetTimer(state.timer_at))
+    return effects
+
+
+def is_stale(state: EntryState, timer: tuple[float, int, TimerKind, int]) -> bool:
+    """Tell whether a timer belongs to a request that has ended."""
+    return timer[3] != 0 and timer[3] not in state.requests
+
+
+def request_timer(
+    state: EntryState,
+    request: Request,
+    kind: TimerKind,
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Handle a due timer of a request that is not answered yet."""
+    if kind is TimerKind.HEDGE:
+        hedge(state, request, now, draw, effects)
+    else:
+        deadline_passed(state, request, now, draw, effects)
+
+
+def hedge(
+    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Send a slow read to a second target within the budget."""
+    service = request.service
+    if request.hedged or request.streaming or request.state is not RequestState.SENT:
+        return
+    first = request.attempts[0].load
+    targets = reachable_targets(service, request.labels) or []
+    others = [load for load in targets if load is not first]
+    load = choose(request, others, now, draw)
+    if load is None:
+        return
+    if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
+        return
+    request.hedged = True
+    effects.append(Count("hedge_total", 1.0, {"service": service.name}))
+    send(state, request, load, now, effects)
+
+
+def deadline_passed(
+    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Give up a request whose deadline has passed."""
+    service = request.service
+    if request.state is RequestState.QUEUED:
+        limits.remove_queued(service.limits, request)
+    patience_s = TIMEOUT_LATENCIES * service.health.typical_s
+    for attempt in request.attempts:
+        if attempt.sent_at and now - attempt.sent_at >= patience_s:
+            health.observe_failure(attempt.load, now)
+    if request.uncertain or request.hedged:
+        detail = "the deadline passed before a whole answer"
+        outcome: Refusal = Unknown(ResultCode.DEADLINE_AFTER_SEND, detail, 504)
+    else:
+        outcome = NotRun(ResultCode.DEADLINE_BEFORE_SEND, "the deadline passed before sending")
+    finish_refused(state, request, outcome, effects)
+    send_queued(state, service, now, draw, effects)
--- /dev/null
+++ b/poplarlane/decisions/drain.py
@@ -0,0 +1,75 @@
+"""Leaving targets, and the stop of an entry."""
+
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.entry_effects import (
+    SetConnectionLimit,
+    SetTimer,
+    Stop,
+    StopAccepting,
+)
+from poplarlane.decisions.entry_events import StopSignalled
+from poplarlane.decisions.entry_state import EntryState, ServiceState, TimerKind, add_timer
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.reports import current_report
+from poplarlane.types import Target
+
+
+def mark_leaving(state: EntryState, target: Target, source: str, effects: list[Effect]) -> None:
+    """Stop new work for a target in every service; its work in flight goes on."""
+    state.leaving.add(target.name)
+    for service in state.services.values():
+        load = service.loads.get(target.name)
+        if load is not None and not load.leaving:
+            load.leaving = True
+            refresh_usable(service)
+    effects.append(SetConnectionLimit(target, 0))
+    effects.append(Log("target_leaving", "info", {"target": target.name, "source": source}))
+    effects.append(current_report(state))
+
+
+def mark_returned(state: EntryState, name: str) -> None:
+    """Take a target with a new incarnation back into service."""
+    state.leaving.discard(name)
+    for service in state.services.values():
+        load = service.loads.get(name)
+        if load is not None and load.leaving:
+            load.leaving = False
+            refresh_usable(service)
+
+
+def refresh_usable(service: ServiceState) -> None:
+    """Drop what was derived from the set of usable targets."""
+    service.reachable.clear()
+    service.limits.loads = [load for load in service.loads.values() if not load.leaving]
+
+
+@reduce.register
+def stop_signalled(event: StopSignalled, state: EntryState) -> list[Effect]:
+    """Start to drain; a second signal ends the drain at once."""
+    effects: list[Effect] = []
+    if state.draining:
+        drain_limit_passed(state, effects)
+        return effects
+    state.draining = True
+    accept_end = event.now + state.drain_accept_s
+    earliest = add_timer(state, accept_end, TimerKind.ACCEPT_END)
+    earliest |= add_timer(state, event.now + state.drain_limit_s, TimerKind.DRAIN_LIMIT)
+    if earliest:
+        effects.append(SetTimer(state.timer_at))
+    effects.append(Log("draining", "info", {"in_flight": len(state.requests)}))
+    effects.append(current_report(state))
+    return effects
+
+
+def accept_ended(state: EntryState, effects: list[Effect]) -> None:
+    """Stop to accept connections, and stop the process when nothing is in flight."""
+    state.accepting = False
+    effects.append(StopAccepting())
+    if not state.requests:
+        effects.append(Stop(False))
+
+
+def drain_limit_passed(state: EntryState, effects: list[Effect]) -> None:
+    """End the drain now and log how many requests are cut."""
+    effects.append(Log("drain_cut", "warning", {"cut": len(state.requests)}))
+    effects.append(Stop(True))
--- /dev/null
+++ b/poplarlane/decisions/requests.py
@@ -0,0 +1,291 @@
+"""Handlers for the request life cycle: arrival, queue, sending, and the caller's answer."""
+
+from poplarlane.decisions import health, limits, retries
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.entry_effects import (
+    CancelAttempt,
+    CutAnswer,
+    RefuseCaller,
+    RefuseRequest,
+    SendRequest,
+    SetTimer,
+    Stop,
+)
+from poplarlane.decisions.entry_events import (
+    AttemptSent,
+    CallerGone,
+    RequestArrived,
+    RequestMalformed,
+)
+from poplarlane.decisions.entry_state import (
+    MALFORMED_LOGS_PER_S,
+    Attempt,
+    EntryState,
+    Request,
+    RequestState,
+    ServiceState,
+    TimerKind,
+    add_timer,
+    next_draw,
+    reachable_targets,
+)
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.routing import choose_target
+from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
+from poplarlane.types import Priority, RequestKind, TargetLoad
+
+DEFAULT_DEADLINE_MS = 2_000
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+# Kinds for requests that the service's own kinds do not cover.
+SAFE_KIND = RequestKind(
+    "read", SAFE_METHODS, "/", True, Priority.NORMAL, DEFAULT_DEADLINE_MS, False
+)
+UNSAFE_KIND = RequestKind(
+    "write", frozenset(), "/", False, Priority.NORMAL, DEFAULT_DEADLINE_MS, False
+)
+
+
+@reduce.register
+def request_arrived(event: RequestArrived, state: EntryState) -> list[Effect]:
+    """Admit, queue or refuse a request."""
+    service = state.hosts.get(event.host)
+    if not state.ready:
+        return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
+    if service is None:
+        return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
+    targets = reachable_targets(service, event.labels)
+    if targets is None:
+        return refuse_arrival(event, state, ResultCode.NOT_ALLOWED, "no selector allows this")
+    if not targets:
+        return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
+    request = new_request(event, service)
+    decision = limits.admit(service.limits, request, event.now)
+    if isinstance(decision, NotRun):
+        return [RefuseRequest(event.request_id, decision, False, state.draining)]
+    state.requests[request.request_id] = request
+    retries.observe_request(service.retry_budget)
+    retries.observe_request(service.hedge_budget)
+    effects: list[Effect] = []
+    if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+    if decision is limits.ADMIT:
+        load = choose(request, targets, event.now, event.draw)
+        if load is not None:
+            send(state, request, load, event.now, effects)
+        else:
+            enqueue(state, request, effects)
+    else:
+        send_queued(state, service, event.now, event.draw, effects)
+    return effects
+
+
+def refuse_arrival(
+    event: RequestArrived, state: EntryState, code: ResultCode, detail: str
+) -> list[Effect]:
+    """Refuse a request that was never sent."""
+    return [RefuseRequest(event.request_id, NotRun(code, detail), False, state.draining)]
+
+
+def new_request(event: RequestArrived, service: ServiceState) -> Request:
+    """Create a request from its arrival and the kind that applies to it."""
+    kind = kind_of(service, event.method, event.path)
+    given_ms = event.deadline_ms
+    allowed_ms = kind.deadline_ms if given_ms is None else given_ms
+    return Request(
+        event.request_id,
+        service,
+        event.labels,
+        kind,
+        event.now + allowed_ms / 1000.0,
+        event.attempt,
+        event.retried,
+    )
+
+
+def kind_of(service: ServiceState, method: str, path: str) -> RequestKind:
+    """Find the first kind that matches; the defaults follow the method."""
+    for kind in service.kinds:
+        if method in kind.methods and path.startswith(kind.path_prefix):
+            return kind
+    return SAFE_KIND if method in SAFE_METHODS else UNSAFE_KIND
+
+
+def choose(request: Request, targets: list[TargetLoad], now: float, draw: int) -> TargetLoad | None:
+    """Choose a target that has room, if possible one that was not tried yet."""
+    service = request.service
+    bounds = service.limits
+    share = limits.in_flight_share(bounds)
+    open_targets = [load for load in targets if load.outstanding < share]
+    if request.tried:
+        tried = request.tried
+        open_targets = [load for load in open_targets if load not in tried] or open_targets
+    return choose_target(service.policy, open_targets, now, draw)
+
+
+def send(
+    state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
+) -> Attempt:
+    """Send a request to a target as a new attempt."""
+    attempt_id = state.next_attempt_id
+    state.next_attempt_id = attempt_id + 1
+    attempt = Attempt(attempt_id, request, load)
+    state.attempts[attempt_id] = attempt
+    request.attempts.append(attempt)
+    request.state = RequestState.NOT_SENT
+    health.observe_sent(load, attempt_id, now)
+    effects.append(
+        SendRequest(
+            request.request_id,
+            attempt_id,
+            load.target,
+            request.attempt,
+            request.retried,
+            request.deadline,
+        )
+    )
+    if request.hedge and not request.hedged:
+        schedule_hedge(state, request, now, effects)
+    return attempt
+
+
+def schedule_hedge(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+    """Set the time at which an unanswered read may be sent a second time."""
+    p95_s = request.service.health.p95_s
+    if p95_s <= 0.0:
+        return
+    at = now + retries.hedge_delay_s(p95_s)
+    if add_timer(state, at, TimerKind.HEDGE, request.request_id):
+        effects.append(SetTimer(at))
+
+
+@reduce.register
+def attempt_sent(event: AttemptSent, state: EntryState) -> list[Effect]:
+    """Record that a target may start the request from now on."""
+    attempt = state.attempts[event.attempt_id]
+    attempt.sent_at = event.now
+    attempt.request.state = RequestState.SENT
+    attempt.request.uncertain += 1
+    return []
+
+
+def enqueue(state: EntryState, request: Request, effects: list[Effect]) -> None:
+    """Keep a request until a target that it may reach has room."""
+    bounds = request.service.limits
+    if bounds.queued >= bounds.queue_length:
+        detail = "the service's queue is full"
+        finish_refused(state, request, NotRun(ResultCode.QUEUE_FULL, detail), effects)
+        return
+    bounds.queues[request.priority].append(request)
+    bounds.queued += 1
+    request.state = RequestState.QUEUED
+
+
+def send_queued(
+    state: EntryState, service: ServiceState, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Send queued requests, highest priority first, while targets have room."""
+    bounds = service.limits
+    if not bounds.queued:
+        return
+    blocked: set[str] = set()
+    for name in limits.PRIORITIES:
+        for request in list(bounds.queues[name]):
+            if request.labels in blocked:
+                continue
+            targets = reachable_targets(service, request.labels)
+            load = choose(request, targets, now, draw) if targets else None
+            if load is not None:
+                limits.remove_queued(bounds, request)
+                send(state, request, load, now, effects)
+                draw = next_draw(draw)
+            elif targets:
+                blocked.add(request.labels)
+            else:
+                limits.remove_queued(bounds, request)
+                finish_refused(state, request, unreachable(targets), effects)
+
+
+def unreachable(targets: list[TargetLoad] | None) -> NotRun:
+    """Say why a queued request can no longer be sent."""
+    if targets is None:
+        return NotRun(ResultCode.NOT_ALLOWED, "no selector allows this")
+    return NotRun(ResultCode.NO_TARGET, "every target is leaving")
+
+
+def end_attempt(state: EntryState, attempt: Attempt) -> None:
+    """Stop counting an attempt, whatever its outcome."""
+    state.attempts.pop(attempt.attempt_id, None)
+    health.observe_end(attempt.load, attempt.attempt_id)
+    if attempt in attempt.request.attempts:
+        attempt.request.attempts.remove(attempt)
+
+
+def cancel_attempts(
+    state: EntryState, request: Request, effects: list[Effect], kept: Attempt | None = None
+) -> None:
+    """Give up all attempts of a request but one."""
+    for attempt in list(request.attempts):
+        if attempt is not kept:
+            end_attempt(state, attempt)
+            effects.append(CancelAttempt(attempt.attempt_id))
+
+
+def finish_refused(
+    state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Answer the caller with an outcome of this entry; never a false `not run`."""
+    certain = isinstance(outcome, NotRun)
+    if certain and (request.uncertain or request.hedged):
+        outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
+        certain = False
+    cancel_attempts(state, request, effects)
+    request.state = RequestState.REFUSED if certain else RequestState.UNKNOWN
+    if request.streaming is not None:
+        effects.append(CutAnswer(request.request_id))
+    else:
+        retried = request.retried or request.retried_below
+        effects.append(RefuseRequest(request.request_id, outcome, retried, state.draining))
+    forget(state, request, effects)
+
+
+def forget(state: EntryState, request: Request, effects: list[Effect]) -> None:
+    """Drop a request whose caller was answered or is gone."""
+    del state.requests[request.request_id]
+    if state.draining and not state.accepting and not state.requests:
+        effects.append(Stop(False))
+
+
+@reduce.register
+def caller_gone(event: CallerGone, state: EntryState) -> list[Effect]:
+    """Cancel the work of a caller that left."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return []
+    effects: list[Effect] = []
+    service = request.service
+    if request.state is RequestState.QUEUED:
+        limits.remove_queued(service.limits, request)
+    cancel_attempts(state, request, effects)
+    forget(state, request, effects)
+    effects.append(Count("caller_left_total", 1.0, {"service": service.name}))
+    send_queued(state, service, event.now, event.draw, effects)
+    return effects
+
+
+@reduce.register
+def request_malformed(event: RequestMalformed, state: EntryState) -> list[Effect]:
+    """Refuse malformed input, with a bounded number of log lines."""
+    refusal = event.refusal
+    effects: list[Effect] = [
+        RefuseCaller(event.caller_id, refusal),
+        Count("malformed_input_total", 1.0, {"code": str(int(refusal.code))}),
+    ]
+    second = int(event.now)
+    if second != state.malformed_second:
+        state.malformed_second = second
+        state.malformed_logged = 0
+    if state.malformed_logged < MALFORMED_LOGS_PER_S:
+        state.malformed_logged += 1
+        fields = {"code": int(refusal.code), "detail": refusal.detail, "source": event.source}
+        effects.append(Log("malformed_input", "warning", fields))
+    return effects
--- /dev/null
+++ b/poplarlane/decisions/views.py
@@ -0,0 +1,241 @@
+"""Handlers for views from the agent: services, members and peers' verdicts."""
+
+from poplarlane.decisions import health, limits, retries, selectors
+from poplarlane.decisions.drain import mark_leaving, mark_returned, refresh_usable
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit
+from poplarlane.decisions.entry_events import ViewReceived
+from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
+from poplarlane.decisions.policies import policy_by_name
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.reports import current_report, hello
+from poplarlane.decisions.requests import send_queued
+from poplarlane.decisions.validation import check_service
+from poplarlane.messages import MemberNotice, ServiceBody, VerdictNotice, ViewUpdate
+from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
+from poplarlane.types import (
+    MemberKind,
+    MemberState,
+    RequestKind,
+    Target,
+    TargetLoad,
+    Verdict,
+)
+
+DEFAULT_POLICY = "adaptive"
+
+
+@reduce.register
+def view_received(event: ViewReceived, state: EntryState) -> list[Effect]:
+    """Apply what is newer than the view in force; a revision never goes back."""
+    effects: list[Effect] = []
+    view = event.view
+    note_agent(state, view, event.now, effects)
+    changed = [body for body in view.services if take_service(state, body, effects)]
+    if changed:
+        rebuild_hosts(state, effects)
+    if view.fleet_entries != state.fleet_entries or changed:
+        share_limits(state, max(1, view.fleet_entries), effects)
+    for notice in view.members:
+        take_member(state, notice, effects)
+    for verdict in view.verdicts:
+        take_verdict(state, verdict, event.now)
+    if view.complete and not state.ready:
+        state.ready = True
+        effects.append(Log("ready", "info", {"services": len(state.services)}))
+    if changed or view.complete:
+        effects.append(current_report(state))
+    draw = event.draw
+    for service in state.services.values():
+        draw = next_draw(draw)
+        send_queued(state, service, event.now, draw, effects)
+    return effects
+
+
+def note_agent(state: EntryState, view: ViewUpdate, now: float, effects: list[Effect]) -> None:
+    """Ask an agent that has restarted for everything newer than what is applied."""
+    state.last_view_at = now
+    if view.agent_incarnation == state.agent_incarnation:
+        return
+    if state.agent_incarnation:
+        effects.append(SendToAgent(hello(state)))
+    state.agent_incarnation = view.agent_incarnation
+
+
+def take_service(state: EntryState, body: ServiceBody, effects: list[Effect]) -> bool:
+    """Apply a service object when it is valid and newer; tell whether it was applied."""
+    held = state.services.get(body.service)
+    if held is not None and body.revision < held.revision:
+        return False
+    if held is not None and body.revision == held.revision:
+        if body.body != held.body:
+            reject(state, body, "revision in force has different content", effects)
+        return False
+    found = check_service(body.body, body.service)
+    if isinstance(found, list):
+        reject(state, body, str(found[0]), effects)
+        return False
+    if found.revision != body.revision:
+        reject(state, body, f"revision is {found.revision}, expected {body.revision}", effects)
+        return False
+    state.rejected.pop(body.service, None)
+    apply_service(state, found, body.body)
+    fields = {"service": found.service, "revision": found.revision}
+    effects.append(Log("service_applied", "info", fields))
+    return True
+
+
+def reject(state: EntryState, body: ServiceBody, reason: str, effects: list[Effect]) -> None:
+    """Keep the revision in force and report a bad object, once per reason."""
+    text = f"revision {body.revision}: {reason}"
+    if state.rejected.get(body.service) == text:
+        return
+    state.rejected[body.service] = text
+    effects.append(Count("bad_object_total", 1.0, {"service": body.service}))
+    fields = {"service": body.service, "revision": body.revision, "reason": reason}
+    effects.append(Log("bad_object", "error", fields))
+
+
+def apply_service(state: EntryState, found: ServiceObject, body: bytes) -> None:
+    """Put a service object in force; what was observed about its targets is kept."""
+    service = state.services.get(found.service) or ServiceState(found.service)
+    fresh = service.revision == 0
+    state.services[found.service] = service
+    service.revision = found.revision
+    service.body = body
+    service.deleted = found.deleted
+    service.hosts = [] if found.deleted else [host.lower() for host in found.hosts]
+    service.kinds = [request_kind(kind) for kind in found.requests]
+    service.access = selectors.compile_access(found)
+    service.loads = target_loads(state, service, found)
+    policy_name = state.policy_name or found.policy
+    if fresh or type(service.policy) is not type(policy_by_name(policy_name)):
+        service.policy = policy_by_name(policy_name) or policy_by_name(DEFAULT_POLICY)
+    set_limits(state, service, found.limits, fresh)
+    refresh_usable(service)
+
+
+def request_kind(kind: RequestKindObject) -> RequestKind:
+    """Convert a configured request kind."""
+    return RequestKind(
+        kind.name,
+        frozenset(kind.methods),
+        kind.path_prefix,
+        kind.idempotent,
+        kind.priority,
+        kind.deadline_ms,
+        kind.hedge,
+    )
+
+
+def target_loads(
+    state: EntryState, service: ServiceState, found: ServiceObject
+) -> dict[str, TargetLoad]:
+    """Create the loads of the configured targets, keeping those at the same address."""
+    loads = {}
+    for name, held in found.targets.items():
+        target = Target(name, held.address, held.port, held.data_centre, dict(held.labels))
+        load = service.loads.get(name)
+        if load is None or (load.target.address, load.target.port) != (held.address, held.port):
+            distance_s = 2.0 * state.delay_s_by_data_centre.get(held.data_centre, 0.0)
+            load = TargetLoad(target, distance_s)
+        load.target = target
+        load.leaving = name in state.leaving
+        loads[name] = load
+    return loads
+
+
+def set_limits(state: EntryState, service: ServiceState, found: LimitsObject, fresh: bool) -> None:
+    """Set the limits of a service; queued requests and saved budgets are kept."""
+    if fresh:
+        service.limits = limits.ServiceLimits(
+            found.slots_per_target,
+            found.connections_per_target,
+            found.queue_length,
+            state.fleet_entries,
+            [],
+        )
+        service.retry_budget = retries.retry_budget(found.retry_ratio)
+        service.hedge_budget = retries.hedge_budget(found.hedge_ratio)
+        return
+    service.limits.slots_per_target = found.slots_per_target
+    service.limits.connections_per_target = found.connections_per_target
+    service.limits.queue_length = found.queue_length
+    service.retry_budget.ratio = found.retry_ratio
+    service.hedge_budget.ratio = found.hedge_ratio
+
+
+def rebuild_hosts(state: EntryState, effects: list[Effect]) -> None:
+    """Map hosts to services; the first service by name keeps a host that two claim."""
+    hosts: dict[str, ServiceState] = {}
+    for name in sorted(state.services):
+        for host in state.services[name].hosts:
+            kept = hosts.setdefault(host, state.services[name])
+            if kept.name != name:
+                fields = {"host": host, "service": name, "kept": kept.name}
+                effects.append(Log("host_claimed_twice", "error", fields))
+    state.hosts = hosts
+
+
+def share_limits(state: EntryState, entries: int, effects: list[Effect]) -> None:
+    """Divide slots and connections by the number of live entries."""
+    state.fleet_entries = entries
+    for service in state.services.values():
+        service.limits.entries = entries
+        if hasattr(service.policy, "entries"):
+            service.policy.entries = entries
+            service.policy.slots = service.limits.slots_per_target
+        share = limits.connection_share(service.limits)
+        for load in service.loads.values():
+            effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
+
+
+def take_member(state: EntryState, notice: MemberNotice, effects: list[Effect]) -> None:
+    """Apply a fact about a target; leaving is not undone within an incarnation."""
+    if notice.kind != MemberKind.TARGET:
+        return
+    incarnation, was_leaving = state.members.get(notice.name, (-1, False))
+    if notice.incarnation < incarnation:
+        return
+    leaving = notice.state in (MemberState.LEAVING, MemberState.GONE)
+    if notice.incarnation > incarnation:
+        state.members[notice.name] = (notice.incarnation, leaving)
+        # The first fact about a target does not undo what its answers already said.
+        if not leaving and incarnation >= 0 and notice.name in state.leaving:
+            restore(state, notice.name, effects)
+    if leaving and not was_leaving or notice.incarnation > incarnation and leaving:
+        state.members[notice.name] = (notice.incarnation, True)
+        if notice.name not in state.leaving:
+            target = known_target(state, notice.name)
+            if target is None:
+                state.leaving.add(notice.name)
+            else:
+                mark_leaving(state, target, notice.source, effects)
+
+
+def restore(state: EntryState, name: str, effects: list[Effect]) -> None:
+    """Take a restarted target back and restore its connections."""
+    mark_returned(state, name)
+    effects.append(Log("target_returned", "info", {"target": name}))
+    share_limits(state, state.fleet_entries, effects)
+
+
+def known_target(state: EntryState, name: str) -> Target | None:
+    """Find a configured target by name."""
+    for service in state.services.values():
+        if name in service.loads:
+            return service.loads[name].target
+    return None
+
+
+def take_verdict(state: EntryState, notice: VerdictNotice, now: float) -> None:
+    """Record what another entry concluded about a target."""
+    service = state.services.get(notice.service)
+    load = service.loads.get(notice.target) if service else None
+    if load is None or notice.source == state.name:
+        return
+    try:
+        found = Verdict(notice.verdict)
+    except ValueError:
+        return
+    health.observe_peer_verdict(load, found, now + notice.valid_for_s)
--- /dev/null
+++ b/poplarlane/plumbing/agent_link.py
@@ -0,0 +1,66 @@
+"""An entry's pyzmq link to its agent.
+
+The entry connects a DEALER socket and the agent binds a ROUTER socket; each message is one frame.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from poplarlane.logs import log
+from poplarlane.messages import ENCODER, VIEW_DECODER, EntryHello, EntryReport, ViewUpdate
+
+# Reports that an absent agent has not taken; older ones are worthless beside the next.
+SEND_QUEUE_MESSAGES = 16
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1_000
+
+
+class AgentLink:
+    """Exchange messages with the agent and survive its absence."""
+
+    __slots__ = ("context", "socket", "receive", "task")
+
+    def __init__(self, address: str, port: int, receive: Callable[[ViewUpdate], None]) -> None:
+        self.context = zmq.asyncio.Context()
+        self.socket = self.context.socket(zmq.DEALER)
+        self.socket.setsockopt(zmq.LINGER, 0)
+        self.socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        self.socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self.socket.connect(f"tcp://{address}:{port}")
+        self.receive = receive
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Receive in the background."""
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self) -> None:
+        """Hand over every view; drop what cannot be decoded."""
+        while True:
+            frames = await self.socket.recv_multipart()
+            try:
+                view = VIEW_DECODER.decode(frames[-1])
+            except msgspec.MsgspecError as error:
+                log("bad_message", "warning", source="agent", reason=str(error))
+                continue
+            self.receive(view)
+
+    def send(self, message: EntryHello | EntryReport) -> None:
+        """Send a message, or drop it when the agent takes none."""
+        # The plain socket is used because a send that would block is to be dropped, not awaited.
+        try:
+            zmq.Socket.send(self.socket, ENCODER.encode(message), zmq.DONTWAIT)
+        except zmq.Again:
+            return
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.task is not None:
+            self.task.cancel()
+        self.socket.close()
+        self.context.term()
--- /dev/null
+++ b/poplarlane/plumbing/entry_execute.py
@@ -0,0 +1,295 @@
+"""Execute the entry's effects: singledispatch on the effect."""
+
+import asyncio
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.entry_effects import (
+    CancelAttempt,
+    CutAnswer,
+    DeliverAnswer,
+    FinishStream,
+    RefuseCaller,
+    RefuseRequest,
+    SendRequest,
+    SendToAgent,
+    SetConnectionLimit,
+    SetTimer,
+    Stop,
+    StopAccepting,
+    StreamAnswer,
+)
+from poplarlane.decisions.entry_events import AttemptSent, FailureCause
+from poplarlane.logs import log
+from poplarlane.outcomes import ResultCode
+from poplarlane.plumbing.callers import CallerConnection
+from poplarlane.plumbing.heads import AnswerHead, generated_answer
+from poplarlane.plumbing.targets import (
+    CONNECT_TIMEOUT_S,
+    Exchange,
+    Pool,
+    TargetConnection,
+)
+
+if TYPE_CHECKING:
+    from poplarlane.plumbing.entry_shell import EntryShell
+
+NO_BODY_STATUSES = (204, 304)
+
+
+@singledispatch
+def execute(effect: Effect, shell: "EntryShell") -> None:
+    """Execute one effect."""
+    raise TypeError(f"no execution for effect {type(effect).__name__}")
+
+
+@execute.register
+def execute_log(effect: Log, shell: "EntryShell") -> None:
+    """Write a log line."""
+    log(effect.event, effect.level, **effect.fields)
+
+
+@execute.register
+def execute_count(effect: Count, shell: "EntryShell") -> None:
+    """Add to a counter."""
+    shell.metrics.count(effect.metric, effect.labels, effect.amount)
+
+
+@execute.register
+def execute_send(effect: SendRequest, shell: "EntryShell") -> None:
+    """Send a request on an idle connection, or on a new one."""
+    caller = shell.by_request[effect.request_id]
+    head = caller.head
+    is_head = head.method == b"HEAD"
+    data = request_bytes(effect, caller, shell)
+    exchange = Exchange(effect.attempt_id, effect.request_id, is_head, head.request_id, data)
+    shell.exchanges[effect.attempt_id] = exchange
+    pool = shell.pool(effect.target)
+    connection = pool.take()
+    if connection is not None:
+        # The reducer learns of the sending first, because a write can fail synchronously.
+        shell.feed(AttemptSent(shell.now(), 0, effect.attempt_id))
+        connection.send(exchange)
+        return
+    exchange.task = shell.loop.create_task(connect_and_send(exchange, pool, shell))
+    shell.tasks.add(exchange.task)
+    exchange.task.add_done_callback(shell.tasks.discard)
+
+
+def request_bytes(effect: SendRequest, caller: CallerConnection, shell: "EntryShell") -> bytes:
+    """Write a request for one attempt, with what is left of its deadline."""
+    left_ms = max(0, int((effect.deadline - shell.now()) * 1000.0))
+    head = caller.head
+    body = caller.body
+    parts = [head.forwarded, b"x-attempt: %d\r\nx-deadline-ms: %d\r\n" % (effect.number, left_ms)]
+    if effect.retried:
+        parts.append(b"x-poplar-retried: 1\r\n")
+    if caller.span is not None:
+        traceparent = shell.tracer.traceparent(caller.span)
+        parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
+    elif head.traceparent:
+        parts.append(b"traceparent: %b\r\n" % head.traceparent)
+    if body or head.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
+        parts.append(b"content-length: %d\r\n\r\n" % len(body))
+        parts.append(body)
+    else:
+        parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+async def connect_and_send(exchange: Exchange, pool: Pool, shell: "EntryShell") -> None:
+    """Open a connection and send, unless the attempt was given up meanwhile."""
+    target = pool.target
+    pool.open += 1
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await shell.loop.create_connection(
+                lambda: TargetConnection(shell, pool),
+                target.address,
+                target.port,
+                local_addr=(shell.settings.listen_address, 0),
+            )
+    except (OSError, TimeoutError) as error:
+        pool.open -= 1
+        if not exchange.cancelled:
+            detail = str(error) or "connecting timed out"
+            shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
+        return
+    except asyncio.CancelledError:
+        pool.open -= 1
+        raise
+    if exchange.cancelled:
+        connection.abort()
+        return
+    exchange.task = None
+    if connection.closed:
+        detail = "connection closed before sending"
+        shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
+        return
+    shell.feed(AttemptSent(shell.now(), 0, exchange.attempt_id))
+    connection.send(exchange)
+
+
+@execute.register
+def execute_cancel(effect: CancelAttempt, shell: "EntryShell") -> None:
+    """Close the connection of an attempt, so that its target can cancel the work."""
+    exchange = shell.exchanges.pop(effect.attempt_id, None)
+    if exchange is None:
+        return
+    exchange.cancelled = True
+    connection, exchange.connection = exchange.connection, None
+    if connection is not None:
+        connection.exchange = None
+        connection.abort()
+    elif exchange.task is not None:
+        exchange.task.cancel()
+
+
+@execute.register
+def execute_deliver(effect: DeliverAnswer, shell: "EntryShell") -> None:
+    """Write a whole answer to the caller."""
+    exchange = shell.exchanges.pop(effect.attempt_id)
+    caller = shell.by_request.pop(effect.request_id)
+    head = exchange.head
+    parts = head_parts(effect, head, caller)
+    if head.length is not None and exchange.is_head:
+        parts.append(b"content-length: %b\r\n\r\n" % head.length)
+    elif exchange.is_head or head.notes.status in NO_BODY_STATUSES:
+        parts.append(b"\r\n")
+    else:
+        parts.append(b"content-length: %d\r\n\r\n" % exchange.held_bytes)
+        parts += exchange.parts
+    caller.transport.write(b"".join(parts))
+    end_span(shell, caller, head.notes.status, effect.code)
+    shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
+    caller.answered(effect.close)
+
+
+def head_parts(effect: DeliverAnswer, head: AnswerHead, caller: CallerConnection) -> list[bytes]:
+    """Write an answer's head up to its length."""
+    parts = [head.status_line, *head.lines, b"x-poplar-result: %d\r\n" % effect.code]
+    if effect.retried:
+        parts.append(b"x-poplar-retried: 1\r\n")
+    if effect.close or caller.close_after:
+        caller.close_after = True
+        parts.append(b"connection: close\r\n")
+    return parts
+
+
+@execute.register
+def execute_stream(effect: StreamAnswer, shell: "EntryShell") -> None:
+    """Write the held part of a large answer and pass on the rest as it arrives."""
+    exchange = shell.exchanges[effect.attempt_id]
+    caller = shell.by_request[effect.request_id]
+    head = exchange.head
+    parts = head_parts(effect, head, caller)
+    # A caller of HTTP/1.0 reads until the close; a cut is a reset, so it cannot look complete.
+    caller.stream_chunked = head.length is None and caller.event.http_version >= b"1.1"
+    if head.length is not None:
+        parts.append(b"content-length: %b\r\n\r\n" % head.length)
+    else:
+        parts.append(b"transfer-encoding: chunked\r\n\r\n" if caller.stream_chunked else b"\r\n")
+    caller.paused_target = exchange
+    caller.transport.write(b"".join(parts))
+    held, exchange.parts = exchange.parts, []
+    exchange.streaming_to = caller
+    for data in held:
+        caller.write_body(data)
+    shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
+
+
+@execute.register
+def execute_finish_stream(effect: FinishStream, shell: "EntryShell") -> None:
+    """Write the end of a large answer."""
+    exchange = shell.exchanges.pop(effect.attempt_id)
+    caller = shell.by_request.pop(effect.request_id)
+    caller.paused_target = None
+    if caller.stream_chunked:
+        caller.transport.write(b"0\r\n\r\n")
+    end_span(shell, caller, exchange.head.notes.status, ResultCode.ANSWERED)
+    caller.answered(False)
+
+
+@execute.register
+def execute_cut(effect: CutAnswer, shell: "EntryShell") -> None:
+    """Reset the caller's connection in the middle of an answer."""
+    caller = shell.by_request.pop(effect.request_id, None)
+    if caller is not None:
+        caller.request_id = 0
+        caller.paused_target = None
+        end_span(shell, caller, 502, ResultCode.ANSWER_TRUNCATED)
+        caller.transport.abort()
+
+
+@execute.register
+def execute_refuse(effect: RefuseRequest, shell: "EntryShell") -> None:
+    """Write an answer of the entry itself."""
+    caller = shell.by_request.pop(effect.request_id)
+    outcome = effect.outcome
+    close = effect.close or caller.close_after
+    with_body = caller.head.method != b"HEAD"
+    caller.transport.write(generated_answer(outcome, effect.retried, close, with_body))
+    shell.results[outcome.code] = shell.results.get(outcome.code, 0) + 1
+    end_span(shell, caller, outcome.status, outcome.code)
+    caller.answered(close)
+
+
+def end_span(shell: "EntryShell", caller: CallerConnection, status: int, code: int) -> None:
+    """End the request's span, if it has one."""
+    if caller.span is not None:
+        shell.tracer.end(caller.span, status, code)
+        caller.span = None
+
+
+@execute.register
+def execute_refuse_caller(effect: RefuseCaller, shell: "EntryShell") -> None:
+    """Answer malformed input and close."""
+    caller = shell.callers.get(effect.caller_id)
+    if caller is not None and not caller.closing:
+        caller.write_and_close(generated_answer(effect.outcome, False, True, True))
+        code = effect.outcome.code
+        shell.results[code] = shell.results.get(code, 0) + 1
+
+
+@execute.register
+def execute_timer(effect: SetTimer, shell: "EntryShell") -> None:
+    """Replace the timer."""
+    if shell.timer is not None:
+        shell.timer.cancel()
+    shell.timer = shell.loop.call_at(effect.at, shell.timer_fired)
+
+
+@execute.register
+def execute_limit(effect: SetConnectionLimit, shell: "EntryShell") -> None:
+    """Bound the connections to a target."""
+    target = effect.target
+    key = (target.address, target.port)
+    shell.limits[key] = effect.limit
+    if key in shell.pools:
+        shell.pools[key].set_limit(effect.limit)
+
+
+@execute.register
+def execute_message(effect: SendToAgent, shell: "EntryShell") -> None:
+    """Send a message to the agent."""
+    shell.link.send(effect.message)
+
+
+@execute.register
+def execute_stop_accepting(effect: StopAccepting, shell: "EntryShell") -> None:
+    """Close the listener and every idle caller."""
+    shell.server.close()
+    for caller in list(shell.callers.values()):
+        if caller.is_idle():
+            caller.closing = True
+            caller.transport.close()
+        else:
+            caller.close_after = True
+
+
+@execute.register
+def execute_stop(effect: Stop, shell: "EntryShell") -> None:
+    """End the process now, or once every caller has its answer."""
+    if effect.at_once or not shell.callers:
+        shell.stopped.set()
--- /dev/null
+++ b/poplarlane/plumbing/entry_shell.py
@@ -0,0 +1,313 @@
+"""The entry's shell: turns socket and timer activity into events for the reducer."""
+
+import asyncio
+import random
+import socket
+import time
+
+from poplarlane.decisions.entry_events import (
+    AnswerCompleted,
+    AnswerStarted,
+    AttemptFailed,
+    CallerGone,
+    EntryEvent,
+    FailureCause,
+    ReportDue,
+    RequestArrived,
+    RequestMalformed,
+    StopSignalled,
+    TimerFired,
+    ViewReceived,
+)
+from poplarlane.decisions.entry_state import EntryState
+from poplarlane.decisions.reducer import reduce
+from poplarlane.logs import log
+from poplarlane.messages import ViewUpdate
+from poplarlane.metrics import Metrics
+from poplarlane.outcomes import Malformed
+from poplarlane.plumbing.agent_link import AgentLink
+from poplarlane.plumbing.callers import CallerConnection
+from poplarlane.plumbing.entry_execute import execute
+from poplarlane.plumbing.heads import service_host
+from poplarlane.plumbing.targets import Exchange, Pool
+from poplarlane.settings import EntrySettings
+from poplarlane.traces import Tracer
+from poplarlane.types import Target
+
+REPORT_INTERVAL_S = 0.5
+SWEEP_INTERVAL_S = 0.1
+LISTEN_BACKLOG = 1_024
+# Idle connections to a target are closed before a usual target would close them.
+TARGET_IDLE_S = 30.0
+MAX_CACHED_SOURCES = 4_096
+DEFAULT_CONNECTION_LIMIT = 13
+
+
+class EntryShell:
+    """Own the sockets, timers and random source of one entry."""
+
+    __slots__ = (
+        "settings",
+        "state",
+        "metrics",
+        "tracer",
+        "networks",
+        "random",
+        "now",
+        "loop",
+        "link",
+        "server",
+        "callers",
+        "by_request",
+        "exchanges",
+        "pools",
+        "limits",
+        "trusted_cache",
+        "next_id",
+        "timer",
+        "tasks",
+        "stopped",
+        "head_timeout_s",
+        "body_timeout_s",
+        "idle_timeout_s",
+        "results",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        state: EntryState,
+        metrics: Metrics,
+        tracer: Tracer | None,
+        networks: list,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.metrics = metrics
+        self.tracer = tracer
+        self.networks = networks
+        self.random = random.Random(settings.seed)
+        self.now = time.monotonic
+        self.loop: asyncio.AbstractEventLoop
+        self.link: AgentLink
+        self.server: asyncio.Server
+        self.callers: dict[int, CallerConnection] = {}
+        self.by_request: dict[int, CallerConnection] = {}
+        self.exchanges: dict[int, Exchange] = {}
+        self.pools: dict[tuple[str, int], Pool] = {}
+        self.limits: dict[tuple[str, int], int] = {}
+        self.trusted_cache: dict[str, bool] = {}
+        self.next_id = 1
+        self.timer: asyncio.TimerHandle | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.stopped: asyncio.Event
+        self.head_timeout_s = settings.head_timeout_ms / 1000.0
+        self.body_timeout_s = settings.body_timeout_ms / 1000.0
+        self.idle_timeout_s = settings.idle_timeout_ms / 1000.0
+        # Answers by result code.
+        self.results: dict[int, int] = {}
+
+    async def start(self) -> None:
+        """Bind the listener, connect to the agent and start the periodic work."""
+        settings = self.settings
+        self.loop = asyncio.get_running_loop()
+        self.stopped = asyncio.Event()
+        listener = bind_listener(settings.listen_address, settings.listen_port)
+        self.server = await self.loop.create_server(
+            lambda: CallerConnection(self), sock=listener, backlog=LISTEN_BACKLOG
+        )
+        self.link = AgentLink(settings.agent_address, settings.agent_port, self.view_received)
+        self.link.start()
+        self.sweep()
+        self.report()
+
+    def feed(self, event: EntryEvent) -> None:
+        """Reduce one event and execute its effects."""
+        for effect in reduce(event, self.state):
+            execute(effect, self)
+
+    def draw(self) -> int:
+        """Draw 64 random bits."""
+        return self.random.getrandbits(64)
+
+    def new_id(self) -> int:
+        """Give a number that is unique in this process."""
+        self.next_id += 1
+        return self.next_id
+
+    # Callers.
+
+    def caller_opened(self, caller: CallerConnection) -> None:
+        """Register a caller, or close its connection when there are too many."""
+        if len(self.callers) >= self.settings.max_caller_connections:
+            self.metrics.count("caller_refused_total", {})
+            caller.closing = True
+            caller.transport.abort()
+            return
+        caller.caller_id = self.new_id()
+        caller.trusted = self.is_trusted(caller.source)
+        caller.expires_at = self.now() + self.idle_timeout_s
+        self.callers[caller.caller_id] = caller
+
+    def is_trusted(self, source: str) -> bool:
+        """Tell whether headers about the caller are accepted from this address."""
+        known = self.trusted_cache.get(source)
+        if known is None:
+            known = any(network.contains(source) for network in self.networks)
+            if len(self.trusted_cache) >= MAX_CACHED_SOURCES:
+                self.trusted_cache.clear()
+            self.trusted_cache[source] = known
+        return known
+
+    def caller_closed(self, caller: CallerConnection) -> None:
+        """Forget a caller and report the request that it leaves behind."""
+        self.callers.pop(caller.caller_id, None)
+        if caller.request_id:
+            self.by_request.pop(caller.request_id, None)
+            self.feed(CallerGone(self.now(), self.draw(), caller.request_id))
+            caller.request_id = 0
+        if not self.callers and not self.state.accepting and not self.state.requests:
+            self.stopped.set()
+
+    def request_read(self, caller: CallerConnection) -> None:
+        """Report a whole request."""
+        head = caller.head
+        request_id = self.new_id()
+        caller.request_id = request_id
+        self.by_request[request_id] = caller
+        host = service_host(head.host)
+        method = head.method.decode("ascii")
+        if self.tracer is not None:
+            caller.span = self.tracer.start(method, host, head.traceparent.decode("latin-1"))
+        self.feed(
+            RequestArrived(
+                self.now(),
+                self.random.getrandbits(64),
+                request_id,
+                host,
+                method,
+                head.path.decode("latin-1"),
+                head.labels,
+                head.deadline_ms,
+                head.attempt,
+                head.retried,
+            )
+        )
+
+    def malformed(self, caller: CallerConnection, refusal: Malformed) -> None:
+        """Report input from which no request could be read."""
+        event = RequestMalformed(self.now(), self.draw(), caller.caller_id, caller.source, refusal)
+        self.feed(event)
+
+    def note_pipelining(self, caller: CallerConnection) -> None:
+        """Count and log a caller that does not wait for its answer."""
+        self.metrics.count("pipelining_total", {})
+        log("pipelining", "debug", source=caller.source)
+
+    def caller_paused(self, caller: CallerConnection) -> None:
+        """Stop reading from the target while the caller does not take its answer."""
+        exchange = caller.paused_target
+        if exchange is not None and exchange.connection is not None:
+            exchange.connection.transport.pause_reading()
+
+    def caller_resumed(self, caller: CallerConnection) -> None:
+        """Read from the target again."""
+        exchange = caller.paused_target
+        if exchange is not None and exchange.connection is not None:
+            exchange.connection.transport.resume_reading()
+
+    # Targets.
+
+    def pool(self, target: Target) -> Pool:
+        """Give the connection pool of a target's address."""
+        key = (target.address, target.port)
+        pool = self.pools.get(key)
+        if pool is None:
+            pool = Pool(target, self.limits.get(key, DEFAULT_CONNECTION_LIMIT))
+            self.pools[key] = pool
+        return pool
+
+    def take_answer_data(self, exchange: Exchange, data: bytes) -> None:
+        """Hold body bytes, or pass them on once the answer is too large to be held."""
+        caller = exchange.streaming_to
+        if caller is not None:
+            caller.write_body(data)
+            return
+        exchange.parts.append(bytes(data))
+        exchange.held_bytes += len(data)
+        if exchange.held_bytes > self.settings.hold_answer_bytes:
+            notes = exchange.head.notes
+            self.feed(AnswerStarted(self.now(), self.draw(), exchange.attempt_id, notes))
+
+    def answer_read(self, exchange: Exchange) -> None:
+        """Report a whole answer; an attempt that was given up is ignored by the reducer."""
+        notes = exchange.head.notes
+        self.feed(
+            AnswerCompleted(self.now(), self.random.getrandbits(64), exchange.attempt_id, notes)
+        )
+        self.exchanges.pop(exchange.attempt_id, None)
+
+    def exchange_failed(self, exchange: Exchange, cause: FailureCause, detail: str) -> None:
+        """Report an attempt that ended without a whole answer."""
+        self.exchanges.pop(exchange.attempt_id, None)
+        if cause is FailureCause.ANSWER_INVALID:
+            log("answer_invalid", "warning", attempt=exchange.attempt_id, reason=detail)
+        self.feed(AttemptFailed(self.now(), self.draw(), exchange.attempt_id, cause, detail))
+
+    def log_target(self, target: Target, reason: str) -> None:
+        """Log what is wrong with a connection that carries no request."""
+        self.metrics.count("target_connection_fault_total", {"target": target.name})
+        log("target_connection_fault", "warning", target=target.name, reason=reason)
+
+    # Control.
+
+    def view_received(self, view: ViewUpdate) -> None:
+        """Report a view from the agent."""
+        self.feed(ViewReceived(self.now(), self.draw(), view))
+
+    def timer_fired(self) -> None:
+        """Report that the timer is due."""
+        self.timer = None
+        self.feed(TimerFired(self.now(), self.draw()))
+
+    def stop_signalled(self) -> None:
+        """Report a signal to stop."""
+        self.feed(StopSignalled(self.now(), self.draw()))
+
+    def report(self) -> None:
+        """Report to the agent, and again after the interval."""
+        self.loop.call_later(REPORT_INTERVAL_S, self.report)
+        self.feed(ReportDue(self.now(), self.draw()))
+
+    def sweep(self) -> None:
+        """Expire slow callers and idle connections, and again after the interval."""
+        self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
+        now = self.now()
+        late = [
+            caller
+            for caller in self.callers.values()
+            if 0.0 < caller.expires_at <= now and not caller.closing
+        ]
+        for caller in late:
+            caller.expire()
+        for pool in self.pools.values():
+            pool.close_idle_before(now - TARGET_IDLE_S)
+
+    async def close(self) -> None:
+        """Close everything that is left."""
+        self.link.close()
+        for pool in self.pools.values():
+            pool.set_limit(-1)
+        if self.tracer is not None:
+            self.tracer.close()
+
+
+def bind_listener(address: str, port: int) -> socket.socket:
+    """Bind a listener that other entries on the VM may share; raises OSError."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind((address, port))
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/poplarlane/plumbing/heads.py
@@ -0,0 +1,284 @@
+"""Check and rewrite message heads, on both sides of the entry.
+
+h11 accepts bare LF, folded header lines and repeated equal lengths. Parsers that read these
+differently are what request smuggling needs, so they are refused before h11 sees them.
+"""
+
+import json
+
+from poplarlane.decisions.entry_events import AnswerNotes
+from poplarlane.outcomes import Refusal, ResultCode
+
+HEAD_END = b"\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Written anew for each attempt, or meant for this entry alone.
+REQUEST_DROPPED = HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    b"x-attempt",
+    b"x-caller-labels",
+    b"x-deadline-ms",
+}
+ANSWER_DROPPED = HOP_BY_HOP | {b"content-length", b"x-not-run"}
+POPLAR_PREFIX = b"x-poplar-"
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+MAX_REPORTED_IN_FLIGHT = 1_000_000.0
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+
+def head_fault(head: bytes) -> str | None:
+    """Explain why a raw head, up to and with its empty line, is refused; None accepts it."""
+    ends = head.count(b"\r\n")
+    if head.count(b"\n") != ends or head.count(b"\r") != ends:
+        return "bare CR or LF in the head"
+    if b"\r\n " in head or b"\r\n\t" in head:
+        return "folded header line"
+    lower = head.lower()
+    lengths = lower.count(b"\r\ncontent-length")
+    if lengths:
+        chunked = b"\r\ntransfer-encoding" in lower
+        return length_fault(lower, chunked)
+    return None
+
+
+def length_fault(lower: bytes, chunked: bool) -> str | None:
+    """Check the content-length lines of a lower-case head."""
+    lines = [line for line in lower.split(b"\r\n") if line.startswith(b"content-length")]
+    values = [line.partition(b":") for line in lines]
+    values = [value.strip(b" \t") for name, _, value in values if name == b"content-length"]
+    if len(values) > 1:
+        return "more than one content-length"
+    if values and chunked:
+        return "content-length with transfer-encoding"
+    if values and not values[0].isdigit():
+        return "content-length is not a number"
+    return None
+
+
+def partial_head_fault(buffer: bytes) -> str | None:
+    """Refuse an incomplete head that can no longer become valid."""
+    ends = buffer.count(b"\r\n")
+    returns = buffer.count(b"\r") - (1 if buffer.endswith(b"\r") else 0)
+    if buffer.count(b"\n") != ends or returns != ends:
+        return "bare CR or LF in the head"
+    return None
+
+
+def connection_tokens(value: bytes) -> frozenset[bytes]:
+    """Split a connection header into its lower-case names."""
+    return frozenset(token.strip(b" \t") for token in value.lower().split(b","))
+
+
+class RequestHead:
+    """Hold what the entry needs of a request's head; `forwarded` is ready to be sent."""
+
+    __slots__ = (
+        "method",
+        "path",
+        "host",
+        "labels",
+        "deadline_ms",
+        "attempt",
+        "retried",
+        "request_id",
+        "traceparent",
+        "length",
+        "forwarded",
+        "fault",
+    )
+
+    def __init__(self, method: bytes, path: bytes) -> None:
+        self.method = method
+        self.path = path
+        self.host = b""
+        self.labels = ""
+        self.deadline_ms: float | None = None
+        self.attempt = 1
+        self.retried = False
+        self.request_id = b""
+        self.traceparent = b""
+        self.length = 0
+        self.forwarded = b""
+        self.fault = ""
+
+
+def read_request_head(
+    method: bytes, target: bytes, headers: RawHeaders, trusted: bool
+) -> RequestHead:
+    """Read a request's headers; those that only trusted sources may set are else dropped."""
+    head = RequestHead(method, target)
+    named: frozenset[bytes] = frozenset()
+    kept: list[bytes] = []
+    lines: RawHeaders = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"host":
+            head.host = value
+        elif lower in REQUEST_DROPPED or lower.startswith(POPLAR_PREFIX):
+            if lower == b"connection":
+                named |= connection_tokens(value)
+            elif lower == b"content-length":
+                head.length = int(value)
+            elif trusted:
+                read_trusted_header(head, lower, value)
+        elif lower == b"traceparent":
+            head.traceparent = value
+        else:
+            if lower == b"x-request-id":
+                head.request_id = value
+            lines.append((name, value))
+    if not target.startswith(b"/"):
+        use_absolute_form(head)
+    kept = [b"%b %b HTTP/1.1\r\nhost: %b\r\n" % (method, head.path, head.host)]
+    named -= {b"close", b"keep-alive"}
+    for name, value in lines:
+        if not named or name.lower() not in named:
+            kept.append(b"%b: %b\r\n" % (name, value))
+    head.forwarded = b"".join(kept)
+    return head
+
+
+def read_trusted_header(head: RequestHead, lower: bytes, value: bytes) -> None:
+    """Read a header that a trusted source may set; unreadable numbers are a fault."""
+    if lower == b"x-caller-labels":
+        head.labels = value.decode("latin-1")
+    elif lower == b"x-poplar-retried":
+        head.retried = value == b"1"
+    elif lower in (b"x-deadline-ms", b"x-attempt"):
+        if not value.isdigit() or len(value) > 9:
+            head.fault = f"{lower.decode()} is not a number"
+        elif lower == b"x-attempt":
+            head.attempt = max(1, int(value))
+        else:
+            head.deadline_ms = float(value)
+
+
+def use_absolute_form(head: RequestHead) -> None:
+    """Take host and path from an absolute request target, which overrides the host header."""
+    scheme, found, rest = head.path.partition(b"://")
+    if head.path == b"*" and head.method == b"OPTIONS":
+        return
+    if not found or scheme.lower() not in (b"http", b"https"):
+        head.fault = "request target is neither a path nor an absolute URL"
+        return
+    authority, slash, path = rest.partition(b"/")
+    head.host = authority
+    head.path = slash + path if slash else b"/"
+
+
+def service_host(host: bytes) -> str:
+    """Give the host without its port, in lower case."""
+    text = host.decode("latin-1").lower()
+    if text.startswith("["):
+        return text.partition("]")[0] + "]"
+    return text.partition(":")[0]
+
+
+class AnswerHead:
+    """Hold what the entry needs of an answer's head."""
+
+    __slots__ = ("notes", "status_line", "lines", "length", "chunked", "reusable", "request_id")
+
+    def __init__(self, status: int, reason: bytes) -> None:
+        self.notes = AnswerNotes()
+        self.notes.status = status
+        self.status_line = b"HTTP/1.1 %d %b\r\n" % (status, reason)
+        self.lines: list[bytes] = []
+        # Value of content-length as sent, None without one.
+        self.length: bytes | None = None
+        self.chunked = False
+        self.reusable = True
+        self.request_id = b""
+
+
+def read_answer_head(status: int, reason: bytes, headers: RawHeaders) -> AnswerHead:
+    """Read an answer's headers and keep those that go to the caller."""
+    head = AnswerHead(status, reason)
+    notes = head.notes
+    named: frozenset[bytes] = frozenset()
+    for name, value in headers:
+        lower = name.lower()
+        if lower in ANSWER_DROPPED or lower.startswith(POPLAR_PREFIX):
+            if lower == b"content-length":
+                head.length = value
+            elif lower == b"connection":
+                named |= connection_tokens(value)
+            elif lower == b"transfer-encoding":
+                head.chunked = True
+            elif lower == b"x-not-run":
+                notes.not_run = status == 503 and value == b"1"
+            elif lower == b"x-poplar-retried":
+                notes.retried = value == b"1"
+            continue
+        if lower == b"x-load":
+            notes.in_flight = parse_load(value)
+        elif lower == b"x-leaving":
+            notes.leaving = value == b"1"
+        elif lower == b"x-request-id":
+            head.request_id = value
+        head.lines.append(b"%b: %b\r\n" % (name, value))
+    if named:
+        head.reusable = b"close" not in named
+        drop_named(head, named)
+    return head
+
+
+def drop_named(head: AnswerHead, named: frozenset[bytes]) -> None:
+    """Drop the headers that the connection header names."""
+    head.lines = [line for line in head.lines if line.partition(b":")[0].lower() not in named]
+
+
+def parse_load(value: bytes) -> float | None:
+    """Parse `in_flight=N;queued=N` to their sum; a malformed report is ignored."""
+    total = 0.0
+    for pair in value.split(b";"):
+        name, _, number = pair.strip().partition(b"=")
+        if name in (b"in_flight", b"queued"):
+            if not number.isdigit() or len(number) > 9:
+                return None
+            total += int(number)
+    return min(total, MAX_REPORTED_IN_FLIGHT)
+
+
+def generated_answer(outcome: Refusal, retried: bool, close: bool, with_body: bool) -> bytes:
+    """Format an answer of the entry itself."""
+    code = ResultCode(outcome.code)
+    body = json.dumps({"code": int(code), "result": code.name.lower(), "detail": outcome.detail})
+    data = body.encode() + b"\n"
+    reason = REASONS.get(outcome.status, b"Error")
+    parts = [
+        b"HTTP/1.1 %d %b\r\ncontent-type: application/json\r\n" % (outcome.status, reason),
+        b"content-length: %d\r\nx-poplar-result: %d\r\n" % (len(data), code),
+    ]
+    if retried:
+        parts.append(b"x-poplar-retried: 1\r\n")
+    if close:
+        parts.append(b"connection: close\r\n")
+    parts.append(b"\r\n")
+    if with_body:
+        parts.append(data)
+    return b"".join(parts)
--- /dev/null
+++ b/poplarlane/plumbing/targets.py
@@ -0,0 +1,322 @@
+"""The targets' side of an entry: pooled h11 client connections."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import h11
+
+from poplarlane.decisions.entry_events import FailureCause
+from poplarlane.plumbing.heads import (
+    HEAD_END,
+    AnswerHead,
+    head_fault,
+    partial_head_fault,
+    read_answer_head,
+)
+from poplarlane.types import Target
+
+if TYPE_CHECKING:
+    from poplarlane.plumbing.entry_shell import EntryShell
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL = 8
+# The parser needs to know only the method; the bytes that are sent are written by heads.py.
+PARSER_REQUESTS = {
+    method: h11.Request(method=method, target="/", headers=[("host", "-")])
+    for method in (b"GET", b"HEAD")
+}
+PARSER_END = h11.EndOfMessage()
+
+
+class Exchange:
+    """Hold one attempt from its start to the end of its answer.
+
+    Held body parts stay here until the reducer decides what becomes of the answer.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "request_id",
+        "is_head",
+        "request_header_id",
+        "data",
+        "connection",
+        "task",
+        "head",
+        "parts",
+        "held_bytes",
+        "streaming_to",
+        "cancelled",
+    )
+
+    def __init__(
+        self,
+        attempt_id: int,
+        request_id: int,
+        is_head: bool,
+        request_header_id: bytes,
+        data: bytes,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.request_id = request_id
+        self.is_head = is_head
+        self.request_header_id = request_header_id
+        self.data = data
+        self.connection: TargetConnection | None = None
+        self.task: asyncio.Task | None = None
+        self.head: AnswerHead | None = None
+        self.parts: list[bytes] = []
+        self.held_bytes = 0
+        self.streaming_to = None
+        self.cancelled = False
+
+
+class TargetConnection(asyncio.Protocol):
+    """Carry one exchange at a time to one target."""
+
+    __slots__ = (
+        "shell",
+        "pool",
+        "transport",
+        "parser",
+        "exchange",
+        "reusable",
+        "buffer",
+        "in_body",
+        "informational",
+        "tail",
+        "idle_since",
+        "closed",
+    )
+
+    def __init__(self, shell: "EntryShell", pool: "Pool") -> None:
+        self.shell = shell
+        self.pool = pool
+        self.transport: asyncio.Transport
+        self.parser: h11.Connection
+        self.exchange: Exchange | None = None
+        self.reusable = True
+        self.buffer = b""
+        self.in_body = False
+        self.informational = 0
+        self.tail = b""
+        self.idle_since = 0.0
+        self.closed = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def send(self, exchange: Exchange) -> None:
+        """Write a request and expect its answer."""
+        self.exchange = exchange
+        exchange.connection = self
+        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
+        self.parser.send(PARSER_REQUESTS[b"HEAD" if exchange.is_head else b"GET"])
+        self.parser.send(PARSER_END)
+        self.in_body = False
+        self.informational = 0
+        data, exchange.data = exchange.data, b""
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to the parser; heads are checked first."""
+        exchange = self.exchange
+        if exchange is None:
+            if not self.closed:
+                self.shell.log_target(self.pool.target, "bytes on an idle connection")
+                self.abort()
+            return
+        if not self.in_body:
+            buffer = self.buffer + data if self.buffer else data
+            if not self.check_head(buffer):
+                return
+            data = buffer
+        self.tail = (self.tail + data)[-4:] if len(data) < 4 else data[-4:]
+        self.parser.receive_data(data)
+        self.read_events(exchange)
+
+    def check_head(self, buffer: bytes) -> bool:
+        """Check the raw head; tell whether it is whole."""
+        end = buffer.find(HEAD_END)
+        if end < 0:
+            fault = partial_head_fault(buffer)
+            if len(buffer) > MAX_ANSWER_HEAD_BYTES:
+                fault = "answer head too large"
+            self.buffer = buffer
+        else:
+            fault = head_fault(buffer[: end + 4])
+            self.buffer = b""
+        if fault is not None:
+            self.fail(FailureCause.ANSWER_INVALID, fault)
+            return False
+        return end >= 0
+
+    def read_events(self, exchange: Exchange) -> None:
+        """Take every event that the parser has."""
+        parser = self.parser
+        try:
+            while True:
+                event = parser.next_event()
+                kind = type(event)
+                if kind is h11.Response:
+                    if not self.take_head(exchange, event):
+                        return
+                elif kind is h11.Data:
+                    self.shell.take_answer_data(exchange, event.data)
+                    if exchange.cancelled:
+                        return
+                elif kind is h11.EndOfMessage:
+                    self.take_end(exchange, parser)
+                    return
+                elif kind is h11.InformationalResponse:
+                    if not self.take_informational(event, parser):
+                        return
+                else:
+                    return
+        except h11.RemoteProtocolError as error:
+            self.fail(FailureCause.ANSWER_INVALID, str(error))
+
+    def take_informational(self, event: h11.InformationalResponse, parser: h11.Connection) -> bool:
+        """Skip an interim answer that was not asked for; its connection is not used again."""
+        self.reusable = False
+        self.informational += 1
+        if event.status_code == 101 or self.informational > MAX_INFORMATIONAL:
+            self.fail(FailureCause.ANSWER_INVALID, f"unexpected status {event.status_code}")
+            return False
+        rest = parser.trailing_data[0]
+        # The head of the real answer gets the same checks as a first head.
+        return not rest or self.check_head(rest) or self.restart_parser(rest)
+
+    def restart_parser(self, rest: bytes) -> bool:
+        """Wait for the rest of a head that follows an interim answer."""
+        exchange = self.exchange
+        if exchange is None:
+            return False
+        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
+        self.parser.send(PARSER_REQUESTS[b"HEAD" if exchange.is_head else b"GET"])
+        self.parser.send(PARSER_END)
+        self.buffer = rest
+        return False
+
+    def take_head(self, exchange: Exchange, event: h11.Response) -> bool:
+        """Check an answer's head; tell whether its body may be read."""
+        self.in_body = True
+        head = read_answer_head(event.status_code, event.reason, event.headers.raw_items())
+        exchange.head = head
+        if event.http_version != b"1.1":
+            head.reusable = False
+        bodiless = exchange.is_head or event.status_code in (204, 304)
+        if head.length is None and not head.chunked and not bodiless:
+            # Its end could not be told from a cut connection.
+            self.fail(FailureCause.ANSWER_INVALID, "answer without a length")
+            return False
+        sent_id = exchange.request_header_id
+        if sent_id and head.request_id and head.request_id != sent_id:
+            self.fail(FailureCause.ANSWER_INVALID, "answer to another request")
+            return False
+        return True
+
+    def take_end(self, exchange: Exchange, parser: h11.Connection) -> None:
+        """Hand over a whole answer and keep the connection when it is clean."""
+        head = exchange.head
+        if head.chunked and not exchange.is_head and not self.ends_cleanly(parser):
+            self.fail(FailureCause.ANSWER_INVALID, "bare LF at the end of a chunked body")
+            return
+        clean = (
+            self.reusable
+            and head.reusable
+            and not parser.trailing_data[0]
+            and not self.transport.get_write_buffer_size()
+        )
+        self.exchange = None
+        exchange.connection = None
+        if clean:
+            self.pool.release(self)
+        else:
+            self.abort()
+        self.shell.answer_read(exchange)
+
+    def ends_cleanly(self, parser: h11.Connection) -> bool:
+        """Tell whether a chunked body ended with CRLF CRLF, or is followed by other bytes."""
+        return bool(parser.trailing_data[0]) or self.tail == HEAD_END
+
+    def eof_received(self) -> bool:
+        """Let the transport close; connection_lost reports it."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Report an answer that can no longer arrive."""
+        self.closed = True
+        self.pool.forget(self)
+        if self.exchange is not None:
+            started = self.in_body or bool(self.buffer)
+            cause = FailureCause.CLOSED_BEFORE_ANSWER
+            if started:
+                cause = FailureCause.ANSWER_TRUNCATED
+            self.fail(cause, str(error) if error else "connection closed")
+
+    def fail(self, cause: FailureCause, detail: str) -> None:
+        """Report a failed exchange and close the connection."""
+        exchange, self.exchange = self.exchange, None
+        self.abort()
+        if exchange is not None:
+            exchange.connection = None
+            self.shell.exchange_failed(exchange, cause, detail)
+
+    def abort(self) -> None:
+        """Close the connection without reuse."""
+        self.reusable = False
+        if not self.closed:
+            self.closed = True
+            self.pool.forget(self)
+            self.transport.abort()
+
+
+class Pool:
+    """Keep connections to one target; the latest used is used first."""
+
+    __slots__ = ("target", "idle", "open", "limit")
+
+    def __init__(self, target: Target, limit: int) -> None:
+        self.target = target
+        self.idle: deque[TargetConnection] = deque()
+        self.open = 0
+        self.limit = limit
+
+    def take(self) -> TargetConnection | None:
+        """Take an idle connection."""
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.closed and not connection.transport.is_closing():
+                return connection
+        return None
+
+    def release(self, connection: TargetConnection) -> None:
+        """Keep a clean connection unless there are too many."""
+        if self.open > self.limit:
+            connection.abort()
+            return
+        connection.idle_since = connection.shell.now()
+        self.idle.append(connection)
+
+    def forget(self, connection: TargetConnection) -> None:
+        """Stop counting a closed connection; it may be forgotten only once."""
+        if connection.pool is self and connection.idle_since >= 0.0:
+            connection.idle_since = -1.0
+            self.open -= 1
+            if connection in self.idle:
+                self.idle.remove(connection)
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit and close idle connections above it."""
+        self.limit = limit
+        while self.idle and self.open > limit:
+            self.idle[0].abort()
+
+    def close_idle_before(self, instant: float) -> None:
+        """Close connections that have been idle since before an instant."""
+        while self.idle and self.idle[0].idle_since < instant:
+            self.idle[0].abort()
--- /dev/null
+++ b/poplarlane/programs/composition.py
@@ -0,0 +1,100 @@
+"""The one composition root: builds every program from its settings."""
+
+import ipaddress
+import time
+
+from poplarlane.decisions import answers, drain, reports, requests, views
+from poplarlane.decisions.entry_state import EntryState
+from poplarlane.metrics import AdminAnswer, AdminRequest, AdminServer, Metrics, json_answer
+from poplarlane.plumbing.entry_shell import EntryShell
+from poplarlane.settings import EntrySettings
+from poplarlane.traces import new_tracer
+
+# Importing these modules registers their handlers with the reducer.
+ENTRY_HANDLERS = (answers, drain, reports, requests, views)
+
+
+class Network:
+    """Tell which addresses belong to a trusted network."""
+
+    __slots__ = ("network",)
+
+    def __init__(self, text: str) -> None:
+        self.network = ipaddress.ip_network(text)
+
+    def contains(self, address: str) -> bool:
+        """Tell whether the address, in text, belongs to the network."""
+        return ipaddress.ip_address(address) in self.network
+
+
+def build_entry(settings: EntrySettings) -> tuple[EntryShell, AdminServer]:
+    """Build an entry and its admin server."""
+    state = EntryState(settings.name, time.time_ns())
+    state.policy_name = settings.policy
+    state.delay_s_by_data_centre = {
+        name: delay / 1000.0 for name, delay in settings.data_centre_delay_ms.items()
+    }
+    state.drain_accept_s = settings.drain_accept_ms / 1000.0
+    state.drain_limit_s = settings.drain_limit_ms / 1000.0
+    metrics = Metrics()
+    tracer = new_tracer(settings.tracing, settings.name)
+    networks = [Network(text) for text in settings.trusted_sources]
+    shell = EntryShell(settings, state, metrics, tracer, networks)
+    return shell, AdminServer(metrics, entry_pages(shell))
+
+
+def entry_pages(shell: EntryShell) -> dict:
+    """Give the pages of an entry's admin server."""
+    state = shell.state
+
+    def ready(_: AdminRequest) -> AdminAnswer:
+        if state.ready and not state.draining:
+            return AdminAnswer(200, b"ready\n")
+        return AdminAnswer(503, b"draining\n" if state.draining else b"no complete view\n")
+
+    def status(_: AdminRequest) -> AdminAnswer:
+        return json_answer(entry_status(shell))
+
+    def metrics(_: AdminRequest) -> AdminAnswer:
+        update_gauges(shell)
+        return AdminAnswer(200, shell.metrics.render())
+
+    return {"/_ready": ready, "/status": status, "/metrics": metrics}
+
+
+def entry_status(shell: EntryShell) -> dict:
+    """Describe an entry for operators."""
+    state = shell.state
+    return {
+        "entry": state.name,
+        "incarnation": state.incarnation,
+        "ready": state.ready,
+        "draining": state.draining,
+        "applied": {name: service.revision for name, service in state.services.items()},
+        "rejected": state.rejected,
+        "leaving_targets": sorted(state.leaving),
+        "fleet_entries": state.fleet_entries,
+        "in_flight": len(state.requests),
+        "callers": len(shell.callers),
+        "connections": {
+            f"{address}:{port}": {"open": pool.open, "idle": len(pool.idle)}
+            for (address, port), pool in shell.pools.items()
+        },
+        "verdicts": {
+            name: {target: load.verdict.value for target, load in service.loads.items()}
+            for name, service in state.services.items()
+        },
+        "results": {str(int(code)): count for code, count in shell.results.items()},
+    }
+
+
+def update_gauges(shell: EntryShell) -> None:
+    """Copy what the entry counts itself into gauges."""
+    metrics = shell.metrics
+    metrics.set("requests_in_flight", {}, len(shell.state.requests))
+    metrics.set("caller_connections", {}, len(shell.callers))
+    for code, count in shell.results.items():
+        metrics.set("answers", {"code": str(int(code))}, count)
+    for name, service in shell.state.services.items():
+        metrics.set("applied_revision", {"service": name}, service.revision)
+        metrics.set("queued_requests", {"service": name}, service.limits.queued)
--- a/poplarlane/programs/entry.py
+++ b/poplarlane/programs/entry.py
@@ -1,8 +1,33 @@
 """The entry daemon, between callers and targets."""
 
+import asyncio
+import gc
+import signal
+
+from poplarlane.logs import log, start_logging
+from poplarlane.programs.composition import build_entry
 from poplarlane.settings import EntrySettings, settings_from_arguments
 
 
 def main() -> None:
     """Run an entry."""
-    settings_from_arguments(EntrySettings, "Forward callers' requests to targets.")
+    settings = settings_from_arguments(EntrySettings, "Forward callers' requests to targets.")
+    start_logging(settings.log_level, process=settings.name)
+    asyncio.run(run(settings))
+
+
+async def run(settings: EntrySettings) -> None:
+    """Serve until the drain has ended."""
+    shell, admin = build_entry(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, shell.stop_signalled)
+    await shell.start()
+    await admin.start(settings.listen_address, settings.admin_port)
+    # Objects made at start live as long as the process; collections need not visit them.
+    gc.freeze()
+    log("listening", address=settings.listen_address, port=settings.listen_port)
+    await shell.stopped.wait()
+    admin.close()
+    await shell.close()
+    log("stopped")
