--- /dev/null
+++ b/features/entry_requests.feature
@@ -0,0 +1,74 @@
+Feature: An entry gives each request its own whole answer or a true refusal
+
+  Scenario: Answers come back with their result code and target
+    Given an entry before 2 stand-in targets
+    When a caller reads "/slots" through the entry
+    Then the entry's answer has status 200 and code 1000
+    And the entry's answer carries the header "x-target"
+
+  Scenario: Callers are denied by default
+    Given an entry whose only selector allows callers with "kind=kiosk"
+    Then a caller labelled "kind=kiosk" gets status 200 and code 1000 from the entry
+    And a caller labelled "kind=phone" gets status 503 and code 1203 from the entry
+    And a caller labelled "kind=kiosk,kind=kiosk" gets status 503 and code 1203 from the entry
+    And a caller labelled "" gets status 503 and code 1203 from the entry
+
+  Scenario: Labels from an untrusted source are dropped
+    Given an entry that trusts no source and allows callers with "kind=kiosk"
+    Then a caller labelled "kind=kiosk" gets status 503 and code 1203 from the entry
+
+  Scenario: SIGTERM with a request in flight gives the whole answer and exit status 0
+    Given an entry before 1 stand-in target with a service time of 800 ms
+    When a caller's read is running at the target and the entry gets SIGTERM
+    Then the entry's answer has status 200 and code 1000
+    And the entry's answer is whole and closes the connection
+    And the entry exits with status 0
+
+  Scenario: A booking reset after it was sent is reported unknown and runs at most once
+    Given an entry before 2 stand-in targets, the first behind the fault proxy
+    When 20 bookings are made while the proxy resets every answer
+    Then the entry reports an unknown outcome for every booking that met the proxy
+    And no target's ledger shows a booking twice
+
+  Scenario: A read whose connection is reset moves to another target
+    Given an entry before 2 stand-in targets, the first behind the fault proxy
+    When 8 reads are made while the proxy resets every answer
+    Then every read is answered by the second target
+
+  Scenario Outline: A truncated answer never reaches the caller as a complete one
+    Given an entry before 1 stand-in target behind the fault proxy
+    When the proxy truncates an answer of <bytes> bytes to a booking
+    Then the caller gets no answer of the target that looks whole
+
+    Examples:
+      | bytes   |
+      | 1000    |
+      | 2000000 |
+
+  Scenario: A late answer reaches nobody after its caller has left
+    Given an entry before 1 stand-in target with a service time of 60 ms
+    When 30 callers leave before their answers and 30 others ask at the same time
+    Then each remaining caller of the entry has the answer to its own request
+
+  Scenario: A leaving target gets no new work while its work in flight ends whole
+    Given an entry before 2 stand-in targets
+    When one target starts to drain during a steady load through the entry
+    Then every answer of that load is whole with status 200
+    And the leaving target got no request later than 2 s after it started to leave
+
+  Scenario: An entry keeps serving without its agent and never goes back
+    Given an entry before 1 stand-in target
+    When its agent is replaced by one that holds an older revision
+    Then the entry still serves the revision that it had applied
+    And the entry reports revision 2 to the new agent
+
+  Scenario: A bad object is reported and the last accepted one stays in force
+    Given an entry before 1 stand-in target
+    When the agent sends revision 2 with a selector that does not parse
+    Then the entry reports the bad object with its reason
+    And a caller labelled "" gets status 200 and code 1000 from the entry
+
+  Scenario: An entry without a view is not ready and refuses
+    Given an entry whose agent has no view
+    Then the readiness page of the entry answers 503
+    And a caller labelled "" gets status 503 and code 1200 from the entry
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -44,19 +44,19 @@
     raise TypeError(f"no execution for effect {type(effect).__name__}")
 
 
-@execute.register
+@execute.register(Log)
 def execute_log(effect: Log, shell: "EntryShell") -> None:
     """Write a log line."""
     log(effect.event, effect.level, **effect.fields)
 
 
-@execute.register
+@execute.register(Count)
 def execute_count(effect: Count, shell: "EntryShell") -> None:
     """Add to a counter."""
     shell.metrics.count(effect.metric, effect.labels, effect.amount)
 
 
-@execute.register
+@execute.register(SendRequest)
 def execute_send(effect: SendRequest, shell: "EntryShell") -> None:
     """Send a request on an idle connection, or on a new one."""
     caller = shell.by_request[effect.request_id]
@@ -131,7 +131,7 @@
     connection.send(exchange)
 
 
-@execute.register
+@execute.register(CancelAttempt)
 def execute_cancel(effect: CancelAttempt, shell: "EntryShell") -> None:
     """Close the connection of an attempt, so that its target can cancel the work."""
     exchange = shell.exchanges.pop(effect.attempt_id, None)
@@ -146,7 +146,7 @@
         exchange.task.cancel()
 
 
-@execute.register
+@execute.register(DeliverAnswer)
 def execute_deliver(effect: DeliverAnswer, shell: "EntryShell") -> None:
     """Write a whole answer to the caller."""
     exchange = shell.exchanges.pop(effect.attempt_id)
@@ -177,7 +177,7 @@
     return parts
 
 
-@execute.register
+@execute.register(StreamAnswer)
 def execute_stream(effect: StreamAnswer, shell: "EntryShell") -> None:
     """Write the held part of a large answer and pass on the rest as it arrives."""
     exchange = shell.exchanges[effect.attempt_id]
@@ -199,7 +199,7 @@
     shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
 
 
-@execute.register
+@execute.register(FinishStream)
 def execute_finish_stream(effect: FinishStream, shell: "EntryShell") -> None:
     """Write the end of a large answer."""
     exchange = shell.exchanges.pop(effect.attempt_id)
@@ -211,7 +211,7 @@
     caller.answered(False)
 
 
-@execute.register
+@execute.register(CutAnswer)
 def execute_cut(effect: CutAnswer, shell: "EntryShell") -> None:
     """Reset the caller's connection in the middle of an answer."""
     caller = shell.by_request.pop(effect.request_id, None)
@@ -222,7 +222,7 @@
         caller.transport.abort()
 
 
-@execute.register
+@execute.register(RefuseRequest)
 def execute_refuse(effect: RefuseRequest, shell: "EntryShell") -> None:
     """Write an answer of the entry itself."""
     caller = shell.by_request.pop(effect.request_id)
@@ -242,7 +242,7 @@
         caller.span = None
 
 
-@execute.register
+@execute.register(RefuseCaller)
 def execute_refuse_caller(effect: RefuseCaller, shell: "EntryShell") -> None:
     """Answer malformed input and close."""
     caller = shell.callers.get(effect.caller_id)
@@ -252,7 +252,7 @@
         shell.results[code] = shell.results.get(code, 0) + 1
 
 
-@execute.register
+@execute.register(SetTimer)
 def execute_timer(effect: SetTimer, shell: "EntryShell") -> None:
     """Replace the timer."""
     if shell.timer is not None:
@@ -260,7 +260,7 @@
     shell.timer = shell.loop.call_at(effect.at, shell.timer_fired)
 
 
-@execute.register
+@execute.register(SetConnectionLimit)
 def execute_limit(effect: SetConnectionLimit, shell: "EntryShell") -> None:
     """Bound the connections to a target."""
     target = effect.target
@@ -270,13 +270,13 @@
         shell.pools[key].set_limit(effect.limit)
 
 
-@execute.register
+@execute.register(SendToAgent)
 def execute_message(effect: SendToAgent, shell: "EntryShell") -> None:
     """Send a message to the agent."""
     shell.link.send(effect.message)
 
 
-@execute.register
+@execute.register(StopAccepting)
 def execute_stop_accepting(effect: StopAccepting, shell: "EntryShell") -> None:
     """Close the listener and every idle caller."""
     shell.server.close()
@@ -288,7 +288,7 @@
             caller.close_after = True
 
 
-@execute.register
+@execute.register(Stop)
 def execute_stop(effect: Stop, shell: "EntryShell") -> None:
     """End the process now, or once every caller has its answer."""
     if effect.at_once or not shell.callers:
