--- a/poplarlane/decisions/control.py
+++ b/poplarlane/decisions/control.py
@@ -6,11 +6,11 @@
 
 from poplarlane.decisions import (
     distribution,
+    entry_links,
     grants,
     membership,
     probes,
     verification,
-    views,
     watching,
 )
 from poplarlane.decisions.agent_effects import ConnectPeer, SendToPeer, StopAgent
@@ -57,9 +57,9 @@
     effects: list[Effect] = []
     if state.verification.ready and not was_ready:
         state.next_digest_at = min(state.next_digest_at, state.now)
-        effects += views.send_all_views(state)
+        effects += entry_links.send_all_views(state)
     else:
-        effects += views.pass_on(state, state.new_probes)
+        effects += entry_links.pass_on(state, state.new_probes)
     if state.changed:
         effects += distribution.spread_changes(state, generator)
     if state.changed_facts or state.changed_verdicts:
@@ -92,7 +92,7 @@
         state.housekeeping_at = state.now + HOUSEKEEPING_S
         effects += membership.check_silence(state)
         effects += watching.decide_watching(state, generator)
-        effects += views.expire(state)
+        effects += entry_links.expire(state)
     effects += verification.tick(state, generator)
     effects += watching.tick(state, generator)
     if state.now >= state.next_digest_at:
@@ -135,7 +135,7 @@
     elif isinstance(message, News):
         effects += distribution.on_news(state, message)
         for verdict in message.verdicts:
-            views.learn_verdict(state, verdict)
+            entry_links.learn_verdict(state, verdict)
         probes.on_peer_results(state, message.probes)
     return effects
 
@@ -168,7 +168,7 @@
 register(AgentPaused, on_paused)
 register(AgentStopRequested, on_stop)
 register(PeerMessage, on_peer)
-register(EntryMessageReceived, views.on_message)
+register(EntryMessageReceived, entry_links.on_message)
 register(PlatformObjects, watching.on_objects)
 register(PlatformFailed, watching.on_failed)
 register(VmsListed, on_vms)
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -1,230 +1,241 @@
-"""What the agent tells the entries of its VM, and what it learns from them."""
-
-from poplarlane.decisions import distribution, membership
-from poplarlane.decisions.agent_effects import SendToEntry
-from poplarlane.decisions.agent_events import EntryMessageReceived
-from poplarlane.decisions.agent_state import AgentState, EntryLink
-from poplarlane.decisions.effects import Effect, Log
-from poplarlane.messages import (
-    EntryHello,
-    EntryReport,
-    MemberNotice,
-    ProbeNotice,
-    ServiceBody,
-    VerdictNotice,
-    ViewUpdate,
+"""Handlers for views from the agent: services, members and peers' verdicts."""
+
+from poplarlane.decisions import health, limits, retries, selectors
+from poplarlane.decisions.drain import mark_leaving, mark_returned, refresh_usable
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit
+from poplarlane.decisions.entry_events import ViewReceived
+from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
+from poplarlane.decisions.policies import policy_by_name
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.reports import current_report, hello
+from poplarlane.decisions.requests import send_queued
+from poplarlane.decisions.validation import check_service
+from poplarlane.messages import MemberNotice, ServiceBody, VerdictNotice, ViewUpdate
+from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
+from poplarlane.types import (
+    MemberKind,
+    MemberState,
+    RequestKind,
+    Target,
+    TargetLoad,
+    Verdict,
 )
-from poplarlane.types import MemberFact, MemberKind, MemberState
 
-MAX_UPDATE_BYTES = 262_144
-RESEND_S = 1.0
-MAX_VERDICTS = 2_000
+DEFAULT_POLICY = "adaptive"
 
 
-def on_message(event: EntryMessageReceived, state: AgentState) -> list[Effect]:
-    """Handle a hello or a report."""
-    if isinstance(event.message, EntryHello):
-        return on_hello(event.identity, event.message, state)
-    return on_report(event.identity, event.message, state)
-
-
-def on_hello(identity: bytes, hello: EntryHello, state: AgentState) -> list[Effect]:
-    """Connect an entry and send it everything newer than what it applied."""
-    link = EntryLink(hello.entry, identity, hello.incarnation, state.now)
-    known = state.entries.get(hello.entry)
-    if known is not None and known.incarnation > hello.incarnation:
-        return []
-    state.entries[hello.entry] = link
-    take_applied(state, link, hello.applied)
-    announce(state, link, MemberState.LIVE)
-    effects: list[Effect] = []
-    if known is None or known.incarnation != hello.incarnation:
-        effects.append(Log("entry_connected", "info", {"entry": hello.entry}))
-    return effects + send_view(state, link)
-
-
-def take_applied(state: AgentState, link: EntryLink, applied: dict[str, int]) -> None:
-    """Note what an entry applied; the agent must not be behind its own entries."""
-    link.applied = applied
-    for name, revision in applied.items():
-        if revision > state.floors.get(name, 0):
-            state.floors[name] = revision
-
-
-def announce(state: AgentState, link: EntryLink, standing: MemberState) -> None:
-    """State a fact about an entry of this VM; its source is this agent."""
-    membership.learn(
-        state,
-        MemberFact(link.name, MemberKind.ENTRY, link.incarnation, standing, state.wall, state.name),
-    )
-
-
-def on_report(identity: bytes, report: EntryReport, state: AgentState) -> list[Effect]:
-    """Take in what an entry applied and observed."""
-    link = state.entries.get(report.entry)
-    if link is None or link.incarnation < report.incarnation:
-        link = EntryLink(report.entry, identity, report.incarnation, state.now)
-        state.entries[report.entry] = link
-        announce(state, link, MemberState.LIVE)
-    if link.incarnation > report.incarnation:
-        return []
-    link.identity = identity
-    link.heard_at = state.now
-    link.ready = report.ready
-    link.rejected = report.rejected
-    take_applied(state, link, report.applied)
-    if report.draining and not link.draining:
-        link.draining = True
-        announce(state, link, MemberState.LEAVING)
-    effects = take_leaving(state, link, report.leaving_targets)
-    for verdict in report.verdicts:
-        learn_verdict(state, verdict)
-    return effects + resend(state, link)
-
-
-def take_leaving(state: AgentState, link: EntryLink, names: list[str]) -> list[Effect]:
-    """Record targets that an entry newly saw leaving.
-
-    An entry repeats its list; only additions count, because a repeated name may describe an
-    incarnation that has been replaced since.
-    """
-    added = set(names) - link.leaving
-    link.leaving = set(names)
-    effects: list[Effect] = []
-    for name in sorted(added):
-        if membership.leave_target(state, name, link.name):
-            effects.append(Log("target_leaving", "info", {"target": name, "source": link.name}))
-    return effects
-
-
-def learn_verdict(state: AgentState, verdict: VerdictNotice) -> None:
-    """Keep a verdict and pass it on when it is new or about to run out."""
-    key = (verdict.service, verdict.target, verdict.source)
-    known = state.verdicts.get(key)
-    expires_at = state.now + verdict.valid_for_s
-    if known is not None:
-        same = known[0].verdict == verdict.verdict
-        if same and known[1] - state.now > verdict.valid_for_s / 2:
-            return
-    state.verdicts[key] = (verdict, expires_at)
-    state.changed_verdicts.append(verdict)
-    while len(state.verdicts) > MAX_VERDICTS:
-        del state.verdicts[next(iter(state.verdicts))]
-
-
-def expire(state: AgentState) -> list[Effect]:
-    """Drop verdicts that ran out, and entries that fell silent."""
-    over = [key for key, (_, expires_at) in state.verdicts.items() if expires_at <= state.now]
-    for key in over:
-        del state.verdicts[key]
-    limit = state.now - membership.SILENT_ENTRY_S
-    silent = [link for link in state.entries.values() if link.heard_at < limit]
-    for link in silent:
-        del state.entries[link.name]
-        announce(state, link, MemberState.GONE)
-    return [Log("entry_silent", "warning", {"entry": link.name}) for link in silent]
-
-
-def resend(state: AgentState, link: EntryLink) -> list[Effect]:
-    """Send again what an entry did not apply in time."""
-    if not state.verification.ready:
-        return []
-    names = [
-        name
-        for name, held in state.services.items()
-        if held.revision > link.applied.get(name, 0)
-        and name not in link.rejected
-        and state.now - link.sent_at.get(name, 0.0) > RESEND_S
-    ]
-    return send_services(state, link, names, [], [], []) if names else []
-
-
-def send_view(state: AgentState, link: EntryLink) -> list[Effect]:
-    """Send an entry everything it lacks; an unverified view is not sent."""
-    if not state.verification.ready:
-        return [update(state, link, False, [], [], [], [])]
-    names = [
-        name for name, held in state.services.items() if held.revision > link.applied.get(name, 0)
-    ]
-    facts = [fact for fact in state.facts.values() if fact.kind == MemberKind.TARGET]
-    verdicts = [verdict for verdict, _ in state.verdicts.values()]
-    return send_services(state, link, names, facts, verdicts, [])
-
-
-def send_services(
-    state: AgentState,
-    link: EntryLink,
-    names: list[str],
-    facts: list[MemberFact],
-    verdicts: list[VerdictNotice],
-    probes: list[ProbeNotice],
-) -> list[Effect]:
-    """Send services in updates of bounded size; the last one carries the rest."""
+@reduce.register
+def view_received(event: ViewReceived, state: EntryState) -> list[Effect]:
+    """Apply what is newer than the view in force; a revision never goes back."""
     effects: list[Effect] = []
-    bodies: list[ServiceBody] = []
-    size = 0
-    for name in names:
-        held = state.services[name]
-        if bodies and size + len(held.body) > MAX_UPDATE_BYTES:
-            effects.append(update(state, link, False, bodies, [], [], []))
-            bodies, size = [], 0
-        bodies.append(ServiceBody(name, held.revision, held.body))
-        size += len(held.body)
-        link.sent_at[name] = state.now
-    members = [membership.to_notice(fact) for fact in facts]
-    effects.append(update(state, link, True, bodies, members, verdicts, probes))
+    view = event.view
+    note_agent(state, view, event.now, effects)
+    changed = [body for body in view.services if take_service(state, body, effects)]
+    if changed:
+        rebuild_hosts(state, effects)
+    if view.fleet_entries != state.fleet_entries or changed:
+        share_limits(state, max(1, view.fleet_entries), effects)
+    for notice in view.members:
+        take_member(state, notice, effects)
+    for verdict in view.verdicts:
+        take_verdict(state, verdict, event.now)
+    if view.complete and not state.ready:
+        state.ready = True
+        effects.append(Log("ready", "info", {"services": len(state.services)}))
+    if changed or view.complete:
+        effects.append(current_report(state))
+    draw = event.draw
+    for service in state.services.values():
+        draw = next_draw(draw)
+        send_queued(state, service, event.now, draw, effects)
     return effects
 
 
-def update(
-    state: AgentState,
-    link: EntryLink,
-    complete: bool,
-    bodies: list[ServiceBody],
-    members: list[MemberNotice],
-    verdicts: list[VerdictNotice],
-    probes: list[ProbeNotice],
-) -> Effect:
-    """Number one update for an entry."""
-    link.sequence += 1
-    view = ViewUpdate(
-        state.name,
-        state.incarnation,
-        link.sequence,
-        complete,
-        bodies,
-        members,
-        verdicts,
-        membership.fleet_entries(state),
-        probes,
+def note_agent(state: EntryState, view: ViewUpdate, now: float, effects: list[Effect]) -> None:
+    """Ask an agent that has restarted for everything newer than what is applied."""
+    state.last_view_at = now
+    if view.agent_incarnation == state.agent_incarnation:
+        return
+    if state.agent_incarnation:
+        effects.append(SendToAgent(hello(state)))
+    state.agent_incarnation = view.agent_incarnation
+
+
+def take_service(state: EntryState, body: ServiceBody, effects: list[Effect]) -> bool:
+    """Apply a service object when it is valid and newer; tell whether it was applied."""
+    held = state.services.get(body.service)
+    if held is not None and body.revision < held.revision:
+        return False
+    if held is not None and body.revision == held.revision:
+        if body.body != held.body:
+            reject(state, body, "revision in force has different content", effects)
+        return False
+    found = check_service(body.body, body.service)
+    if isinstance(found, list):
+        reject(state, body, str(found[0]), effects)
+        return False
+    if found.revision != body.revision:
+        reject(state, body, f"revision is {found.revision}, expected {body.revision}", effects)
+        return False
+    state.rejected.pop(body.service, None)
+    apply_service(state, found, body.body)
+    fields = {"service": found.service, "revision": found.revision}
+    effects.append(Log("service_applied", "info", fields))
+    return True
+
+
+def reject(state: EntryState, body: ServiceBody, reason: str, effects: list[Effect]) -> None:
+    """Keep the revision in force and report a bad object, once per reason."""
+    text = f"revision {body.revision}: {reason}"
+    if state.rejected.get(body.service) == text:
+        return
+    state.rejected[body.service] = text
+    effects.append(Count("bad_object_total", 1.0, {"service": body.service}))
+    fields = {"service": body.service, "revision": body.revision, "reason": reason}
+    effects.append(Log("bad_object", "error", fields))
+
+
+def apply_service(state: EntryState, found: ServiceObject, body: bytes) -> None:
+    """Put a service object in force; what was observed about its targets is kept."""
+    service = state.services.get(found.service) or ServiceState(found.service)
+    fresh = service.revision == 0
+    state.services[found.service] = service
+    service.revision = found.revision
+    service.body = body
+    service.deleted = found.deleted
+    service.hosts = [] if found.deleted else [host.lower() for host in found.hosts]
+    service.kinds = [request_kind(kind) for kind in found.requests]
+    service.access = selectors.compile_access(found)
+    service.loads = target_loads(state, service, found)
+    policy_name = state.policy_name or found.policy
+    if fresh or type(service.policy) is not type(policy_by_name(policy_name)):
+        service.policy = policy_by_name(policy_name) or policy_by_name(DEFAULT_POLICY)
+    set_limits(state, service, found.limits, fresh)
+    refresh_usable(service)
+
+
+def request_kind(kind: RequestKindObject) -> RequestKind:
+    """Convert a configured request kind."""
+    return RequestKind(
+        kind.name,
+        frozenset(kind.methods),
+        kind.path_prefix,
+        kind.idempotent,
+        kind.priority,
+        kind.deadline_ms,
+        kind.hedge,
     )
-    return SendToEntry(link.identity, view)
-
-
-def pass_on(state: AgentState, probes: list[ProbeNotice]) -> list[Effect]:
-    """Send what the current event changed to every entry of this VM."""
-    if not state.verification.ready:
-        return []
-    facts = [fact for fact in state.changed_facts if fact.kind == MemberKind.TARGET]
-    entries = membership.fleet_entries(state) if state.changed_facts else state.fleet_sent
-    resized = entries != state.fleet_sent
-    state.fleet_sent = entries
-    if not (state.changed or facts or state.changed_verdicts or probes or resized):
-        return []
-    effects: list[Effect] = []
-    for link in state.entries.values():
-        newer = [
-            name
-            for name in state.changed
-            if distribution.revision_of(state, name) > link.applied.get(name, 0)
-        ]
-        effects += send_services(state, link, newer, facts, state.changed_verdicts, probes)
-    return effects
 
 
-def send_all_views(state: AgentState) -> list[Effect]:
-    """Bring every entry up to date after the view became complete."""
-    effects: list[Effect] = []
-    for link in state.entries.values():
-        effects += send_view(state, link)
-    return effects
+def target_loads(
+    state: EntryState, service: ServiceState, found: ServiceObject
+) -> dict[str, TargetLoad]:
+    """Create the loads of the configured targets, keeping those at the same address."""
+    loads = {}
+    for name, held in found.targets.items():
+        target = Target(name, held.address, held.port, held.data_centre, dict(held.labels))
+        load = service.loads.get(name)
+        if load is None or (load.target.address, load.target.port) != (held.address, held.port):
+            distance_s = 2.0 * state.delay_s_by_data_centre.get(held.data_centre, 0.0)
+            load = TargetLoad(target, distance_s)
+        load.target = target
+        load.leaving = name in state.leaving
+        loads[name] = load
+    return loads
+
+
+def set_limits(state: EntryState, service: ServiceState, found: LimitsObject, fresh: bool) -> None:
+    """Set the limits of a service; queued requests and saved budgets are kept."""
+    if fresh:
+        service.limits = limits.ServiceLimits(
+            found.slots_per_target,
+            found.connections_per_target,
+            found.queue_length,
+            state.fleet_entries,
+            [],
+        )
+        service.retry_budget = retries.retry_budget(found.retry_ratio)
+        service.hedge_budget = retries.hedge_budget(found.hedge_ratio)
+        return
+    service.limits.slots_per_target = found.slots_per_target
+    service.limits.connections_per_target = found.connections_per_target
+    service.limits.queue_length = found.queue_length
+    service.retry_budget.ratio = found.retry_ratio
+    service.hedge_budget.ratio = found.hedge_ratio
+
+
+def rebuild_hosts(state: EntryState, effects: list[Effect]) -> None:
+    """Map hosts to services; the first service by name keeps a host that two claim."""
+    hosts: dict[str, ServiceState] = {}
+    for name in sorted(state.services):
+        for host in state.services[name].hosts:
+            kept = hosts.setdefault(host, state.services[name])
+            if kept.name != name:
+                fields = {"host": host, "service": name, "kept": kept.name}
+                effects.append(Log("host_claimed_twice", "error", fields))
+    state.hosts = hosts
+
+
+def share_limits(state: EntryState, entries: int, effects: list[Effect]) -> None:
+    """Divide slots and connections by the number of live entries."""
+    state.fleet_entries = entries
+    for service in state.services.values():
+        service.limits.entries = entries
+        if hasattr(service.policy, "entries"):
+            service.policy.entries = entries
+            service.policy.slots = service.limits.slots_per_target
+        share = limits.connection_share(service.limits)
+        for load in service.loads.values():
+            effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
+
+
+def take_member(state: EntryState, notice: MemberNotice, effects: list[Effect]) -> None:
+    """Apply a fact about a target; leaving is not undone within an incarnation."""
+    if notice.kind != MemberKind.TARGET:
+        return
+    incarnation, was_leaving = state.members.get(notice.name, (-1, False))
+    if notice.incarnation < incarnation:
+        return
+    leaving = notice.state in (MemberState.LEAVING, MemberState.GONE)
+    if notice.incarnation > incarnation:
+        state.members[notice.name] = (notice.incarnation, leaving)
+        # The first fact about a target does not undo what its answers already said.
+        if not leaving and incarnation >= 0 and notice.name in state.leaving:
+            restore(state, notice.name, effects)
+    if leaving and not was_leaving or notice.incarnation > incarnation and leaving:
+        state.members[notice.name] = (notice.incarnation, True)
+        if notice.name not in state.leaving:
+            target = known_target(state, notice.name)
+            if target is None:
+                state.leaving.add(notice.name)
+            else:
+                mark_leaving(state, target, notice.source, effects)
+
+
+def restore(state: EntryState, name: str, effects: list[Effect]) -> None:
+    """Take a restarted target back and restore its connections."""
+    mark_returned(state, name)
+    effects.append(Log("target_returned", "info", {"target": name}))
+    share_limits(state, state.fleet_entries, effects)
+
+
+def known_target(state: EntryState, name: str) -> Target | None:
+    """Find a configured target by name."""
+    for service in state.services.values():
+        if name in service.loads:
+            return service.loads[name].target
+    return None
+
+
+def take_verdict(state: EntryState, notice: VerdictNotice, now: float) -> None:
+    """Record what another entry concluded about a target."""
+    service = state.services.get(notice.service)
+    load = service.loads.get(notice.target) if service else None
+    if load is None or notice.source == state.name:
+        return
+    try:
+        found = Verdict(notice.verdict)
+    except ValueError:
+        return
+    health.observe_peer_verdict(load, found, now + notice.valid_for_s)
--- /dev/null
+++ b/poplarlane/programs/agent.py
@@ -0,0 +1,41 @@
+"""The agent daemon, which does all control work of a VM."""
+
+import asyncio
+import gc
+import signal
+
+from poplarlane.decisions.agent_events import AgentStopRequested
+from poplarlane.logs import log, start_logging
+from poplarlane.programs.composition import build_agent
+from poplarlane.settings import AgentSettings, settings_from_arguments
+
+
+def main() -> None:
+    """Run an agent."""
+    settings = settings_from_arguments(AgentSettings, "Do the control work of one VM.")
+    start_logging(settings.log_level, daemon=settings.name)
+    asyncio.run(run(settings))
+
+
+async def run(settings: AgentSettings) -> None:
+    """Serve until the peers know that this agent leaves."""
+    shell, admin = build_agent(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: shell.step(AgentStopRequested))
+    shell.sockets.bind(
+        settings.listen_address,
+        settings.exchange_port,
+        settings.entry_port,
+        shell.on_peer,
+        shell.on_entry,
+    )
+    await admin.start(settings.listen_address, settings.admin_port)
+    # Objects made at start live as long as the process; collections need not visit them.
+    gc.freeze()
+    log("listening", address=settings.listen_address, port=settings.exchange_port)
+    await shell.run()
+    admin.close()
+    shell.platform.close()
+    shell.sockets.close()
+    log("stopped")
