--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -28,7 +28,7 @@
 
     def put(self, key: str, value: str) -> None:
         """Set the value of a key."""
-        fingerprint = xxhash.xxh32_intdigest(f"{key}\0{value}")
+        fingerprint = xxhash.xxh32_intdigest(f"{key}\0{value}".encode())
         self.hashes[bucket_of(key)] ^= fingerprint ^ self.fingerprints.get(key, 0)
         self.fingerprints[key] = fingerprint
 
@@ -55,7 +55,7 @@
 
 def bucket_of(key: str) -> int:
     """Give the bucket of a key."""
-    return xxhash.xxh32_intdigest(key, seed=1) % BUCKETS
+    return xxhash.xxh32_intdigest(key.encode(), seed=1) % BUCKETS
 
 
 class HeldService:
