Tell processes of one start time apart in probe grants

Cause: the process number was the start time in milliseconds, and three of four agents started in the same millisecond. Change: the number is random, and the holder's name is compared too.

--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -316,7 +316,8 @@
         self.data_centre = data_centre
         self.address = address
         self.port = port
-        # Unlike the incarnation, this never changes while the process runs.
+        # Unlike the incarnation, this never changes while the process runs, and two processes
+        # that start within one millisecond do not share it.
         self.process = incarnation
         self.nonce = incarnation
         self.watchers = 2
--- a/poplarlane/decisions/grants.py
+++ b/poplarlane/decisions/grants.py
@@ -113,7 +113,7 @@
         return []
     probes.term = max(probes.term, found.term)
     probes.holder = found.holder
-    if found.process == state.process:
+    if (found.holder, found.process) == (state.name, state.process):
         # An own write whose answer was lost. This process knows every probe that it sent.
         probes.usable_at = state.now
     elif not unchanged:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import random
+import secrets
 import time
 
 from poplarlane.decisions import answers, drain, reports, requests, views
@@ -18,6 +19,8 @@
 
 # Importing these modules registers their handlers with the reducer.
 ENTRY_HANDLERS = (answers, drain, reports, requests, views)
+# JSON integers beyond 53 bits are not exact everywhere.
+PROCESS_BITS = 52
 
 
 class Network:
@@ -137,6 +140,7 @@
         settings.listen_address,
         settings.exchange_port,
     )
+    state.process = secrets.randbits(PROCESS_BITS)
     state.watchers = settings.watchers_per_data_centre
     state.exchange_s = settings.exchange_interval_ms / 1000.0
     state.vm_list_s = max(0.1, settings.vm_list_interval_ms / 1000.0)
