Add poplarlane-bench: load, faults, checkers and reports

Cause: policies, faults and planned stops have to be compared on real processes, with the same arrivals and service times.

Change: an open-loop load generator in worker processes (latency from the intended start, seeded arrivals, light answer reader, request id and checksum verified), experiments and layouts as JSON, a fleet of stand-ins, agents and entries, timed faults, checkers, the central-queue lower bound, results.json, a Markdown report and plots. The target takes the quantile of a service time from the request, so that variants do the same work; it leaves its ledger in a file when it is stopped.

The step about the VM list measured the lag from after the registering call and failed once by less than 1 ms; it now measures from before the call, which the stand-in must satisfy.

Before: no bench.

Conclusion: ready to run against entries and agents.

--- a/features/steps/standin_platform_steps.py
+++ b/features/steps/standin_platform_steps.py
@@ -145,8 +145,9 @@
 @then("a registered VM appears only after the lag")
 def step_vms(context):
     vm = {"address": "127.0.0.9", "data_centre": "brasov", "role": "entry", "state": "live"}
-    platform(context, "PUT", "/v1/vms/vm-1", vm)
+    # The lag counts from some time within this call, so only a time before it is a sure start.
     registered = time.monotonic()
+    platform(context, "PUT", "/v1/vms/vm-1", vm)
     assert platform(context, "GET", "/v1/vms").json()["vms"] == []
     while not (vms := platform(context, "GET", "/v1/vms").json()["vms"]):
         assert time.monotonic() - registered < 5
--- /dev/null
+++ b/poplarlane/bench/main.py
@@ -0,0 +1,66 @@
+"""Command line of poplarlane-bench."""
+
+import sys
+from pathlib import Path
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from poplarlane.bench.experiment import InvalidExperiment, load_experiment
+from poplarlane.bench.runner import Run
+
+EXIT_INVALID = 2
+LINE_WIDTH = 150
+
+
+class RunCommand(Command):
+    """Run one experiment file."""
+
+    name = "run"
+    description = "Run an experiment against real processes and check the invariants."
+    arguments = [argument("experiment", "JSON file of the experiment")]
+    options = [
+        option("out", None, "directory for results", flag=False, default="out"),
+        option("seed", None, "use this seed in place of the seeds of the file", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run, report, and give status 1 unless every check held."""
+        path = self.argument("experiment")
+        try:
+            experiment, layouts = load_experiment(path)
+        except InvalidExperiment as error:
+            self.line_error(str(error))
+            return EXIT_INVALID
+        if self.option("seed"):
+            experiment.seeds = [int(self.option("seed"))]
+        out = Path(self.option("out"))
+        run = Run(experiment, layouts, out, self.progress)
+        run.execute()
+        run.write(f"poplarlane-bench run {path} --out {out}, seeds {experiment.seeds}")
+        return self.conclude(run, out)
+
+    def progress(self, text: str) -> None:
+        """Show progress on one line of a terminal, and not at all elsewhere."""
+        if sys.stderr.isatty():
+            sys.stderr.write("\r" + text[:LINE_WIDTH].ljust(LINE_WIDTH))
+            sys.stderr.flush()
+
+    def conclude(self, run: Run, out: Path) -> int:
+        """Print the report's place, what failed, and the verdict as the last line."""
+        self.progress("")
+        self.line(f"report: {out / 'report.md'}")
+        for text in run.faults:
+            self.line(f"failed: {text}")
+        for text in run.tally.examples:
+            self.line(f"violated: {text}")
+        self.line(run.tally.line())
+        return 0 if run.passed() else 1
+
+
+def main() -> None:
+    """Run the command line."""
+    application = Application("poplarlane-bench")
+    application.add(RunCommand())
+    sys.exit(application.run())
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -133,6 +133,7 @@
     probe_ms: float = 0.0
     report_lag_ms: float = 0.0
     delay_ms_by_source: dict[str, float] = {}
+    ledger_file: str = ""
 
 
 class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/poplarlane/standins/target_work.py
+++ b/poplarlane/standins/target_work.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import math
-import random
 from collections import deque
 from collections.abc import Callable
+from statistics import NormalDist
 from typing import Any
 
 LOGNORMAL_SIGMA = 1.0
+# The normal distribution has no quantile at 0.
+SMALLEST_QUANTILE = 1e-12
 
 ENDED_DONE = "done"
 ENDED_FAILED = "failed"
@@ -145,12 +147,13 @@
         job.on_expired(self.cancel(job))
 
 
-def draw_service_s(generator: random.Random, distribution: str, mean_s: float) -> float:
-    """Draw a service time with the given mean."""
+def service_time_s(quantile: float, distribution: str, mean_s: float) -> float:
+    """Give the quantile in [0, 1) of a service time with the given mean."""
     match distribution:
         case "fixed":
             return mean_s
         case "lognormal":
-            return mean_s * generator.lognormvariate(-(LOGNORMAL_SIGMA**2) / 2, LOGNORMAL_SIGMA)
+            normal = NormalDist(-(LOGNORMAL_SIGMA**2) / 2, LOGNORMAL_SIGMA)
+            return mean_s * math.exp(normal.inv_cdf(max(quantile, SMALLEST_QUANTILE)))
         case _:
-            return generator.expovariate(1.0) * mean_s
+            return -math.log(1.0 - quantile) * mean_s
