Compare all targets by aged reports and judge them by accumulated evidence

Cause: power of a few choices on reports that are mostly older than a service time gained little over least outstanding, and a mean of latencies missed a straggler with log-normal times. Change: the adaptive policy compares all targets; a report loses its weight within half a typical latency, so an entry prefers the targets that answered it last with few requests in flight. Doubt is a log-likelihood ratio over answers, outstanding requests, failures and peers' verdicts; what most targets share is subtracted. Trials back off to 8 s, returns go in steps.

--- /dev/null
+++ b/poplarlane/decisions/evidence.py
@@ -0,0 +1,199 @@
+"""Record what the traffic of one entry shows about its targets.
+
+Every estimate carries the time at which it was true, and its weight falls with age. Evidence of a
+fault is kept as `doubt`: the log-likelihood ratio between a target that is five times slower than
+its peers (or fails half of its requests) and a healthy one, never below 0, as in a CUSUM test.
+"""
+
+import math
+
+from poplarlane.decisions import verdicts
+from poplarlane.types import TargetLoad, Verdict
+
+LATENCY_MEMORY_S = 10.0
+MAX_LATENCY_WEIGHT = 32.0
+ERROR_GAIN = 0.2
+ERROR_MEMORY_S = 5.0
+DOUBT_MEMORY_S = 10.0
+MAX_DOUBT = 12.0
+# A single slow answer must not pass the threshold alone: heavy tails occur at healthy targets.
+MAX_DOUBT_PER_ANSWER = 5.0
+SLOW_FACTOR = 5.0
+SLOW_GAIN = 1.0 - 1.0 / SLOW_FACTOR
+SLOW_OFFSET = math.log(SLOW_FACTOR)
+FAULTY_ERROR_RATE = 0.5
+MIN_ERROR_RATE = 0.02
+PEER_DOUBT = {Verdict.HEALTHY: 0.0, Verdict.SUSPECT: 1.5, Verdict.AVOIDED: 3.0}
+# Peers alone never make a target avoided, so that one faulty entry cannot mislead all others.
+MAX_PEER_DOUBT = 3.9
+SHED_PAUSE_S = 0.05
+MAX_SHED_PAUSE_S = 1.0
+# A refusal shows that the target was full; it counts as this many requests per reported one.
+SHED_IN_FLIGHT = 12.0
+
+
+class ServiceHealth:
+    """Hold what one entry knows about a whole service."""
+
+    __slots__ = ("latencies", "position", "typical_s", "p95_s", "fast_s", "reviewed_at")
+
+    SAMPLES = 256
+
+    def __init__(self) -> None:
+        # Ring of recent latencies of successful answers.
+        self.latencies: list[float] = []
+        self.position = 0
+        # Latency of the median target, without the distance to it; 0 is unknown.
+        self.typical_s = 0.0
+        self.p95_s = 0.0
+        # Tenth percentile: the shortest time that an answer can be expected to take.
+        self.fast_s = 0.0
+        self.reviewed_at = -math.inf
+
+
+def observe_latency(service: ServiceHealth, latency_s: float) -> None:
+    """Record the latency of a successful answer of any target of the service."""
+    if len(service.latencies) < ServiceHealth.SAMPLES:
+        service.latencies.append(latency_s)
+        return
+    service.latencies[service.position] = latency_s
+    service.position = (service.position + 1) % ServiceHealth.SAMPLES
+
+
+def observe_sent(load: TargetLoad, request_id: int, now: float) -> None:
+    """Count a request as outstanding from the moment that it is assigned to the target."""
+    load.outstanding += 1
+    load.sent_since_report += 1
+    load.sent_at[request_id] = now
+
+
+def observe_end(load: TargetLoad, request_id: int) -> None:
+    """Stop counting a request, whatever its outcome; call it before the other observations."""
+    sent_at = load.sent_at.pop(request_id, None)
+    if sent_at is None:
+        return
+    load.outstanding -= 1
+    if sent_at > load.reported_at and load.sent_since_report > 0:
+        load.sent_since_report -= 1
+
+
+def observe_answer(load: TargetLoad, latency_s: float, ok: bool, now: float) -> None:
+    """Record an answer; `ok` is false for a server error, but a shed request is `observe_shed`."""
+    load.answers += 1
+    load.sheds_in_a_row = 0
+    load.consecutive_failures = 0 if ok else load.consecutive_failures + 1
+    record_error(load, 0.0 if ok else 1.0, now)
+    if ok:
+        # The latency of a failure says nothing about how fast the target works.
+        record_latency(load, latency_s - load.distance_s, now)
+    else:
+        add_doubt(load, failure_evidence(load), now)
+    if load.verdict == Verdict.AVOIDED:
+        verdicts.observe_trial(load, ok, latency_s - load.distance_s, now)
+
+
+def record_error(load: TargetLoad, error: float, now: float) -> None:
+    """Fold one outcome into the target's decayed error rate."""
+    kept = load.error_rate * math.exp((load.error_at - now) / ERROR_MEMORY_S)
+    load.error_rate = kept + ERROR_GAIN * (error - kept)
+    load.error_at = now
+
+
+def record_latency(load: TargetLoad, latency_s: float, now: float) -> None:
+    """Fold one latency into the target's decayed mean and into the doubt."""
+    kept = load.latency_weight * math.exp((load.latency_at - now) / LATENCY_MEMORY_S)
+    kept = min(kept, MAX_LATENCY_WEIGHT - 1.0)
+    load.latency_weight = kept + 1.0
+    load.latency_s = (load.latency_s * kept + latency_s) / load.latency_weight
+    load.latency_at = now
+    evidence = latency_evidence(latency_s, load.typical_s)
+    evidence += math.log((1 - FAULTY_ERROR_RATE) / (1 - base_error_rate(load)))
+    add_doubt(load, evidence, now)
+
+
+def latency_evidence(latency_s: float, typical_s: float) -> float:
+    """Weigh one latency: positive when it fits a slow target better than a healthy one."""
+    if typical_s <= 0.0:
+        return 0.0
+    return min(MAX_DOUBT_PER_ANSWER, SLOW_GAIN * latency_s / typical_s - SLOW_OFFSET)
+
+
+def failure_evidence(load: TargetLoad) -> float:
+    """Weigh one failure; failures that the service's other targets share prove nothing."""
+    return max(0.0, math.log(FAULTY_ERROR_RATE / base_error_rate(load)))
+
+
+def base_error_rate(load: TargetLoad) -> float:
+    """Give the error rate of the service's median target, within the range of the test."""
+    return min(FAULTY_ERROR_RATE, max(MIN_ERROR_RATE, load.typical_error_rate))
+
+
+def add_doubt(load: TargetLoad, evidence: float, now: float) -> None:
+    """Add evidence to the decayed doubt; good answers first cancel what peers said."""
+    if evidence < 0.0 and load.peer_doubt > 0.0:
+        load.peer_doubt = max(0.0, load.peer_doubt + evidence)
+    kept = load.doubt * math.exp((load.doubt_at - now) / DOUBT_MEMORY_S)
+    load.doubt = min(MAX_DOUBT, max(0.0, kept + evidence))
+    load.doubt_at = now
+
+
+def observe_failure(load: TargetLoad, now: float) -> None:
+    """Record a request that got no answer: refused connection, reset or timeout."""
+    observe_answer(load, 0.0, False, now)
+
+
+def observe_shed(load: TargetLoad, now: float) -> None:
+    """Record a refusal as not run: pause the target, longer with each refusal in a row."""
+    load.shed_until = now + min(MAX_SHED_PAUSE_S, SHED_PAUSE_S * 2.0**load.sheds_in_a_row)
+    load.sheds_in_a_row = min(load.sheds_in_a_row + 1, 16)
+    load.reported_in_flight = max(load.reported_in_flight, SHED_IN_FLIGHT)
+    load.reported_at = now
+
+
+def observe_report(load: TargetLoad, in_flight: float, at: float, now: float) -> None:
+    """Record a load report (running plus queued) that was true at `at`; older ones are ignored."""
+    if at < load.reported_at or at > now or in_flight < 0.0:
+        return
+    same = in_flight == load.reported_in_flight
+    load.report_repeats = load.report_repeats + 1 if same else 0
+    load.reported_in_flight = in_flight
+    load.reported_at = at
+    load.sent_since_report = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
+
+
+def observe_peer_verdict(load: TargetLoad, verdict: Verdict, expires_at: float, now: float) -> None:
+    """Record what another entry concluded; it counts until `expires_at`."""
+    if now >= load.peer_verdict_expires_at:
+        load.peer_doubt = 0.0
+    if verdict == Verdict.HEALTHY and load.peer_verdict == Verdict.AVOIDED:
+        verdicts.advance_trial(load, now)
+    load.peer_doubt = min(MAX_PEER_DOUBT, load.peer_doubt + PEER_DOUBT[verdict])
+    load.peer_verdict = verdict
+    load.peer_verdict_expires_at = expires_at
+
+
+def oldest_outstanding_s(load: TargetLoad, now: float) -> float:
+    """Give the age of the oldest outstanding request, 0 without one."""
+    for sent_at in load.sent_at.values():
+        return now - sent_at
+    return 0.0
+
+
+def current_error_rate(load: TargetLoad, now: float) -> float:
+    """Give the error estimate, decayed to now."""
+    return load.error_rate * math.exp((load.error_at - now) / ERROR_MEMORY_S)
+
+
+def current_doubt(load: TargetLoad, now: float) -> float:
+    """Give the evidence of a fault now: own answers, outstanding requests and peers."""
+    doubt = load.doubt * math.exp((load.doubt_at - now) / DOUBT_MEMORY_S)
+    if now < load.peer_verdict_expires_at:
+        doubt += load.peer_doubt
+    if load.sent_at and load.typical_s > 0.0:
+        # An outstanding request will take at least its age.
+        for sent_at in load.sent_at.values():
+            evidence = latency_evidence(now - sent_at - load.distance_s, load.typical_s)
+            if evidence <= 0.0:
+                break
+            doubt += evidence
+    return doubt
--- a/poplarlane/decisions/policies.py
+++ b/poplarlane/decisions/policies.py
@@ -3,6 +3,8 @@
 A policy object belongs to one service in one entry and holds the state of its choices.
 """
 
+DEFAULT_SLOTS = 6
+
 
 class Policy:
     """Base class of all policies."""
@@ -48,13 +50,14 @@
 
 
 class Adaptive(Policy):
-    """Choose the lowest expected wait from own counts, reports, latency and verdicts."""
+    """Choose the lowest expected time from own counts, reports, latency and verdicts."""
 
-    __slots__ = ("slots", "entries")
+    __slots__ = ("slots", "trial_credit")
 
-    def __init__(self) -> None:
-        self.slots = 6
-        self.entries = 1
+    def __init__(self, slots: int = DEFAULT_SLOTS) -> None:
+        self.slots = slots
+        # Trials that the requests so far have earned.
+        self.trial_credit = 1.0
 
 
 POLICIES: dict[str, type[Policy]] = {
@@ -67,7 +70,9 @@
 }
 
 
-def policy_by_name(name: str) -> Policy | None:
-    """Create the named policy; None for an unknown name."""
+def policy_by_name(name: str, slots: int = DEFAULT_SLOTS) -> Policy | None:
+    """Create the named policy for a service with `slots` per target; None for an unknown name."""
     kind = POLICIES.get(name)
-    return kind() if kind else None
+    if kind is None:
+        return None
+    return kind(slots) if kind is Adaptive else kind()
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -1,9 +1,8 @@
 """Choose a target for a request: singledispatch on the policy class."""
 
-import math
 from functools import singledispatch
 
-from poplarlane.decisions.health import RAMP_S, TRIAL_INTERVAL_S
+from poplarlane.decisions.adaptive import choose_adaptively
 from poplarlane.decisions.policies import (
     Adaptive,
     LeastOutstanding,
@@ -13,10 +12,7 @@
     Random,
     RoundRobin,
 )
-from poplarlane.types import TargetLoad, Verdict
-
-REPORT_MEMORY_S = 0.05
-CHOICES = 4
+from poplarlane.types import TargetLoad
 
 
 def pick(draw: int, count: int) -> tuple[int, int]:
@@ -32,6 +28,9 @@
     raise TypeError(f"no choice for policy {type(policy).__name__}")
 
 
+choose_target.register(Adaptive, choose_adaptively)
+
+
 @choose_target.register
 def choose_random(
     policy: Random, candidates: list[TargetLoad], now: float, draw: int
@@ -100,44 +99,3 @@
 def estimated_in_flight(load: TargetLoad) -> float:
     """Give the reported requests in flight plus those sent since the report."""
     return load.reported_in_flight + load.sent_since_report
-
-
-@choose_target.register
-def choose_adaptively(
-    policy: Adaptive, candidates: list[TargetLoad], now: float, draw: int
-) -> TargetLoad | None:
-    """Choose the lowest expected wait of a few random candidates; suspects get a trickle."""
-    if not candidates:
-        return None
-    trial = due_trial(candidates, now)
-    if trial is not None:
-        return trial
-    usable = [load for load in candidates if load.verdict != Verdict.AVOIDED] or candidates
-    mean = sum(load.reported_in_flight for load in candidates) / len(candidates)
-    best, best_cost = None, math.inf
-    for _ in range(min(CHOICES, len(usable))):
-        index, draw = pick(draw, len(usable))
-        load = usable[index]
-        cost = expected_wait_s(load, mean, now)
-        if load.ramp_until > now:
-            cost *= 1.0 + 4.0 * (load.ramp_until - now) / RAMP_S
-        if cost < best_cost:
-            best, best_cost = load, cost
-    return best
-
-
-def due_trial(candidates: list[TargetLoad], now: float) -> TargetLoad | None:
-    """Find an avoided target whose next trial request is due."""
-    for load in candidates:
-        if load.verdict == Verdict.AVOIDED and now >= load.next_trial_at and not load.outstanding:
-            load.next_trial_at = now + TRIAL_INTERVAL_S
-            return load
-    return None
-
-
-def expected_wait_s(load: TargetLoad, mean: float, now: float) -> float:
-    """Estimate the time a request would take; stale reports count as the mean."""
-    trust = math.exp((load.reported_at - now) / REPORT_MEMORY_S)
-    in_flight = mean + (load.reported_in_flight - mean) * trust
-    latency_s = load.latency_s or 0.001
-    return (load.outstanding + in_flight + 1.0) * latency_s + load.distance_s
--- /dev/null
+++ b/poplarlane/decisions/verdicts.py
@@ -0,0 +1,119 @@
+"""Turn evidence into verdicts; give avoided targets trial requests and let them return in steps."""
+
+from poplarlane.types import TargetLoad, Verdict
+
+# Log-likelihood ratios. A healthy target is above h at any moment with probability below exp(-h):
+# 2% for a suspect (which only costs more) and 0.03% for an avoided target.
+SUSPECT_DOUBT = 4.0
+AVOIDED_DOUBT = 8.0
+# Prevents flapping between two targets when more than a third deserve to be avoided.
+KEPT_DOUBT = 2.0
+MAX_AVOIDED_SHARE = 1 / 3
+TRIAL_INTERVAL_S = 0.5
+MAX_TRIAL_INTERVAL_S = 8.0
+NEXT_TRIAL_AFTER_PASS_S = 0.1
+TRIALS_TO_RETURN = 3
+# An exponential service time exceeds this many means in 8% of the cases; a target that is ten
+# times slower stays below it in 22%, so three passes in a row are needed to return.
+TRIAL_PASS_RATIO = 2.5
+RETURN_DOUBT = 2.0
+RAMP_S = 2.0
+
+
+def judge(doubt: float) -> Verdict:
+    """Turn the evidence against one target into a verdict."""
+    if doubt >= AVOIDED_DOUBT:
+        return Verdict.AVOIDED
+    if doubt >= SUSPECT_DOUBT:
+        return Verdict.SUSPECT
+    return Verdict.HEALTHY
+
+
+def apply_doubts(
+    loads: list[TargetLoad], doubts: list[float], common: float, now: float
+) -> list[TargetLoad]:
+    """Set new verdicts, at most a third of the targets avoided; return the changed targets."""
+    found = [
+        next_verdict(load, doubt - common, now) for load, doubt in zip(loads, doubts, strict=True)
+    ]
+    spare_some(loads, doubts, found)
+    changed = []
+    for load, new in zip(loads, found, strict=True):
+        if new != load.verdict:
+            enter_verdict(load, new, now)
+            changed.append(load)
+    return changed
+
+
+def next_verdict(load: TargetLoad, doubt: float, now: float) -> Verdict:
+    """Judge a target; an avoided one returns only by passing its trials."""
+    if load.verdict == Verdict.AVOIDED:
+        returned = load.trials_passed >= TRIALS_TO_RETURN
+        return Verdict.HEALTHY if returned else Verdict.AVOIDED
+    return judge(doubt)
+
+
+def spare_some(loads: list[TargetLoad], doubts: list[float], found: list[Verdict]) -> None:
+    """Turn the least doubtful avoided verdicts into suspects when there are too many."""
+    avoided = [index for index, new in enumerate(found) if new == Verdict.AVOIDED]
+    allowed = int(len(loads) * MAX_AVOIDED_SHARE)
+    if len(avoided) <= allowed:
+        return
+    avoided.sort(key=lambda index: -severity(loads[index], doubts[index]))
+    for index in avoided[allowed:]:
+        found[index] = Verdict.SUSPECT
+
+
+def severity(load: TargetLoad, doubt: float) -> float:
+    """Order the targets that deserve to be avoided."""
+    return doubt + (KEPT_DOUBT if load.verdict == Verdict.AVOIDED else 0.0)
+
+
+def enter_verdict(load: TargetLoad, new: Verdict, now: float) -> None:
+    """Change the verdict; a target that returns from being avoided is ramped up."""
+    if new == Verdict.AVOIDED:
+        load.trials_passed = 0
+        load.next_trial_at = now + trial_interval_s(load)
+    elif load.verdict == Verdict.AVOIDED:
+        start_ramp(load, now)
+        load.doubt = min(load.doubt, RETURN_DOUBT)
+        load.doubt_at = now
+        load.peer_doubt = 0.0
+    load.verdict = new
+
+
+def start_ramp(load: TargetLoad, now: float) -> None:
+    """Let the target's share of requests grow in steps from now on."""
+    load.ramp_until = now + RAMP_S
+
+
+def ramp_eighths(load: TargetLoad, now: float) -> int:
+    """Give the target's share of its usual requests in eighths: 1, 2, 4, then 8."""
+    left = load.ramp_until - now
+    if left <= 0.0:
+        return 8
+    return 8 >> (1 + min(2, int(3.0 * left / RAMP_S)))
+
+
+def trial_interval_s(load: TargetLoad) -> float:
+    """Give the time between trials, doubled with each failed one."""
+    return min(MAX_TRIAL_INTERVAL_S, TRIAL_INTERVAL_S * 2.0**load.trials_failed)
+
+
+def observe_trial(load: TargetLoad, ok: bool, latency_s: float, now: float) -> None:
+    """Count a passed or failed trial of an avoided target and set the time of the next one."""
+    if ok and latency_s <= TRIAL_PASS_RATIO * load.typical_s:
+        load.trials_passed += 1
+        if load.trials_passed >= TRIALS_TO_RETURN:
+            load.trials_failed = 0
+        load.next_trial_at = min(load.next_trial_at, now + NEXT_TRIAL_AFTER_PASS_S)
+        return
+    load.trials_passed = 0
+    load.trials_failed = min(load.trials_failed + 1, 8)
+    load.next_trial_at = max(load.next_trial_at, now + trial_interval_s(load))
+
+
+def advance_trial(load: TargetLoad, now: float) -> None:
+    """Bring the next trial forward because a peer found the target healthy."""
+    load.trials_failed = 0
+    load.next_trial_at = min(load.next_trial_at, now + TRIAL_INTERVAL_S)
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -1,5 +1,6 @@
 """Core data types shared by decisions, plumbing and programs."""
 
+import math
 from enum import StrEnum
 
 
@@ -91,57 +92,81 @@
 
     __slots__ = (
         "target",
+        "distance_s",
         "outstanding",
         "sent_at",
+        "sent_since_report",
         "reported_in_flight",
         "reported_at",
+        "report_repeats",
         "latency_s",
         "latency_at",
+        "latency_weight",
+        "typical_s",
+        "slowness",
+        "reports_believed",
         "error_rate",
         "error_at",
+        "typical_error_rate",
         "consecutive_failures",
         "answers",
+        "doubt",
+        "doubt_at",
         "verdict",
         "peer_verdict",
         "peer_verdict_expires_at",
+        "peer_doubt",
         "next_trial_at",
+        "trials_passed",
+        "trials_failed",
         "ramp_until",
+        "sheds_in_a_row",
+        "shed_until",
         "leaving",
         "probe_pending",
-        "distance_s",
-        "sent_since_report",
-        "latency_weight",
-        "trials",
-        "avoided_since",
     )
 
     def __init__(self, target: Target, distance_s: float = 0.0) -> None:
         self.target = target
-        # Round trip between the entry's and the target's data centre, without connection set-up.
+        # Round trip between the entry's and the target's data centre.
         self.distance_s = distance_s
         self.outstanding = 0
         # Send times of outstanding requests by request id, oldest first.
         self.sent_at: dict[int, float] = {}
+        self.sent_since_report = 0
         self.reported_in_flight = 0.0
-        self.reported_at = 0.0
+        self.reported_at = -math.inf
+        # How many reports in a row gave the same number.
+        self.report_repeats = 0
         self.latency_s = 0.0
         self.latency_at = 0.0
+        # Number of recent answers behind latency_s, decayed with age.
+        self.latency_weight = 0.0
+        # Latency and error rate of the service's median target at the last review.
+        self.typical_s = 0.0
+        self.typical_error_rate = 0.0
+        # Latency as a multiple of the typical one, 1 unless the difference is significant.
+        self.slowness = 1.0
+        self.reports_believed = True
         self.error_rate = 0.0
         self.error_at = 0.0
         self.consecutive_failures = 0
         self.answers = 0
+        # Evidence that the target is faulty, as a log-likelihood ratio never below 0.
+        self.doubt = 0.0
+        self.doubt_at = 0.0
         self.verdict = Verdict.HEALTHY
         self.peer_verdict = Verdict.HEALTHY
         self.peer_verdict_expires_at = 0.0
+        self.peer_doubt = 0.0
         self.next_trial_at = 0.0
+        self.trials_passed = 0
+        self.trials_failed = 0
         self.ramp_until = 0.0
+        self.sheds_in_a_row = 0
+        self.shed_until = 0.0
         self.leaving = False
         self.probe_pending = False
-        self.sent_since_report = 0
-        # Number of recent answers behind latency_s, decayed with age.
-        self.latency_weight = 0.0
-        self.trials = 0
-        self.avoided_since = 0.0
 
 
 class MemberFact:
