Bound retries and hedges along a chain; learn from cancelled attempts

Cause: a refusal that an exhausted budget did not retry carried no marker, so each level above could spend its own budget on it; a hedge cancelled the slow attempt and with it the evidence; a fixed in-flight share of two per target starved an entry that gets most of the traffic. Change: a denied retry is marked like a made one, later attempts fill no budget, hedges count as attempts; a cancelled attempt's age counts as a lower bound; beyond its share an entry may use slots that the target reports as free; the queue keeps room for higher priorities and refuses what cannot be answered in time; a refusal as not run pauses the target instead of counting as a failure; only repeatable requests serve as trials. The entry calls these.

--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -25,17 +25,17 @@
 
 
 def choose_adaptively(
-    policy: Adaptive, candidates: list[TargetLoad], now: float, draw: int
+    policy: Adaptive, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
     """Choose the lowest expected time of all usable targets, or a target whose trial is due."""
     if not candidates:
         return None
     policy.trial_credit = min(1.0, policy.trial_credit + TRIAL_SHARE)
     usable = [load for load in candidates if is_usable(load, now, draw)]
-    if len(usable) < len(candidates):
-        trial = take_due_trial(policy, candidates, now, draw)
-        if trial is not None:
-            return trial
+    if trial and len(usable) < len(candidates):
+        due = take_due_trial(policy, candidates, now, draw)
+        if due is not None:
+            return due
     return lowest_expected_time(policy, usable or candidates, now, draw)
 
 
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -37,6 +37,7 @@
     enqueue,
     finish_refused,
     forget,
+    observe_abandoned,
     send,
     send_queued,
 )
@@ -72,6 +73,7 @@
         outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
         send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
     else:
+        observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, notes, effects)
     send_queued(state, request.service, event.now, next_draw(event.draw), effects)
     return effects
@@ -84,7 +86,10 @@
     load, service = attempt.load, attempt.request.service
     latency_s = now - attempt.sent_at
     ok = notes.status < SERVER_ERROR
-    health.observe_answer(load, latency_s, ok, now)
+    if notes.not_run:
+        health.observe_shed(load, now)
+    else:
+        health.observe_answer(load, latency_s, ok, now)
     if ok:
         health.observe_latency(service.health, latency_s)
     if notes.in_flight is not None:
@@ -93,6 +98,7 @@
     if notes.leaving and not load.leaving:
         mark_leaving(state, load.target, "answer", effects)
     changed = health.review(service.health, service.limits.loads, now)
+    limits.observe_minimum(service.limits, service.health.fast_s, now)
     if changed:
         effects.append(verdict_report(state, service, changed))
 
@@ -134,6 +140,7 @@
     request = attempt.request
     effects: list[Effect] = []
     request.streaming = attempt
+    observe_abandoned(request, attempt, event.now)
     cancel_attempts(state, request, effects, kept=attempt)
     notes = event.notes
     effects.append(
@@ -197,7 +204,12 @@
         return
     service = request.service
     targets = reachable_targets(service, request.labels)
-    if not targets or not retries.may_retry(service.retry_budget, request, outcome, now):
+    decision = retries.RetryDecision.NO
+    if targets:
+        decision = retries.decide_retry(service.retry_budget, request, outcome, now)
+    if decision is not retries.RetryDecision.RETRY:
+        # A retry that the budget denied must not be made by a level above either.
+        request.retried = request.retried or decision is retries.RetryDecision.NO_BUDGET
         finish_refused(state, request, outcome, effects)
         return
     request.retried = True
@@ -269,6 +281,7 @@
     if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
         return
     request.hedged = True
+    request.attempt += 1
     effects.append(Count("hedge_total", 1.0, {"service": service.name}))
     send(state, request, load, now, effects)
 
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -77,6 +77,27 @@
         load.sent_since_report -= 1
 
 
+def observe_abandoned(
+    service: ServiceHealth, load: TargetLoad, request_id: int, now: float
+) -> None:
+    """Stop counting a request that was cancelled; its age counts as a lower bound.
+
+    Otherwise a hedge would hide the slow target that made it necessary.
+    """
+    sent_at = load.sent_at.get(request_id)
+    observe_end(load, request_id)
+    if sent_at is None:
+        return
+    age_s = now - sent_at
+    if age_s >= service.p95_s > 0.0:
+        observe_latency(service, age_s)
+    evidence = latency_evidence(age_s - load.distance_s, load.typical_s)
+    if evidence > 0.0:
+        add_doubt(load, evidence, now)
+        if load.verdict == Verdict.AVOIDED:
+            verdicts.observe_trial(load, False, age_s, now)
+
+
 def observe_answer(load: TargetLoad, latency_s: float, ok: bool, now: float) -> None:
     """Record an answer; `ok` is false for a server error, but a shed request is `observe_shed`."""
     load.answers += 1
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -12,6 +12,7 @@
     ServiceHealth,
     current_doubt,
     current_error_rate,
+    observe_abandoned,
     observe_answer,
     observe_end,
     observe_failure,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "ServiceHealth",
+    "observe_abandoned",
     "observe_answer",
     "observe_end",
     "observe_failure",
--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -7,8 +7,15 @@
 from poplarlane.types import Priority, TargetLoad
 
 PRIORITIES = (Priority.HIGH, Priority.NORMAL, Priority.LOW)
-# A target may hold this many requests per slot, so that a slot never idles between answers.
+# The part of the queue that each priority may fill; the rest is kept for higher ones.
+QUEUE_SHARE = {Priority.HIGH: 1.0, Priority.NORMAL: 0.75, Priority.LOW: 0.5}
+# All entries together may give a target this many requests per slot, queued ones included.
 IN_FLIGHT_PER_SLOT = 2.0
+# Two requests per entry keep a target busy between an answer and the next request.
+MIN_IN_FLIGHT_SHARE = 2
+# The shortest answer time is only believed this long after the last answer; otherwise an entry
+# that refuses everything would never learn that the targets became faster again.
+MINIMUM_VALID_S = 1.0
 
 
 class Admissible(Protocol):
@@ -47,6 +54,7 @@
         "queues",
         "queued",
         "minimum_s",
+        "minimum_at",
     )
 
     def __init__(
@@ -64,37 +72,83 @@
         self.loads = loads
         self.queues: dict[Priority, deque[Admissible]] = {name: deque() for name in PRIORITIES}
         self.queued = 0
-        # Shortest time in which a request of this service was answered lately; 0 is unknown.
+        # Time within which a request of this service can be answered at best; 0 is unknown.
         self.minimum_s = 0.0
+        self.minimum_at = 0.0
 
 
 def connection_share(limits: ServiceLimits) -> int:
     """Give the connections that this entry may keep to one target."""
-    return max(1, limits.connections_per_target // limits.entries)
+    return max(1, limits.connections_per_target // max(1, limits.entries))
 
 
 def in_flight_share(limits: ServiceLimits) -> int:
-    """Give the requests that this entry may have outstanding at one target."""
-    share = limits.slots_per_target * IN_FLIGHT_PER_SLOT / limits.entries
-    return min(connection_share(limits), max(2, round(share)))
+    """Give the requests that this entry may always have outstanding at one target."""
+    share = limits.slots_per_target * IN_FLIGHT_PER_SLOT / max(1, limits.entries)
+    return min(connection_share(limits), max(MIN_IN_FLIGHT_SHARE, round(share)))
 
 
 def has_room(limits: ServiceLimits, load: TargetLoad) -> bool:
-    """Tell whether this entry may send one more request to the target."""
-    return load.outstanding < in_flight_share(limits)
+    """Tell whether this entry may send one more request to the target.
+
+    Beyond its share it may while the target reports free slots, because the platform's balancer
+    may send most of the traffic to a few entries.
+    """
+    if load.outstanding < in_flight_share(limits):
+        return True
+    if load.outstanding >= connection_share(limits) or not load.reports_believed:
+        return False
+    return load.reported_in_flight + load.sent_since_report < limits.slots_per_target
+
+
+def observe_minimum(limits: ServiceLimits, minimum_s: float, now: float) -> None:
+    """Record the time within which a request was answered at best, as known now."""
+    limits.minimum_s = minimum_s
+    limits.minimum_at = now
 
 
 def admit(limits: ServiceLimits, request: Admissible, now: float) -> Admit | Queue | NotRun:
     """Decide on a request that arrived: send, keep in the queue, or refuse as not run."""
-    if request.deadline - now <= limits.minimum_s:
+    if cannot_answer_by(limits, request.deadline, now):
         return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the deadline cannot be met")
     if not limits.queued and any(has_room(limits, load) for load in limits.loads):
         return ADMIT
-    if limits.queued >= limits.queue_length:
+    wait_s = expected_wait_s(limits, request.priority)
+    if cannot_answer_by(limits, request.deadline - wait_s, now):
+        return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the queue is longer than the deadline")
+    return enqueue(limits, request) or QUEUE
+
+
+def enqueue(limits: ServiceLimits, request: Admissible) -> NotRun | None:
+    """Put a request into the queue unless its priority's part is full."""
+    if limits.queued >= limits.queue_length * QUEUE_SHARE[request.priority]:
         return NotRun(ResultCode.QUEUE_FULL, "the service's queue is full")
     limits.queues[request.priority].append(request)
     limits.queued += 1
-    return QUEUE
+    return None
+
+
+def cannot_answer_by(limits: ServiceLimits, deadline: float, now: float) -> bool:
+    """Tell whether no target can answer a request that is sent now by the deadline."""
+    if deadline <= now:
+        return True
+    known = now - limits.minimum_at <= MINIMUM_VALID_S
+    return known and deadline - now < limits.minimum_s
+
+
+def expected_wait_s(limits: ServiceLimits, priority: Priority) -> float:
+    """Estimate the wait in the queue: requests ahead, times the time between two answers."""
+    ahead = 1
+    for name in PRIORITIES:
+        ahead += len(limits.queues[name])
+        if name == priority:
+            break
+    outstanding = 0
+    typical_s = 0.0
+    for load in limits.loads:
+        outstanding += load.outstanding
+        typical_s = max(typical_s, load.typical_s)
+    return ahead * typical_s / outstanding if outstanding else 0.0
 
 
 def next_queued(limits: ServiceLimits) -> Admissible | None:
@@ -121,7 +175,7 @@
     expired = []
     for name in PRIORITIES:
         queue = limits.queues[name]
-        late = [request for request in queue if request.deadline - now <= limits.minimum_s]
+        late = [request for request in queue if cannot_answer_by(limits, request.deadline, now)]
         for request in late:
             queue.remove(request)
         expired.extend(late)
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -32,7 +32,7 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.routing import choose_target
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
-from poplarlane.types import Priority, RequestKind, TargetLoad
+from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
 DEFAULT_DEADLINE_MS = 2_000
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -63,8 +63,8 @@
     if isinstance(decision, NotRun):
         return [RefuseRequest(event.request_id, decision, False, state.draining)]
     state.requests[request.request_id] = request
-    retries.observe_request(service.retry_budget)
-    retries.observe_request(service.hedge_budget)
+    retries.observe_request(service.retry_budget, request.attempt)
+    retries.observe_request(service.hedge_budget, request.attempt)
     effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
@@ -114,12 +114,13 @@
     """Choose a target that has room, if possible one that was not tried yet."""
     service = request.service
     bounds = service.limits
-    share = limits.in_flight_share(bounds)
-    open_targets = [load for load in targets if load.outstanding < share]
+    open_targets = [load for load in targets if limits.has_room(bounds, load)]
     if request.tried:
         tried = request.tried
         open_targets = [load for load in open_targets if load not in tried] or open_targets
-    return choose_target(service.policy, open_targets, now, draw)
+    # Only a request that may be repeated serves as a trial of an avoided target.
+    trial = request.idempotent and not request.attempts
+    return choose_target(service.policy, open_targets, now, draw, trial)
 
 
 def send(
@@ -144,16 +145,18 @@
         )
     )
     if request.hedge and not request.hedged:
-        schedule_hedge(state, request, now, effects)
+        schedule_hedge(state, request, load.verdict is Verdict.AVOIDED, now, effects)
     return attempt
 
 
-def schedule_hedge(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+def schedule_hedge(
+    state: EntryState, request: Request, trial: bool, now: float, effects: list[Effect]
+) -> None:
     """Set the time at which an unanswered read may be sent a second time."""
     p95_s = request.service.health.p95_s
     if p95_s <= 0.0:
         return
-    at = now + retries.hedge_delay_s(p95_s)
+    at = now + retries.hedge_delay_s(p95_s, trial)
     if add_timer(state, at, TimerKind.HEDGE, request.request_id):
         effects.append(SetTimer(at))
 
@@ -170,13 +173,10 @@
 
 def enqueue(state: EntryState, request: Request, effects: list[Effect]) -> None:
     """Keep a request until a target that it may reach has room."""
-    bounds = request.service.limits
-    if bounds.queued >= bounds.queue_length:
-        detail = "the service's queue is full"
-        finish_refused(state, request, NotRun(ResultCode.QUEUE_FULL, detail), effects)
+    refusal = limits.enqueue(request.service.limits, request)
+    if refusal is not None:
+        finish_refused(state, request, refusal, effects)
         return
-    bounds.queues[request.priority].append(request)
-    bounds.queued += 1
     request.state = RequestState.QUEUED
 
 
@@ -220,6 +220,13 @@
         attempt.request.attempts.remove(attempt)
 
 
+def observe_abandoned(request: Request, kept: Attempt | None, now: float) -> None:
+    """Learn from the age of the attempts that are about to be cancelled."""
+    for attempt in request.attempts:
+        if attempt is not kept:
+            health.observe_abandoned(request.service.health, attempt.load, attempt.attempt_id, now)
+
+
 def cancel_attempts(
     state: EntryState, request: Request, effects: list[Effect], kept: Attempt | None = None
 ) -> None:
@@ -265,6 +272,7 @@
     service = request.service
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
+    observe_abandoned(request, None, event.now)
     cancel_attempts(state, request, effects)
     forget(state, request, effects)
     effects.append(Count("caller_left_total", 1.0, {"service": service.name}))
--- a/poplarlane/decisions/retries.py
+++ b/poplarlane/decisions/retries.py
@@ -1,5 +1,13 @@
-"""Bound the extra requests that retries and hedges cause."""
+"""Bound the extra requests that retries and hedges cause, also along a chain of calls.
 
+Two markers travel along a chain. `x-attempt` goes down: a retry or hedge is a later attempt, which
+fills no budget below and is not hedged again. `x-poplar-retried` goes up with a refusal: somebody
+below has already decided about a retry, whether the budget allowed it or not, so nobody above
+decides again. Without the second half of that rule, refusals that the exhausted budget of one
+level did not retry would be retried by every level above it.
+"""
+
+from enum import IntEnum
 from typing import Protocol
 
 from poplarlane.outcomes import NotRun, Refusal
@@ -10,10 +18,18 @@
 MIN_HEDGE_DELAY_S = 0.001
 
 
+class RetryDecision(IntEnum):
+    """Say whether to retry; after NO_BUDGET the refusal carries `x-poplar-retried: 1`."""
+
+    NO = 0
+    NO_BUDGET = 1
+    RETRY = 2
+
+
 class Retriable(Protocol):
     """Say what a retry decision needs of a request; `attempt` starts at 1.
 
-    `retried_below` is true when a process lower in the call chain already retried it.
+    `retried_below` is true when a process lower in the call chain already decided about a retry.
     """
 
     idempotent: bool
@@ -43,36 +59,48 @@
     return Budget(ratio, HEDGE_RESERVE)
 
 
-def observe_request(budget: Budget) -> None:
-    """Fill the budget for one first attempt."""
-    budget.tokens = min(budget.reserve, budget.tokens + budget.ratio)
+def observe_request(budget: Budget, attempt: int = 1) -> None:
+    """Fill the budget for a request that arrived; later attempts of it do not count."""
+    if attempt == 1:
+        budget.tokens = min(budget.reserve, budget.tokens + budget.ratio)
 
 
 def take(budget: Budget) -> bool:
     """Use the budget for one extra request when it allows one."""
-    if budget.tokens < 1.0:
+    if budget.ratio <= 0.0 or budget.tokens < 1.0:
         return False
     budget.tokens -= 1.0
     return True
 
 
-def may_retry(budget: Budget, request: Retriable, outcome: Refusal, now: float) -> bool:
+def decide_retry(budget: Budget, request: Retriable, outcome: Refusal, now: float) -> RetryDecision:
     """Decide whether to send a request again, and use the budget if so."""
     certain = isinstance(outcome, NotRun)
     if not (certain or request.idempotent):
-        return False
+        return RetryDecision.NO
     if request.retried_below or request.attempt >= MAX_ATTEMPTS or now >= request.deadline:
-        return False
-    return take(budget)
+        return RetryDecision.NO
+    return RetryDecision.RETRY if take(budget) else RetryDecision.NO_BUDGET
+
 
+def may_retry(budget: Budget, request: Retriable, outcome: Refusal, now: float) -> bool:
+    """Tell whether `decide_retry` allows a retry."""
+    return decide_retry(budget, request, outcome, now) is RetryDecision.RETRY
 
-def hedge_delay_s(p95_s: float) -> float:
-    """Give the time after which a read is hedged, from the p95 of its service."""
-    return max(MIN_HEDGE_DELAY_S, p95_s)
+
+def hedge_delay_s(p95_s: float, trial: bool = False) -> float:
+    """Give the time after which a read is hedged, from the p95 of its service.
+
+    A read that serves as the trial of an avoided target is hedged almost at once, so that the
+    trial costs its caller nothing.
+    """
+    return MIN_HEDGE_DELAY_S if trial else max(MIN_HEDGE_DELAY_S, p95_s)
 
 
 def may_hedge(budget: Budget, request: Retriable, p95_s: float, now: float) -> bool:
     """Decide whether to hedge an outstanding read, and use the budget if so."""
-    if not request.idempotent or p95_s <= 0.0 or now + p95_s >= request.deadline:
+    if not request.idempotent or request.attempt > 1:
+        return False
+    if p95_s <= 0.0 or now >= request.deadline:
         return False
     return take(budget)
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -22,9 +22,12 @@
 
 @singledispatch
 def choose_target(
-    policy: Policy, candidates: list[TargetLoad], now: float, draw: int
+    policy: Policy, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
-    """Choose one of the candidates, none of which is leaving; None without candidates."""
+    """Choose one of the candidates, none of which is leaving; None without candidates.
+
+    With `trial` false the adaptive policy sends no trial request to an avoided target.
+    """
     raise TypeError(f"no choice for policy {type(policy).__name__}")
 
 
@@ -33,7 +36,7 @@
 
 @choose_target.register
 def choose_random(
-    policy: Random, candidates: list[TargetLoad], now: float, draw: int
+    policy: Random, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
     """Choose uniformly."""
     return candidates[draw % len(candidates)] if candidates else None
@@ -41,7 +44,7 @@
 
 @choose_target.register
 def choose_in_turn(
-    policy: RoundRobin, candidates: list[TargetLoad], now: float, draw: int
+    policy: RoundRobin, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
     """Choose the next in turn; the first turn starts at a random target."""
     if not candidates:
@@ -55,7 +58,11 @@
 
 @choose_target.register
 def choose_least_outstanding(
-    policy: LeastOutstanding, candidates: list[TargetLoad], now: float, draw: int
+    policy: LeastOutstanding,
+    candidates: list[TargetLoad],
+    now: float,
+    draw: int,
+    trial: bool = True,
 ) -> TargetLoad | None:
     """Choose the fewest own outstanding requests, ties at random."""
     if not candidates:
@@ -67,7 +74,7 @@
 
 @choose_target.register
 def choose_of_two(
-    policy: PowerOfTwo, candidates: list[TargetLoad], now: float, draw: int
+    policy: PowerOfTwo, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
     """Choose the better of two different random targets."""
     if len(candidates) < 2:
@@ -80,7 +87,7 @@
 
 @choose_target.register
 def choose_from_probes(
-    policy: ProbePool, candidates: list[TargetLoad], now: float, draw: int
+    policy: ProbePool, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
 ) -> TargetLoad | None:
     """Choose the lowest latency among cold targets, else the fewest in flight among hot ones."""
     if not candidates:
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -6,7 +6,7 @@
 from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit
 from poplarlane.decisions.entry_events import ViewReceived
 from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
-from poplarlane.decisions.policies import policy_by_name
+from poplarlane.decisions.policies import Adaptive, policy_by_name
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import current_report, hello
 from poplarlane.decisions.requests import send_queued
@@ -111,6 +111,8 @@
     policy_name = state.policy_name or found.policy
     if fresh or type(service.policy) is not type(policy_by_name(policy_name)):
         service.policy = policy_by_name(policy_name) or policy_by_name(DEFAULT_POLICY)
+    if isinstance(service.policy, Adaptive):
+        service.policy.slots = found.limits.slots_per_target
     set_limits(state, service, found.limits, fresh)
     refresh_usable(service)
 
@@ -182,9 +184,6 @@
     state.fleet_entries = entries
     for service in state.services.values():
         service.limits.entries = entries
-        if hasattr(service.policy, "entries"):
-            service.policy.entries = entries
-            service.policy.slots = service.limits.slots_per_target
         share = limits.connection_share(service.limits)
         for load in service.loads.values():
             effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
@@ -238,4 +237,4 @@
         found = Verdict(notice.verdict)
     except ValueError:
         return
-    health.observe_peer_verdict(load, found, now + notice.valid_for_s)
+    health.observe_peer_verdict(load, found, now + notice.valid_for_s, now)
