--- a/poplarlane/decisions/control.py
+++ b/poplarlane/decisions/control.py
@@ -33,7 +33,7 @@
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.reducer import reduce
 from poplarlane.exchange_messages import Digest, FactHoldings, Holdings, News, Want
-from poplarlane.types import MemberState
+from poplarlane.types import MemberKind, MemberState
 
 Handler = Callable[[Any, AgentState], list[Effect]]
 HOUSEKEEPING_S = 1.0
@@ -54,7 +54,7 @@
 def follow_up(event: AgentEvent, state: AgentState, was_ready: bool) -> list[Effect]:
     """Pass on what the event changed."""
     generator = random.Random(event.draw)
-    effects: list[Effect] = []
+    effects = log_facts(state)
     if state.verification.ready and not was_ready:
         state.next_digest_at = min(state.next_digest_at, state.now)
         effects += entry_links.send_all_views(state)
@@ -73,6 +73,15 @@
     return effects
 
 
+def log_facts(state: AgentState) -> list[Effect]:
+    """Log the targets that were learned to leave, from whatever source."""
+    return [
+        Log("target_leaving", "info", {"target": fact.name, "source": fact.source})
+        for fact in state.changed_facts
+        if fact.kind == MemberKind.TARGET and fact.state == MemberState.LEAVING
+    ]
+
+
 def on_started(event: AgentStarted, state: AgentState) -> list[Effect]:
     """Connect to the seeds and start to learn the view."""
     generator = random.Random(event.draw)
--- a/poplarlane/decisions/entry_links.py
+++ b/poplarlane/decisions/entry_links.py
@@ -77,13 +77,13 @@
     if report.draining and not link.draining:
         link.draining = True
         announce(state, link, MemberState.LEAVING)
-    effects = take_leaving(state, link, report.leaving_targets)
+    take_leaving(state, link, report.leaving_targets)
     for verdict in report.verdicts:
         learn_verdict(state, verdict)
-    return effects + resend(state, link)
+    return resend(state, link)
 
 
-def take_leaving(state: AgentState, link: EntryLink, names: list[str]) -> list[Effect]:
+def take_leaving(state: AgentState, link: EntryLink, names: list[str]) -> None:
     """Record targets that an entry newly saw leaving.
 
     An entry repeats its list; only additions count, because a repeated name may describe an
@@ -91,11 +91,8 @@
     """
     added = set(names) - link.leaving
     link.leaving = set(names)
-    effects: list[Effect] = []
     for name in sorted(added):
-        if membership.leave_target(state, name, link.name):
-            effects.append(Log("target_leaving", "info", {"target": name, "source": link.name}))
-    return effects
+        membership.leave_target(state, name, link.name)
 
 
 def learn_verdict(state: AgentState, verdict: VerdictNotice) -> None:
--- a/poplarlane/decisions/probes.py
+++ b/poplarlane/decisions/probes.py
@@ -168,9 +168,8 @@
         state.name,
     )
     probes.covered_at = state.now
-    if event.leaving and membership.leave_target(state, event.target, state.name):
-        fields = {"target": event.target, "source": state.name}
-        effects.append(Log("target_leaving", "info", fields))
+    if event.leaving:
+        membership.leave_target(state, event.target, state.name)
     flipped = event.answered != probe.reachable
     shift = abs(event.in_flight - probe.sent_in_flight)
     probe.reachable = event.answered
