Keep a watch waiting at all times on a watcher

Cause: after an empty answer a watcher paused for 0.2 s and then waited for its next tick of 0.1 s. A change accepted in that gap directly before an outage was seen by no agent. Change: the next watch starts in the handler of the answer; only answers that came early pause. The row now makes 4 changes, because the recovery of the watchers between them takes about 2.5 s each.

--- a/features/control_configuration.feature
+++ b/features/control_configuration.feature
@@ -6,15 +6,15 @@
     # Guards against lost pushes and a platform that disappears once it accepted the write.
     Given a control fleet of 6 agents with entries in 2 data centres
     When <loss> percent of the messages between the agents are lost
-    And 8 changes are accepted one after the other and the platform is <platform> after each write
+    And <changes> changes are accepted one after the other and the platform is <platform> after each write
     Then each control change was in force at every entry within 4 s
     And no agent and no entry ever took a lower revision
 
     Examples:
-      | network | loss | platform    |
-      | healthy | 0    | available   |
-      | lossy   | 20   | available   |
-      | lossy   | 20   | unavailable |
+      | network | loss | changes | platform    |
+      | healthy | 0    | 8       | available   |
+      | lossy   | 20   | 8       | available   |
+      | lossy   | 20   | 4       | unavailable |
 
   Scenario: A burst of 500 changes passes
     # Guards against unbounded queues: a backlog per peer must coalesce revisions of one service.
--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -94,11 +94,14 @@
 
 @then("each control change was in force at every entry within 4 s")
 def step_in_force(context):
+    slowest = 0.0
     for revision, at in context.changes:
         for vm in context.fleet.running:
             line = vm.entry.wait_for("service_applied", service=SERVICE, revision=str(revision))
             taken = logged_at(line) - at
+            slowest = max(slowest, taken)
             assert taken <= IN_FORCE_S, f"{vm.name} revision {revision}: {taken:.3f} s"
+    print(f"slowest_in_force_s={slowest:.3f}")
 
 
 @then("no agent and no entry ever took a lower revision")
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -175,6 +175,7 @@
         "watching",
         "since",
         "calling",
+        "called_at",
         "next_at",
         "failures",
         "answered_at",
@@ -191,6 +192,7 @@
         self.watching = False
         self.since: int | None = None
         self.calling = False
+        self.called_at = now
         self.next_at = now
         self.failures = 0
         # When any agent last had an answer of the platform, and last tried.
--- a/poplarlane/decisions/watching.py
+++ b/poplarlane/decisions/watching.py
@@ -16,8 +16,9 @@
 RELIST_S = 60.0
 MAX_BACKOFF_S = 2.0
 FIRST_BACKOFF_S = 0.25
-# A platform that answers watches at once without changes must not be asked in a tight loop.
-EMPTY_WATCH_PAUSE_S = 0.2
+# A platform that answers watches early without changes must not be asked in a tight loop. A watch
+# that waited its time is followed at once by the next: a change could be missed in between.
+EARLY_WATCH_PAUSE_S = 0.2
 HTTP_GONE = 410
 
 
@@ -55,17 +56,21 @@
 
 
 def tick(state: AgentState, generator: random.Random) -> list[Effect]:
-    """Start the next call to the platform when it is due."""
-    effects = list_vms(state)
+    """Start the calls to the platform that are due."""
+    return list_vms(state) + call_platform(state, generator)
+
+
+def call_platform(state: AgentState, generator: random.Random) -> list[Effect]:
+    """Start the next list or watch when it is due."""
     watch = state.watch
     if not watch.watching or watch.calling or state.now < watch.next_at:
-        return effects
+        return []
     watch.calling = True
-    watch.tried_at = state.now
+    watch.called_at = watch.tried_at = state.now
     relist_at = watch.listed_at + RELIST_S * generator.uniform(1.0, 1.5)
     if watch.since is None or state.now > relist_at:
-        return [*effects, ListObjects(SERVICES_KIND)]
-    return [*effects, WatchObjects(SERVICES_KIND, watch.since, WATCH_WAIT_MS)]
+        return [ListObjects(SERVICES_KIND)]
+    return [WatchObjects(SERVICES_KIND, watch.since, WATCH_WAIT_MS)]
 
 
 def list_vms(state: AgentState) -> list[Effect]:
@@ -104,8 +109,10 @@
         effects += verification.on_listed(state, event.kind)
     if event.kind == SERVICES_KIND:
         watch.calling = False
-        quiet = event.call == "watch" and not event.items
-        watch.next_at = state.now + (EMPTY_WATCH_PAUSE_S if quiet else 0.0)
+        early = state.now - watch.called_at < WATCH_WAIT_MS / 2000
+        empty = event.call == "watch" and not event.items
+        watch.next_at = state.now + (EARLY_WATCH_PAUSE_S if empty and early else 0.0)
+        effects += call_platform(state, random.Random(event.draw))
     return effects
 
 
