--- a/poplarlane/bench/checks.py
+++ b/poplarlane/bench/checks.py
@@ -10,6 +10,7 @@
 MAX_EXAMPLES = 20
 # Unknown outcomes that a planned stop may not cause; 1301 is a deadline, not a cut.
 CUT_CODES = frozenset({1300, 1302, 1303})
+PLANNED_STOPS = frozenset({"stop_entry", "stop_target", "drain_target"})
 # Requests at a killed entry may fail from the kill until their connections are gone.
 KILL_WINDOW_S = 2.0
 
@@ -67,6 +68,7 @@
     """Check the requests of one segment."""
     counts = executions_by_id(ledgers)
     kills = [event for event in events if not event.planned]
+    stops = [event for event in events if event.what in PLANNED_STOPS]
     tally.requests += len(records)
     for record in records:
         name = request_id(segment, record.index)
@@ -79,14 +81,23 @@
             tally.violate("mixed", described)
         if record.seen == Seen.NOT_RUN and started > 0:
             tally.violate("false_not_run", f"{described}: {started} executions")
-        if is_cut(record, strict_cuts) and not excused(record, kills):
+        if is_cut(record, stops, strict_cuts) and not excused(record, kills):
             tally.violate("cut", f"{described}: {Seen(record.seen).name.lower()}")
 
 
-def is_cut(record: Record, strict: bool) -> bool:
-    """Tell whether a caller was left without a whole answer."""
+def is_cut(record: Record, stops: list[Event], strict: bool) -> bool:
+    """Tell whether a caller was left without a whole answer.
+
+    A closed connection always counts; an answer that did not come in time counts when a planned
+    stop lies within the wait.
+    """
     if record.seen in (Seen.MISSING, Seen.TRUNCATED):
         return True
+    if record.seen == Seen.TIMED_OUT:
+        ended_at = record.at + record.latency_s
+        return strict or any(
+            stop.at <= ended_at and record.at <= (stop.ended_at or stop.at) for stop in stops
+        )
     return strict and record.code in CUT_CODES
 
 
--- a/poplarlane/bench/records.py
+++ b/poplarlane/bench/records.py
@@ -18,6 +18,7 @@
     CANCELLED = 7
     MIXED = 8
     NO_ENTRY = 9
+    TIMED_OUT = 10
 
 
 class Record(msgspec.Struct, array_like=True):
