--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -8,8 +8,9 @@
 
 from behave import given, then, when
 
-from features.entry_rig import ENTRY_ADMIN_PORT, Publisher, Rig, request
+from features.entry_rig import ENTRY_ADMIN_PORT, Rig, request
 from poplarlane.bench.processes import Launcher
+from poplarlane.bench.publisher import Publisher
 
 UNKNOWN_CODES = {"1300", "1302", "1303"}
 LOAD_S = 3.0
