--- a/poplarlane/bench/fleet.py
+++ b/poplarlane/bench/fleet.py
@@ -282,7 +282,7 @@
         if self.variant.passthrough:
             settings |= {"name": name, "targets": self.targets_by_host(), **self.variant.settings}
             path = self.launcher.settings_path(name, settings)
-            module = [sys.executable, "-m", "poplarlane.bench.passthrough"]
+            module = [sys.executable, "-m", "poplarlane.bench.broken_passthrough"]
             vm.entry = Process(name, [*module, "--settings", path])
             self.launcher.processes[name] = vm.entry
             return
