--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -9,7 +9,7 @@
 import math
 
 from poplarlane.decisions.policies import Adaptive
-from poplarlane.decisions.verdicts import ramp_eighths, trial_interval_s
+from poplarlane.decisions.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad, Verdict
 
 # Requests in flight forget their past within about one service time; half of it did best in
@@ -17,9 +17,6 @@
 REPORT_MEMORY_TYPICAL = 0.5
 # Assumed until the first answers arrive.
 DEFAULT_TYPICAL_S = 0.01
-TRIAL_SHARE = 0.005
-# Trials go on at this interval when there are too few requests for the share.
-LONGEST_TRIAL_WAIT_S = 10.0
 # A suspect is chosen only when all others would take this many typical latencies longer.
 SUSPECT_PENALTY_TYPICAL = 3.0
 
@@ -30,36 +27,9 @@
     """Choose the lowest expected time of all usable targets, or a target whose trial is due."""
     if not candidates:
         return None
-    policy.trial_credit = min(1.0, policy.trial_credit + TRIAL_SHARE)
-    usable = [load for load in candidates if is_usable(load, now, draw)]
-    if trial and len(usable) < len(candidates):
-        due = take_due_trial(policy, candidates, now, draw)
-        if due is not None:
-            return due
-    return lowest_expected_time(policy, usable or candidates, now, draw)
-
-
-def is_usable(load: TargetLoad, now: float, draw: int) -> bool:
-    """Tell whether the target takes part in the choice for this request."""
-    if load.verdict == Verdict.AVOIDED or load.shed_until > now:
-        return False
-    return load.ramp_until <= now or (draw >> 40) % 8 < ramp_eighths(load, now)
-
-
-def take_due_trial(
-    policy: Adaptive, candidates: list[TargetLoad], now: float, draw: int
-) -> TargetLoad | None:
-    """Find an avoided target whose trial is due, and set the time of its next one."""
-    for load in candidates:
-        if load.verdict != Verdict.AVOIDED or load.outstanding or now < load.next_trial_at:
-            continue
-        if policy.trial_credit < 1.0 and now < load.next_trial_at + LONGEST_TRIAL_WAIT_S:
-            continue
-        policy.trial_credit = 0.0
-        spread = 0.75 + (draw >> 48) % 1024 / 2048
-        load.next_trial_at = now + trial_interval_s(load) * spread
-        return load
-    return None
+    usable = usable_targets(candidates, now, draw)
+    due = take_due_trial(policy, candidates, now, draw) if trial else None
+    return due or lowest_expected_time(policy, usable or candidates, now, draw)
 
 
 def lowest_expected_time(
--- a/poplarlane/decisions/policies.py
+++ b/poplarlane/decisions/policies.py
@@ -42,9 +42,10 @@
 class ProbePool(Policy):
     """Choose by requests in flight and latency as probes report them, hot targets last."""
 
-    __slots__ = ("hot_quantile", "max_age_s")
+    __slots__ = ("trial_credit", "hot_quantile", "max_age_s")
 
     def __init__(self) -> None:
+        self.trial_credit = 1.0
         self.hot_quantile = 0.84
         self.max_age_s = 1.0
 
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -12,6 +12,7 @@
     Random,
     RoundRobin,
 )
+from poplarlane.decisions.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad
 
 
@@ -92,14 +93,18 @@
     """Choose the lowest latency among cold targets, else the fewest in flight among hot ones."""
     if not candidates:
         return None
-    fresh = [load for load in candidates if now - load.reported_at <= policy.max_age_s]
+    due = take_due_trial(policy, candidates, now, draw) if trial else None
+    if due is not None:
+        return due
+    usable = usable_targets(candidates, now, draw) or candidates
+    fresh = [load for load in usable if now - load.reported_at <= policy.max_age_s]
     if len(fresh) < 2:
-        return candidates[draw % len(candidates)]
+        return usable[draw % len(usable)]
     loads = sorted(estimated_in_flight(load) for load in fresh)
     limit = loads[int(policy.hot_quantile * (len(loads) - 1))]
     cold = [load for load in fresh if estimated_in_flight(load) < limit]
     if cold:
-        return min(cold, key=lambda load: load.latency_s)
+        return min(cold, key=lambda load: load.latency_s + load.distance_s)
     return min(fresh, key=estimated_in_flight)
 
 
