--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,13 +1,19 @@
 """The one composition root: builds every program from its settings."""
 
 import ipaddress
+import random
 import time
 
 from poplarlane.decisions import answers, drain, reports, requests, views
+from poplarlane.decisions.agent_state import AgentState, Peer
 from poplarlane.decisions.entry_state import EntryState
 from poplarlane.metrics import AdminAnswer, AdminRequest, AdminServer, Metrics, json_answer
+from poplarlane.plumbing.agent_shell import AgentShell, clock
 from poplarlane.plumbing.entry_shell import EntryShell
-from poplarlane.settings import EntrySettings
+from poplarlane.plumbing.exchange_sockets import ExchangeSockets
+from poplarlane.plumbing.platform_client import PlatformClient
+from poplarlane.programs.agent_pages import agent_pages
+from poplarlane.settings import AgentSettings, EntrySettings
 from poplarlane.traces import new_tracer
 
 # Importing these modules registers their handlers with the reducer.
@@ -98,3 +104,45 @@
     for name, service in shell.state.services.items():
         metrics.set("applied_revision", {"service": name}, service.revision)
         metrics.set("queued_requests", {"service": name}, service.limits.queued)
+
+
+def build_agent(settings: AgentSettings) -> tuple[AgentShell, AdminServer]:
+    """Build an agent and its admin server."""
+    incarnation = time.time_ns() // 1_000_000
+    state = agent_state(settings, incarnation)
+    # Agents that share a seed must not draw the same jitter.
+    generator = random.Random(f"{settings.seed}/{settings.name}")
+    platform = PlatformClient(
+        settings.platform_address,
+        settings.platform_port,
+        settings.listen_address,
+        settings.name,
+        settings.platform_timeout_ms / 1000.0,
+        settings.platform_calls_per_s,
+        clock,
+        generator,
+    )
+    metrics = Metrics()
+    sockets = ExchangeSockets(settings.listen_address)
+    shell = AgentShell(state, sockets, platform, metrics, generator, settings.listen_address)
+    return shell, AdminServer(metrics, agent_pages(shell))
+
+
+def agent_state(settings: AgentSettings, incarnation: int) -> AgentState:
+    """Build the state of an agent that knows nothing but its settings."""
+    state = AgentState(
+        settings.name,
+        incarnation,
+        settings.data_centre,
+        settings.listen_address,
+        settings.exchange_port,
+    )
+    state.watchers = settings.watchers_per_data_centre
+    state.exchange_s = settings.exchange_interval_ms / 1000.0
+    state.vm_list_s = max(0.1, settings.vm_list_interval_ms / 1000.0)
+    state.grant_s = settings.grant_duration_ms / 1000.0
+    for seed in settings.seed_peers:
+        peer = Peer(seed.name, seed.data_centre, seed.address, seed.port, clock())
+        peer.seed = True
+        state.peers[seed.name] = peer
+    return state
