--- /dev/null
+++ b/poplarlane/plumbing/ctl_client.py
@@ -0,0 +1,163 @@
+"""Client of the platform's object API and of the agents' admin ports, for poplarctl."""
+
+import urllib.parse
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from poplarlane.plumbing.http_call import CallAnswer, CallFailure, call
+
+HTTP_OK = 200
+HTTP_CREATED = 201
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 412
+# Statuses with which the platform refuses a call without acting on it.
+REFUSED_STATUSES = frozenset((429, 503))
+CALL_TIMEOUT_S = 2.0
+AGENT_TIMEOUT_S = 1.0
+
+
+class StoredValue(msgspec.Struct):
+    """Hold what the platform returns for one object; version 0 means that there is none."""
+
+    name: str = ""
+    version: int = 0
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class ObjectList(msgspec.Struct):
+    """Hold every object of one kind."""
+
+    items: list[StoredValue]
+
+
+class VmObject(msgspec.Struct):
+    """Describe one VM of the platform's lagging list."""
+
+    name: str
+    address: str
+    role: str = ""
+    state: str = "live"
+    data_centre: str = ""
+    admin_port: int = 0
+
+
+class VmList(msgspec.Struct):
+    """Hold the platform's list of VMs."""
+
+    vms: list[VmObject]
+
+
+class WrittenVersion(msgspec.Struct):
+    """Hold the platform's response to a write."""
+
+    version: int
+
+
+VALUE_DECODER = msgspec.json.Decoder(StoredValue)
+LIST_DECODER = msgspec.json.Decoder(ObjectList)
+VMS_DECODER = msgspec.json.Decoder(VmList)
+WRITTEN_DECODER = msgspec.json.Decoder(WrittenVersion)
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """Report a conditional write that took effect."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionConflict:
+    """Report a conditional write that was refused because another version is stored."""
+
+    current: StoredValue
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformFailure:
+    """Say why a call has no result; `sent` tells that a write may have taken effect."""
+
+    reason: str
+    sent: bool
+
+
+class PlatformClient:
+    """Call the platform's object API."""
+
+    __slots__ = ("address", "port")
+
+    def __init__(self, address: str, port: int) -> None:
+        self.address = address
+        self.port = port
+
+    async def read(self, kind: str, name: str) -> StoredValue | PlatformFailure:
+        """Read one object, possibly stale."""
+        answer = await self.request("GET", object_path(kind, name))
+        if isinstance(answer, CallAnswer) and answer.status == HTTP_NOT_FOUND:
+            return StoredValue(name=name)
+        return decode_answer(answer, VALUE_DECODER, (HTTP_OK,))
+
+    async def write(
+        self, kind: str, name: str, body: bytes, version: int
+    ) -> Written | VersionConflict | PlatformFailure:
+        """Write one object if `version` is the stored one; 0 creates it."""
+        condition = {"if-match": str(version)} if version else {"if-none-match": "*"}
+        answer = await self.request("PUT", object_path(kind, name), condition, body)
+        if isinstance(answer, CallAnswer) and answer.status == HTTP_CONFLICT:
+            current = decode_answer(answer, VALUE_DECODER, (HTTP_CONFLICT,))
+            return current if isinstance(current, PlatformFailure) else VersionConflict(current)
+        written = decode_answer(answer, WRITTEN_DECODER, (HTTP_OK, HTTP_CREATED))
+        return written if isinstance(written, PlatformFailure) else Written(written.version)
+
+    async def list(self, kind: str) -> list[StoredValue] | PlatformFailure:
+        """List the objects of one kind, possibly stale."""
+        answer = await self.request("GET", f"/v1/objects/{kind}")
+        listed = decode_answer(answer, LIST_DECODER, (HTTP_OK,))
+        return listed if isinstance(listed, PlatformFailure) else listed.items
+
+    async def vms(self) -> list[VmObject] | PlatformFailure:
+        """Read the lagging list of VMs."""
+        answer = await self.request("GET", "/v1/vms")
+        listed = decode_answer(answer, VMS_DECODER, (HTTP_OK,))
+        return listed if isinstance(listed, PlatformFailure) else listed.vms
+
+    async def request(
+        self, method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> CallAnswer | CallFailure:
+        """Make one call."""
+        return await call(
+            self.address, self.port, method, path, headers or {}, body, CALL_TIMEOUT_S
+        )
+
+
+def object_path(kind: str, name: str) -> str:
+    """Build the path of one object."""
+    return f"/v1/objects/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
+def decode_answer(
+    answer: CallAnswer | CallFailure, decoder: msgspec.json.Decoder, accepted: tuple[int, ...]
+) -> Any:
+    """Decode a response with an accepted status; everything else is a failure."""
+    if isinstance(answer, CallFailure):
+        return PlatformFailure(answer.reason, answer.sent)
+    if answer.status not in accepted:
+        sent = answer.status not in REFUSED_STATUSES
+        text = answer.body[:200].decode("utf-8", "replace")
+        return PlatformFailure(f"platform answered with status {answer.status}: {text}", sent)
+    try:
+        return decoder.decode(answer.body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return PlatformFailure(f"platform sent a response that cannot be read: {error}", True)
+
+
+async def read_admin(address: str, port: int, path: str) -> bytes | CallFailure:
+    """Read a page of an admin port."""
+    answer = await call(address, port, "GET", path, {}, b"", AGENT_TIMEOUT_S)
+    if isinstance(answer, CallFailure):
+        return answer
+    if answer.status != HTTP_OK:
+        return CallFailure(f"{address}:{port}{path} answered with status {answer.status}", True)
+    return answer.body
--- /dev/null
+++ b/poplarlane/programs/ctl/changing.py
@@ -0,0 +1,312 @@
+"""The change procedure: conditional writes of a service and then of its copy.
+
+Every write names the version that it replaces, so a write that was sent twice, delayed or based on
+a stale read either takes effect once or is answered with the current object.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from poplarlane.decisions import configuration
+from poplarlane.decisions.configuration import Base, NoBase, StoredObject
+from poplarlane.decisions.edits import Edit, EditConflict, EditInvalid, apply_edit, observe
+from poplarlane.decisions.validation import check_service
+from poplarlane.objects import (
+    SERVICE_COPIES_KIND,
+    SERVICES_KIND,
+    ChangeObject,
+    ServiceObject,
+    encode_service,
+)
+from poplarlane.outcomes import ResultCode
+from poplarlane.plumbing.ctl_client import (
+    PlatformClient,
+    PlatformFailure,
+    StoredValue,
+    VersionConflict,
+    Written,
+)
+
+FIRST_RETRY_DELAY_MS = 20
+MAX_RETRY_DELAY_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Report an accepted change; times are seconds since the change began."""
+
+    service: ServiceObject
+    revision: int
+    recovered: bool
+    accepted_s: float
+    code: ResultCode = ResultCode.CHANGE_DONE
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """Report what a dry run would have written."""
+
+    service: ServiceObject
+    previous: ServiceObject | None
+    code: ResultCode = ResultCode.CHANGE_DONE
+
+
+@dataclass(frozen=True, slots=True)
+class Unfinished:
+    """Report a change that ran out of time; `maybe_written` tells that it may take effect."""
+
+    reason: str
+    maybe_written: bool
+    code: ResultCode
+
+
+Outcome = Done | Planned | EditConflict | EditInvalid | NoBase | Unfinished
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """Hold the newest revision that agents report and, when one gives it, the object."""
+
+    service: ServiceObject | None = None
+    revision: int = 0
+
+
+AskFleet = Callable[[str], Awaitable[FleetView]]
+
+
+async def ask_nobody(_service: str) -> FleetView:
+    """Stand in for a fleet that cannot be asked."""
+    return FleetView()
+
+
+class Change:
+    """Carry one operator's change from the first read to both writes."""
+
+    __slots__ = (
+        "client",
+        "name",
+        "edit",
+        "operator",
+        "change_id",
+        "at",
+        "deadline",
+        "began",
+        "draws",
+        "ask_fleet",
+        "dry_run",
+        "stored",
+        "copy",
+        "fleet",
+        "observed",
+        "confirmed",
+        "copy_confirmed",
+        "recovered",
+        "maybe_written",
+        "failures",
+        "last_failure",
+    )
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        name: str,
+        edit: Edit,
+        operator: str,
+        change_id: str,
+        at: str,
+        timeout_s: float,
+        draws: random.Random,
+        ask_fleet: AskFleet = ask_nobody,
+        dry_run: bool = False,
+    ) -> None:
+        self.client = client
+        self.name = name
+        self.edit = edit
+        self.operator = operator
+        self.change_id = change_id
+        self.at = at
+        self.began = time.monotonic()
+        self.deadline = self.began + timeout_s
+        self.draws = draws
+        self.ask_fleet = ask_fleet
+        self.dry_run = dry_run
+        self.stored: StoredObject | None = None
+        self.copy: StoredObject | None = None
+        self.fleet: FleetView | None = None
+        self.observed = False
+        # A plain read may be stale; a conditional write proves that the version is current.
+        self.confirmed = False
+        self.copy_confirmed = False
+        self.recovered = False
+        self.maybe_written = False
+        self.failures = 0
+        self.last_failure = ""
+
+    async def run(self) -> Outcome:
+        """Repeat steps until one gives an outcome or the time is up."""
+        while time.monotonic() < self.deadline:
+            outcome = await self.step()
+            if outcome is not None:
+                return outcome
+        code = ResultCode.PLATFORM_UNREACHABLE
+        if self.maybe_written:
+            code = ResultCode.CHANGE_OUTCOME_UNKNOWN
+        reason = self.last_failure or "other operators changed the service on every attempt"
+        return Unfinished(reason, self.maybe_written, code)
+
+    async def step(self) -> Outcome | None:
+        """Do the next read or write; None means that another step is needed."""
+        if self.stored is None or self.copy is None:
+            return await self.read_both()
+        if configuration.holds_change(self.copy.service, self.change_id):
+            return self.done()
+        in_place = configuration.is_intact(self.stored, self.copy)
+        if in_place and configuration.holds_change(self.stored.service, self.change_id):
+            return await self.write_copy(self.stored.service)
+        base = self.choose_base()
+        if isinstance(base, NoBase) or base.recovered:
+            return await self.recover(base)
+        if base.copy_is_behind and not self.dry_run:
+            return await self.write_copy(base.service)
+        return await self.edit_and_write(base)
+
+    async def recover(self, base: Base | NoBase) -> Outcome | None:
+        """Replace a bad object, after making sure that no newer accepted one exists."""
+        if not self.confirmed and not self.dry_run:
+            return await self.confirm_stored()
+        if self.fleet is None:
+            self.fleet = await self.ask_fleet(self.name)
+            return None
+        if isinstance(base, NoBase):
+            return base
+        if not self.copy_confirmed and not self.dry_run:
+            return await self.confirm_copy()
+        if base.copy_is_behind and not self.dry_run:
+            return await self.write_copy(base.service)
+        return await self.edit_and_write(base)
+
+    def choose_base(self) -> Base | NoBase:
+        """Choose the last accepted object from what was read so far."""
+        fleet = self.fleet or FleetView()
+        return configuration.choose_base(self.stored, self.copy, fleet.service, fleet.revision)
+
+    async def read_both(self) -> None:
+        """Read the object and its copy."""
+        stored, copy = await asyncio.gather(
+            self.client.read(SERVICES_KIND, self.name),
+            self.client.read(SERVICE_COPIES_KIND, self.name),
+        )
+        for result in (stored, copy):
+            if isinstance(result, PlatformFailure):
+                await self.pause(result.reason)
+                return
+        self.stored = decode_stored(stored, self.name)
+        self.copy = decode_stored(copy, self.name, SERVICE_COPIES_KIND)
+
+    async def edit_and_write(self, base: Base) -> Outcome | None:
+        """Apply the edit to the base and write the next revision."""
+        edited = self.edited(base)
+        if isinstance(edited, EditConflict | EditInvalid):
+            if self.confirmed or self.stored.version == 0 or self.dry_run:
+                return edited
+            return await self.confirm_stored()
+        change = ChangeObject(
+            revision=base.next_revision,
+            change_id=self.change_id,
+            operator=self.operator,
+            at=self.at,
+            summary=self.edit.summary,
+        )
+        service = configuration.with_change(edited, base, change)
+        if self.dry_run:
+            return Planned(service, base.service)
+        result = await self.write(SERVICES_KIND, encode_service(service), self.stored.version)
+        if isinstance(result, Written):
+            self.recovered = base.recovered
+            self.maybe_written = True
+            self.stored = StoredObject(result.version, service, [])
+        elif isinstance(result, PlatformFailure):
+            self.maybe_written |= result.sent
+        return None
+
+    def edited(self, base: Base) -> ServiceObject | EditConflict | EditInvalid:
+        """Apply the edit; the value found first is the one that the operator saw."""
+        if not self.observed:
+            observed = observe(self.edit, base.service, self.name)
+            if isinstance(observed, EditInvalid):
+                return observed
+            self.edit = observed
+            self.observed = True
+        return apply_edit(self.edit, base.service, self.name)
+
+    async def confirm_stored(self) -> None:
+        """Find out whether the read was stale, by writing the same object over itself."""
+        service = self.stored.service
+        if service is None:
+            # A bad object is left as it is; its version is checked by the write that replaces it.
+            self.confirmed = True
+            return
+        result = await self.write(SERVICES_KIND, encode_service(service), self.stored.version)
+        if isinstance(result, Written):
+            self.stored = StoredObject(result.version, service, [])
+            self.confirmed = True
+
+    async def confirm_copy(self) -> None:
+        """Prove that the copy is current before a bad object is replaced from it."""
+        if self.copy.service is None:
+            self.copy_confirmed = True
+            return
+        await self.write_copy(self.copy.service)
+
+    async def write_copy(self, service: ServiceObject) -> None:
+        """Write the copy; on a conflict the current copy is taken and judged again."""
+        result = await self.write(SERVICE_COPIES_KIND, encode_service(service), self.copy.version)
+        if isinstance(result, Written):
+            self.copy = StoredObject(result.version, service, [])
+            self.copy_confirmed = True
+
+    def done(self) -> Done:
+        """Report success: the copy holds the change, so it is accepted."""
+        service = self.copy.service
+        own = next(change for change in service.changes if change.change_id == self.change_id)
+        elapsed_s = time.monotonic() - self.began
+        return Done(service, own.revision, self.recovered, elapsed_s)
+
+    async def write(
+        self, kind: str, body: bytes, version: int
+    ) -> Written | VersionConflict | PlatformFailure:
+        """Write conditionally; take the current object on a conflict, wait after a failure."""
+        result = await self.client.write(kind, self.name, body, version)
+        if isinstance(result, PlatformFailure):
+            await self.pause(result.reason)
+        elif isinstance(result, VersionConflict) and kind == SERVICES_KIND:
+            self.stored = decode_stored(result.current, self.name)
+            self.confirmed = True
+        elif isinstance(result, VersionConflict):
+            self.copy = decode_stored(result.current, self.name, SERVICE_COPIES_KIND)
+            self.copy_confirmed = True
+            # Another writer was here, so the object may have changed since it was read.
+            self.confirmed = False
+        return result
+
+    async def pause(self, reason: str) -> None:
+        """Wait before the next attempt, longer after each failure, with jitter."""
+        self.last_failure = reason
+        delay_ms = min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2**self.failures)
+        self.failures += 1
+        left_s = self.deadline - time.monotonic()
+        delay_s = delay_ms * self.draws.uniform(0.5, 1.0) / 1000
+        await asyncio.sleep(max(0.0, min(delay_s, left_s)))
+
+
+def decode_stored(value: StoredValue, name: str, kind: str = SERVICES_KIND) -> StoredObject:
+    """Validate what the platform returned."""
+    if value.version == 0:
+        return StoredObject(0, None, [])
+    checked = check_service(bytes(value.value), name, kind)
+    if isinstance(checked, list):
+        return StoredObject(value.version, None, checked)
+    return StoredObject(value.version, checked, [])
