Add poplarctl and the feature of its changes

Cause: operators need to change labels and selectors safely, and to see what is in force. Change: commands get, set-label, remove-label, set-selector, remove-selector, apply, diff, history, explain, status and wait, with exit statuses 0 to 6 and JSON output. Conclusion: status and wait have not run against an agent yet.

--- a/poplarlane/decisions/edits.py
+++ b/poplarlane/decisions/edits.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from poplarlane.decisions.validation import ObjectFault, check_service
+from poplarlane.decisions.validation import WHOLE_OBJECT, ObjectFault, check_service
 from poplarlane.objects import (
     JSON_ENCODER,
     SERVICES_KIND,
@@ -21,6 +21,7 @@
 )
 from poplarlane.outcomes import ResultCode
 
+MAX_SHOWN_FIELDS = 5
 # These fields are written by the change procedure, never by an edit.
 BOOKKEEPING_FIELDS = ("revision", "change_id", "changes")
 
@@ -37,15 +38,19 @@
     """Replace the value at one path of a service object.
 
     `path` is empty for the whole object; `value` and `expected` are JSON values or a mark.
+    `based_on` is the revision that the operator edited, 0 when it is not known.
     """
 
-    __slots__ = ("path", "value", "expected", "summary")
+    __slots__ = ("path", "value", "expected", "summary", "based_on")
 
-    def __init__(self, path: tuple[str, ...], value: Any, expected: Any, summary: str) -> None:
+    def __init__(
+        self, path: tuple[str, ...], value: Any, expected: Any, summary: str, based_on: int = 0
+    ) -> None:
         self.path = path
         self.value = value
         self.expected = expected
         self.summary = summary
+        self.based_on = based_on
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,9 +106,9 @@
     return Edit(("targets", name), Mark.ABSENT, expected, f"remove target {name}")
 
 
-def apply_object(service: ServiceObject, expected: Any = Mark.UNSEEN) -> Edit:
+def apply_object(service: ServiceObject, expected: Any = Mark.UNSEEN, based_on: int = 0) -> Edit:
     """Replace everything that is configured for a service."""
-    return Edit((), content_of(service), expected, "apply object")
+    return Edit((), content_of(service), expected, "apply object", based_on)
 
 
 def content_of(service: ServiceObject) -> dict[str, Any]:
@@ -114,8 +119,12 @@
     return document
 
 
-def observe(edit: Edit, service: ServiceObject | None, name: str) -> Edit | EditInvalid:
+def observe(
+    edit: Edit, service: ServiceObject | None, name: str
+) -> Edit | EditConflict | EditInvalid:
     """Bind the expected value of an edit to the one that is found first."""
+    if service is not None and edit.based_on not in (0, service.revision):
+        return EditConflict("revision", edit.based_on, service.revision, service.revision)
     current, missing = look_up(edit.path, service)
     if missing:
         return invalid(name, missing, "does not exist")
@@ -146,7 +155,7 @@
 
 def dotted(path: tuple[str, ...]) -> str:
     """Name a path the way faults name fields."""
-    return ".".join(path) or "(object)"
+    return ".".join(path) or WHOLE_OBJECT
 
 
 def plain(value: Any) -> Any:
@@ -192,23 +201,23 @@
     return {field: document[field] for field in BOOKKEEPING_FIELDS}
 
 
-def check_based_on(
-    service: ServiceObject | None, revision: int, name: str
-) -> EditConflict | EditInvalid | None:
-    """Check that an operator's file is based on the current revision."""
-    current = service.revision if service else 0
-    if revision == current:
-        return None
-    if service is None:
-        return invalid(name, "revision", f"is {revision}, but the service does not exist yet")
-    return EditConflict("revision", revision, current, current)
-
-
 def conflict_reason(conflict: EditConflict) -> str:
     """Describe a conflict in one line that names the current value."""
+    if isinstance(conflict.current, dict) and isinstance(conflict.expected, dict):
+        changed = differences(conflict.expected, conflict.current)
+        shown = [f"{field} is now {show(new)}" for field, _, new in changed[:MAX_SHOWN_FIELDS]]
+        more = f" and {len(changed) - len(shown)} more" if len(changed) > len(shown) else ""
+        return (
+            f"{conflict.field} was changed since it was read: {', '.join(shown)}{more}, "
+            f"in revision {conflict.revision}"
+        )
+    current = f"is {show(conflict.current)}"
+    if conflict.field == WHOLE_OBJECT and conflict.current is not None:
+        # A whole object does not fit on the line of an error message.
+        current = "exists"
     return (
         f"{conflict.field} was expected to be {show(conflict.expected)}, "
-        f"but is {show(conflict.current)} in revision {conflict.revision}"
+        f"but {current} in revision {conflict.revision}"
     )
 
 
@@ -220,7 +229,7 @@
 def differences(old: Any, new: Any, path: str = "") -> list[tuple[str, Any, Any]]:
     """List the fields in which two JSON values differ, with both values; None is absent."""
     if not isinstance(old, dict) or not isinstance(new, dict):
-        return [] if old == new else [(path or "(object)", old, new)]
+        return [] if old == new else [(path or WHOLE_OBJECT, old, new)]
     found = []
     for key in sorted(old.keys() | new.keys()):
         where = f"{path}.{key}" if path else key
--- /dev/null
+++ b/poplarlane/decisions/explaining.py
@@ -0,0 +1,72 @@
+"""Why a caller may or may not reach each target of a service."""
+
+from collections.abc import Mapping
+
+from poplarlane.decisions.selectors import Access, Selector, compile_access
+from poplarlane.objects import ServiceObject
+
+
+class Explanation:
+    """Say for one selector pair and one target which requirements fail.
+
+    Empty lists mean that the side matches; both empty allow the caller to reach the target.
+    """
+
+    __slots__ = ("selector", "target", "caller_failures", "target_failures")
+
+    def __init__(
+        self, selector: str, target: str, caller_failures: list[str], target_failures: list[str]
+    ) -> None:
+        self.selector = selector
+        self.target = target
+        self.caller_failures = caller_failures
+        self.target_failures = target_failures
+
+    @property
+    def allows(self) -> bool:
+        """Tell whether this selector pair allows the caller to reach the target."""
+        return not self.caller_failures and not self.target_failures
+
+
+def explain(
+    service: ServiceObject, caller: Mapping[str, str], targets: list[str]
+) -> list[Explanation]:
+    """Judge every selector pair of a validated service for every named target."""
+    access: Access = compile_access(service)
+    found = []
+    for target in targets:
+        labels = service.targets[target].labels
+        for rule in access.rules:
+            caller_failures = failures(rule.callers, caller)
+            target_failures = failures(rule.targets, labels)
+            found.append(Explanation(rule.name, target, caller_failures, target_failures))
+    return found
+
+
+def failures(selector: Selector, labels: Mapping[str, str]) -> list[str]:
+    """Describe every requirement that the labels do not satisfy."""
+    found = []
+    for key, values in selector.allowed:
+        if labels.get(key) not in values:
+            found.append(f"{key} must be {one_of(values)}, but is {held(key, labels)}")
+    for key, values in selector.denied:
+        if labels.get(key) in values:
+            found.append(f"{key} must not be {one_of(values)}, but is {held(key, labels)}")
+    for key in selector.present:
+        if key not in labels:
+            found.append(f"{key} must be present, but is absent")
+    for key in selector.absent:
+        if key in labels:
+            found.append(f"{key} must be absent, but is {held(key, labels)}")
+    return found
+
+
+def one_of(values: frozenset[str]) -> str:
+    """List accepted values."""
+    shown = [repr(value) for value in sorted(values)]
+    return shown[0] if len(shown) == 1 else "one of " + ", ".join(shown)
+
+
+def held(key: str, labels: Mapping[str, str]) -> str:
+    """Show the value of a label."""
+    return repr(labels[key]) if key in labels else "absent"
--- a/poplarlane/plumbing/ctl_client.py
+++ b/poplarlane/plumbing/ctl_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API and of the agents' admin ports, for poplarctl."""
 
+import base64
 import urllib.parse
 from dataclasses import dataclass
 from typing import Any
@@ -14,16 +15,26 @@
 HTTP_CONFLICT = 412
 # Statuses with which the platform refuses a call without acting on it.
 REFUSED_STATUSES = frozenset((429, 503))
+CALLER_HEADER = "x-poplarlane-caller"
+CALLER = "poplarctl"
 CALL_TIMEOUT_S = 2.0
 AGENT_TIMEOUT_S = 1.0
 
 
 class StoredValue(msgspec.Struct):
-    """Hold what the platform returns for one object; version 0 means that there is none."""
+    """Hold what the platform returns for one object; version 0 means that there is none.
+
+    A value that is not JSON comes as base64 in `raw`.
+    """
 
     name: str = ""
     version: int = 0
     value: msgspec.Raw = msgspec.Raw(b"null")
+    raw: str = ""
+
+    def body(self) -> bytes:
+        """Give the stored bytes."""
+        return base64.b64decode(self.raw) if self.raw else bytes(self.value)
 
 
 class ObjectList(msgspec.Struct):
@@ -111,7 +122,7 @@
         written = decode_answer(answer, WRITTEN_DECODER, (HTTP_OK, HTTP_CREATED))
         return written if isinstance(written, PlatformFailure) else Written(written.version)
 
-    async def list(self, kind: str) -> list[StoredValue] | PlatformFailure:
+    async def list_kind(self, kind: str) -> list[StoredValue] | PlatformFailure:
         """List the objects of one kind, possibly stale."""
         answer = await self.request("GET", f"/v1/objects/{kind}")
         listed = decode_answer(answer, LIST_DECODER, (HTTP_OK,))
@@ -127,9 +138,8 @@
         self, method: str, path: str, headers: dict[str, str] | None = None, body: bytes = b""
     ) -> CallAnswer | CallFailure:
         """Make one call."""
-        return await call(
-            self.address, self.port, method, path, headers or {}, body, CALL_TIMEOUT_S
-        )
+        fields = {CALLER_HEADER: CALLER, **(headers or {})}
+        return await call(self.address, self.port, method, path, fields, body, CALL_TIMEOUT_S)
 
 
 def object_path(kind: str, name: str) -> str:
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -97,6 +97,7 @@
         "draws",
         "ask_fleet",
         "dry_run",
+        "replace_bad",
         "stored",
         "copy",
         "fleet",
@@ -121,6 +122,7 @@
         draws: random.Random,
         ask_fleet: AskFleet = ask_nobody,
         dry_run: bool = False,
+        replace_bad: bool = False,
     ) -> None:
         self.client = client
         self.name = name
@@ -133,6 +135,8 @@
         self.draws = draws
         self.ask_fleet = ask_fleet
         self.dry_run = dry_run
+        # Lets a whole object replace a bad one of which no accepted revision is left.
+        self.replace_bad = replace_bad
         self.stored: StoredObject | None = None
         self.copy: StoredObject | None = None
         self.fleet: FleetView | None = None
@@ -181,7 +185,9 @@
             self.fleet = await self.ask_fleet(self.name)
             return None
         if isinstance(base, NoBase):
-            return base
+            if not self.replace_bad:
+                return base
+            base = Base(None, self.fleet.revision + 1, False, True)
         if not self.copy_confirmed and not self.dry_run:
             return await self.confirm_copy()
         if base.copy_is_behind and not self.dry_run:
@@ -236,7 +242,7 @@
         """Apply the edit; the value found first is the one that the operator saw."""
         if not self.observed:
             observed = observe(self.edit, base.service, self.name)
-            if isinstance(observed, EditInvalid):
+            if not isinstance(observed, Edit):
                 return observed
             self.edit = observed
             self.observed = True
@@ -306,7 +312,7 @@
     """Validate what the platform returned."""
     if value.version == 0:
         return StoredObject(0, None, [])
-    checked = check_service(bytes(value.value), name, kind)
+    checked = check_service(value.body(), name, kind)
     if isinstance(checked, list):
         return StoredObject(value.version, None, checked)
     return StoredObject(value.version, checked, [])
--- /dev/null
+++ b/poplarlane/programs/ctl/command.py
@@ -0,0 +1,107 @@
+"""Base of poplarctl's commands: options, settings, and one report per run."""
+
+import asyncio
+import os
+import re
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+
+from poplarlane.decisions.content import NAME
+from poplarlane.outcomes import ResultCode
+from poplarlane.plumbing.ctl_client import PlatformClient
+from poplarlane.programs.ctl.reports import Report, problem, show, usage
+from poplarlane.settings import CtlSettings, SettingsFault, load
+
+SETTINGS_VARIABLE = "POPLARCTL_SETTINGS"
+DEFAULT_SETTINGS = "/etc/poplarlane/poplarctl.json"
+OUTPUTS = ("text", "json")
+NUMBER = re.compile(r"[0-9]{1,15}\Z")
+
+
+class UsageError(Exception):
+    """Carry a fault of the command line to the report."""
+
+
+def common_options() -> list[Option]:
+    """List the options of every command."""
+    return [
+        option("settings", None, f"Settings file; default ${SETTINGS_VARIABLE}", flag=False),
+        option("output", None, "text or json", flag=False, default="text"),
+    ]
+
+
+class CtlCommand(Command):
+    """Run one command and print its report."""
+
+    is_change: ClassVar[bool] = False
+
+    def handle(self) -> int:
+        """Run the command; every outcome becomes a report."""
+        report = self.checked_report()
+        output = self.option("output")
+        show(report, output if output in OUTPUTS else "text")
+        return int(report.status)
+
+    def checked_report(self) -> Report:
+        """Make the report, also of wrong usage and of an interruption."""
+        try:
+            self.check_usage()
+            settings = self.load_settings()
+            client = PlatformClient(settings.platform_address, settings.platform_port)
+            return asyncio.run(self.report(settings, client))
+        except UsageError as error:
+            return usage(str(error))
+        except KeyboardInterrupt:
+            if self.is_change:
+                reason = "interrupted; the change may have taken effect (see `poplarctl history`)"
+                return problem(ResultCode.CHANGE_OUTCOME_UNKNOWN, [reason])
+            return problem(ResultCode.CHANGE_FAILED, ["interrupted"])
+
+    async def report(self, settings: CtlSettings, client: PlatformClient) -> Report:
+        """Do the work of the command."""
+        raise NotImplementedError
+
+    def check_usage(self) -> None:
+        """Check options and names that several commands share."""
+        if self.option("output") not in OUTPUTS:
+            raise UsageError(f"option --output is {self.option('output')!r}; accepted: text, json")
+        for name in ("service", "target", "name"):
+            if self.definition.has_argument(name):
+                check_name(name, self.argument(name))
+
+    def load_settings(self) -> CtlSettings:
+        """Load the settings file."""
+        path = self.option("settings") or os.environ.get(SETTINGS_VARIABLE) or DEFAULT_SETTINGS
+        settings = load(path, CtlSettings)
+        if isinstance(settings, SettingsFault):
+            raise UsageError(settings.text)
+        return settings
+
+    def number(self, name: str, default: int) -> int:
+        """Read an option that is a whole number."""
+        text = self.option(name)
+        if text is None:
+            return default
+        if not NUMBER.match(text):
+            raise UsageError(f"option --{name} is {text!r}; expected a whole number")
+        return int(text)
+
+    def seconds(self, name: str) -> float:
+        """Read an option that is a number of seconds."""
+        text = self.option(name)
+        try:
+            value = float(text)
+        except ValueError:
+            value = -1.0
+        if not 0 <= value <= 86_400:
+            raise UsageError(f"option --{name} is {text!r}; expected 0 to 86400 seconds")
+        return value
+
+
+def check_name(argument: str, value: str | None) -> None:
+    """Check a name given on the command line."""
+    if value is not None and not NAME.match(value):
+        raise UsageError(f"argument {argument} is {value!r}, which is not a name")
--- /dev/null
+++ b/poplarlane/programs/ctl/explain_command.py
@@ -0,0 +1,92 @@
+"""The command that explains why a caller may or may not reach targets."""
+
+from cleo.helpers import argument, option
+
+from poplarlane.decisions.explaining import Explanation, explain
+from poplarlane.decisions.labels import InvalidLabels, parse_labels
+from poplarlane.objects import ServiceObject
+from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
+from poplarlane.programs.ctl.command import CtlCommand, UsageError, check_name, common_options
+from poplarlane.programs.ctl.object_commands import absent, read_accepted
+from poplarlane.programs.ctl.reports import Report, done, unreachable, usage
+from poplarlane.settings import CtlSettings
+
+
+class ExplainCommand(CtlCommand):
+    """Explain each selector's verdict."""
+
+    name = "explain"
+    description = "Explain why a caller with these labels may or may not reach targets"
+    arguments = [argument("service", "Service name")]
+    options = [
+        *common_options(),
+        option("caller", None, "Labels of the caller: kind=kiosk,site=brasov", False, default=""),
+        option("target", None, "Only this target", flag=False),
+    ]
+
+    async def report(self, settings: CtlSettings, client: PlatformClient) -> Report:
+        """Read the service and judge every selector."""
+        caller = parse_labels(self.option("caller"))
+        if isinstance(caller, InvalidLabels):
+            raise UsageError(f"option --caller, position {caller.position}: {caller.reason}")
+        target = self.option("target")
+        check_name("target", target)
+        name = self.argument("service")
+        stored = await read_accepted(client, name)
+        if isinstance(stored, PlatformFailure):
+            return unreachable(stored)
+        if stored.service is None:
+            return absent(name, stored)
+        if target is not None and target not in stored.service.targets:
+            known = ", ".join(sorted(stored.service.targets))
+            return usage(f"service {name} has no target {target!r}; it has {known}")
+        return explained(stored.service, caller, target)
+
+
+def explained(service: ServiceObject, caller: dict[str, str], target: str | None) -> Report:
+    """Report the verdict of every selector for every target."""
+    names = [target] if target else sorted(service.targets)
+    explanations = explain(service, caller, names)
+    allowed = sorted({item.target for item in explanations if item.allows})
+    lines = [f"{service.service}, revision {service.revision}, caller {show_labels(caller)}"]
+    for name in names:
+        verdict = "allowed" if name in allowed else "denied"
+        lines.append(f"target {name} {show_labels(service.targets[name].labels)}: {verdict}")
+        lines.extend(verdict_line(item) for item in explanations if item.target == name)
+        if not service.selectors:
+            lines.append("  the service has no selectors, so every request is refused")
+    if not allowed:
+        lines.append("no selector allows this caller: its requests are refused with code 1203")
+    shown = [verdict_document(item) for item in explanations]
+    return done(
+        lines,
+        service=service.service,
+        revision=service.revision,
+        allowed_targets=allowed,
+        verdicts=shown,
+    )
+
+
+def show_labels(labels: dict[str, str]) -> str:
+    """Show labels on one line."""
+    return ",".join(f"{key}={value}" for key, value in sorted(labels.items())) or "(no labels)"
+
+
+def verdict_line(item: Explanation) -> str:
+    """Show one selector's verdict."""
+    if item.allows:
+        return f"  selector {item.selector}: allows"
+    failures = [f"caller: {text}" for text in item.caller_failures]
+    failures.extend(f"target: {text}" for text in item.target_failures)
+    return f"  selector {item.selector}: does not apply: {'; '.join(failures)}"
+
+
+def verdict_document(item: Explanation) -> dict[str, object]:
+    """Give one selector's verdict for programs."""
+    return {
+        "selector": item.selector,
+        "target": item.target,
+        "allows": item.allows,
+        "caller_failures": item.caller_failures,
+        "target_failures": item.target_failures,
+    }
--- /dev/null
+++ b/poplarlane/programs/ctl/fleet.py
@@ -0,0 +1,177 @@
+"""What agents and entries report about the revisions that they hold."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from poplarlane.decisions.validation import check_service
+from poplarlane.objects import ServiceObject
+from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure, read_admin
+from poplarlane.plumbing.http_call import CallFailure
+from poplarlane.programs.ctl.changing import FleetView
+from poplarlane.settings import CtlSettings
+
+POPLARLANE_ROLE = "poplarlane"
+# Agents that hold the same revision hold the same object, so a few are enough.
+MAX_READS = 3
+
+
+class RejectedObject(msgspec.Struct):
+    """Hold one fault of a bad object that an agent reports."""
+
+    object: str = ""
+    field: str = ""
+    reason: str = ""
+
+
+class EntryStatus(msgspec.Struct):
+    """Hold what an agent knows about one of its entries."""
+
+    name: str = ""
+    ready: bool = False
+    draining: bool = False
+    applied: dict[str, int] = {}
+    rejected: dict[str, str] = {}
+
+
+class AgentStatus(msgspec.Struct):
+    """Hold the part of an agent's status page that poplarctl uses."""
+
+    name: str = ""
+    data_centre: str = ""
+    ready: bool = False
+    revisions: dict[str, int] = {}
+    rejected: list[RejectedObject] = []
+    entries: list[EntryStatus] = []
+
+
+STATUS_DECODER = msgspec.json.Decoder(AgentStatus)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentPlace:
+    """Place one agent's admin port."""
+
+    name: str
+    address: str
+    port: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SilentAgent:
+    """Say why an agent's status is missing."""
+
+    place: AgentPlace
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Hold the answers of all agents that were asked."""
+
+    answered: list[tuple[AgentPlace, AgentStatus]]
+    silent: list[SilentAgent]
+
+    def statuses(self) -> list[AgentStatus]:
+        """List the status pages that were read."""
+        return [status for _, status in self.answered]
+
+
+async def find_agents(
+    settings: CtlSettings, client: PlatformClient
+) -> list[AgentPlace] | PlatformFailure:
+    """List the agents of the settings, or else those of the platform's VM list."""
+    if settings.agents:
+        return [AgentPlace(agent.name, agent.address, agent.port) for agent in settings.agents]
+    vms = await client.vms()
+    if isinstance(vms, PlatformFailure):
+        return vms
+    return [
+        AgentPlace(
+            vm.name, vm.address, vm.admin_port or settings.agent_admin_port or 0, vm.state != "live"
+        )
+        for vm in vms
+        if vm.role == POPLARLANE_ROLE
+    ]
+
+
+async def ask_agents(places: list[AgentPlace]) -> Fleet:
+    """Read the status page of every agent at once."""
+    answers = await asyncio.gather(*(ask_agent(place) for place in places))
+    pairs = zip(places, answers, strict=True)
+    answered = [(place, answer) for place, answer in pairs if isinstance(answer, AgentStatus)]
+    silent = [answer for answer in answers if isinstance(answer, SilentAgent)]
+    return Fleet(answered, silent)
+
+
+async def ask_agent(place: AgentPlace) -> AgentStatus | SilentAgent:
+    """Read the status page of one agent."""
+    if place.port == 0:
+        return SilentAgent(place, "the VM list names no admin port; set agent_admin_port")
+    body = await read_admin(place.address, place.port, "/status")
+    if isinstance(body, CallFailure):
+        return SilentAgent(place, body.reason)
+    try:
+        return STATUS_DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return SilentAgent(place, f"status cannot be read: {error}")
+
+
+async def held_by_fleet(settings: CtlSettings, client: PlatformClient, name: str) -> FleetView:
+    """Find the newest revision that any agent or entry holds, with its object if given."""
+    places = await find_agents(settings, client)
+    if isinstance(places, PlatformFailure):
+        return FleetView()
+    fleet = await ask_agents(places)
+    statuses = fleet.statuses()
+    held = [status.revisions.get(name, 0) for status in statuses]
+    applied = [entry.applied.get(name, 0) for status in statuses for entry in status.entries]
+    newest = max([*held, *applied], default=0)
+    holders = [place for place, status in fleet.answered if status.revisions.get(name) == newest]
+    objects = await asyncio.gather(*(read_object(place, name) for place in holders[:MAX_READS]))
+    found = [service for service in objects if service is not None]
+    best = max(found, key=lambda service: service.revision, default=None)
+    return FleetView(best, newest)
+
+
+async def read_object(place: AgentPlace, name: str) -> ServiceObject | None:
+    """Read the object that an agent holds; None when it gives no valid one."""
+    body = await read_admin(place.address, place.port, f"/services/{name}")
+    if isinstance(body, CallFailure):
+        return None
+    checked = check_service(body, name)
+    return None if isinstance(checked, list) else checked
+
+
+class Coverage:
+    """Tell on which agents and entries a revision is in force."""
+
+    __slots__ = ("holding", "lacking")
+
+    def __init__(self, fleet: Fleet, service: str, revision: int) -> None:
+        self.holding: list[str] = []
+        self.lacking: list[str] = []
+        for status in fleet.statuses():
+            self.add(f"agent {status.name}", status.revisions.get(service, 0), revision)
+            for entry in status.entries:
+                if not entry.draining:
+                    self.add(f"entry {entry.name}", entry.applied.get(service, 0), revision)
+        self.lacking.extend(
+            f"agent {silent.place.name} ({silent.reason})"
+            for silent in fleet.silent
+            if not silent.place.leaving
+        )
+
+    def add(self, member: str, held: int, wanted: int) -> None:
+        """Count one member."""
+        if held >= wanted:
+            self.holding.append(member)
+        else:
+            self.lacking.append(f"{member} (revision {held})")
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every member holds the revision."""
+        return bool(self.holding) and not self.lacking
--- /dev/null
+++ b/poplarlane/programs/ctl/reports.py
@@ -0,0 +1,137 @@
+"""What a command of poplarctl prints and the status with which it exits."""
+
+import sys
+from enum import IntEnum
+from typing import Any
+
+import msgspec
+
+from poplarlane.decisions.configuration import NoBase
+from poplarlane.decisions.edits import EditConflict, EditInvalid, conflict_reason
+from poplarlane.decisions.validation import ObjectFault
+from poplarlane.outcomes import ResultCode
+from poplarlane.plumbing.ctl_client import PlatformFailure
+from poplarlane.programs.ctl.changing import Unfinished
+
+
+class ExitStatus(IntEnum):
+    """Number the ways in which poplarctl ends."""
+
+    DONE = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    INVALID = 4
+    PLATFORM = 5
+    TIMEOUT = 6
+
+
+EXIT_STATUSES = {
+    ResultCode.CHANGE_DONE: ExitStatus.DONE,
+    ResultCode.CHANGE_FAILED: ExitStatus.FAILED,
+    ResultCode.USAGE_WRONG: ExitStatus.USAGE,
+    ResultCode.CHANGE_CONFLICT: ExitStatus.CONFLICT,
+    ResultCode.OBJECT_INVALID: ExitStatus.INVALID,
+    ResultCode.PLATFORM_UNREACHABLE: ExitStatus.PLATFORM,
+    ResultCode.CHANGE_OUTCOME_UNKNOWN: ExitStatus.PLATFORM,
+    ResultCode.WAIT_TIMED_OUT: ExitStatus.TIMEOUT,
+}
+
+
+class Report:
+    """Hold the result of one command: a code, lines for people, a document for programs."""
+
+    __slots__ = ("code", "lines", "document")
+
+    def __init__(self, code: ResultCode, lines: list[str], document: dict[str, Any]) -> None:
+        self.code = code
+        self.lines = lines
+        self.document = document
+
+    @property
+    def status(self) -> ExitStatus:
+        """Give the exit status of the code."""
+        return EXIT_STATUSES[self.code]
+
+
+def done(lines: list[str], **document: Any) -> Report:
+    """Report success."""
+    return Report(ResultCode.CHANGE_DONE, lines, document)
+
+
+def problem(code: ResultCode, lines: list[str], **document: Any) -> Report:
+    """Report that a command did not do what was asked."""
+    return Report(code, lines, {**document, "reason": "; ".join(lines)})
+
+
+def usage(reason: str) -> Report:
+    """Report a wrong command line."""
+    return problem(ResultCode.USAGE_WRONG, [reason])
+
+
+def invalid(faults: list[ObjectFault]) -> Report:
+    """Report every fault of an object."""
+    shown = [
+        {"object": fault.object_name, "field": fault.field, "reason": fault.reason}
+        for fault in faults
+    ]
+    return problem(ResultCode.OBJECT_INVALID, [str(fault) for fault in faults], faults=shown)
+
+
+def unreachable(failure: PlatformFailure) -> Report:
+    """Report a read that the platform did not answer."""
+    return problem(
+        ResultCode.PLATFORM_UNREACHABLE, [f"the platform cannot be read: {failure.reason}"]
+    )
+
+
+def failed_change(outcome: EditConflict | EditInvalid | NoBase | Unfinished, name: str) -> Report:
+    """Report a change that was not accepted, or that may have been."""
+    if isinstance(outcome, EditConflict):
+        return problem(
+            outcome.code,
+            [f"{name}: conflict: {conflict_reason(outcome)}"],
+            service=name,
+            field=outcome.field,
+            expected=outcome.expected,
+            current=outcome.current,
+            revision=outcome.revision,
+        )
+    if isinstance(outcome, Unfinished):
+        return unfinished(outcome, name)
+    report = invalid(outcome.faults)
+    if isinstance(outcome, NoBase):
+        hint = "no accepted revision is left in the copy or on an agent; see apply --replace-bad"
+        report.lines.append(f"{name}: {hint}")
+    return report
+
+
+def unfinished(outcome: Unfinished, name: str) -> Report:
+    """Report a change that ran out of time."""
+    text = "was not written"
+    if outcome.maybe_written:
+        text = "may have taken effect (see `poplarctl history`)"
+    return problem(outcome.code, [f"{name}: the change {text}: {outcome.reason}"], service=name)
+
+
+def show(report: Report, output: str) -> None:
+    """Print a report; a problem goes to standard error unless the output is JSON."""
+    if output == "json":
+        document = {
+            "result": report.code.name.lower(),
+            "code": int(report.code),
+            **report.document,
+        }
+        text = msgspec.json.format(msgspec.json.encode(document), indent=2).decode()
+        sys.stdout.write(text + "\n")
+        return
+    stream = sys.stdout if report.status is ExitStatus.DONE else sys.stderr
+    for line in report.lines:
+        stream.write(line + "\n")
+
+
+def progress(line: str, output: str) -> None:
+    """Print a progress line where it does not disturb a JSON document."""
+    stream = sys.stderr if output == "json" else sys.stdout
+    stream.write(line + "\n")
+    stream.flush()
--- /dev/null
+++ b/poplarlane/programs/ctl/waiting.py
@@ -0,0 +1,140 @@
+"""Waiting until a revision is in force on every agent and entry."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from poplarlane.outcomes import ResultCode
+from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
+from poplarlane.programs.ctl.fleet import AgentPlace, Coverage, ask_agents, find_agents
+from poplarlane.programs.ctl.reports import Report, done, problem, progress
+from poplarlane.settings import CtlSettings
+
+POLL_INTERVAL_S = 0.05
+# The VM list lags anyway, and reading it is a counted call.
+LIST_INTERVAL_S = 2.0
+MAX_NAMED_MEMBERS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Waited:
+    """Hold how a wait ended and the seconds that it took."""
+
+    coverage: Coverage | None
+    elapsed_s: float
+    reason: str
+
+
+class Wait:
+    """Poll agents until a revision is in force everywhere or the time is up."""
+
+    __slots__ = (
+        "settings",
+        "client",
+        "service",
+        "revision",
+        "began",
+        "deadline",
+        "output",
+        "places",
+        "listed_at",
+        "shown",
+    )
+
+    def __init__(
+        self,
+        settings: CtlSettings,
+        client: PlatformClient,
+        service: str,
+        revision: int,
+        timeout_s: float,
+        output: str,
+    ) -> None:
+        self.settings = settings
+        self.client = client
+        self.service = service
+        self.revision = revision
+        self.began = time.monotonic()
+        self.deadline = self.began + timeout_s
+        self.output = output
+        self.places: list[AgentPlace] | PlatformFailure = []
+        self.listed_at = float("-inf")
+        self.shown: tuple[int, int] | None = None
+
+    async def run(self) -> Waited:
+        """Poll, with a progress line whenever the counts change."""
+        while True:
+            coverage = await self.poll()
+            elapsed_s = time.monotonic() - self.began
+            if coverage is not None:
+                self.show_progress(coverage, elapsed_s)
+                if coverage.complete:
+                    return Waited(coverage, elapsed_s, "")
+            if time.monotonic() >= self.deadline:
+                return Waited(coverage, elapsed_s, self.missing(coverage))
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def poll(self) -> Coverage | None:
+        """Ask every agent once; None when no agent is known."""
+        await self.refresh_places()
+        if isinstance(self.places, PlatformFailure) or not self.places:
+            return None
+        return Coverage(await ask_agents(self.places), self.service, self.revision)
+
+    async def refresh_places(self) -> None:
+        """Read the list of agents now and then; the last good list is kept."""
+        if time.monotonic() - self.listed_at < LIST_INTERVAL_S:
+            return
+        places = await find_agents(self.settings, self.client)
+        if not isinstance(places, PlatformFailure):
+            self.listed_at = time.monotonic()
+            self.places = places
+        elif not self.places:
+            self.places = places
+
+    def show_progress(self, coverage: Coverage, elapsed_s: float) -> None:
+        """Print how far the revision has come, when that has changed."""
+        counts = (len(coverage.holding), len(coverage.lacking))
+        if counts == self.shown:
+            return
+        self.shown = counts
+        line = (
+            f"{self.service}: revision {self.revision} in force on {counts[0]} of {sum(counts)} "
+            f"after {elapsed_s:.2f} s"
+        )
+        if coverage.lacking:
+            line += f"; waiting for {some(coverage.lacking)}"
+        progress(line, self.output)
+
+    def missing(self, coverage: Coverage | None) -> str:
+        """Say what the wait still lacked when its time was up."""
+        if coverage is not None:
+            return f"not in force on {some(coverage.lacking)}"
+        if isinstance(self.places, PlatformFailure):
+            return f"the list of agents cannot be read: {self.places.reason}"
+        return "no agent is known; set `agents` or register VMs with role poplarlane"
+
+
+def some(names: list[str]) -> str:
+    """List the first few names."""
+    text = ", ".join(names[:MAX_NAMED_MEMBERS])
+    rest = len(names) - MAX_NAMED_MEMBERS
+    return f"{text} and {rest} more" if rest > 0 else text
+
+
+def wait_report(waited: Waited, service: str, revision: int) -> Report:
+    """Report how a wait ended."""
+    document = {
+        "service": service,
+        "revision": revision,
+        "in_force": not waited.reason,
+        "waited_s": round(waited.elapsed_s, 3),
+        "holding": waited.coverage.holding if waited.coverage else [],
+        "lacking": waited.coverage.lacking if waited.coverage else [],
+    }
+    if waited.reason:
+        text = f"{service}: revision {revision}: {waited.reason} after {waited.elapsed_s:.2f} s"
+        return problem(ResultCode.WAIT_TIMED_OUT, [text], **document)
+    count = len(waited.coverage.holding)
+    text = f"{service}: revision {revision} in force everywhere ({count} processes)"
+    return done([f"{text} after {waited.elapsed_s:.2f} s"], **document)
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -103,6 +103,8 @@
     platform_port: Port
     operator: str = "unknown"
     agents: list[PeerSettings] = []
+    # Used for VMs whose entry on the platform's list names no admin port.
+    agent_admin_port: Port | None = None
     timeout_ms: Milliseconds = 5_000
 
 
