Read the agents' status pages as the agent gives them

Change: fleet.py decodes agent, services, rejected and entries, and takes the object in force from /status?service=NAME; entries silent for 10 s are shown but not awaited. Conclusion: to be run against real agents next.

--- a/poplarlane/programs/ctl/fleet.py
+++ b/poplarlane/programs/ctl/fleet.py
@@ -15,6 +15,8 @@
 POPLARLANE_ROLE = "poplarlane"
 # Agents that hold the same revision hold the same object, so a few are enough.
 MAX_READS = 3
+# Entries report every 500 ms; one that was silent this long has gone and serves no caller.
+ENTRY_SILENCE_S = 10.0
 
 
 class RejectedObject(msgspec.Struct):
@@ -26,27 +28,39 @@
 
 
 class EntryStatus(msgspec.Struct):
-    """Hold what an agent knows about one of its entries."""
+    """Hold what an agent knows about one of its entries; `rejected` maps services to reasons."""
 
-    name: str = ""
     ready: bool = False
     draining: bool = False
+    age_s: float = 0.0
     applied: dict[str, int] = {}
     rejected: dict[str, str] = {}
 
+    @property
+    def counts(self) -> bool:
+        """Tell whether a revision has to reach this entry to be in force everywhere."""
+        return not self.draining and self.age_s < ENTRY_SILENCE_S
+
 
 class AgentStatus(msgspec.Struct):
     """Hold the part of an agent's status page that poplarctl uses."""
 
-    name: str = ""
+    agent: str
     data_centre: str = ""
     ready: bool = False
-    revisions: dict[str, int] = {}
-    rejected: list[RejectedObject] = []
-    entries: list[EntryStatus] = []
+    services: dict[str, int] = {}
+    rejected: dict[str, RejectedObject] = {}
+    entries: dict[str, EntryStatus] = {}
+
+
+class ServiceStatus(msgspec.Struct):
+    """Hold the object of one service as an agent holds it, in JSON."""
+
+    object: str
 
 
 STATUS_DECODER = msgspec.json.Decoder(AgentStatus)
+SERVICE_STATUS_DECODER = msgspec.json.Decoder(ServiceStatus)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,10 +140,10 @@
         return FleetView()
     fleet = await ask_agents(places)
     statuses = fleet.statuses()
-    held = [status.revisions.get(name, 0) for status in statuses]
-    applied = [entry.applied.get(name, 0) for status in statuses for entry in status.entries]
-    newest = max([*held, *applied], default=0)
-    holders = [place for place, status in fleet.answered if status.revisions.get(name) == newest]
+    held = [status.services.get(name, 0) for status in statuses]
+    entries = [entry for status in statuses for entry in status.entries.values()]
+    newest = max([*held, *(entry.applied.get(name, 0) for entry in entries)], default=0)
+    holders = [place for place, status in fleet.answered if status.services.get(name) == newest]
     objects = await asyncio.gather(*(read_object(place, name) for place in holders[:MAX_READS]))
     found = [service for service in objects if service is not None]
     best = max(found, key=lambda service: service.revision, default=None)
@@ -138,10 +152,14 @@
 
 async def read_object(place: AgentPlace, name: str) -> ServiceObject | None:
     """Read the object that an agent holds; None when it gives no valid one."""
-    body = await read_admin(place.address, place.port, f"/services/{name}")
+    body = await read_admin(place.address, place.port, f"/status?service={name}")
     if isinstance(body, CallFailure):
         return None
-    checked = check_service(body, name)
+    try:
+        held = SERVICE_STATUS_DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    checked = check_service(held.object.encode(), name)
     return None if isinstance(checked, list) else checked
 
 
@@ -154,10 +172,10 @@
         self.holding: list[str] = []
         self.lacking: list[str] = []
         for status in fleet.statuses():
-            self.add(f"agent {status.name}", status.revisions.get(service, 0), revision)
-            for entry in status.entries:
-                if not entry.draining:
-                    self.add(f"entry {entry.name}", entry.applied.get(service, 0), revision)
+            self.add(f"agent {status.agent}", status.services.get(service, 0), revision)
+            for name, entry in status.entries.items():
+                if entry.counts:
+                    self.add(f"entry {name}", entry.applied.get(service, 0), revision)
         self.lacking.extend(
             f"agent {silent.place.name} ({silent.reason})"
             for silent in fleet.silent
--- a/poplarlane/programs/ctl/fleet_commands.py
+++ b/poplarlane/programs/ctl/fleet_commands.py
@@ -80,9 +80,10 @@
     fleet: Fleet, stored: dict[str, int | str] | PlatformFailure, only: str | None
 ) -> Report:
     """Report agents, then services, then rejected objects."""
-    statuses = sorted(fleet.statuses(), key=lambda status: status.name)
+    statuses = sorted(fleet.statuses(), key=lambda status: status.agent)
     lines = [agent_line(status) for status in statuses]
-    lines.extend(entry_line(status.name, entry) for status in statuses for entry in status.entries)
+    for status in statuses:
+        lines.extend(entry_line(status, name) for name in sorted(status.entries))
     lines.extend(f"agent {item.place.name}: no status: {item.reason}" for item in fleet.silent)
     if isinstance(stored, PlatformFailure):
         lines.append(f"platform: cannot be read: {stored.reason}")
@@ -108,7 +109,7 @@
     """Name every service that is stored or held."""
     names = set(stored)
     for status in statuses:
-        names |= status.revisions.keys()
+        names |= status.services.keys()
     return sorted(names)
 
 
@@ -116,20 +117,23 @@
     """Show one agent."""
     state = "ready" if status.ready else "not ready"
     return (
-        f"agent {status.name} ({status.data_centre}): {state}, "
-        f"{len(status.revisions)} services, {len(status.entries)} entries"
+        f"agent {status.agent} ({status.data_centre}): {state}, "
+        f"{len(status.services)} services, {len(status.entries)} entries"
     )
 
 
-def entry_line(agent: str, entry) -> str:
-    """Show one entry."""
+def entry_line(status: AgentStatus, name: str) -> str:
+    """Show one entry of an agent."""
+    entry = status.entries[name]
     state = "draining" if entry.draining else "ready" if entry.ready else "not ready"
-    return f"entry {entry.name} (of {agent}): {state}, {len(entry.applied)} services"
+    if not entry.counts and not entry.draining:
+        state = f"silent for {entry.age_s:.0f} s"
+    return f"entry {name} (of {status.agent}): {state}, {len(entry.applied)} services"
 
 
 def service_status(fleet: Fleet, name: str, stored: int | str | None) -> list[str]:
     """Show where a service's newest revision is held."""
-    held = [status.revisions.get(name, 0) for status in fleet.statuses()]
+    held = [status.services.get(name, 0) for status in fleet.statuses()]
     newest = max([*held, stored if isinstance(stored, int) else 0])
     coverage = Coverage(fleet, name, newest)
     total = len(coverage.holding) + len(coverage.lacking)
@@ -145,29 +149,29 @@
     """Collect every rejected object with the agents and entries that report it."""
     found: dict[str, list[str]] = {}
     for status in statuses:
-        for fault in status.rejected:
+        for fault in status.rejected.values():
             text = f"{fault.object}: {fault.field}: {fault.reason}"
-            found.setdefault(text, []).append(status.name)
-        for entry in status.entries:
+            found.setdefault(text, []).append(status.agent)
+        for name, entry in status.entries.items():
             for service, reason in entry.rejected.items():
-                found.setdefault(f"{SERVICES_KIND}/{service}: {reason}", []).append(entry.name)
+                found.setdefault(f"{SERVICES_KIND}/{service}: {reason}", []).append(name)
     return found
 
 
 def agent_document(status: AgentStatus) -> dict[str, object]:
     """Give one agent and its entries for programs."""
     return {
-        "agent": status.name,
+        "agent": status.agent,
         "data_centre": status.data_centre,
         "ready": status.ready,
-        "revisions": status.revisions,
+        "revisions": status.services,
         "entries": [
             {
-                "entry": entry.name,
+                "entry": name,
                 "ready": entry.ready,
                 "draining": entry.draining,
                 "applied": entry.applied,
             }
-            for entry in status.entries
+            for name, entry in status.entries.items()
         ],
     }
