--- a/poplarlane/bench/entry_cost.py
+++ b/poplarlane/bench/entry_cost.py
@@ -23,6 +23,7 @@
 TARGETS = 17
 CALLERS = 16
 OPEN_LOOP_CALLERS = 64
+POLL_S = 0.0015
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 MAX_CPU_RATIO = 1.3
 MAX_ADDED_P99_MS = 1.7
@@ -114,9 +115,9 @@
     end = at + seconds
     while at < end:
         at += generator.expovariate(rate)
-        left = at - time.monotonic()
-        if left > 0:
-            await asyncio.sleep(left)
+        while (left := at - time.monotonic()) > 0:
+            # The event loop rounds sleeps up to 1 ms, which would send requests in bursts.
+            await asyncio.sleep(left - POLL_S if left > POLL_S else 0)
         if idle:
             idle.pop().send(at)
         else:
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -10,6 +10,7 @@
     CONTINUE,
     HEAD_END,
     RequestHead,
+    ends_cleanly,
     head_fault,
     partial_head_fault,
     read_request_head,
@@ -47,7 +48,8 @@
         "parts",
         "body_bytes",
         "raw_bytes",
-        "tail",
+        "before",
+        "recent",
         "head",
         "body",
         "request_id",
@@ -71,7 +73,9 @@
         self.parts: list[bytes] = []
         self.body_bytes = 0
         self.raw_bytes = 0
-        self.tail = b""
+        # The last input, and the end of the input before it.
+        self.before = b""
+        self.recent = b""
         self.head: RequestHead | None = None
         self.body = b""
         self.request_id = 0
@@ -122,7 +126,8 @@
                 return
             data = buffer
         self.raw_bytes += len(data)
-        self.tail = (self.tail + data)[-4:] if len(data) < 4 else data[-4:]
+        self.before = (self.before + self.recent[-4:])[-4:]
+        self.recent = data
         parser.receive_data(data)
         self.read_events(parser)
 
@@ -205,21 +210,17 @@
 
     def take_end(self, parser: h11.Connection) -> None:
         """Hand a whole request to the shell."""
-        if parser.trailing_data[0]:
-            self.pipelined()
-        elif self.tail != HEAD_END and self.is_chunked():
+        trailing = parser.trailing_data[0]
+        if self.head.chunked and not ends_cleanly(self.before + self.recent, len(trailing)):
             self.refuse(400, "bare LF at the end of a chunked body")
             return
+        if trailing:
+            self.pipelined()
         parts = self.parts
         self.body = b"".join(parts) if parts else b""
         self.expires_at = 0.0
         self.shell.request_read(self)
 
-    def is_chunked(self) -> bool:
-        """Tell whether the current request's body is chunked."""
-        headers = self.event.headers.raw_items()
-        return any(name.lower() == b"transfer-encoding" for name, _ in headers)
-
     def pipelined(self) -> None:
         """Stop reading: bytes after a request close the connection once it is answered."""
         if not self.close_after:
@@ -259,7 +260,8 @@
         if self.parts:
             self.parts = []
             self.body_bytes = 0
-        self.tail = b""
+        self.before = b""
+        self.recent = b""
         self.expires_at = self.shell.now() + self.shell.idle_timeout_s
 
     def is_idle(self) -> bool:
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -88,6 +88,11 @@
     return None
 
 
+def ends_cleanly(seen: bytes, trailing: int) -> bool:
+    """Tell whether a chunked message ends with CRLF CRLF before its trailing bytes."""
+    return seen[: len(seen) - trailing].endswith(HEAD_END)
+
+
 def connection_tokens(value: bytes) -> frozenset[bytes]:
     """Split a connection header into its lower-case names."""
     return frozenset(token.strip(b" \t") for token in value.lower().split(b","))
@@ -107,6 +112,7 @@
         "request_id",
         "traceparent",
         "length",
+        "chunked",
         "forwarded",
         "fault",
     )
@@ -122,6 +128,7 @@
         self.request_id = b""
         self.traceparent = b""
         self.length = 0
+        self.chunked = False
         self.forwarded = b""
         self.fault = ""
 
@@ -143,6 +150,8 @@
                 named |= connection_tokens(value)
             elif lower == b"content-length":
                 head.length = int(value)
+            elif lower == b"transfer-encoding":
+                head.chunked = True
             elif trusted:
                 read_trusted_header(head, lower, value)
         elif lower == b"traceparent":
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -10,6 +10,7 @@
 from poplarlane.plumbing.heads import (
     HEAD_END,
     AnswerHead,
+    ends_cleanly,
     head_fault,
     partial_head_fault,
     read_answer_head,
@@ -86,7 +87,8 @@
         "buffer",
         "in_body",
         "informational",
-        "tail",
+        "before",
+        "recent",
         "idle_since",
         "closed",
     )
@@ -101,7 +103,9 @@
         self.buffer = b""
         self.in_body = False
         self.informational = 0
-        self.tail = b""
+        # The last input of the exchange, and the end of the input before it.
+        self.before = b""
+        self.recent = b""
         self.idle_since = 0.0
         self.closed = False
 
@@ -118,6 +122,8 @@
         self.parser.send(PARSER_END)
         self.in_body = False
         self.informational = 0
+        self.before = b""
+        self.recent = b""
         data, exchange.data = exchange.data, b""
         self.transport.write(data)
 
@@ -134,7 +140,8 @@
             if not self.check_head(buffer):
                 return
             data = buffer
-        self.tail = (self.tail + data)[-4:] if len(data) < 4 else data[-4:]
+        self.before = (self.before + self.recent[-4:])[-4:]
+        self.recent = data
         self.parser.receive_data(data)
         self.read_events(exchange)
 
@@ -222,13 +229,15 @@
     def take_end(self, exchange: Exchange, parser: h11.Connection) -> None:
         """Hand over a whole answer and keep the connection when it is clean."""
         head = exchange.head
-        if head.chunked and not exchange.is_head and not self.ends_cleanly(parser):
+        trailing = len(parser.trailing_data[0])
+        chunked = head.chunked and not exchange.is_head
+        if chunked and not ends_cleanly(self.before + self.recent, trailing):
             self.fail(FailureCause.ANSWER_INVALID, "bare LF at the end of a chunked body")
             return
         clean = (
             self.reusable
             and head.reusable
-            and not parser.trailing_data[0]
+            and not trailing
             and not self.transport.get_write_buffer_size()
         )
         self.exchange = None
@@ -239,10 +248,6 @@
             self.abort()
         self.shell.answer_read(exchange)
 
-    def ends_cleanly(self, parser: h11.Connection) -> bool:
-        """Tell whether a chunked body ended with CRLF CRLF, or is followed by other bytes."""
-        return bool(parser.trailing_data[0]) or self.tail == HEAD_END
-
     def eof_received(self) -> bool:
         """Let the transport close; connection_lost reports it."""
         return False
