--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -152,6 +152,7 @@
         "name",
         "incarnation",
         "policy_name",
+        "hedged_reads",
         "delay_s_by_data_centre",
         "drain_accept_s",
         "drain_limit_s",
@@ -180,6 +181,7 @@
         self.name = name
         self.incarnation = incarnation
         self.policy_name = ""
+        self.hedged_reads = True
         self.delay_s_by_data_centre: dict[str, float] = {}
         self.drain_accept_s = 2.0
         self.drain_limit_s = 30.0
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -51,9 +51,10 @@
 
 
 def review(service: ServiceHealth, loads: list[TargetLoad], now: float) -> list[TargetLoad]:
-    """Update the estimates and verdicts of a service when due; return targets with a new verdict.
+    """Update the estimates and verdicts of a service when due; return what peers should know.
 
-    `loads` holds all targets of the service that are not leaving.
+    `loads` holds all targets of the service that are not leaving. Returned are the targets that
+    are avoided from now on or no longer.
     """
     if now - service.reviewed_at < REVIEW_INTERVAL_S or not loads:
         return []
--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -359,7 +359,9 @@
 def rank_by_hash(key: str, names: list[str]) -> list[str]:
     """Order names by rendezvous hashing: a change of one name moves only that name."""
     return sorted(
-        names, key=lambda name: (xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name), reverse=True
+        names,
+        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name),
+        reverse=True,
     )
 
 
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -144,7 +144,7 @@
             request.deadline,
         )
     )
-    if request.hedge and not request.hedged:
+    if request.hedge and not request.hedged and state.hedged_reads:
         schedule_hedge(state, request, load.verdict is Verdict.AVOIDED, now, effects)
     return attempt
 
--- a/poplarlane/decisions/verdicts.py
+++ b/poplarlane/decisions/verdicts.py
@@ -32,16 +32,22 @@
 def apply_doubts(
     loads: list[TargetLoad], doubts: list[float], common: float, now: float
 ) -> list[TargetLoad]:
-    """Set new verdicts, at most a third of the targets avoided; return the changed targets."""
+    """Set new verdicts, at most a third of the targets avoided at once.
+
+    Returns the targets that are avoided from now on or no longer. Suspects come and go too often
+    to be worth telling other entries.
+    """
     found = [
         next_verdict(load, doubt - common, now) for load, doubt in zip(loads, doubts, strict=True)
     ]
     spare_some(loads, doubts, found)
     changed = []
     for load, new in zip(loads, found, strict=True):
-        if new != load.verdict:
-            enter_verdict(load, new, now)
+        if new == load.verdict:
+            continue
+        if Verdict.AVOIDED in (new, load.verdict):
             changed.append(load)
+        enter_verdict(load, new, now)
     return changed
 
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -37,6 +37,7 @@
     """Build an entry and its admin server."""
     state = EntryState(settings.name, time.time_ns())
     state.policy_name = settings.policy
+    state.hedged_reads = settings.hedged_reads
     state.delay_s_by_data_centre = {
         name: delay / 1000.0 for name, delay in settings.data_centre_delay_ms.items()
     }
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -52,6 +52,7 @@
     agent_port: Port
     seed: int = 0
     policy: str = ""
+    hedged_reads: bool = True
     trusted_sources: list[str] = []
     data_centre_delay_ms: dict[str, float] = {}
     max_head_bytes: PositiveCount = 16_384
