--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -52,6 +52,7 @@
     agent_port: Port
     seed: int = 0
     policy: str = ""
+    hedged_reads: bool = True
     trusted_sources: list[str] = []
     data_centre_delay_ms: dict[str, float] = {}
     max_head_bytes: PositiveCount = 16_384
@@ -133,6 +134,7 @@
     probe_ms: float = 0.0
     report_lag_ms: float = 0.0
     delay_ms_by_source: dict[str, float] = {}
+    ledger_file: str = ""
 
 
 class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
