--- a/poplarlane/bench/entry_cost.py
+++ b/poplarlane/bench/entry_cost.py
@@ -152,7 +152,7 @@
             "sink", "--listen", f"{self.host}:{SINK_PORT}", "--ports", str(TARGETS)
         )
         self.passthrough = self.module(
-            "bare_passthrough",
+            "passthrough",
             *("--listen", f"{self.host}:{PASS_PORT}", "--upstream", f"{self.host}:{SINK_PORT}"),
         )
         self.publisher.publish([self.service()])
