Give each entry an even, deterministic subset of a service's targets

Cause: subset_size was configured but not used. Change: targets lie on a circle, data centres in turn; entries start at evenly spread places, which the agent derives from the ranks of the live entries. Size 0 still uses all.

--- a/poplarlane/decisions/entry_links.py
+++ b/poplarlane/decisions/entry_links.py
@@ -206,6 +206,7 @@
         verdicts,
         membership.fleet_entries(state),
         probes,
+        membership.entry_rank(state, link.name),
     )
     return SendToEntry(link.identity, view)
 
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -9,6 +9,7 @@
 from poplarlane.decisions.policies import Policy
 from poplarlane.decisions.retries import Budget
 from poplarlane.decisions.selectors import Access
+from poplarlane.decisions.subsets import choose_subset
 from poplarlane.outcomes import Refusal
 from poplarlane.types import Priority, RequestKind, TargetLoad
 
@@ -162,6 +163,7 @@
         "members",
         "leaving",
         "fleet_entries",
+        "entry_rank",
         "requests",
         "attempts",
         "next_attempt_id",
@@ -192,6 +194,7 @@
         self.members: dict[str, tuple[int, bool]] = {}
         self.leaving: set[str] = set()
         self.fleet_entries = 1
+        self.entry_rank = 0
         self.requests: dict[int, Request] = {}
         self.attempts: dict[int, Attempt] = {}
         self.next_attempt_id = 1
@@ -234,6 +237,9 @@
     names = frozenset() if denied else service.access.allowed(labels)
     found = [load for name, load in sorted(service.loads.items()) if name in names]
     usable = [load for load in found if not load.leaving] if found else None
+    if usable:
+        bounds = service.limits
+        usable = choose_subset(usable, bounds.subset_size, bounds.entry_rank, bounds.entries)
     if len(service.reachable) >= MAX_CACHED_ACCESSES:
         service.reachable.clear()
     service.reachable[text] = usable
--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -53,6 +53,8 @@
         "loads",
         "queues",
         "queued",
+        "subset_size",
+        "entry_rank",
         "minimum_s",
         "minimum_at",
     )
@@ -72,6 +74,9 @@
         self.loads = loads
         self.queues: dict[Priority, deque[Admissible]] = {name: deque() for name in PRIORITIES}
         self.queued = 0
+        # Targets that one entry uses (0 is all), and its place among the entries.
+        self.subset_size = 0
+        self.entry_rank = 0
         # Time within which a request of this service can be answered at best; 0 is unknown.
         self.minimum_s = 0.0
         self.minimum_at = 0.0
--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -367,13 +367,21 @@
 
 def fleet_entries(state: AgentState) -> int:
     """Count the live entries; those of an agent within a doubtful network still count."""
+    return max(1, len(entry_names(state)))
+
+
+def entry_rank(state: AgentState, name: str) -> int:
+    """Give the place of an entry among the live ones, from 0 on."""
+    return sum(other < name for other in entry_names(state))
+
+
+def entry_names(state: AgentState) -> list[str]:
+    """List the live entries."""
     gone = state.retired
-    return max(
-        1,
-        sum(
-            fact.kind == MemberKind.ENTRY
-            and fact.state in (MemberState.LIVE, MemberState.SUSPECT)
-            and fact.source not in gone
-            for fact in state.facts.values()
-        ),
-    )
+    return [
+        fact.name
+        for fact in state.facts.values()
+        if fact.kind == MemberKind.ENTRY
+        and fact.state in (MemberState.LIVE, MemberState.SUSPECT)
+        and fact.source not in gone
+    ]
--- /dev/null
+++ b/poplarlane/decisions/subsets.py
@@ -0,0 +1,42 @@
+"""Give each entry a part of a service's targets, evenly over entries, targets and data centres.
+
+The targets are placed on a circle, data centres in turn. The entries' starting points are spread
+evenly over it, and each entry uses the next `size` targets. Each target is therefore used by
+`entries * size / targets` entries, one more or one less, and an entry that comes or goes moves
+the starting points of the others by at most one place.
+"""
+
+from collections import defaultdict
+
+import xxhash
+
+from poplarlane.types import TargetLoad
+
+
+def choose_subset(loads: list[TargetLoad], size: int, rank: int, entries: int) -> list[TargetLoad]:
+    """Choose `size` targets for the entry with this rank among the live entries; 0 means all."""
+    count = len(loads)
+    if size <= 0 or size >= count:
+        return loads
+    circle = interleave(loads)
+    entries = max(1, entries)
+    start = rank % entries * count // entries
+    return [circle[(start + step) % count] for step in range(size)]
+
+
+def interleave(loads: list[TargetLoad]) -> list[TargetLoad]:
+    """Order targets so that every stretch holds each data centre in proportion to its size."""
+    by_data_centre: dict[str, list[TargetLoad]] = defaultdict(list)
+    for load in sorted(loads, key=place):
+        by_data_centre[load.target.data_centre].append(load)
+    placed = []
+    for name, members in sorted(by_data_centre.items()):
+        for number, load in enumerate(members):
+            placed.append(((number + 0.5) / len(members), name, number, load))
+    placed.sort(key=lambda item: item[:3])
+    return [item[3] for item in placed]
+
+
+def place(load: TargetLoad) -> tuple[int, str]:
+    """Give the target's place among those of its data centre, the same in every entry."""
+    return xxhash.xxh64_intdigest(load.target.name.encode()), load.target.name
--- a/poplarlane/decisions/verdicts.py
+++ b/poplarlane/decisions/verdicts.py
@@ -62,7 +62,8 @@
 def spare_some(loads: list[TargetLoad], doubts: list[float], found: list[Verdict]) -> None:
     """Turn the least doubtful avoided verdicts into suspects when there are too many."""
     avoided = [index for index, new in enumerate(found) if new == Verdict.AVOIDED]
-    allowed = int(len(loads) * MAX_AVOIDED_SHARE)
+    # Targets outside the entry's subset never answer and are no replacement.
+    allowed = int(sum(load.answers > 0 for load in loads) * MAX_AVOIDED_SHARE)
     if len(avoided) <= allowed:
         return
     avoided.sort(key=lambda index: -severity(loads[index], doubts[index]))
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -34,7 +34,9 @@
     changed = [body for body in view.services if take_service(state, body, effects)]
     if changed:
         rebuild_hosts(state, effects)
-    if view.fleet_entries != state.fleet_entries or changed:
+    resized = (view.fleet_entries, view.entry_rank) != (state.fleet_entries, state.entry_rank)
+    if resized or changed:
+        state.entry_rank = view.entry_rank
         share_limits(state, max(1, view.fleet_entries), effects)
     for notice in view.members:
         take_member(state, notice, effects)
@@ -114,6 +116,7 @@
     if isinstance(service.policy, Adaptive):
         service.policy.slots = found.limits.slots_per_target
     set_limits(state, service, found.limits, fresh)
+    service.limits.subset_size = found.limits.subset_size
     refresh_usable(service)
 
 
@@ -184,6 +187,8 @@
     state.fleet_entries = entries
     for service in state.services.values():
         service.limits.entries = entries
+        service.limits.entry_rank = state.entry_rank
+        refresh_usable(service)
         share = limits.connection_share(service.limits)
         for load in service.loads.values():
             effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
--- a/poplarlane/messages.py
+++ b/poplarlane/messages.py
@@ -62,7 +62,8 @@
 class ViewUpdate(msgspec.Struct, tag=2, array_like=True):
     """Bring an entry's view up to date; `complete` says that nothing is missing.
 
-    `fleet_entries` is the number of live entries, which divides connections and slots.
+    `fleet_entries` is the number of live entries, which divides connections and slots, and
+    `entry_rank` the place of the receiving entry among them, from 0 on.
     """
 
     agent: str
@@ -74,6 +75,7 @@
     verdicts: list[VerdictNotice]
     fleet_entries: int
     probes: list[ProbeNotice] = []
+    entry_rank: int = 0
 
 
 class EntryReport(msgspec.Struct, tag=3, array_like=True):
