Spread entries that hold the same knowledge; add the routing feature

Cause: entries with equal stale reports, or with the same probe result, all chose the same target, because tiny differences still decided. Change: differences below 0.05 requests count as ties, which a random start breaks; a low probe result serves the probe pool only, which draws five targets first; entries take probe results.

--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -17,6 +17,9 @@
 REPORT_MEMORY_TYPICAL = 0.5
 # Assumed until the first answers arrive.
 DEFAULT_TYPICAL_S = 0.01
+# Smaller differences between targets are noise. Without this, entries that hold the same stale
+# reports would all choose the same target.
+TIE_REQUESTS = 0.05
 # A suspect is chosen only when all others would take this many typical latencies longer.
 SUSPECT_PENALTY_TYPICAL = 3.0
 
@@ -42,6 +45,7 @@
     memory_s = typical_s * REPORT_MEMORY_TYPICAL
     mean = sum([load.reported_in_flight for load in loads]) / count
     start = draw % count
+    tie_s = slot_s * TIE_REQUESTS
     best, best_s = loads[start], math.inf
     for index in range(start - count, start):
         load = loads[index]
@@ -58,6 +62,6 @@
             expected_s += typical_s * (slowness - 1.0)
         if load.verdict is not Verdict.HEALTHY:
             expected_s += SUSPECT_PENALTY_TYPICAL * typical_s
-        if expected_s < best_s:
+        if expected_s < best_s - tie_s:
             best, best_s = load, expected_s
     return best
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -182,6 +182,21 @@
     load.sent_since_report = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
 
 
+def observe_probe(load: TargetLoad, in_flight: float, at: float, now: float) -> None:
+    """Record a probe result that was true at `at`.
+
+    All entries hear of a probe at once. A low number must not send them all to the same target,
+    so it serves the probe pool only; a high one also replaces an older report.
+    """
+    if at <= load.probed_at or at > now or in_flight < 0.0:
+        return
+    load.probed_in_flight = in_flight
+    load.probed_at = at
+    if at > load.reported_at and in_flight > load.reported_in_flight:
+        load.reported_in_flight = in_flight
+        load.reported_at = at
+
+
 def observe_peer_verdict(load: TargetLoad, verdict: Verdict, expires_at: float, now: float) -> None:
     """Record what another entry concluded; it counts until `expires_at`."""
     if now >= load.peer_verdict_expires_at:
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -15,6 +15,8 @@
 from poplarlane.decisions.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad
 
+PROBE_CHOICES = 5
+
 
 def pick(draw: int, count: int) -> tuple[int, int]:
     """Take a number below `count` from the random bits; return it and the remaining bits."""
@@ -97,17 +99,36 @@
     if due is not None:
         return due
     usable = usable_targets(candidates, now, draw) or candidates
-    fresh = [load for load in usable if now - load.reported_at <= policy.max_age_s]
+    fresh = [load for load in usable if now - known_at(load) <= policy.max_age_s]
     if len(fresh) < 2:
         return usable[draw % len(usable)]
+    # Entries that hold the same probe results must not all choose the same target.
+    pool = draw_some(fresh, PROBE_CHOICES, draw)
     loads = sorted(estimated_in_flight(load) for load in fresh)
     limit = loads[int(policy.hot_quantile * (len(loads) - 1))]
-    cold = [load for load in fresh if estimated_in_flight(load) < limit]
+    cold = [load for load in pool if estimated_in_flight(load) < limit]
     if cold:
         return min(cold, key=lambda load: load.latency_s + load.distance_s)
-    return min(fresh, key=estimated_in_flight)
+    return min(pool, key=estimated_in_flight)
+
+
+def draw_some(loads: list[TargetLoad], count: int, draw: int) -> list[TargetLoad]:
+    """Draw `count` different targets."""
+    left = list(loads)
+    drawn = []
+    while left and len(drawn) < count:
+        index, draw = pick(draw, len(left))
+        drawn.append(left.pop(index))
+    return drawn
+
+
+def known_at(load: TargetLoad) -> float:
+    """Give the time of the newest report or probe."""
+    return max(load.reported_at, load.probed_at)
 
 
 def estimated_in_flight(load: TargetLoad) -> float:
-    """Give the reported requests in flight plus those sent since the report."""
+    """Give the newest number of requests in flight plus those that this entry sent since."""
+    if load.probed_at > load.reported_at:
+        return load.probed_in_flight + load.sent_since_report
     return load.reported_in_flight + load.sent_since_report
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions.reports import current_report, hello
 from poplarlane.decisions.requests import send_queued
 from poplarlane.decisions.validation import check_service
-from poplarlane.messages import MemberNotice, ServiceBody, VerdictNotice, ViewUpdate
+from poplarlane.messages import MemberNotice, ProbeNotice, ServiceBody, VerdictNotice, ViewUpdate
 from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
 from poplarlane.types import (
     MemberKind,
@@ -42,6 +42,8 @@
         take_member(state, notice, effects)
     for verdict in view.verdicts:
         take_verdict(state, verdict, event.now)
+    for probe in view.probes:
+        take_probe(state, probe, event.now)
     if view.complete and not state.ready:
         state.ready = True
         effects.append(Log("ready", "info", {"services": len(state.services)}))
@@ -232,6 +234,15 @@
     return None
 
 
+def take_probe(state: EntryState, notice: ProbeNotice, now: float) -> None:
+    """Record what a probe of any VM found."""
+    service = state.services.get(notice.service)
+    load = service.loads.get(notice.target) if service else None
+    if load is not None:
+        in_flight = notice.in_flight + notice.queued
+        health.observe_probe(load, in_flight, now - notice.age_s, now)
+
+
 def take_verdict(state: EntryState, notice: VerdictNotice, now: float) -> None:
     """Record what another entry concluded about a target."""
     service = state.services.get(notice.service)
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -99,6 +99,8 @@
         "reported_in_flight",
         "reported_at",
         "report_repeats",
+        "probed_in_flight",
+        "probed_at",
         "latency_s",
         "latency_at",
         "latency_weight",
@@ -138,6 +140,9 @@
         self.reported_at = -math.inf
         # How many reports in a row gave the same number.
         self.report_repeats = 0
+        # The last probe, which all entries hear of at the same time.
+        self.probed_in_flight = 0.0
+        self.probed_at = -math.inf
         self.latency_s = 0.0
         self.latency_at = 0.0
         # Number of recent answers behind latency_s, decayed with age.
