Add the feature on detection of faulty targets

Guards against late detection, false verdicts in a surge, too many targets avoided, too many trials, returns at once, entries misled by peers, lying reports and hidden slow targets.

--- /dev/null
+++ b/features/target_health.feature
@@ -0,0 +1,66 @@
+Feature: Detection of faulty targets from traffic
+  Targets give no warning. Evidence comes from answers, from silence, and from other entries.
+
+  Scenario Outline: A hidden fault is detected from few requests and healthy targets are not blamed
+    A fault that stays unnoticed keeps its share of requests; a false verdict loses capacity.
+    Given 17 targets that one entry has used for 20 seconds
+    When the fault begins: one target <fault>
+    Then it is avoided after at most <requests> of its requests
+    And at most 1 other target is avoided at the same time
+
+    Examples:
+      | fault                               | requests |
+      | becomes 10 times slower             | 5        |
+      | fails at once                       | 4        |
+      | leaves its requests without answers | 3        |
+
+  Scenario: A surge that slows all targets is not blamed on some of them
+    Avoiding a third of the targets during a surge would overload the others.
+    Given 17 targets that one entry has used for 20 seconds
+    When all targets become 4 times slower
+    Then at most 2 targets are avoided at any time
+
+  Scenario: Failures of all targets are not blamed on some of them
+    Given 17 targets that one entry has used for 20 seconds
+    When all targets fail at once
+    Then at most 5 targets are avoided at any time
+
+  Scenario: At most a third of the targets is avoided, whatever is observed
+    Then for any observations at most a third of the targets is avoided
+
+  Scenario: An avoided target gets few trials and returns in steps
+    Many trials would cost callers; a return at once would send all entries to a cold target.
+    Given 17 targets that one entry has used for 20 seconds
+    And one target is avoided
+    When the entry sends 100 requests a second for 60 seconds
+    Then the avoided target gets at least 3 and at most 12 of them while it stays slow
+    When the avoided target answers its trials in time
+    Then its share grows in steps of an eighth, a quarter and a half within 2 seconds
+
+  Scenario: Verdicts of peers lower the threshold but decide nothing alone
+    One entry with a faulty network must not make all others avoid healthy targets.
+    Given 17 targets that one entry has used for 20 seconds
+    When 10 peers call a target avoided
+    Then the target of these steps is not avoided
+    And good answers of the target cancel what the peers said
+    But with the peers' verdict one request without an answer is enough to avoid it
+
+  Scenario: A frozen report and one that does not fit the latency are not believed
+    A target that always reports no load would attract requests until it is far slower.
+    Given 17 targets that one entry has used for 20 seconds
+    When one target reports 0 requests in flight in 20 answers
+    Then its reports are not believed
+    When one target answers 3 times slower and reports less load than the others
+    Then its reports are not believed
+
+  Scenario: A target that sheds is paused, longer each time, and is not called faulty
+    Given 17 targets that one entry has used for 20 seconds
+    When one target refuses 3 requests as not run
+    Then it is chosen for no request during the next 150 ms
+    And the target of these steps is not avoided
+
+  Scenario: A cancelled request counts as slow
+    A hedge that wins would otherwise hide the slow target for ever.
+    Given 17 targets that one entry has used for 20 seconds
+    When 2 requests to one target are cancelled after 10 service times
+    Then the target of these steps is avoided
