--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -35,7 +35,15 @@
 class ServiceHealth:
     """Hold what one entry knows about a whole service."""
 
-    __slots__ = ("latencies", "position", "typical_s", "p95_s", "fast_s", "reviewed_at")
+    __slots__ = (
+        "latencies",
+        "position",
+        "typical_s",
+        "p95_s",
+        "fast_s",
+        "review_at",
+        "quantiles_at",
+    )
 
     SAMPLES = 256
 
@@ -48,7 +56,9 @@
         self.p95_s = 0.0
         # Tenth percentile: the shortest time that an answer can be expected to take.
         self.fast_s = 0.0
-        self.reviewed_at = -math.inf
+        # Instants from which the next review and the next quantiles are due.
+        self.review_at = -math.inf
+        self.quantiles_at = -math.inf
 
 
 def observe_latency(service: ServiceHealth, latency_s: float) -> None:
@@ -182,6 +192,21 @@
     load.sent_since_report = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
 
 
+def observe_probe(load: TargetLoad, in_flight: float, at: float, now: float) -> None:
+    """Record a probe result that was true at `at`.
+
+    All entries hear of a probe at once. A low number must not send them all to the same target,
+    so it serves the probe pool only; a high one also replaces an older report.
+    """
+    if at <= load.probed_at or at > now or in_flight < 0.0:
+        return
+    load.probed_in_flight = in_flight
+    load.probed_at = at
+    if at > load.reported_at and in_flight > load.reported_in_flight:
+        load.reported_in_flight = in_flight
+        load.reported_at = at
+
+
 def observe_peer_verdict(load: TargetLoad, verdict: Verdict, expires_at: float, now: float) -> None:
     """Record what another entry concluded; it counts until `expires_at`."""
     if now >= load.peer_verdict_expires_at:
