--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -190,22 +190,22 @@
 def place(state: AgentState, where: Sender | AliveNotice, heard_at: float) -> list[Effect]:
     """Add an agent, or follow it to a new address."""
     peer = state.peers.get(where.name)
-    if peer is None:
+    effects: list[Effect] = []
+    if peer is None or peer.advertised != where.address:
         effects = forget_placeholders(state, where)
+    if peer is None:
         state.retired.pop(where.name, None)
         peer = Peer(where.name, where.data_centre, where.address, where.port, heard_at)
+        peer.advertised = where.address
         state.peers[where.name] = peer
         return [*effects, ConnectPeer(where.name, where.address, where.port)]
     peer.data_centre = where.data_centre
     # A seed's address may lead through a proxy; it stays until the agent itself moves.
-    moved = (peer.address, peer.port) != (where.address, where.port)
-    known_before = peer.contacted and where.incarnation > peer.incarnation
-    if moved and known_before and peer.advertised not in ("", where.address):
+    if where.incarnation > peer.incarnation and peer.advertised not in ("", where.address):
         peer.address, peer.port = where.address, where.port
-        peer.advertised = where.address
-        return [ConnectPeer(where.name, where.address, where.port)]
+        effects.append(ConnectPeer(where.name, where.address, where.port))
     peer.advertised = where.address
-    return []
+    return effects
 
 
 def forget_placeholders(state: AgentState, where: Sender | AliveNotice) -> list[Effect]:
@@ -213,7 +213,7 @@
     names = [
         peer.name
         for peer in state.peers.values()
-        if not peer.contacted and (peer.address, peer.port) == (where.address, where.port)
+        if not peer.contacted and not peer.seed and peer.address == where.address
     ]
     for name in names:
         del state.peers[name]
