--- a/poplarlane/decisions/agent_events.py
+++ b/poplarlane/decisions/agent_events.py
@@ -198,6 +198,7 @@
 class ProbeFinished(AgentEvent):
     """A probe ended; `sent` is false only when its bytes certainly never left this process.
 
+    `arrived` tells that the target answered in any way, `answered` that it answered properly;
     `in_flight` is -1 when the target did not answer properly. `reason` is `deadline` when the
     grant ended before the first byte could leave.
     """
@@ -206,6 +207,7 @@
         "service",
         "target",
         "sent",
+        "arrived",
         "answered",
         "in_flight",
         "queued",
@@ -223,6 +225,7 @@
         service: str,
         target: str,
         sent: bool,
+        arrived: bool,
         answered: bool,
         in_flight: int,
         queued: int,
@@ -235,6 +238,7 @@
         self.service = service
         self.target = target
         self.sent = sent
+        self.arrived = arrived
         self.answered = answered
         self.in_flight = in_flight
         self.queued = queued
--- a/poplarlane/decisions/probes.py
+++ b/poplarlane/decisions/probes.py
@@ -135,7 +135,7 @@
         return []
     probe.pending = False
     probe.stagger = 0.0
-    if event.answered:
+    if event.arrived:
         probe.clear_at = max(probe.clear_at, state.now)
         probe.cost_s = event.latency_s
     elif event.sent:
--- a/poplarlane/plumbing/agent_shell.py
+++ b/poplarlane/plumbing/agent_shell.py
@@ -215,6 +215,7 @@
             effect.service,
             effect.target,
             outcome.sent,
+            outcome.arrived,
             found is not None,
             found.in_flight if found else -1,
             found.queued if found else -1,
--- a/poplarlane/plumbing/probe_client.py
+++ b/poplarlane/plumbing/probe_client.py
@@ -24,12 +24,18 @@
 class ProbeOutcome:
     """Hold what came of a probe; `sent` is false only when no byte can have left."""
 
-    __slots__ = ("sent", "answer", "latency_s", "reason")
+    __slots__ = ("sent", "arrived", "answer", "latency_s", "reason")
 
     def __init__(
-        self, sent: bool, answer: ProbeDocument | None, latency_s: float, reason: str
+        self,
+        sent: bool,
+        answer: ProbeDocument | None,
+        latency_s: float,
+        reason: str,
+        arrived: bool = False,
     ) -> None:
         self.sent = sent
+        self.arrived = arrived
         self.answer = answer
         self.latency_s = latency_s
         self.reason = reason
@@ -65,7 +71,7 @@
             answer = await read_answer(reader, connection)
         document = PROBE_DECODER.decode(answer.body) if answer.status == 200 else None
         reason = "" if document else f"status {answer.status}"
-        return ProbeOutcome(sent, document, clock() - started, reason)
+        return ProbeOutcome(sent, document, clock() - started, reason, True)
     except TimeoutError:
         return ProbeOutcome(sent, None, clock() - started, "timeout")
     except (OSError, h11.ProtocolError, msgspec.MsgspecError) as error:
