Add measurements of the control work

Change: bench/control_cost.py with three commands that exit with status 1 past a target; the agent counts its bytes to and from the platform.

--- /dev/null
+++ b/poplarlane/bench/control_cost.py
@@ -0,0 +1,245 @@
+"""Measure what the control work of the agents costs; exit with status 1 past a target.
+
+    python -m poplarlane.bench.control_cost cost --agents 24
+    python -m poplarlane.bench.control_cost cost --agents 24 --services 350 --targets 5300
+    python -m poplarlane.bench.control_cost calls --sizes 6,12,24
+    python -m poplarlane.bench.control_cost in-force --agents 24 --changes 50
+
+Each command prints key=value lines. All processes share one machine, so CPU is given as a share
+of one core, and bytes are those that agents send and receive among each other and exchange with
+the platform.
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections.abc import Callable
+from datetime import datetime
+from typing import Any
+
+import numpy
+import psutil
+
+from poplarlane.bench.layout import AGENT_ADMIN_PORT, PLATFORM_PORT, Layout, Vm
+from poplarlane.bench.processes import Launcher, Process
+from poplarlane.bench.standin_client import call
+
+MAX_IN_FORCE_S = 4.0
+MAX_CPU_SHARE = 0.043
+MAX_MEMORY_MB = 128.0
+MAX_KB_PER_S = 19.0
+# Calls of a fleet may not grow by more than this per added VM and second.
+MAX_CALLS_SLOPE = 0.02
+DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
+SETTLE_S = 5.0
+START_TIMEOUT_S = 60.0
+DAILY_CHANGES = 26_000
+SECONDS_PER_DAY = 86_400
+
+
+class Fleet:
+    """Run agents over a generated configuration whose targets do not exist."""
+
+    __slots__ = ("layout", "generator", "services")
+
+    def __init__(self, launcher: Launcher, seed: int) -> None:
+        self.layout = Layout(launcher, seed)
+        self.generator = random.Random(seed)
+        self.services: dict[str, dict[str, Any]] = {}
+
+    def start(self, agents: int, services: int, targets: int) -> float:
+        """Start everything; give the seconds until all agents were ready."""
+        self.layout.start_platform(writes_per_s=100_000, reads_per_s=100_000)
+        for number in range(services):
+            count = targets // services + (number < targets % services)
+            self.write(self.generated(f"service-{number}", count))
+        for number in range(agents):
+            self.layout.add_vm(f"vm-{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
+        began = time.monotonic()
+        for vm in self.vms:
+            self.layout.start_agent(vm, None)
+        for vm in self.vms:
+            vm.agent.wait_for("ready", START_TIMEOUT_S)
+        return time.monotonic() - began
+
+    @property
+    def vms(self) -> list[Vm]:
+        """List the VMs."""
+        return self.layout.vms
+
+    def generated(self, name: str, targets: int) -> dict[str, Any]:
+        """Build a service object of about 4 KB for 15 targets."""
+        built = self.layout.service_object(name, {})
+        built["targets"] = {
+            f"{name}-target-{number}": {
+                "address": f"10.{number % 250}.{len(self.services) % 250}.{number // 250 + 1}",
+                "port": 20_000 + len(self.services),
+                "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+                "labels": {"role": "serving", "site": "brasov", "floor": str(number % 7)},
+            }
+            for number in range(targets)
+        }
+        return built
+
+    def write(self, service: dict[str, Any]) -> float:
+        """Write an object and its copy; give the wall-clock time before the write."""
+        at = time.time()
+        for kind in ("services", "service-copies"):
+            path = f"/v1/objects/{kind}/{service['service']}"
+            answer = call(self.layout.platform_address, PLATFORM_PORT, "PUT", path, service)
+            if answer.status != 200:
+                raise RuntimeError(f"write of {path} failed with {answer.status}")
+        self.services[service["service"]] = service
+        return at
+
+    def change(self, name: str) -> tuple[int, float]:
+        """Change a label of a service; give the new revision and the time before the write."""
+        service = self.services[name]
+        service["revision"] += 1
+        service["change_id"] = f"{name}-{service['revision']}"
+        for target in service["targets"].values():
+            target["labels"]["floor"] = str(self.generator.randrange(100))
+            break
+        return service["revision"], self.write(service)
+
+    def platform_calls(self) -> int:
+        """Count the calls of agents."""
+        path = "/v1/calls"
+        shown = call(self.layout.platform_address, PLATFORM_PORT, "GET", path).json()
+        callers = shown["by_caller"].items()
+        return sum(count for name, count in callers if name.startswith("agent-"))
+
+
+class Usage:
+    """Hold what an agent used up to one moment."""
+
+    __slots__ = ("cpu_s", "memory_mb", "sent_kb", "received_kb")
+
+    def __init__(self, vm: Vm) -> None:
+        process = psutil.Process(vm.agent.popen.pid)
+        times = process.cpu_times()
+        self.cpu_s = times.user + times.system
+        self.memory_mb = process.memory_info().rss / 1e6
+        shown = call(vm.address, AGENT_ADMIN_PORT, "GET", "/status").json()
+        platform = shown["platform"]
+        self.sent_kb = (shown["exchange"]["sent_bytes"] + platform["sent_bytes"]) / 1e3
+        self.received_kb = (shown["exchange"]["received_bytes"] + platform["received_bytes"]) / 1e3
+
+
+def show(key: str, value: float) -> None:
+    """Print one figure."""
+    print(f"{key}={value:.6g}", flush=True)
+
+
+def keep_changing(fleet: Fleet, seconds: float) -> int:
+    """Make changes at the planned daily rate for some seconds; give their number."""
+    interval_s = SECONDS_PER_DAY / DAILY_CHANGES
+    end = time.monotonic() + seconds
+    count = 0
+    while time.monotonic() < end:
+        fleet.change(fleet.generator.choice(list(fleet.services)))
+        count += 1
+        time.sleep(max(0.0, min(interval_s, end - time.monotonic())))
+    return count
+
+
+def measure_cost(options: argparse.Namespace) -> bool:
+    """Measure CPU, memory and bytes of an agent, worst and mean over the fleet."""
+    with Launcher() as launcher:
+        fleet = Fleet(launcher, options.seed)
+        show("ready_s", fleet.start(options.agents, options.services, options.targets))
+        time.sleep(SETTLE_S)
+        before = [Usage(vm) for vm in fleet.vms]
+        began = time.monotonic()
+        show("changes", keep_changing(fleet, options.seconds))
+        elapsed_s = time.monotonic() - began
+        after = [Usage(vm) for vm in fleet.vms]
+    pairs = list(zip(before, after, strict=True))
+    cpu = [(last.cpu_s - first.cpu_s) / elapsed_s for first, last in pairs]
+    kb = [
+        (last.sent_kb - first.sent_kb + last.received_kb - first.received_kb) / elapsed_s
+        for first, last in pairs
+    ]
+    memory = [last.memory_mb for last in after]
+    for key, values in (("cpu_share", cpu), ("kb_per_s", kb), ("memory_mb", memory)):
+        show(f"{key}_mean", float(numpy.mean(values)))
+        show(f"{key}_max", max(values))
+    within = max(cpu) <= MAX_CPU_SHARE and max(memory) <= MAX_MEMORY_MB
+    return within and max(kb) <= MAX_KB_PER_S
+
+
+def measure_calls(options: argparse.Namespace) -> bool:
+    """Measure calls to the platform at several fleet sizes, and their slope per VM."""
+    sizes = [int(size) for size in options.sizes.split(",")]
+    rates = []
+    for size in sizes:
+        with Launcher() as launcher:
+            fleet = Fleet(launcher, options.seed)
+            fleet.start(size, options.services, options.targets)
+            time.sleep(SETTLE_S)
+            before, began = fleet.platform_calls(), time.monotonic()
+            time.sleep(options.seconds)
+            rate = (fleet.platform_calls() - before) / (time.monotonic() - began)
+        rates.append(rate)
+        show(f"calls_per_s_at_{size}", rate)
+    slope = float(numpy.polyfit(sizes, rates, 1)[0])
+    show("calls_per_s_per_vm", slope)
+    return slope <= MAX_CALLS_SLOPE
+
+
+def measure_in_force(options: argparse.Namespace) -> bool:
+    """Measure the time until a change is in force at every entry."""
+    times = []
+    with Launcher() as launcher:
+        fleet = Fleet(launcher, options.seed)
+        fleet.start(options.agents, options.services, options.targets)
+        for vm in fleet.vms:
+            fleet.layout.start_entry(vm, None)
+        for vm in fleet.vms:
+            vm.entry.wait_for("ready", START_TIMEOUT_S)
+        time.sleep(SETTLE_S)
+        for _ in range(options.changes):
+            name = fleet.generator.choice(list(fleet.services))
+            revision, at = fleet.change(name)
+            times.append(max(applied_at(vm.entry, name, revision) for vm in fleet.vms) - at)
+            time.sleep(fleet.generator.uniform(0.0, 0.3))
+    show("changes", len(times))
+    show("in_force_p50_s", float(numpy.percentile(times, 50)))
+    show("in_force_p99_s", float(numpy.percentile(times, 99)))
+    show("in_force_max_s", max(times))
+    return max(times) <= MAX_IN_FORCE_S
+
+
+def applied_at(entry: Process, name: str, revision: int) -> float:
+    """Give the wall-clock time at which an entry applied a revision."""
+    line = entry.wait_for("service_applied", service=name, revision=str(revision))
+    return datetime.fromisoformat(line.fields["time"]).timestamp()
+
+
+COMMANDS: dict[str, Callable[[argparse.Namespace], bool]] = {
+    "cost": measure_cost,
+    "calls": measure_calls,
+    "in-force": measure_in_force,
+}
+
+
+def main() -> int:
+    """Run one measurement."""
+    parser = argparse.ArgumentParser(description="Measure the control work of the agents.")
+    parser.add_argument("command", choices=sorted(COMMANDS))
+    parser.add_argument("--agents", type=int, default=24)
+    parser.add_argument("--services", type=int, default=3)
+    parser.add_argument("--targets", type=int, default=36)
+    parser.add_argument("--sizes", default="6,12,24")
+    parser.add_argument("--changes", type=int, default=50)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    within = COMMANDS[options.command](options)
+    print(f"within_targets={int(within)}")
+    return 0 if within else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -74,6 +74,8 @@
         "idle",
         "counts",
         "timeouts",
+        "sent_bytes",
+        "received_bytes",
     )
 
     def __init__(
@@ -99,6 +101,8 @@
         self.idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter, h11.Connection]] = []
         self.counts: Counter[str] = Counter()
         self.timeouts = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     async def read(
         self, operation: str, path: str, wait_s: float = 0.0
@@ -165,9 +169,12 @@
         reader, writer, connection = await self.connection()
         finished = False
         try:
-            writer.write(self.encode(connection, method, path, body, headers))
+            data = self.encode(connection, method, path, body, headers)
+            writer.write(data)
             sent.append(True)
+            self.sent_bytes += len(data)
             answer = await read_answer(reader, connection)
+            self.received_bytes += len(answer.body)
             finished = connection.our_state is connection.their_state is h11.DONE
             return answer
         finally:
--- a/poplarlane/programs/agent_pages.py
+++ b/poplarlane/programs/agent_pages.py
@@ -112,6 +112,8 @@
     watch = shell.state.watch
     return {
         "calls": dict(shell.platform.counts),
+        "sent_bytes": shell.platform.sent_bytes,
+        "received_bytes": shell.platform.received_bytes,
         "answered_age_s": round(min(now - watch.answered_at, 86_400.0), 3),
         "failures": watch.failures,
         "revision": watch.since or 0,
