--- a/poplarlane/decisions/configuration.py
+++ b/poplarlane/decisions/configuration.py
@@ -144,6 +144,16 @@
     return any(change.change_id == change_id for change in service.changes)
 
 
+def history_reaches(service: ServiceObject, revision: int) -> bool:
+    """Tell whether the recorded changes would show a change made as this revision.
+
+    Only the latest changes are recorded, so an older one can neither be found nor ruled out.
+    """
+    if service.revision < revision:
+        return True
+    return bool(service.changes) and service.changes[0].revision <= revision
+
+
 def with_change(service: ServiceObject, base: Base, change: ChangeObject) -> ServiceObject:
     """Number an edited service as the next revision and record the change."""
     earlier = base.service.changes if base.service else []
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -12,9 +12,17 @@
 
 from poplarlane.decisions import configuration
 from poplarlane.decisions.configuration import Base, NoBase, StoredObject
-from poplarlane.decisions.edits import Edit, EditConflict, EditInvalid, apply_edit, observe
+from poplarlane.decisions.edits import (
+    Edit,
+    EditConflict,
+    EditInvalid,
+    Mark,
+    apply_edit,
+    observe,
+)
 from poplarlane.decisions.validation import check_service
 from poplarlane.objects import (
+    MAX_RECORDED_CHANGES,
     SERVICE_COPIES_KIND,
     SERVICES_KIND,
     ChangeObject,
@@ -31,7 +39,9 @@
 )
 
 FIRST_RETRY_DELAY_MS = 20
-MAX_RETRY_DELAY_MS = 500
+MAX_RETRY_DELAY_MS = 250
+# Other writers that were just seen need a few calls to finish, copy included.
+CONFLICT_DELAY_MS = 80
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +114,10 @@
         "observed",
         "confirmed",
         "copy_confirmed",
+        "conflicts",
+        "gave_way",
         "recovered",
-        "maybe_written",
+        "maybe_written_as",
         "failures",
         "last_failure",
     )
@@ -144,8 +156,12 @@
         # A plain read may be stale; a conditional write proves that the version is current.
         self.confirmed = False
         self.copy_confirmed = False
+        self.conflicts = 0
+        # Cleared by a conflict: other writers get time to finish before the next write.
+        self.gave_way = True
         self.recovered = False
-        self.maybe_written = False
+        # The revision as which the change may have been written; 0 when it certainly was not.
+        self.maybe_written_as = 0
         self.failures = 0
         self.last_failure = ""
 
@@ -155,11 +171,16 @@
             outcome = await self.step()
             if outcome is not None:
                 return outcome
+        return self.unfinished(
+            self.last_failure or "other operators changed the service on every attempt"
+        )
+
+    def unfinished(self, reason: str) -> Unfinished:
+        """Report that the change was not written, or that this is not known."""
         code = ResultCode.PLATFORM_UNREACHABLE
-        if self.maybe_written:
+        if self.maybe_written_as:
             code = ResultCode.CHANGE_OUTCOME_UNKNOWN
-        reason = self.last_failure or "other operators changed the service on every attempt"
-        return Unfinished(reason, self.maybe_written, code)
+        return Unfinished(reason, bool(self.maybe_written_as), code)
 
     async def step(self) -> Outcome | None:
         """Do the next read or write; None means that another step is needed."""
@@ -170,13 +191,37 @@
         in_place = configuration.is_intact(self.stored, self.copy)
         if in_place and configuration.holds_change(self.stored.service, self.change_id):
             return await self.write_copy(self.stored.service)
+        if self.is_beyond_history():
+            return self.unfinished(
+                f"{MAX_RECORDED_CHANGES} later changes hide whether revision "
+                f"{self.maybe_written_as} was this change"
+            )
+        if not self.gave_way:
+            return await self.give_way()
         base = self.choose_base()
         if isinstance(base, NoBase) or base.recovered:
             return await self.recover(base)
         if base.copy_is_behind and not self.dry_run:
             return await self.write_copy(base.service)
+        if self.needs_current_value():
+            return await self.confirm_copy()
         return await self.edit_and_write(base)
 
+    def needs_current_value(self) -> bool:
+        """Tell whether the value that the edit will expect could come from a stale read.
+
+        A current copy rules that out, and unlike the object it is not watched by agents.
+        """
+        if self.observed or self.dry_run or self.copy_confirmed:
+            return False
+        return self.edit.expected is Mark.UNSEEN
+
+    def is_beyond_history(self) -> bool:
+        """Tell whether a write without an answer may lie before the recorded changes."""
+        if not self.maybe_written_as or self.stored.service is None:
+            return False
+        return not configuration.history_reaches(self.stored.service, self.maybe_written_as)
+
     async def recover(self, base: Base | NoBase) -> Outcome | None:
         """Replace a bad object, after making sure that no newer accepted one exists."""
         if not self.confirmed and not self.dry_run:
@@ -212,6 +257,25 @@
         self.stored = decode_stored(stored, self.name)
         self.copy = decode_stored(copy, self.name, SERVICE_COPIES_KIND)
 
+    async def give_way(self) -> None:
+        """Wait after a conflict, less after each, then take what is newer than held.
+
+        A change that has lost often thus goes before one that has just begun.
+        """
+        self.gave_way = True
+        self.conflicts += 1
+        delay_ms = CONFLICT_DELAY_MS / self.conflicts
+        await asyncio.sleep(delay_ms * self.draws.random() / 1000)
+        held, held_copy = self.stored, self.copy
+        await self.read_both()
+        # A stale read must not replace what a conflict has shown to be current.
+        if self.stored.version <= held.version:
+            self.stored = held
+        else:
+            self.confirmed = False
+        if self.copy.version <= held_copy.version:
+            self.copy = held_copy
+
     async def edit_and_write(self, base: Base) -> Outcome | None:
         """Apply the edit to the base and write the next revision."""
         edited = self.edited(base)
@@ -232,10 +296,10 @@
         result = await self.write(SERVICES_KIND, encode_service(service), self.stored.version)
         if isinstance(result, Written):
             self.recovered = base.recovered
-            self.maybe_written = True
+            self.maybe_written_as = self.maybe_written_as or base.next_revision
             self.stored = StoredObject(result.version, service, [])
-        elif isinstance(result, PlatformFailure):
-            self.maybe_written |= result.sent
+        elif isinstance(result, PlatformFailure) and result.sent:
+            self.maybe_written_as = self.maybe_written_as or base.next_revision
         return None
 
     def edited(self, base: Base) -> ServiceObject | EditConflict | EditInvalid:
@@ -288,9 +352,12 @@
         result = await self.client.write(kind, self.name, body, version)
         if isinstance(result, PlatformFailure):
             await self.pause(result.reason)
-        elif isinstance(result, VersionConflict) and kind == SERVICES_KIND:
+            return result
+        self.failures = 0
+        if isinstance(result, VersionConflict) and kind == SERVICES_KIND:
             self.stored = decode_stored(result.current, self.name)
             self.confirmed = True
+            self.gave_way = False
         elif isinstance(result, VersionConflict):
             self.copy = decode_stored(result.current, self.name, SERVICE_COPIES_KIND)
             self.copy_confirmed = True
