--- /dev/null
+++ b/poplarlane/decisions/adaptive.py
@@ -0,0 +1,63 @@
+"""The adaptive policy: the lowest expected time of all targets, trickles for avoided ones.
+
+Reports travel on answers, so the freshest report of an entry is usually about as old as the time
+between two of its answers, and each report reaches one entry only. Comparing all targets by
+reports that lose weight with age therefore sends each entry to the targets that answered it last
+with few requests in flight, and different entries to different targets.
+"""
+
+import math
+
+from poplarlane.decisions.policies import Adaptive
+from poplarlane.decisions.trials import take_due_trial, usable_targets
+from poplarlane.types import TargetLoad, Verdict
+
+# Requests in flight forget their past within about one service time; half of it did best in
+# trials at 3 to 96 entries.
+REPORT_MEMORY_TYPICAL = 0.5
+# Assumed until the first answers arrive.
+DEFAULT_TYPICAL_S = 0.01
+# A suspect is chosen only when all others would take this many typical latencies longer.
+SUSPECT_PENALTY_TYPICAL = 3.0
+
+
+def choose_adaptively(
+    policy: Adaptive, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
+) -> TargetLoad | None:
+    """Choose the lowest expected time of all usable targets, or a target whose trial is due."""
+    if not candidates:
+        return None
+    usable = usable_targets(candidates, now, draw)
+    due = take_due_trial(policy, candidates, now, draw) if trial else None
+    return due or lowest_expected_time(policy, usable or candidates, now, draw)
+
+
+def lowest_expected_time(
+    policy: Adaptive, loads: list[TargetLoad], now: float, draw: int
+) -> TargetLoad:
+    """Compare all targets, starting at a random one so that ties are spread."""
+    count = len(loads)
+    typical_s = loads[0].typical_s or DEFAULT_TYPICAL_S
+    slot_s = typical_s / policy.slots
+    memory_s = typical_s * REPORT_MEMORY_TYPICAL
+    mean = sum([load.reported_in_flight for load in loads]) / count
+    start = draw % count
+    best, best_s = loads[start], math.inf
+    for index in range(start - count, start):
+        load = loads[index]
+        in_flight = mean
+        if load.reports_believed:
+            trust = math.exp((load.reported_at - now) / memory_s)
+            in_flight += (load.reported_in_flight - mean) * trust
+        in_flight += load.sent_since_report
+        if in_flight < load.outstanding:
+            in_flight = load.outstanding
+        slowness = load.slowness
+        expected_s = in_flight * slot_s * slowness + load.distance_s
+        if slowness != 1.0:
+            expected_s += typical_s * (slowness - 1.0)
+        if load.verdict is not Verdict.HEALTHY:
+            expected_s += SUSPECT_PENALTY_TYPICAL * typical_s
+        if expected_s < best_s:
+            best, best_s = load, expected_s
+    return best
