Measure slopes for the capacity page

Cause: docs/CAPACITY.md needs every figure from a measured slope that one command regenerates. Change: poplarlane-bench capacity NAME measures agents by targets and VMs, entries by rate and targets, and the time in force by VMs, with fit, residual and plot.

--- a/poplarlane/bench/main.py
+++ b/poplarlane/bench/main.py
@@ -7,6 +7,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from poplarlane.bench import capacity
 from poplarlane.bench.experiment import InvalidExperiment, load_experiment
 from poplarlane.bench.runner import Run
 
@@ -59,8 +60,34 @@
         return 0 if run.passed() else 1
 
 
+class CapacityCommand(Command):
+    """Measure slopes for docs/CAPACITY.md."""
+
+    name = "capacity"
+    description = "Measure slopes for the capacity page: " + ", ".join(capacity.MEASUREMENTS)
+    arguments = [argument("measurement", "a name from the list, or all")]
+    options = [
+        option("out", None, "directory for points, fits and plots", flag=False, default="out"),
+        option("seed", None, "seed of the generated load", flag=False, default="1"),
+    ]
+
+    def handle(self) -> int:
+        """Run one measurement or all, and print a line for each slope."""
+        wanted = self.argument("measurement")
+        names = list(capacity.MEASUREMENTS) if wanted == "all" else [wanted]
+        if wanted != "all" and wanted not in capacity.MEASUREMENTS:
+            known = ", ".join(capacity.MEASUREMENTS)
+            self.line_error(f"unknown measurement {wanted!r}; known: {known}, all")
+            return EXIT_INVALID
+        for name in names:
+            for line in capacity.run(name, int(self.option("seed")), Path(self.option("out"))):
+                self.line(line)
+        return 0
+
+
 def main() -> None:
     """Run the command line."""
     application = Application("poplarlane-bench")
     application.add(RunCommand())
+    application.add(CapacityCommand())
     sys.exit(application.run())
