--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -52,6 +52,7 @@
     agent_port: Port
     seed: int = 0
     policy: str = ""
+    hedged_reads: bool = True
     trusted_sources: list[str] = []
     data_centre_delay_ms: dict[str, float] = {}
     max_head_bytes: PositiveCount = 16_384
@@ -103,6 +104,8 @@
     platform_port: Port
     operator: str = "unknown"
     agents: list[PeerSettings] = []
+    # Used for VMs whose entry on the platform's list names no admin port.
+    agent_admin_port: Port | None = None
     timeout_ms: Milliseconds = 5_000
 
 
