Listen only once ready, and end a drain without losing accepted callers

Cause: with SO_REUSEPORT a starting entry without a view got a share of the callers and refused them (code 1200), and an entry that stopped lost connections that it had accepted but not yet registered. Change: the port is bound at start and listened on when the view is complete; the end of the drain waits 250 ms for idle connections and takes what waits in the listener's queue. Pool counts are kept by the connections, request bodies in memory are bounded to 64 MiB, callers' deadlines to 10 minutes. New scenarios: second signal, restarts under load, slow readers of 16 MB answers, spans.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -68,7 +68,29 @@
     Then the entry reports the bad object with its reason
     And a caller labelled "" gets status 200 and code 1000 from the entry
 
-  Scenario: An entry without a view is not ready and refuses
+  Scenario: An entry without a view is not ready and accepts no callers
     Given an entry whose agent has no view
     Then the readiness page of the entry answers 503
-    And a caller labelled "" gets status 503 and code 1200 from the entry
+    And a caller's connection to the entry is refused
+
+  Scenario: A second signal ends the drain and logs how many requests it cut
+    Given an entry before 1 stand-in target with a service time of 1900 ms
+    When two signals reach the entry while 3 reads run
+    Then the entry logs 3 cut requests and exits with status 0
+
+  Scenario: Planned restarts of an entry cut no request of a steady load
+    Given an entry before 2 stand-in targets
+    When the entry is replaced 3 times by one on the same port during a steady load
+    Then every answer of that load is whole with status 200
+
+  Scenario: A large answer to a slow reader is streamed in bounded memory
+    Given an entry before 1 stand-in target
+    When 8 callers ask for 16 MB each and read nothing until the entry holds back
+    Then the entry's memory has grown by less than 20 MB
+    And each of those callers receives its whole answer
+
+  Scenario: A traced request has one span per hop
+    Given an entry that traces every request before a raw target
+    When a caller sends a traceparent and the entry stops
+    Then the raw target got a traceparent of the same trace with the entry's span
+    And the span file holds that span with the caller's span as its parent
--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -67,6 +67,7 @@
         self.answer = None
         self.failed = False
         self.parts = b""
+        self.held_body_bytes = 0
 
     def now(self):
         return 1.0
--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -1,20 +1,36 @@
 """Steps about requests through one entry."""
 
+import json
+import re
 import signal
 import threading
 import time
 import urllib.error
 import urllib.request
+from pathlib import Path
 
+import psutil
 from behave import given, then, when
 
+from features.entry_raw_target import RAW_PORT, RawTarget
 from features.entry_rig import ENTRY_ADMIN_PORT, Rig, request
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.publisher import Publisher
 
 UNKNOWN_CODES = {"1300", "1302", "1303"}
 LOAD_S = 3.0
+WAIT_LIMIT_S = 10.0
 LEAVING_BOUND_S = 2.0
+LARGE_BYTES = 16_000_000
+TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
+PARENT_ID = "00f067aa0ba902b7"
+
+
+def wait_until(predicate):
+    """Poll until the predicate holds; fail after the time limit."""
+    limit = time.monotonic() + WAIT_LIMIT_S
+    while not predicate():
+        assert time.monotonic() < limit, "the awaited state was not reached in time"
 
 
 def new_rig(context) -> Rig:
@@ -105,8 +121,7 @@
     rig = context.rig
     caller = rig.caller()
     caller.send(request("GET", "/", x_request_id="in-flight"))
-    while "in-flight" not in rig.ledger("target-1")["executions"]:
-        pass
+    wait_until(lambda: "in-flight" in rig.ledger("target-1")["executions"])
     rig.entry.signal(signal.SIGTERM)
     rig.entry.wait_for("draining")
     context.reply = caller.reply()
@@ -225,8 +240,7 @@
     threads = [threading.Thread(target=load) for _ in range(4)]
     for thread in threads:
         thread.start()
-    while len(context.replies) < 50:
-        pass
+    wait_until(lambda: len(context.replies) >= 50)
     # The target announces that it leaves and still accepts work for longer than the bound.
     rig.control("target-1", drain=True, drain_notice_ms=60_000)
     for thread in threads:
@@ -298,3 +312,126 @@
     except urllib.error.HTTPError as error:
         found = error.code
     assert found == status, found
+
+
+@when("two signals reach the entry while {count:d} reads run")
+def step_two_signals(context, count):
+    rig = context.rig
+    context.callers = [rig.caller() for _ in range(count)]
+    for number, caller in enumerate(context.callers):
+        caller.send(request("GET", "/", x_request_id=f"read-{number}"))
+    wait_until(lambda: len(rig.ledger("target-1")["executions"]) == count)
+    rig.entry.signal(signal.SIGTERM)
+    rig.entry.wait_for("draining")
+    rig.entry.signal(signal.SIGTERM)
+
+
+@then("the entry logs {count:d} cut requests and exits with status 0")
+def step_cut(context, count):
+    context.rig.entry.wait_for("drain_cut", cut=str(count))
+    assert context.rig.entry.exit_status() == 0
+
+
+@when("the entry is replaced {count:d} times by one on the same port during a steady load")
+def step_replaced(context, count):
+    rig = context.rig
+    context.replies = []
+    ended = threading.Event()
+
+    def load():
+        while not ended.is_set():
+            context.replies.append(rig.ask("GET", "/"))
+
+    threads = [threading.Thread(target=load) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    for number in range(count):
+        old = rig.entry
+        rig.start_entry(name=f"entry-{number + 2}", admin_port=ENTRY_ADMIN_PORT + number + 1)
+        old.signal(signal.SIGTERM)
+        assert old.exit_status() == 0
+    ended.set()
+    for thread in threads:
+        thread.join()
+
+
+def memory_bytes(process):
+    return psutil.Process(process.popen.pid).memory_info().rss
+
+
+@when("{count:d} callers ask for 16 MB each and read nothing until the entry holds back")
+def step_slow_readers(context, count):
+    rig = context.rig
+    rig.ask("GET", "/", x_answer_bytes="1000000")
+    context.memory = memory_bytes(rig.entry)
+    context.callers = [rig.caller() for _ in range(count)]
+    for caller in context.callers:
+        caller.send(request("GET", "/", x_answer_bytes=str(LARGE_BYTES), x_deadline_ms="20000"))
+    # The entry holds back once its memory and the answers under way no longer change.
+    seen = [(0, 0)]
+
+    def unchanged():
+        time.sleep(0.2)
+        seen.append((memory_bytes(rig.entry), rig.status()["in_flight"]))
+        return seen[-1] == seen[-2] and seen[-1][1] == count
+
+    wait_until(unchanged)
+
+
+@then("the entry's memory has grown by less than {limit:d} MB")
+def step_memory(context, limit):
+    grown = memory_bytes(context.rig.entry) - context.memory
+    assert grown < limit * 1_000_000, grown
+
+
+@then("each of those callers receives its whole answer")
+def step_large_whole(context):
+    for caller in context.callers:
+        reply = caller.reply()
+        # The body starts with the empty request id and a line feed.
+        assert reply.whole and len(reply.body) == LARGE_BYTES + 1, reply
+
+
+@given("an entry that traces every request before a raw target")
+def step_traced(context):
+    rig = new_rig(context)
+    context.raw = RawTarget(rig.launcher.new_host())
+    context.resources.callback(context.raw.close)
+    context.raw.answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+    rig.targets["raw-1"] = (context.raw.listener.getsockname()[0], RAW_PORT)
+    rig.publisher.publish([rig.service()])
+    context.spans = Path(rig.launcher.directory.name) / "spans.jsonl"
+    rig.start_entry(tracing={"sample_ratio": 1.0, "file": str(context.spans)})
+
+
+@when("a caller sends a traceparent and the entry stops")
+def step_traceparent(context):
+    reply = context.rig.ask("GET", "/", traceparent=f"00-{TRACE_ID}-{PARENT_ID}-01")
+    assert reply.status == 200, reply
+    context.rig.entry.signal(signal.SIGTERM)
+    assert context.rig.entry.exit_status() == 0
+
+
+@then("the raw target got a traceparent of the same trace with the entry's span")
+def step_child(context):
+    head = context.raw.heads[0].decode()
+    context.span_id = re.search(f"traceparent: 00-{TRACE_ID}-([0-9a-f]{{16}})-01", head).group(1)
+    assert context.span_id != PARENT_ID
+
+
+@then("the span file holds that span with the caller's span as its parent")
+def step_span(context):
+    spans = [json.loads(line) for line in context.spans.read_text().splitlines()]
+    assert len(spans) == 1, spans
+    assert spans[0]["context"]["span_id"] == f"0x{context.span_id}", spans
+    assert spans[0]["parent_id"] == f"0x{PARENT_ID}", spans
+    assert spans[0]["attributes"]["poplarlane.result"] == 1000, spans
+
+
+@then("a caller's connection to the entry is refused")
+def step_connection_refused(context):
+    try:
+        context.rig.caller()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("an entry that is not ready accepted a connection")
--- a/poplarlane/decisions/entry_effects.py
+++ b/poplarlane/decisions/entry_effects.py
@@ -127,8 +127,14 @@
         self.message = message
 
 
+class StartAccepting(Effect):
+    """Start to accept callers on the port that is already bound."""
+
+    __slots__ = ()
+
+
 class StopAccepting(Effect):
-    """Close the listener and the idle connections of callers."""
+    """Close the listener, and the idle connections of callers shortly after."""
 
     __slots__ = ()
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -4,7 +4,7 @@
 
 from poplarlane.decisions.events import Event
 from poplarlane.messages import ViewUpdate
-from poplarlane.outcomes import Malformed
+from poplarlane.outcomes import Refusal
 
 
 class EntryEvent(Event):
@@ -62,7 +62,7 @@
     __slots__ = ("caller_id", "source", "refusal")
 
     def __init__(
-        self, now: float, draw: int, caller_id: int, source: str, refusal: Malformed
+        self, now: float, draw: int, caller_id: int, source: str, refusal: Refusal
     ) -> None:
         super().__init__(now, draw)
         self.caller_id = caller_id
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -35,6 +35,8 @@
 from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
 DEFAULT_DEADLINE_MS = 2_000
+# A caller's longer deadline would hold a connection and a slot that nobody waits for any more.
+MAX_DEADLINE_MS = 600_000
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # Kinds for requests that the service's own kinds do not cover.
 SAFE_KIND = RequestKind(
@@ -90,7 +92,7 @@
     """Create a request from its arrival and the kind that applies to it."""
     kind = kind_of(service, event.method, event.path)
     given_ms = event.deadline_ms
-    allowed_ms = kind.deadline_ms if given_ms is None else given_ms
+    allowed_ms = kind.deadline_ms if given_ms is None else min(given_ms, MAX_DEADLINE_MS)
     return Request(
         event.request_id,
         service,
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -3,7 +3,7 @@
 from poplarlane.decisions import health, limits, retries, selectors
 from poplarlane.decisions.drain import mark_leaving, mark_returned, refresh_usable
 from poplarlane.decisions.effects import Count, Effect, Log
-from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit
+from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit, StartAccepting
 from poplarlane.decisions.entry_events import ViewReceived
 from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
 from poplarlane.decisions.policies import Adaptive, policy_by_name
@@ -42,6 +42,8 @@
         take_verdict(state, verdict, event.now)
     if view.complete and not state.ready:
         state.ready = True
+        if state.accepting:
+            effects.append(StartAccepting())
         effects.append(Log("ready", "info", {"services": len(state.services)}))
     if changed or view.complete:
         effects.append(current_report(state))
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from poplarlane.outcomes import Malformed, ResultCode
+from poplarlane.outcomes import Malformed, NotRun, ResultCode
 from poplarlane.plumbing.heads import (
     CONTINUE,
     HEAD_END,
@@ -21,6 +21,8 @@
 
 # Chunk headers and extensions of a body may take this many bytes beyond the body itself.
 CHUNK_OVERHEAD_BYTES = 262_144
+# Bound over all callers; 2000 callers with the largest accepted body would hold 2 GB.
+MAX_HELD_BODY_BYTES = 67_108_864
 STATUS_CODES = {
     408: ResultCode.REQUEST_TIMEOUT,
     413: ResultCode.BODY_TOO_LARGE,
@@ -202,6 +204,11 @@
     def take_data(self, data: bytes) -> bool:
         """Collect body bytes; tell whether more may be read."""
         self.body_bytes += len(data)
+        self.shell.held_body_bytes += len(data)
+        if self.shell.held_body_bytes > MAX_HELD_BODY_BYTES:
+            detail = "too many bytes of request bodies are held"
+            self.shell.malformed(self, NotRun(ResultCode.QUEUE_FULL, detail))
+            return False
         if self.body_bytes > self.shell.settings.max_body_bytes:
             self.refuse(413, f"body larger than {self.shell.settings.max_body_bytes} bytes")
             return False
@@ -259,6 +266,7 @@
         self.body = b""
         if self.parts:
             self.parts = []
+            self.shell.held_body_bytes -= self.body_bytes
             self.body_bytes = 0
         self.before = b""
         self.recent = b""
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -16,6 +16,7 @@
     SendToAgent,
     SetConnectionLimit,
     SetTimer,
+    StartAccepting,
     Stop,
     StopAccepting,
     StreamAnswer,
@@ -36,6 +37,9 @@
     from poplarlane.plumbing.entry_shell import EntryShell
 
 NO_BODY_STATUSES = (204, 304)
+# Idle connections of callers are kept this long after the end of the drain's accept time.
+IDLE_LINGER_S = 0.25
+LISTEN_BACKLOG = 1_024
 
 
 @singledispatch
@@ -101,7 +105,6 @@
 async def connect_and_send(exchange: Exchange, pool: Pool, shell: "EntryShell") -> None:
     """Open a connection and send, unless the attempt was given up meanwhile."""
     target = pool.target
-    pool.open += 1
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await shell.loop.create_connection(
@@ -111,14 +114,10 @@
                 local_addr=(shell.settings.listen_address, 0),
             )
     except (OSError, TimeoutError) as error:
-        pool.open -= 1
         if not exchange.cancelled:
             detail = str(error) or "connecting timed out"
             shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
-    except asyncio.CancelledError:
-        pool.open -= 1
-        raise
     if exchange.cancelled:
         connection.abort()
         return
@@ -276,20 +275,46 @@
     shell.link.send(effect.message)
 
 
+@execute.register(StartAccepting)
+def execute_start_accepting(effect: StartAccepting, shell: "EntryShell") -> None:
+    """Listen on the bound socket."""
+    # At once, so that a caller who acts on the log line `ready` is not refused.
+    shell.listener.listen(LISTEN_BACKLOG)
+    task = shell.loop.create_task(shell.listen())
+    shell.tasks.add(task)
+    task.add_done_callback(shell.tasks.discard)
+
+
 @execute.register(StopAccepting)
 def execute_stop_accepting(effect: StopAccepting, shell: "EntryShell") -> None:
-    """Close the listener and every idle caller."""
-    shell.server.close()
-    for caller in list(shell.callers.values()):
+    """Close the listener, and soon every caller's connection that stays idle."""
+    if shell.server is not None:
+        take_waiting_callers(shell)
+        shell.server.close()
+    # A request may be on its way on a connection that looks idle here.
+    limit = shell.now() + IDLE_LINGER_S
+    shell.stop_at = limit
+    for caller in shell.callers.values():
+        caller.close_after = True
         if caller.is_idle():
-            caller.closing = True
-            caller.transport.close()
-        else:
-            caller.close_after = True
+            caller.expires_at = limit
+
+
+def take_waiting_callers(shell: "EntryShell") -> None:
+    """Accept what waits in the listener's queue, which its close would reset."""
+    while True:
+        try:
+            waiting, _ = shell.listener.accept()
+        except OSError:
+            return
+        connecting = shell.loop.connect_accepted_socket(lambda: CallerConnection(shell), waiting)
+        task = shell.loop.create_task(connecting)
+        shell.tasks.add(task)
+        task.add_done_callback(shell.tasks.discard)
 
 
 @execute.register(Stop)
 def execute_stop(effect: Stop, shell: "EntryShell") -> None:
-    """End the process now, or once every caller has its answer."""
-    if effect.at_once or not shell.callers:
+    """End the process now; else the sweep ends it once every caller has its answer."""
+    if effect.at_once:
         shell.stopped.set()
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -24,10 +24,10 @@
 from poplarlane.logs import log
 from poplarlane.messages import ViewUpdate
 from poplarlane.metrics import Metrics
-from poplarlane.outcomes import Malformed
+from poplarlane.outcomes import Malformed, NotRun
 from poplarlane.plumbing.agent_link import AgentLink
 from poplarlane.plumbing.callers import CallerConnection
-from poplarlane.plumbing.entry_execute import execute
+from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, LISTEN_BACKLOG, execute
 from poplarlane.plumbing.heads import service_host
 from poplarlane.plumbing.targets import Exchange, Pool
 from poplarlane.settings import EntrySettings
@@ -36,7 +36,6 @@
 
 REPORT_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 0.1
-LISTEN_BACKLOG = 1_024
 # Idle connections to a target are closed before a usual target would close them.
 TARGET_IDLE_S = 30.0
 MAX_CACHED_SOURCES = 4_096
@@ -57,6 +56,7 @@
         "loop",
         "link",
         "server",
+        "listener",
         "callers",
         "by_request",
         "exchanges",
@@ -71,6 +71,8 @@
         "body_timeout_s",
         "idle_timeout_s",
         "results",
+        "held_body_bytes",
+        "stop_at",
     )
 
     def __init__(
@@ -90,7 +92,8 @@
         self.now = time.monotonic
         self.loop: asyncio.AbstractEventLoop
         self.link: AgentLink
-        self.server: asyncio.Server
+        self.server: asyncio.Server | None = None
+        self.listener: socket.socket
         self.callers: dict[int, CallerConnection] = {}
         self.by_request: dict[int, CallerConnection] = {}
         self.exchanges: dict[int, Exchange] = {}
@@ -104,23 +107,30 @@
         self.head_timeout_s = settings.head_timeout_ms / 1000.0
         self.body_timeout_s = settings.body_timeout_ms / 1000.0
         self.idle_timeout_s = settings.idle_timeout_ms / 1000.0
+        # Earliest instant at which a drained entry ends; 0 while it accepts.
+        self.stop_at = 0.0
+        # Bytes of request bodies in memory, over all callers.
+        self.held_body_bytes = 0
         # Answers by result code.
         self.results: dict[int, int] = {}
 
     async def start(self) -> None:
-        """Bind the listener, connect to the agent and start the periodic work."""
+        """Bind the port, connect to the agent and start the periodic work."""
         settings = self.settings
         self.loop = asyncio.get_running_loop()
         self.stopped = asyncio.Event()
-        listener = bind_listener(settings.listen_address, settings.listen_port)
-        self.server = await self.loop.create_server(
-            lambda: CallerConnection(self), sock=listener, backlog=LISTEN_BACKLOG
-        )
+        self.listener = bind_listener(settings.listen_address, settings.listen_port)
         self.link = AgentLink(settings.agent_address, settings.agent_port, self.view_received)
         self.link.start()
         self.sweep()
         self.report()
 
+    async def listen(self) -> None:
+        """Accept callers; until then another entry on the same port gets all of them."""
+        self.server = await self.loop.create_server(
+            lambda: CallerConnection(self), sock=self.listener, backlog=LISTEN_BACKLOG
+        )
+
     def feed(self, event: EntryEvent) -> None:
         """Reduce one event and execute its effects."""
         for effect in reduce(event, self.state):
@@ -147,6 +157,9 @@
         caller.caller_id = self.new_id()
         caller.trusted = self.is_trusted(caller.source)
         caller.expires_at = self.now() + self.idle_timeout_s
+        if not self.state.accepting:
+            caller.close_after = True
+            caller.expires_at = self.now() + IDLE_LINGER_S
         self.callers[caller.caller_id] = caller
 
     def is_trusted(self, source: str) -> bool:
@@ -166,8 +179,7 @@
             self.by_request.pop(caller.request_id, None)
             self.feed(CallerGone(self.now(), self.draw(), caller.request_id))
             caller.request_id = 0
-        if not self.callers and not self.state.accepting and not self.state.requests:
-            self.stopped.set()
+        self.held_body_bytes -= caller.body_bytes
 
     def request_read(self, caller: CallerConnection) -> None:
         """Report a whole request."""
@@ -194,7 +206,7 @@
             )
         )
 
-    def malformed(self, caller: CallerConnection, refusal: Malformed) -> None:
+    def malformed(self, caller: CallerConnection, refusal: Malformed | NotRun) -> None:
         """Report input from which no request could be read."""
         event = RequestMalformed(self.now(), self.draw(), caller.caller_id, caller.source, refusal)
         self.feed(event)
@@ -292,6 +304,9 @@
             caller.expire()
         for pool in self.pools.values():
             pool.close_idle_before(now - TARGET_IDLE_S)
+        quiet = not self.callers and not self.tasks and not self.state.requests
+        if quiet and 0.0 < self.stop_at <= now:
+            self.stopped.set()
 
     async def close(self) -> None:
         """Close everything that is left."""
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -110,8 +110,9 @@
         self.closed = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Keep the transport."""
+        """Count the connection."""
         self.transport = transport
+        self.pool.open += 1
 
     def send(self, exchange: Exchange) -> None:
         """Write a request and expect its answer."""
