Accept connections without asyncio's server, which loses some when it is closed

Cause: asyncio's server asserts that it is open when it makes the transport of a connection that it has accepted already; a close in between left such connections unread until the process ended, and their callers got a reset. The rest of the race is the time between the last accept and the close.

--- /dev/null
+++ b/poplarlane/plumbing/acceptor.py
@@ -0,0 +1,82 @@
+"""Accept connections on a listener that can be closed without losing any.
+
+asyncio's own server drops a connection that it has accepted when the server is closed before the
+connection's transport is made: the transport's constructor asserts that the server is open.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from poplarlane.logs import log
+
+LISTEN_BACKLOG = 1_024
+# Pause after an error such as too many open files, which would otherwise repeat at once.
+ACCEPT_RETRY_S = 0.2
+
+
+class Acceptor:
+    """Accept on a bound, non-blocking socket; `factory` makes the protocol of a connection."""
+
+    __slots__ = ("listener", "factory", "loop", "tasks", "listening")
+
+    def __init__(self, listener: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
+        self.listener = listener
+        self.factory = factory
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task] = set()
+        self.listening = False
+
+    def start(self) -> None:
+        """Listen."""
+        self.listener.listen(LISTEN_BACKLOG)
+        self.listening = True
+        self.watch()
+
+    def watch(self) -> None:
+        """Accept whenever a connection waits."""
+        if self.listening:
+            self.loop.add_reader(self.listener, self.accept_waiting)
+
+    def accept_waiting(self) -> None:
+        """Accept everything that waits in the queue, which its length bounds."""
+        for _ in range(LISTEN_BACKLOG):
+            try:
+                connection, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                log("accept_failed", "error", reason=str(error))
+                self.loop.remove_reader(self.listener)
+                self.loop.call_later(ACCEPT_RETRY_S, self.watch)
+                return
+            connection.setblocking(False)
+            task = self.loop.create_task(self.connect(connection))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def connect(self, connection: socket.socket) -> None:
+        """Make the transport of an accepted connection."""
+        try:
+            await self.loop.connect_accepted_socket(self.factory, connection)
+        except OSError:
+            connection.close()
+
+    def stop(self) -> None:
+        """Accept what waits and close the listener directly afterwards."""
+        if self.listening:
+            self.listening = False
+            self.loop.remove_reader(self.listener)
+            self.accept_waiting()
+        self.listener.close()
+
+
+def bind_listener(address: str, port: int) -> socket.socket:
+    """Bind a listener that other entries on the VM may share; raises OSError."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind((address, port))
+    listener.setblocking(False)
+    return listener
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -39,7 +39,6 @@
 NO_BODY_STATUSES = (204, 304)
 # Idle connections of callers are kept this long after the end of the drain's accept time.
 IDLE_LINGER_S = 0.25
-LISTEN_BACKLOG = 1_024
 
 
 @singledispatch
@@ -278,39 +277,19 @@
 @execute.register(StartAccepting)
 def execute_start_accepting(effect: StartAccepting, shell: "EntryShell") -> None:
     """Listen on the bound socket."""
-    # At once, so that a caller who acts on the log line `ready` is not refused.
-    shell.listener.listen(LISTEN_BACKLOG)
-    task = shell.loop.create_task(shell.listen())
-    shell.tasks.add(task)
-    task.add_done_callback(shell.tasks.discard)
+    shell.acceptor.start()
 
 
 @execute.register(StopAccepting)
 def execute_stop_accepting(effect: StopAccepting, shell: "EntryShell") -> None:
     """Close the listener, and soon every caller's connection that stays idle."""
-    if shell.server is not None:
-        take_waiting_callers(shell)
-        shell.server.close()
+    shell.acceptor.stop()
     # A request may be on its way on a connection that looks idle here.
-    limit = shell.now() + IDLE_LINGER_S
-    shell.stop_at = limit
+    shell.stop_at = shell.now() + IDLE_LINGER_S
     for caller in shell.callers.values():
         caller.close_after = True
         if caller.is_idle():
-            caller.expires_at = limit
-
-
-def take_waiting_callers(shell: "EntryShell") -> None:
-    """Accept what waits in the listener's queue, which its close would reset."""
-    while True:
-        try:
-            waiting, _ = shell.listener.accept()
-        except OSError:
-            return
-        connecting = shell.loop.connect_accepted_socket(lambda: CallerConnection(shell), waiting)
-        task = shell.loop.create_task(connecting)
-        shell.tasks.add(task)
-        task.add_done_callback(shell.tasks.discard)
+            caller.expires_at = shell.stop_at
 
 
 @execute.register(Stop)
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 import time
 
 from poplarlane.decisions.entry_events import (
@@ -25,9 +24,10 @@
 from poplarlane.messages import ViewUpdate
 from poplarlane.metrics import Metrics
 from poplarlane.outcomes import Malformed, NotRun
+from poplarlane.plumbing.acceptor import Acceptor, bind_listener
 from poplarlane.plumbing.agent_link import AgentLink
 from poplarlane.plumbing.callers import CallerConnection
-from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, LISTEN_BACKLOG, execute
+from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, execute
 from poplarlane.plumbing.heads import service_host
 from poplarlane.plumbing.targets import Exchange, Pool
 from poplarlane.settings import EntrySettings
@@ -55,8 +55,7 @@
         "now",
         "loop",
         "link",
-        "server",
-        "listener",
+        "acceptor",
         "callers",
         "by_request",
         "exchanges",
@@ -92,8 +91,7 @@
         self.now = time.monotonic
         self.loop: asyncio.AbstractEventLoop
         self.link: AgentLink
-        self.server: asyncio.Server | None = None
-        self.listener: socket.socket
+        self.acceptor: Acceptor
         self.callers: dict[int, CallerConnection] = {}
         self.by_request: dict[int, CallerConnection] = {}
         self.exchanges: dict[int, Exchange] = {}
@@ -119,18 +117,13 @@
         settings = self.settings
         self.loop = asyncio.get_running_loop()
         self.stopped = asyncio.Event()
-        self.listener = bind_listener(settings.listen_address, settings.listen_port)
+        listener = bind_listener(settings.listen_address, settings.listen_port)
+        self.acceptor = Acceptor(listener, lambda: CallerConnection(self))
         self.link = AgentLink(settings.agent_address, settings.agent_port, self.view_received)
         self.link.start()
         self.sweep()
         self.report()
 
-    async def listen(self) -> None:
-        """Accept callers; until then another entry on the same port gets all of them."""
-        self.server = await self.loop.create_server(
-            lambda: CallerConnection(self), sock=self.listener, backlog=LISTEN_BACKLOG
-        )
-
     def feed(self, event: EntryEvent) -> None:
         """Reduce one event and execute its effects."""
         for effect in reduce(event, self.state):
@@ -304,7 +297,7 @@
             caller.expire()
         for pool in self.pools.values():
             pool.close_idle_before(now - TARGET_IDLE_S)
-        quiet = not self.callers and not self.tasks and not self.state.requests
+        quiet = not self.callers and not self.acceptor.tasks and not self.state.requests
         if quiet and 0.0 < self.stop_at <= now:
             self.stopped.set()
 
@@ -315,14 +308,3 @@
             pool.set_limit(-1)
         if self.tracer is not None:
             self.tracer.close()
-
-
-def bind_listener(address: str, port: int) -> socket.socket:
-    """Bind a listener that other entries on the VM may share; raises OSError."""
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    listener.bind((address, port))
-    listener.setblocking(False)
-    return listener
