--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -280,9 +280,6 @@
         """Close an idle connection, or refuse a request that arrives too slowly."""
         self.expires_at = 0.0
         if self.is_idle():
-            from poplarlane.logs import log
-
-            log("trial_idle_closed", caller=self.caller_id, reading=self.transport.is_reading())
             self.closing = True
             self.transport.close()
         else:
