--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -16,6 +16,7 @@
     SendToAgent,
     SetConnectionLimit,
     SetTimer,
+    StartAccepting,
     Stop,
     StopAccepting,
     StreamAnswer,
@@ -36,6 +37,8 @@
     from poplarlane.plumbing.entry_shell import EntryShell
 
 NO_BODY_STATUSES = (204, 304)
+# Idle connections of callers are kept this long after the end of the drain's accept time.
+IDLE_LINGER_S = 0.25
 
 
 @singledispatch
@@ -101,7 +104,6 @@
 async def connect_and_send(exchange: Exchange, pool: Pool, shell: "EntryShell") -> None:
     """Open a connection and send, unless the attempt was given up meanwhile."""
     target = pool.target
-    pool.open += 1
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await shell.loop.create_connection(
@@ -111,14 +113,10 @@
                 local_addr=(shell.settings.listen_address, 0),
             )
     except (OSError, TimeoutError) as error:
-        pool.open -= 1
         if not exchange.cancelled:
             detail = str(error) or "connecting timed out"
             shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
-    except asyncio.CancelledError:
-        pool.open -= 1
-        raise
     if exchange.cancelled:
         connection.abort()
         return
@@ -276,20 +274,26 @@
     shell.link.send(effect.message)
 
 
+@execute.register(StartAccepting)
+def execute_start_accepting(effect: StartAccepting, shell: "EntryShell") -> None:
+    """Listen on the bound socket."""
+    shell.acceptor.start()
+
+
 @execute.register(StopAccepting)
 def execute_stop_accepting(effect: StopAccepting, shell: "EntryShell") -> None:
-    """Close the listener and every idle caller."""
-    shell.server.close()
-    for caller in list(shell.callers.values()):
+    """Close the listener, and soon every caller's connection that stays idle."""
+    shell.acceptor.stop()
+    # A request may be on its way on a connection that looks idle here.
+    shell.stop_at = shell.now() + IDLE_LINGER_S
+    for caller in shell.callers.values():
+        caller.close_after = True
         if caller.is_idle():
-            caller.closing = True
-            caller.transport.close()
-        else:
-            caller.close_after = True
+            caller.expires_at = shell.stop_at
 
 
 @execute.register(Stop)
 def execute_stop(effect: Stop, shell: "EntryShell") -> None:
-    """End the process now, or once every caller has its answer."""
-    if effect.at_once or not shell.callers:
+    """End the process now; else the sweep ends it once every caller has its answer."""
+    if effect.at_once:
         shell.stopped.set()
