--- a/poplarlane/decisions/probes.py
+++ b/poplarlane/decisions/probes.py
@@ -135,7 +135,7 @@
         return []
     probe.pending = False
     probe.stagger = 0.0
-    if event.answered:
+    if event.arrived:
         probe.clear_at = max(probe.clear_at, state.now)
         probe.cost_s = event.latency_s
     elif event.sent:
@@ -168,9 +168,8 @@
         state.name,
     )
     probes.covered_at = state.now
-    if event.leaving and membership.leave_target(state, event.target, state.name):
-        fields = {"target": event.target, "source": state.name}
-        effects.append(Log("target_leaving", "info", fields))
+    if event.leaving:
+        membership.leave_target(state, event.target, state.name)
     flipped = event.answered != probe.reachable
     shift = abs(event.in_flight - probe.sent_in_flight)
     probe.reachable = event.answered
