Let services without repeatable requests try avoided targets; hide failed trials

Cause: requests that may not be repeated never served as trials, so an avoided target of a service that only takes bookings never returned; a failed trial of a read was given to the caller.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -165,16 +165,16 @@
         context.watched.round()
 
 
-@when("the entry sends 100 requests a second for 60 seconds")
-def step_sixty(context):
+@when("the entry sends 100 {what} a second for 60 seconds")
+def step_sixty(context, what):
     watched = context.watched
     context.policy = policy_by_name("adaptive")
     context.trials = 0
     for _ in range(6000):
         watched.now += 0.01
-        load = choose_target(
-            context.policy, watched.loads, watched.now, watched.draws.getrandbits(64)
-        )
+        draw = watched.draws.getrandbits(64)
+        repeatable = what == "requests"
+        load = choose_target(context.policy, watched.loads, watched.now, draw, repeatable)
         slow = load is context.load
         context.trials += slow
         health.observe_answer(load, SERVICE_S * (10.0 if slow else 1.0), True, watched.now)
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -37,6 +37,13 @@
     When the avoided target answers its trials in time
     Then its share grows in steps of an eighth, a quarter and a half within 2 seconds
 
+  Scenario: An avoided target of a service that only takes bookings still gets trials
+    It would otherwise never return, because bookings serve as trials only when nothing else does.
+    Given 17 targets that one entry has used for 20 seconds
+    And one target is avoided
+    When the entry sends 100 bookings a second for 60 seconds
+    Then the avoided target gets at least 2 and at most 6 of them while it stays slow
+
   Scenario: Verdicts of peers lower the threshold but decide nothing alone
     One entry with a faulty network must not make all others avoid healthy targets.
     Given 17 targets that one entry has used for 20 seconds
--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -31,7 +31,7 @@
     if not candidates:
         return None
     usable = usable_targets(candidates, now, draw)
-    due = take_due_trial(policy, candidates, now, draw) if trial else None
+    due = take_due_trial(policy, candidates, now, draw, trial)
     return due or lowest_expected_time(policy, usable or candidates, now, draw)
 
 
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -42,6 +42,7 @@
     send_queued,
 )
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
+from poplarlane.types import Verdict
 
 SERVER_ERROR = 500
 # A deadline that passes sooner than this many typical latencies says nothing about the target.
@@ -72,7 +73,7 @@
         request.retried_below = request.retried_below or notes.retried
         outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
         send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
-    else:
+    elif not hide_failed_trial(state, attempt, notes, event, effects):
         observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, notes, effects)
     send_queued(state, request.service, event.now, next_draw(event.draw), effects)
@@ -202,6 +203,19 @@
         # The other attempt of a hedged read may still be answered.
         request.last_refusal = outcome
         return
+    if not send_again(state, request, outcome, now, draw, effects):
+        finish_refused(state, request, outcome, effects)
+
+
+def send_again(
+    state: EntryState,
+    request: Request,
+    outcome: Refusal,
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> bool:
+    """Retry a request if that is safe and within the budget."""
     service = request.service
     targets = reachable_targets(service, request.labels)
     decision = retries.RetryDecision.NO
@@ -210,8 +224,7 @@
     if decision is not retries.RetryDecision.RETRY:
         # A retry that the budget denied must not be made by a level above either.
         request.retried = request.retried or decision is retries.RetryDecision.NO_BUDGET
-        finish_refused(state, request, outcome, effects)
-        return
+        return False
     request.retried = True
     request.attempt += 1
     effects.append(Count("retry_total", 1.0, {"service": service.name}))
@@ -220,6 +233,25 @@
         send(state, request, load, now, effects)
     else:
         enqueue(state, request, effects)
+    return True
+
+
+def hide_failed_trial(
+    state: EntryState,
+    attempt: Attempt,
+    notes: AnswerNotes,
+    event: AnswerCompleted,
+    effects: list[Effect],
+) -> bool:
+    """Retry an idempotent request that failed as the trial of an avoided target."""
+    request = attempt.request
+    if notes.status < SERVER_ERROR or attempt.load.verdict is not Verdict.AVOIDED:
+        return False
+    if request.attempts:
+        return False
+    request.tried.append(attempt.load)
+    outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, f"trial of {attempt.load.target.name} failed")
+    return send_again(state, request, outcome, event.now, event.draw, effects)
 
 
 @reduce.register
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -29,7 +29,7 @@
 ) -> TargetLoad | None:
     """Choose one of the candidates, none of which is leaving; None without candidates.
 
-    With `trial` false the adaptive policy sends no trial request to an avoided target.
+    `trial` says that the request may be repeated, and so may serve as a trial of an avoided target.
     """
     raise TypeError(f"no choice for policy {type(policy).__name__}")
 
@@ -95,7 +95,7 @@
     """Choose the lowest latency among cold targets, else the fewest in flight among hot ones."""
     if not candidates:
         return None
-    due = take_due_trial(policy, candidates, now, draw) if trial else None
+    due = take_due_trial(policy, candidates, now, draw, trial)
     if due is not None:
         return due
     usable = usable_targets(candidates, now, draw) or candidates
--- a/poplarlane/decisions/trials.py
+++ b/poplarlane/decisions/trials.py
@@ -22,14 +22,23 @@
 
 
 def take_due_trial(
-    policy: Adaptive | ProbePool, candidates: list[TargetLoad], now: float, draw: int
+    policy: Adaptive | ProbePool,
+    candidates: list[TargetLoad],
+    now: float,
+    draw: int,
+    repeatable: bool,
 ) -> TargetLoad | None:
-    """Find an avoided target whose trial is due, and set the time of its next one."""
+    """Find an avoided target whose trial is due, and set the time of its next one.
+
+    A request that may not be repeated serves only when no other one came for long, as in a
+    service that only takes bookings.
+    """
     policy.trial_credit = min(1.0, policy.trial_credit + TRIAL_SHARE)
     for load in candidates:
         if load.verdict is not Verdict.AVOIDED or load.outstanding or now < load.next_trial_at:
             continue
-        if policy.trial_credit < 1.0 and now < load.next_trial_at + LONGEST_TRIAL_WAIT_S:
+        early = now < load.next_trial_at + LONGEST_TRIAL_WAIT_S
+        if early and (policy.trial_credit < 1.0 or not repeatable):
             continue
         policy.trial_credit = 0.0
         # Entries that began to avoid a target together spread their trials.
