Ramp targets that join a running service or restart

Cause: 24 entries gave a target with a cold start its full share at once, and what was observed about the old process of a restarted target was held against the new one.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -7,10 +7,16 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+import poplarlane.decisions.views  # noqa: F401  registers the handler of views
 from poplarlane.decisions import health
+from poplarlane.decisions.entry_events import ViewReceived
+from poplarlane.decisions.entry_state import EntryState
 from poplarlane.decisions.policies import policy_by_name
+from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.routing import choose_target
 from poplarlane.decisions.verdicts import RAMP_S
+from poplarlane.messages import MemberNotice, ServiceBody, ViewUpdate
+from poplarlane.objects import ServiceObject, TargetObject, encode_service
 from poplarlane.types import Target, TargetLoad, Verdict
 
 SERVICE_S = 0.02
@@ -302,3 +308,43 @@
         health.observe_abandoned(watched.service, context.load, 10**9 + number, watched.now)
     watched.now += 0.03
     watched.review()
+
+
+def view_event(now, revision, count, members=()):
+    """Give a view with one service of `count` targets."""
+    targets = {
+        f"t-{n}": TargetObject(address="127.0.0.1", port=1 + n, data_centre="a")
+        for n in range(count)
+    }
+    found = ServiceObject(
+        service="s", revision=revision, change_id="c", hosts=["s.example"], targets=targets
+    )
+    body = ServiceBody("s", revision, encode_service(found))
+    view = ViewUpdate("agent", 1, revision, True, [body], list(members), [], 24)
+    return ViewReceived(now, 1, view)
+
+
+@given("an entry whose service runs on 3 targets")
+def step_running(context):
+    context.state = EntryState("entry-1", 1)
+    members = [MemberNotice("t-0", "target", 1, "leaving", 0.0, "list")]
+    reduce(view_event(100.0, 1, 3, members), context.state)
+    service = context.state.services["s"]
+    service.health.typical_s = SERVICE_S
+    for load in service.loads.values():
+        health.observe_answer(load, SERVICE_S, True, 100.0)
+    service.loads["t-0"].verdict = Verdict.AVOIDED
+
+
+@when("a fourth target is configured and the first one returns from a restart")
+def step_join(context):
+    members = [MemberNotice("t-0", "target", 2, "live", 1.0, "list")]
+    reduce(view_event(110.0, 2, 4, members), context.state)
+
+
+@then("both are ramped up, the others keep their share, and nothing old is held against them")
+def step_ramped(context):
+    loads = context.state.services["s"].loads
+    ramped = {name for name, load in loads.items() if load.ramp_until > 110.0}
+    assert ramped == {"t-0", "t-3"}, ramped
+    assert not loads["t-0"].leaving and loads["t-0"].verdict is Verdict.HEALTHY
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -71,3 +71,9 @@
     Given 17 targets that one entry has used for 20 seconds
     When 2 requests to one target are cancelled after 10 service times
     Then the target of these steps is avoided
+
+  Scenario: A target that joins a running service or restarts gets a growing share
+    24 entries that send a cold target its full share at once would keep it slow.
+    Given an entry whose service runs on 3 targets
+    When a fourth target is configured and the first one returns from a restart
+    Then both are ramped up, the others keep their share, and nothing old is held against them
--- a/poplarlane/decisions/drain.py
+++ b/poplarlane/decisions/drain.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions.entry_state import EntryState, ServiceState, TimerKind, add_timer
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import current_report
-from poplarlane.types import Target
+from poplarlane.types import Target, TargetLoad
 
 
 def mark_leaving(state: EntryState, target: Target, source: str, effects: list[Effect]) -> None:
@@ -33,7 +33,8 @@
     for service in state.services.values():
         load = service.loads.get(name)
         if load is not None and load.leaving:
-            load.leaving = False
+            # What was observed about the old process says nothing about the new one.
+            service.loads[name] = TargetLoad(load.target, load.distance_s)
             refresh_usable(service)
 
 
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -44,6 +44,8 @@
         take_verdict(state, verdict, event.now)
     for probe in view.probes:
         take_probe(state, probe, event.now)
+    if changed or view.members:
+        ramp_new_targets(state, event.now)
     if view.complete and not state.ready:
         state.ready = True
         effects.append(Log("ready", "info", {"services": len(state.services)}))
@@ -56,6 +58,16 @@
     return effects
 
 
+def ramp_new_targets(state: EntryState, now: float) -> None:
+    """Let the share of targets that join a running service grow in steps: they may start cold."""
+    for service in state.services.values():
+        if service.health.typical_s <= 0.0:
+            continue
+        for load in service.limits.loads:
+            if not load.answers and not load.outstanding and load.ramp_until == 0.0:
+                health.start_ramp(load, now)
+
+
 def note_agent(state: EntryState, view: ViewUpdate, now: float, effects: list[Effect]) -> None:
     """Ask an agent that has restarted for everything newer than what is applied."""
     state.last_view_at = now
