Let doubt raise the expected time gradually, and peers count more after a failure

Change: each unit of doubt above 3 costs a typical latency; peers count once an entry has evidence of its own, with 4.9 right after a failure, so that one failure and two peers are enough.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -256,6 +256,18 @@
     assert context.load.verdict is Verdict.AVOIDED
 
 
+@then("with the verdicts of two peers one failure is enough to avoid another target")
+def step_peers_and_failure(context):
+    watched, load = context.watched, context.watched.loads[7]
+    for _ in range(2):
+        now = watched.now
+        health.observe_peer_verdict(load, Verdict.AVOIDED, now + 5.0, now)
+    health.observe_failure(load, watched.now)
+    watched.now += 0.05
+    watched.review()
+    assert load.verdict is Verdict.AVOIDED
+
+
 @when("one target reports 0 requests in flight in 20 answers")
 def step_frozen(context):
     for _ in range(20):
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -51,6 +51,7 @@
     Then the target of these steps is not avoided
     And good answers of the target cancel what the peers said
     But with the peers' verdict one request without an answer is enough to avoid it
+    And with the verdicts of two peers one failure is enough to avoid another target
 
   Scenario: A frozen report and one that does not fit the latency are not believed
     A target that always reports no load would attract requests until it is far slower.
--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -10,7 +10,7 @@
 
 from poplarlane.decisions.policies import Adaptive
 from poplarlane.decisions.trials import take_due_trial, usable_targets
-from poplarlane.types import TargetLoad, Verdict
+from poplarlane.types import TargetLoad
 
 # Requests in flight forget their past within about one service time. A quarter of it did best in
 # trials with fixed service times and equally well with exponential ones.
@@ -20,8 +20,6 @@
 # Smaller differences between targets are noise. Without this, entries that hold the same stale
 # reports would all choose the same target.
 TIE_REQUESTS = 0.05
-# A suspect is chosen only when all others would take this many typical latencies longer.
-SUSPECT_PENALTY_TYPICAL = 3.0
 
 
 def choose_adaptively(
@@ -57,11 +55,9 @@
         if in_flight < load.outstanding:
             in_flight = load.outstanding
         slowness = load.slowness
-        expected_s = in_flight * slot_s * slowness + load.distance_s
+        expected_s = in_flight * slot_s * slowness + load.distance_s + load.penalty_s
         if slowness != 1.0:
             expected_s += typical_s * (slowness - 1.0)
-        if load.verdict is not Verdict.HEALTHY:
-            expected_s += SUSPECT_PENALTY_TYPICAL * typical_s
         if expected_s < best_s - tie_s:
             best, best_s = load, expected_s
     return best
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -24,8 +24,12 @@
 FAULTY_ERROR_RATE = 0.5
 MIN_ERROR_RATE = 0.02
 PEER_DOUBT = {Verdict.HEALTHY: 0.0, Verdict.SUSPECT: 1.5, Verdict.AVOIDED: 3.0}
-# Peers alone never make a target avoided, so that one faulty entry cannot mislead all others.
-MAX_PEER_DOUBT = 3.9
+# What peers say counts once this entry has evidence of its own, so that an entry with a faulty
+# network cannot mislead the others. After a failure it counts more: with the word of two peers one
+# failure is enough. For slow targets, 4.9 doubled the false verdicts with log-normal times.
+MAX_PEER_DOUBT = 4.9
+MAX_PEER_DOUBT_IF_SLOW = 3.9
+MIN_OWN_DOUBT = 1.0
 SHED_PAUSE_S = 0.05
 MAX_SHED_PAUSE_S = 1.0
 # A refusal shows that the target was full; it counts as this many requests per reported one.
@@ -233,8 +237,6 @@
 def current_doubt(load: TargetLoad, now: float) -> float:
     """Give the evidence of a fault now: own answers, outstanding requests and peers."""
     doubt = load.doubt * math.exp((load.doubt_at - now) / DOUBT_MEMORY_S)
-    if now < load.peer_verdict_expires_at:
-        doubt += load.peer_doubt
     if load.sent_at and load.typical_s > 0.0:
         # An outstanding request will take at least its age.
         for sent_at in load.sent_at.values():
@@ -242,4 +244,7 @@
             if evidence <= 0.0:
                 break
             doubt += evidence
+    if doubt >= MIN_OWN_DOUBT and now < load.peer_verdict_expires_at:
+        failing = load.consecutive_failures > 0
+        doubt += load.peer_doubt if failing else min(load.peer_doubt, MAX_PEER_DOUBT_IF_SLOW)
     return doubt
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -50,6 +50,9 @@
 MAX_REVIEW_INTERVAL_S = 0.05
 # Sorting the latencies is a third of a review, and quantiles change slowly.
 QUANTILE_INTERVAL_S = 0.25
+# Doubt makes a target more expensive before it is enough for a verdict.
+FREE_DOUBT = 3.0
+PENALTY_TYPICAL = 1.0
 # Differences below two standard errors of an exponential latency are treated as noise.
 NOISE_STANDARD_ERRORS = 2.0
 # In a busy service the same number in this many reports in a row shows that it is not measured.
@@ -79,7 +82,11 @@
         load.reports_believed = believes_reports(load, mean)
     doubts = [current_doubt(load, now) for load in loads]
     # What most targets share, such as a surge of load, is not the fault of one target.
-    return verdicts.apply_doubts(loads, doubts, median(doubts), now)
+    common = median(doubts)
+    for load, doubt in zip(loads, doubts, strict=True):
+        excess = max(0.0, doubt - common - FREE_DOUBT)
+        load.penalty_s = excess * PENALTY_TYPICAL * service.typical_s
+    return verdicts.apply_doubts(loads, doubts, common, now)
 
 
 def update_quantiles(service: ServiceHealth) -> None:
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -114,6 +114,7 @@
         "answers",
         "doubt",
         "doubt_at",
+        "penalty_s",
         "verdict",
         "peer_verdict",
         "peer_verdict_expires_at",
@@ -160,6 +161,8 @@
         # Evidence that the target is faulty, as a log-likelihood ratio never below 0.
         self.doubt = 0.0
         self.doubt_at = 0.0
+        # Time that the doubt adds to the expected time of a request, as of the last review.
+        self.penalty_s = 0.0
         self.verdict = Verdict.HEALTHY
         self.peer_verdict = Verdict.HEALTHY
         self.peer_verdict_expires_at = 0.0
