--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -165,12 +165,13 @@
 
 @then("they leave in the order high, normal, low, first in first out")
 def step_order(context):
-    left = []
-    while (request := limits.next_queued(context.bounds)) is not None:
-        left.append((request.priority, request.request_id))
+    queued = limits.queued_in_order(context.bounds)
+    left = [(request.priority, request.request_id) for request in queued]
     order = [Priority.HIGH, Priority.NORMAL, Priority.LOW]
     assert left == sorted(left, key=lambda item: (order.index(item[0]), item[1])), left
-    assert len(left) == 8 and context.bounds.queued == 0
+    assert len(left) == context.bounds.queued == 8
+    assert all(limits.remove_queued(context.bounds, request) for request in queued)
+    assert context.bounds.queued == 0
 
 
 @given("a service whose answers take at least 50 ms")
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -222,13 +222,6 @@
     load.peer_verdict_expires_at = expires_at
 
 
-def oldest_outstanding_s(load: TargetLoad, now: float) -> float:
-    """Give the age of the oldest outstanding request, 0 without one."""
-    for sent_at in load.sent_at.values():
-        return now - sent_at
-    return 0.0
-
-
 def current_error_rate(load: TargetLoad, now: float) -> float:
     """Give the error estimate, decayed to now."""
     return load.error_rate * math.exp((load.error_at - now) / ERROR_MEMORY_S)
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -22,7 +22,6 @@
     observe_report,
     observe_sent,
     observe_shed,
-    oldest_outstanding_s,
 )
 from poplarlane.decisions.verdicts import start_ramp
 from poplarlane.types import TargetLoad, Verdict
@@ -39,7 +38,6 @@
     "observe_report",
     "observe_sent",
     "observe_shed",
-    "oldest_outstanding_s",
     "review",
     "start_ramp",
     "verdict",
--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -33,7 +33,7 @@
 
 
 class Queue:
-    """Keep the request in the service's queue; `limits.next_queued` gives it back."""
+    """Keep the request in the service's queue; `limits.queued_in_order` lists it."""
 
     __slots__ = ()
 
@@ -162,13 +162,9 @@
     return ahead * typical_s / outstanding if outstanding else 0.0
 
 
-def next_queued(limits: ServiceLimits) -> Admissible | None:
-    """Take the next request to send: highest priority first, then first in, first out."""
-    for name in PRIORITIES:
-        if limits.queues[name]:
-            limits.queued -= 1
-            return limits.queues[name].popleft()
-    return None
+def queued_in_order(limits: ServiceLimits) -> list[Admissible]:
+    """List the queued requests: highest priority first, then first in, first out."""
+    return [request for name in PRIORITIES for request in limits.queues[name]]
 
 
 def remove_queued(limits: ServiceLimits, request: Admissible) -> bool:
@@ -179,16 +175,3 @@
     queue.remove(request)
     limits.queued -= 1
     return True
-
-
-def expire_queued(limits: ServiceLimits, now: float) -> list[Admissible]:
-    """Take the queued requests whose deadline can no longer be met; they were not run."""
-    expired = []
-    for name in PRIORITIES:
-        queue = limits.queues[name]
-        late = [request for request in queue if cannot_answer_by(limits, request.deadline, now)]
-        for request in late:
-            queue.remove(request)
-        expired.extend(late)
-    limits.queued -= len(expired)
-    return expired
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -188,21 +188,20 @@
     if not bounds.queued:
         return
     blocked: set[str] = set()
-    for name in limits.PRIORITIES:
-        for request in list(bounds.queues[name]):
-            if request.labels in blocked:
-                continue
-            targets = reachable_targets(service, request.labels)
-            load = choose(request, targets, now, draw) if targets else None
-            if load is not None:
-                limits.remove_queued(bounds, request)
-                send(state, request, load, now, effects)
-                draw = next_draw(draw)
-            elif targets:
-                blocked.add(request.labels)
-            else:
-                limits.remove_queued(bounds, request)
-                finish_refused(state, request, unreachable(targets), effects)
+    for request in limits.queued_in_order(bounds):
+        if request.labels in blocked:
+            continue
+        targets = reachable_targets(service, request.labels)
+        load = choose(request, targets, now, draw) if targets else None
+        if load is not None:
+            limits.remove_queued(bounds, request)
+            send(state, request, load, now, effects)
+            draw = next_draw(draw)
+        elif targets:
+            blocked.add(request.labels)
+        else:
+            limits.remove_queued(bounds, request)
+            finish_refused(state, request, unreachable(targets), effects)
 
 
 def unreachable(targets: list[TargetLoad] | None) -> NotRun:
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -126,7 +126,6 @@
         "sheds_in_a_row",
         "shed_until",
         "leaving",
-        "probe_pending",
     )
 
     def __init__(self, target: Target, distance_s: float = 0.0) -> None:
@@ -174,7 +173,6 @@
         self.sheds_in_a_row = 0
         self.shed_until = 0.0
         self.leaving = False
-        self.probe_pending = False
 
 
 class MemberFact:
