Keep calls for watches when probe grants use up the rate

Cause: grants and watches shared platform_calls_per_s without priority, so an agent with many grants could hold back its watch.

--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -18,6 +18,9 @@
 RETRY_JITTER_S = (0.05, 0.3)
 # During slow periods of the platform a fixed limit would cut every call.
 MAX_PATIENCE_FACTOR = 5.0
+# Calls about probe grants leave this many tokens to watches and lists, because changes come first.
+RESERVED_TOKENS = 2.0
+LOW_PRIORITY = frozenset({"read_grant", "write_grant"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,11 @@
         self.tokens -= 1.0
         return max(0.0, -self.tokens / self.rate)
 
+    def has_spare(self, now: float) -> bool:
+        """Tell whether a call of low priority may be made."""
+        tokens = min(max(1.0, self.rate), self.tokens + (now - self.at) * self.rate)
+        return tokens >= min(self.rate, 1.0 + RESERVED_TOKENS)
+
     def give_back(self) -> None:
         """Return a token that was not used."""
         self.tokens += 1.0
@@ -137,6 +145,9 @@
         wait_s: float,
     ) -> PlatformAnswer | PlatformFailure:
         """Make one call, which counts against the rate."""
+        if operation in LOW_PRIORITY and not self.rate.has_spare(self.clock()):
+            self.counts["withheld"] += 1
+            return PlatformFailure("the rate of calls leaves none to spare", False)
         delay_s = self.rate.wait_s(self.clock())
         if delay_s > self.timeout_s:
             self.rate.give_back()
