--- a/poplarlane/decisions/verdicts.py
+++ b/poplarlane/decisions/verdicts.py
@@ -32,16 +32,22 @@
 def apply_doubts(
     loads: list[TargetLoad], doubts: list[float], common: float, now: float
 ) -> list[TargetLoad]:
-    """Set new verdicts, at most a third of the targets avoided; return the changed targets."""
+    """Set new verdicts, at most a third of the targets avoided at once.
+
+    Returns the targets that are avoided from now on or no longer. Suspects come and go too often
+    to be worth telling other entries.
+    """
     found = [
         next_verdict(load, doubt - common, now) for load, doubt in zip(loads, doubts, strict=True)
     ]
     spare_some(loads, doubts, found)
     changed = []
     for load, new in zip(loads, found, strict=True):
-        if new != load.verdict:
-            enter_verdict(load, new, now)
+        if new == load.verdict:
+            continue
+        if Verdict.AVOIDED in (new, load.verdict):
             changed.append(load)
+        enter_verdict(load, new, now)
     return changed
 
 
@@ -56,7 +62,8 @@
 def spare_some(loads: list[TargetLoad], doubts: list[float], found: list[Verdict]) -> None:
     """Turn the least doubtful avoided verdicts into suspects when there are too many."""
     avoided = [index for index, new in enumerate(found) if new == Verdict.AVOIDED]
-    allowed = int(len(loads) * MAX_AVOIDED_SHARE)
+    # Targets outside the entry's subset never answer and are no replacement.
+    allowed = int(sum(load.answers > 0 for load in loads) * MAX_AVOIDED_SHARE)
     if len(avoided) <= allowed:
         return
     avoided.sort(key=lambda index: -severity(loads[index], doubts[index]))
