--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 from cleo.exceptions import CleoError
 
+from poplarlane.outcomes import ResultCode
 from poplarlane.programs.ctl.change_commands import (
     RemoveLabelCommand,
     RemoveSelectorCommand,
@@ -19,7 +20,7 @@
     GetCommand,
     HistoryCommand,
 )
-from poplarlane.programs.ctl.reports import ExitStatus
+from poplarlane.programs.ctl.reports import problem, show, usage
 
 VERSION = "0.1.0"
 COMMANDS = (
@@ -48,20 +49,32 @@
 
 
 def run(application: Application) -> int:
-    """Run the application and turn exceptions into exit statuses."""
+    """Run the application and turn exceptions into reports."""
     try:
         return application.run()
     except CleoError as error:
-        sys.stderr.write(f"{one_line(error)}\n")
-        return ExitStatus.USAGE
+        report = usage(one_line(error))
     except Exception as error:
         # A fault of poplarctl itself; operators get the line that a bug report needs.
-        where = sys.exc_info()[2]
-        while where.tb_next is not None:
-            where = where.tb_next
-        place = f"{where.tb_frame.f_code.co_filename}:{where.tb_lineno}"
-        sys.stderr.write(f"internal error at {place}: {type(error).__name__}: {one_line(error)}\n")
-        return ExitStatus.FAILED
+        text = f"internal error at {place_of(error)}: {type(error).__name__}: {one_line(error)}"
+        report = problem(ResultCode.CHANGE_FAILED, [text])
+    show(report, wanted_output(sys.argv[1:]))
+    return int(report.status)
+
+
+def place_of(error: Exception) -> str:
+    """Name the file and line that raised an exception."""
+    step = error.__traceback__
+    while step.tb_next is not None:
+        step = step.tb_next
+    return f"{step.tb_frame.f_code.co_filename}:{step.tb_lineno}"
+
+
+def wanted_output(words: list[str]) -> str:
+    """Find the wanted output on a command line that could not be parsed."""
+    pairs = zip(words, [*words[1:], ""], strict=True)
+    wants_json = "--output=json" in words or ("--output", "json") in pairs
+    return "json" if wants_json else "text"
 
 
 def one_line(error: Exception) -> str:
