--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -53,6 +53,8 @@
         "loads",
         "queues",
         "queued",
+        "subset_size",
+        "entry_rank",
         "minimum_s",
         "minimum_at",
     )
@@ -72,6 +74,9 @@
         self.loads = loads
         self.queues: dict[Priority, deque[Admissible]] = {name: deque() for name in PRIORITIES}
         self.queued = 0
+        # Targets that one entry uses (0 is all), and its place among the entries.
+        self.subset_size = 0
+        self.entry_rank = 0
         # Time within which a request of this service can be answered at best; 0 is unknown.
         self.minimum_s = 0.0
         self.minimum_at = 0.0
@@ -101,6 +106,12 @@
     return load.reported_in_flight + load.sent_since_report < limits.slots_per_target
 
 
+def targets_with_room(limits: ServiceLimits, loads: list[TargetLoad]) -> list[TargetLoad]:
+    """List the targets that this entry may send one more request to."""
+    share = in_flight_share(limits)
+    return [load for load in loads if load.outstanding < share or has_room(limits, load)]
+
+
 def observe_minimum(limits: ServiceLimits, minimum_s: float, now: float) -> None:
     """Record the time within which a request was answered at best, as known now."""
     limits.minimum_s = minimum_s
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions.reports import current_report, hello
 from poplarlane.decisions.requests import send_queued
 from poplarlane.decisions.validation import check_service
-from poplarlane.messages import MemberNotice, ServiceBody, VerdictNotice, ViewUpdate
+from poplarlane.messages import MemberNotice, ProbeNotice, ServiceBody, VerdictNotice, ViewUpdate
 from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
 from poplarlane.types import (
     MemberKind,
@@ -34,12 +34,16 @@
     changed = [body for body in view.services if take_service(state, body, effects)]
     if changed:
         rebuild_hosts(state, effects)
-    if view.fleet_entries != state.fleet_entries or changed:
+    resized = (view.fleet_entries, view.entry_rank) != (state.fleet_entries, state.entry_rank)
+    if resized or changed:
+        state.entry_rank = view.entry_rank
         share_limits(state, max(1, view.fleet_entries), effects)
     for notice in view.members:
         take_member(state, notice, effects)
     for verdict in view.verdicts:
         take_verdict(state, verdict, event.now)
+    for probe in view.probes:
+        take_probe(state, probe, event.now)
     if view.complete and not state.ready:
         state.ready = True
         effects.append(Log("ready", "info", {"services": len(state.services)}))
@@ -114,6 +118,7 @@
     if isinstance(service.policy, Adaptive):
         service.policy.slots = found.limits.slots_per_target
     set_limits(state, service, found.limits, fresh)
+    service.limits.subset_size = found.limits.subset_size
     refresh_usable(service)
 
 
@@ -184,6 +189,8 @@
     state.fleet_entries = entries
     for service in state.services.values():
         service.limits.entries = entries
+        service.limits.entry_rank = state.entry_rank
+        refresh_usable(service)
         share = limits.connection_share(service.limits)
         for load in service.loads.values():
             effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
@@ -227,6 +234,15 @@
     return None
 
 
+def take_probe(state: EntryState, notice: ProbeNotice, now: float) -> None:
+    """Record what a probe of any VM found."""
+    service = state.services.get(notice.service)
+    load = service.loads.get(notice.target) if service else None
+    if load is not None:
+        in_flight = notice.in_flight + notice.queued
+        health.observe_probe(load, in_flight, now - notice.age_s, now)
+
+
 def take_verdict(state: EntryState, notice: VerdictNotice, now: float) -> None:
     """Record what another entry concluded about a target."""
     service = state.services.get(notice.service)
