--- a/features/ctl_commands.feature
+++ b/features/ctl_commands.feature
@@ -66,3 +66,7 @@
     Then explain for "kind=kiosk,site=sibiu" allows "t1" and denies "t2"
     And explain says that "site must be 'brasov', but is 'sibiu'"
     And explain says that "role must be 'serving', but is 'resting'"
+
+  Scenario: The operators' page lists every settings key with its default, and every command
+    Then docs/operations.md names every key of the daemons' settings with its default
+    And docs/operations.md names every command, exit status and result code of poplarctl
--- a/features/steps/ctl_command_steps.py
+++ b/features/steps/ctl_command_steps.py
@@ -2,12 +2,18 @@
 
 import json
 import shlex
+from pathlib import Path
 
+import msgspec
 from behave import given, then, when
 
 from features.ctl_world import SERVICE
+from poplarlane.programs.ctl.main import COMMANDS
+from poplarlane.programs.ctl.reports import EXIT_STATUSES
+from poplarlane.settings import AgentSettings, CtlSettings, EntrySettings
 
 UNUSED_PORT = 21399
+OPERATIONS_PAGE = Path(__file__).resolve().parents[2] / "docs" / "operations.md"
 
 
 @when('an operator runs poplarctl "{command}"')
@@ -104,3 +110,34 @@
 @then('explain says that "{text}"')
 def step_explain_says(context, text):
     assert text in context.result.stdout, context.result.stdout
+
+
+def documented_keys(kind, prefix=""):
+    """List (key, default as written in the page) of a settings struct."""
+    for field in msgspec.structs.fields(kind):
+        key = prefix + field.name
+        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            yield from documented_keys(field.type, f"{key}.")
+        elif field.required:
+            yield key, "required"
+        elif field.default is not msgspec.NODEFAULT:
+            default = json.dumps(field.default)
+            shown = field.default if field.name == "log_level" else default
+            yield key, f"`{shown}`"
+
+
+@then("docs/operations.md names every key of the daemons' settings with its default")
+def step_documented_settings(context):
+    page = OPERATIONS_PAGE.read_text()
+    for kind in (EntrySettings, AgentSettings, CtlSettings):
+        for key, default in documented_keys(kind):
+            rows = [line for line in page.splitlines() if line.startswith(f"| `{key}` |")]
+            assert rows and any(f"| {default} |" in row for row in rows), (kind, key, default)
+
+
+@then("docs/operations.md names every command, exit status and result code of poplarctl")
+def step_documented_commands(context):
+    page = OPERATIONS_PAGE.read_text()
+    assert all(f"| `{command.name}" in page for command in COMMANDS)
+    for code, status in EXIT_STATUSES.items():
+        assert f"| {int(code)} | `{code.name.lower()}` | {int(status)} |" in page, code
--- a/poplarlane/programs/ctl/change_commands.py
+++ b/poplarlane/programs/ctl/change_commands.py
@@ -19,7 +19,7 @@
 from poplarlane.programs.ctl.changing import Change, Done, Planned, Unfinished
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, common_options
 from poplarlane.programs.ctl.fleet import held_by_fleet
-from poplarlane.programs.ctl.reports import Report, done, failed_change
+from poplarlane.programs.ctl.reports import Report, done, failed_change, progress
 from poplarlane.programs.ctl.waiting import Wait, wait_report
 from poplarlane.settings import CtlSettings
 
@@ -107,11 +107,13 @@
         """Wait until the accepted revision is in force."""
         name = self.service_name()
         wait = Wait(settings, client, name, outcome.revision, wait_s, self.option("output"))
+        for line in accepted.lines:
+            progress(line, self.option("output"))
         began = time.monotonic()
         waited = await wait.run()
         report = wait_report(waited, name, outcome.revision)
         total_s = outcome.accepted_s + time.monotonic() - began
-        report.lines = [*accepted.lines, *report.lines, f"total time {total_s:.2f} s"]
+        report.lines.append(f"total time {total_s:.2f} s")
         report.document = {**accepted.document, **report.document, "total_s": round(total_s, 3)}
         return report
 
