--- a/poplarlane/decisions/shape.py
+++ b/poplarlane/decisions/shape.py
@@ -1,5 +1,7 @@
 """Shape of decoded JSON against a msgspec struct, reporting every fault instead of the first."""
 
+import json
+import re
 from functools import singledispatch
 from typing import Any
 
@@ -7,6 +9,7 @@
 from msgspec import inspect
 
 Fault = tuple[str, str]
+PLAIN_KEY = re.compile(r"[A-Za-z0-9_.:/-]+\Z")
 
 
 def check_shape(value: Any, kind: type) -> list[Fault]:
@@ -31,8 +34,8 @@
         faults.append((path or "(object)", expected("an object", value)))
         return
     accepted = {field.encode_name: field for field in info.fields}
-    for key in value.keys() - accepted.keys():
-        names = ", ".join(accepted)
+    names = ", ".join(accepted)
+    for key in [key for key in value if key not in accepted]:
         faults.append((join(path, key), f"unknown field; accepted fields: {names}"))
     for key, field in accepted.items():
         if key in value:
@@ -91,7 +94,8 @@
 
 
 def join(path: str, key: str) -> str:
-    """Extend a field path by a key."""
+    """Extend a field path by a key; an odd key is quoted so that the path stays readable."""
+    key = key if PLAIN_KEY.match(key) else json.dumps(key)
     return f"{path}.{key}" if path else key
 
 
