Validate what poplarctl writes, speed up validation, name agents without entries

Cause: (1) the history entry was added after the check, so a long summary, an unprintable operator name or an object just below 1 MB could be written and then refused by every reader; (2) checking the shape of a valid object in Python took most of the time of check_service; (3) an entry that lost its agent is on no status page, and wait did not show that. Change: the final object is validated and summaries end at 200 characters; the typed decoder runs first and the full list of faults is made only when it fails; wait counts agents and entries apart and names agents without an entry. Statuses 400, 404, 405 and 413 mean that nothing was written.

--- a/features/ctl_changes.feature
+++ b/features/ctl_changes.feature
@@ -108,6 +108,18 @@
     Then the operator exits with status 4
     And an operator who applies a file gets status 4, and status 0 with --replace-bad
 
+  Scenario: What poplarctl writes passes the validation that readers apply
+    When an operator sets a selector of 3000 characters
+    Then the operator exits with status 0
+    And the stored service and its copy are valid
+    When an operator with a line break in the name sets label "role" of "t1" to "resting"
+    Then the operator exits with status 4
+    And the operator is told "operator"
+    When an operator applies a file so large that only its history exceeds 1 MB
+    Then the operator exits with status 4
+    And the operator is told "1000000"
+    And the stored service and its copy are valid
+
   Scenario Outline: A dry run shows the change and writes nothing
     When an operator runs "<command>" with --dry-run
     Then the operator exits with status 0
--- a/features/ctl_fleet.feature
+++ b/features/ctl_fleet.feature
@@ -4,7 +4,7 @@
   Scenario: Changes, waiting and bad objects on a running fleet
     Given 3 VMs with an agent and an entry each and the service of the operators
     When an operator changes a label with --wait
-    Then the change is in force on 6 processes in at most 4 s and the printed time says so
+    Then the change is in force on 3 agents and entries in at most 4 s by the printed time
     And wait finds the agents through the platform's VM list as well
     And status shows 3 agents and 3 entries with the same revision
     When another tool writes an unknown field into the service and its copy
--- a/features/steps/ctl_change_steps.py
+++ b/features/steps/ctl_change_steps.py
@@ -16,6 +16,8 @@
 )
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.standin_client import call
+from poplarlane.decisions.validation import check_service
+from poplarlane.objects import MAX_VALUE_BYTES, encode_service
 
 # Long enough for a change to be made while reads still show what was before it.
 STALE_READS_MS = 2_000
@@ -325,3 +327,35 @@
 def step_current(context, revision):
     context.world.faults(stale_reads_ms=0)
     assert context.world.stored()["revision"] == revision
+
+
+@when("an operator sets a selector of {length:d} characters")
+def step_long_selector(context, length):
+    text = ",".join(f"key{number}=value" for number in range(length // 10))
+    words = ("set-selector", SERVICE, "long", "--callers", text, "--targets", "")
+    context.result = context.world.run(*words)
+
+
+@when('an operator with a line break in the name sets label "{key}" of "{target}" to "{value}"')
+def step_bad_operator(context, key, target, value):
+    words = ("set-label", SERVICE, target, f"{key}={value}", "--operator", "a\nb")
+    context.result = context.world.run(*words)
+
+
+@when("an operator applies a file so large that only its history exceeds 1 MB")
+def step_too_large(context):
+    document = context.initial | {"revision": 0}
+    encoded = encode_service(check_service(json.dumps(context.initial).encode(), SERVICE))
+    host = '"h00000.example",'
+    count = (MAX_VALUE_BYTES - len(encoded)) // len(host)
+    hosts = [f"h{number:05d}.example" for number in range(count)]
+    path = context.launcher.settings_path("large", document | {"hosts": hosts})
+    context.result = context.world.run("apply", path)
+
+
+@then("the stored service and its copy are valid")
+def step_valid(context):
+    for kind in ("services", "service-copies"):
+        stored = context.world.stored(kind)
+        checked = check_service(json.dumps(stored).encode(), SERVICE)
+        assert not isinstance(checked, list), checked
--- a/poplarlane/decisions/validation.py
+++ b/poplarlane/decisions/validation.py
@@ -35,18 +35,19 @@
     body: bytes, name: str, kind: str = SERVICES_KIND
 ) -> ServiceObject | list[ObjectFault]:
     """Decode and check a stored service object; return it or all its faults."""
+    decoded = decode_service(body, name)
+    if isinstance(decoded, ServiceObject):
+        faults = content.service_faults(decoded, name)
+        if not faults:
+            return decoded
+    else:
+        faults = decoded
     object_name = f"{kind}/{name}"
-    faults = document_faults(body, name)
-    if not faults:
-        try:
-            return SERVICE_DECODER.decode(body)
-        except (msgspec.DecodeError, RecursionError) as error:
-            faults = [(WHOLE_OBJECT, str(error))]
     return [ObjectFault(object_name, field, reason) for field, reason in faults[:MAX_FAULTS]]
 
 
-def document_faults(body: bytes, name: str) -> list[tuple[str, str]]:
-    """List the faults of an encoded service as pairs of field and reason."""
+def decode_service(body: bytes, name: str) -> ServiceObject | list[tuple[str, str]]:
+    """Decode a service; the faults are pairs of field and reason."""
     if len(body) > MAX_VALUE_BYTES:
         return [(WHOLE_OBJECT, f"has {len(body)} bytes; at most {MAX_VALUE_BYTES} are accepted")]
     try:
@@ -59,11 +60,12 @@
         return [(WHOLE_OBJECT, str(error))]
     except (ValueError, RecursionError) as error:
         return [(WHOLE_OBJECT, f"is not JSON: {error}")]
-    faults = check_shape(document, ServiceObject)
-    # Rules about content read typed fields, so they wait until every field has its type.
-    if not faults:
-        faults = content.service_faults(msgspec.convert(document, ServiceObject), name)
-    elif isinstance(document, dict) and document.get("service", name) != name:
+    try:
+        return SERVICE_DECODER.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        # The decoder names only the first fault, so all of them are looked for separately.
+        faults = check_shape(document, ServiceObject) or [(WHOLE_OBJECT, str(error))]
+    if isinstance(document, dict) and document.get("service", name) != name:
         faults.append(("service", content.name_mismatch(document["service"], name)))
     return faults
 
--- a/poplarlane/plumbing/ctl_client.py
+++ b/poplarlane/plumbing/ctl_client.py
@@ -14,7 +14,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 412
 # Statuses with which the platform refuses a call without acting on it.
-REFUSED_STATUSES = frozenset((429, 503))
+REFUSED_STATUSES = frozenset((400, 404, 405, 413, 429, 503))
 CALLER_HEADER = "x-poplarlane-caller"
 CALLER = "poplarctl"
 CALL_TIMEOUT_S = 2.0
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -38,6 +38,7 @@
     Written,
 )
 
+MAX_SUMMARY_CHARACTERS = 200
 FIRST_RETRY_DELAY_MS = 20
 MAX_RETRY_DELAY_MS = 250
 # Other writers that were just seen need a few calls to finish, copy included.
@@ -288,12 +289,16 @@
             change_id=self.change_id,
             operator=self.operator,
             at=self.at,
-            summary=self.edit.summary,
+            summary=shortened(self.edit.summary),
         )
         service = configuration.with_change(edited, base, change)
+        body = encode_service(service)
+        checked = check_service(body, self.name)
+        if isinstance(checked, list):
+            return EditInvalid(checked)
         if self.dry_run:
             return Planned(service, base.service)
-        result = await self.write(SERVICES_KIND, encode_service(service), self.stored.version)
+        result = await self.write(SERVICES_KIND, body, self.stored.version)
         if isinstance(result, Written):
             self.recovered = base.recovered
             self.maybe_written_as = self.maybe_written_as or base.next_revision
@@ -375,6 +380,13 @@
         await asyncio.sleep(max(0.0, min(delay_s, left_s)))
 
 
+def shortened(summary: str) -> str:
+    """Cut a summary to a length that the history can hold for 50 changes."""
+    if len(summary) <= MAX_SUMMARY_CHARACTERS:
+        return summary
+    return summary[: MAX_SUMMARY_CHARACTERS - 3] + "..."
+
+
 def decode_stored(value: StoredValue, name: str, kind: str = SERVICES_KIND) -> StoredObject:
     """Validate what the platform returned."""
     if value.version == 0:
--- a/poplarlane/programs/ctl/fleet.py
+++ b/poplarlane/programs/ctl/fleet.py
@@ -166,11 +166,17 @@
 class Coverage:
     """Tell on which agents and entries a revision is in force."""
 
-    __slots__ = ("holding", "lacking")
+    __slots__ = ("holding", "lacking", "without_entries")
 
     def __init__(self, fleet: Fleet, service: str, revision: int) -> None:
         self.holding: list[str] = []
         self.lacking: list[str] = []
+        # An entry that has lost its agent is on no status page, so these agents are named.
+        self.without_entries = [
+            status.agent
+            for status in fleet.statuses()
+            if not any(entry.counts for entry in status.entries.values())
+        ]
         for status in fleet.statuses():
             self.add(f"agent {status.agent}", status.services.get(service, 0), revision)
             for name, entry in status.entries.items():
@@ -189,6 +195,11 @@
         else:
             self.lacking.append(f"{member} (revision {held})")
 
+    def counted(self) -> str:
+        """Count the agents and entries that hold the revision."""
+        agents = sum(member.startswith("agent ") for member in self.holding)
+        return f"{agents} agents, {len(self.holding) - agents} entries"
+
     @property
     def complete(self) -> bool:
         """Tell whether every member holds the revision."""
--- a/poplarlane/programs/ctl/waiting.py
+++ b/poplarlane/programs/ctl/waiting.py
@@ -131,10 +131,13 @@
         "waited_s": round(waited.elapsed_s, 3),
         "holding": waited.coverage.holding if waited.coverage else [],
         "lacking": waited.coverage.lacking if waited.coverage else [],
+        "without_entries": waited.coverage.without_entries if waited.coverage else [],
     }
     if waited.reason:
         text = f"{service}: revision {revision}: {waited.reason} after {waited.elapsed_s:.2f} s"
         return problem(ResultCode.WAIT_TIMED_OUT, [text], **document)
-    count = len(waited.coverage.holding)
-    text = f"{service}: revision {revision} in force everywhere ({count} processes)"
-    return done([f"{text} after {waited.elapsed_s:.2f} s"], **document)
+    text = f"{service}: revision {revision} in force everywhere ({waited.coverage.counted()})"
+    lines = [f"{text} after {waited.elapsed_s:.2f} s"]
+    if waited.coverage.without_entries:
+        lines.append(f"no entry is connected to agent {some(waited.coverage.without_entries)}")
+    return done(lines, **document)
