Announce unreachable targets again every two seconds

The change was announced once, at the first failed probe, and a lost message or an agent that joined later had no second chance. Change: the holder repeats the result of an unreachable target while it stays unreachable. Conclusion: one cause is gone; the listener of the scenario sends no reports, so its agent may drop it as silent, which is looked at next.

--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -213,7 +213,16 @@
 class TargetProbe:
     """Track the probes to one target; `clear_at` is the latest arrival of the last probe."""
 
-    __slots__ = ("clear_at", "cost_s", "pending", "doubt", "sent_in_flight", "reachable", "stagger")
+    __slots__ = (
+        "clear_at",
+        "cost_s",
+        "pending",
+        "doubt",
+        "sent_in_flight",
+        "reachable",
+        "announced_at",
+        "stagger",
+    )
 
     def __init__(self, clear_at: float, stagger: float) -> None:
         self.clear_at = clear_at
@@ -222,6 +231,7 @@
         self.doubt = True
         self.sent_in_flight = -1
         self.reachable = True
+        self.announced_at = 0.0
         # Share of the first interval to wait, so that targets are not probed in step.
         self.stagger = stagger
 
--- a/poplarlane/decisions/probes.py
+++ b/poplarlane/decisions/probes.py
@@ -27,6 +27,8 @@
 MAX_PROBES_PER_TICK = 64
 MAX_RESULTS_PER_MESSAGE = 500
 ANNOUNCE_S = 5.0
+# An unreachable target is announced again, for agents that missed the message or joined later.
+UNREACHABLE_REPEAT_S = 2.0
 
 
 def interval_s(budget: ProbeBudgetObject, cost_s: float) -> float | None:
@@ -180,8 +182,10 @@
     state.new_probes.append(notice)
     # One result now and then tells the other candidates that the service is covered.
     quiet = state.now - probes.announced_at > ANNOUNCE_S
-    if flipped or quiet or shift >= NOTABLE_IN_FLIGHT:
-        probes.announced_at = state.now
+    silent_s = state.now - probe.announced_at
+    repeated = not event.answered and silent_s > UNREACHABLE_REPEAT_S
+    if flipped or quiet or repeated or shift >= NOTABLE_IN_FLIGHT:
+        probes.announced_at = probe.announced_at = state.now
         probe.sent_in_flight = event.in_flight
         state.probe_outbox.append((notice, state.now - event.latency_s / 2))
     return effects
