--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -15,7 +15,10 @@
 SUSPECT_AFTER_S = 8.0
 # Digests carry a sample of members, so news of each takes longer in a larger fleet.
 FLEET_AT_FULL_RATE = 64
-GONE_AFTER_S = 60.0
+# Silence alone does not tell a dead VM from one behind a broken link that still serves callers. The
+# platform's list confirms a loss at once; without it a silent agent is kept this long.
+GONE_AFTER_S = 3_600.0
+FORGET_PLACEHOLDER_S = 60.0
 MASS_LOSS_SHARE = 0.25
 MIN_MASS_LOSS_PEERS = 3
 # The platform's list may show a leaving target as live for this long.
@@ -324,7 +327,7 @@
 
 def drop_placeholders(state: AgentState) -> list[Effect]:
     """Forget listed VMs on which no agent ever answered; a later list names them again."""
-    limit = state.now - GONE_AFTER_S
+    limit = state.now - FORGET_PLACEHOLDER_S
     names = [
         peer.name
         for peer in state.peers.values()
--- a/poplarlane/decisions/verification.py
+++ b/poplarlane/decisions/verification.py
@@ -13,6 +13,9 @@
 # How long a ready second peer is waited for, and ready peers at all before the platform is asked.
 PEER_WAIT_S = 2.0
 TRY_INTERVAL_S = 0.3
+# A list may be stale, so it does not replace a comparison with peers that are ready and answer.
+# With 20% loss one try in three fails; this allows for about 30.
+LIST_ALONE_S = 10.0
 PEERS_PER_TRY = 4
 LIST_JITTER_S = 0.2
 LIST_RETRY_S = (1.0, 4.0)
@@ -55,7 +58,7 @@
         effects += ask_peers(state, generator)
     if state.now >= verification.list_at:
         verification.list_at = state.now + generator.uniform(*LIST_RETRY_S) + PEER_WAIT_S
-        if not verification.ready_peers or state.now - verification.started_at > 2 * PEER_WAIT_S:
+        if not verification.ready_peers or tried_peers_long(state):
             effects += [ListObjects(SERVICES_KIND), ListObjects(SERVICE_COPIES_KIND)]
     return effects + conclude(state)
 
@@ -137,7 +140,12 @@
     if confirmed >= PEERS_WANTED or (confirmed == 1 and (waited or len(state.peers) == 1)):
         return True
     listed = verification.listed >= {SERVICES_KIND, SERVICE_COPIES_KIND}
-    return listed and (not verification.ready_peers or waited)
+    return listed and (not verification.ready_peers or tried_peers_long(state))
+
+
+def tried_peers_long(state: AgentState) -> bool:
+    """Tell whether ready peers were known for long without a comparison that succeeded."""
+    return state.now - state.verification.started_at >= LIST_ALONE_S
 
 
 def services_behind(state: AgentState) -> list[str]:
