--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -37,6 +37,13 @@
     When the avoided target answers its trials in time
     Then its share grows in steps of an eighth, a quarter and a half within 2 seconds
 
+  Scenario: An avoided target of a service that only takes bookings still gets trials
+    It would otherwise never return, because bookings serve as trials only when nothing else does.
+    Given 17 targets that one entry has used for 20 seconds
+    And one target is avoided
+    When the entry sends 100 bookings a second for 60 seconds
+    Then the avoided target gets at least 2 and at most 6 of them while it stays slow
+
   Scenario: Verdicts of peers lower the threshold but decide nothing alone
     One entry with a faulty network must not make all others avoid healthy targets.
     Given 17 targets that one entry has used for 20 seconds
@@ -44,6 +51,7 @@
     Then the target of these steps is not avoided
     And good answers of the target cancel what the peers said
     But with the peers' verdict one request without an answer is enough to avoid it
+    And with the verdicts of two peers one failure is enough to avoid another target
 
   Scenario: A frozen report and one that does not fit the latency are not believed
     A target that always reports no load would attract requests until it is far slower.
@@ -64,3 +72,9 @@
     Given 17 targets that one entry has used for 20 seconds
     When 2 requests to one target are cancelled after 10 service times
     Then the target of these steps is avoided
+
+  Scenario: A target that joins a running service or restarts gets a growing share
+    24 entries that send a cold target its full share at once would keep it slow.
+    Given an entry whose service runs on 3 targets
+    When a fourth target is configured and the first one returns from a restart
+    Then both are ramped up, the others keep their share, and nothing old is held against them
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -35,6 +35,8 @@
 from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
 DEFAULT_DEADLINE_MS = 2_000
+# A caller's longer deadline would hold a connection and a slot that nobody waits for any more.
+MAX_DEADLINE_MS = 600_000
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # Kinds for requests that the service's own kinds do not cover.
 SAFE_KIND = RequestKind(
@@ -90,7 +92,7 @@
     """Create a request from its arrival and the kind that applies to it."""
     kind = kind_of(service, event.method, event.path)
     given_ms = event.deadline_ms
-    allowed_ms = kind.deadline_ms if given_ms is None else given_ms
+    allowed_ms = kind.deadline_ms if given_ms is None else min(given_ms, MAX_DEADLINE_MS)
     return Request(
         event.request_id,
         service,
@@ -188,21 +190,20 @@
     if not bounds.queued:
         return
     blocked: set[str] = set()
-    for name in limits.PRIORITIES:
-        for request in list(bounds.queues[name]):
-            if request.labels in blocked:
-                continue
-            targets = reachable_targets(service, request.labels)
-            load = choose(request, targets, now, draw) if targets else None
-            if load is not None:
-                limits.remove_queued(bounds, request)
-                send(state, request, load, now, effects)
-                draw = next_draw(draw)
-            elif targets:
-                blocked.add(request.labels)
-            else:
-                limits.remove_queued(bounds, request)
-                finish_refused(state, request, unreachable(targets), effects)
+    for request in limits.queued_in_order(bounds):
+        if request.labels in blocked:
+            continue
+        targets = reachable_targets(service, request.labels)
+        load = choose(request, targets, now, draw) if targets else None
+        if load is not None:
+            limits.remove_queued(bounds, request)
+            send(state, request, load, now, effects)
+            draw = next_draw(draw)
+        elif targets:
+            blocked.add(request.labels)
+        else:
+            limits.remove_queued(bounds, request)
+            finish_refused(state, request, unreachable(targets), effects)
 
 
 def unreachable(targets: list[TargetLoad] | None) -> NotRun:
