Tell peers only of confirmed faults

Cause: with widely spread service times entries avoid healthy targets for a second now and then; each of these verdicts went to every VM. Change: peers hear of an avoided target once it fails requests or stays slow after the verdict.

--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -61,7 +61,7 @@
     """Update the estimates and verdicts of a service when due; return what peers should know.
 
     `loads` holds all targets of the service that are not leaving. Returned are the targets that
-    are avoided from now on or no longer.
+    are known to be faulty from now on or no longer.
     """
     if now < service.review_at or not loads:
         return []
--- a/poplarlane/decisions/verdicts.py
+++ b/poplarlane/decisions/verdicts.py
@@ -32,23 +32,31 @@
 def apply_doubts(
     loads: list[TargetLoad], doubts: list[float], common: float, now: float
 ) -> list[TargetLoad]:
-    """Set new verdicts, at most a third of the targets avoided at once.
-
-    Returns the targets that are avoided from now on or no longer. Suspects come and go too often
-    to be worth telling other entries.
-    """
+    """Set new verdicts, at most a third of the targets avoided at once; return news for peers."""
     found = [
         next_verdict(load, doubt - common, now) for load, doubt in zip(loads, doubts, strict=True)
     ]
     spare_some(loads, doubts, found)
-    changed = []
     for load, new in zip(loads, found, strict=True):
-        if new == load.verdict:
-            continue
-        if Verdict.AVOIDED in (new, load.verdict):
-            changed.append(load)
-        enter_verdict(load, new, now)
-    return changed
+        if new != load.verdict:
+            enter_verdict(load, new, now)
+    return [load for load in loads if is_news(load)]
+
+
+def is_news(load: TargetLoad) -> bool:
+    """Tell whether peers should hear of the target now, and remember that they do.
+
+    Only confirmed verdicts are worth a message to every VM: the target fails requests, or stayed
+    slow after the verdict. Verdicts from a few slow answers come and go with the service times.
+    """
+    if load.verdict is Verdict.AVOIDED:
+        confirmed = load.consecutive_failures > 0 or load.trials_failed > 0
+        news = confirmed and not load.told_peers
+        load.told_peers = load.told_peers or confirmed
+        return news
+    news = load.told_peers
+    load.told_peers = False
+    return news
 
 
 def next_verdict(load: TargetLoad, doubt: float, now: float) -> Verdict:
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -123,6 +123,7 @@
         "trials_passed",
         "trials_failed",
         "ramp_until",
+        "told_peers",
         "sheds_in_a_row",
         "shed_until",
         "leaving",
@@ -170,6 +171,7 @@
         self.trials_passed = 0
         self.trials_failed = 0
         self.ramp_until = 0.0
+        self.told_peers = False
         self.sheds_in_a_row = 0
         self.shed_until = 0.0
         self.leaving = False
