Add features for deadlines, hedges, full queues and HEAD

Found on the way: the stand-in target raises on HEAD (it sends a body), so HEAD is checked against a raw target. Hedging with half of all reads slow waits for a p95 that the slow reads raise; the scenario uses the default policy.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -94,3 +94,25 @@
     When a caller sends a traceparent and the entry stops
     Then the raw target got a traceparent of the same trace with the entry's span
     And the span file holds that span with the caller's span as its parent
+
+  Scenario: A deadline that passes after sending is unknown and closes the target's connection
+    Given an entry before a raw target that never answers
+    When a caller books with 200 ms left through the entry
+    Then the entry's answer has status 504 and code 1301
+    And the raw target's connection was closed
+
+  Scenario: A hedged read is answered by the second target and cancelled at the first
+    Given an entry before 2 stand-in targets that hedges reads
+    When one target is 200 times slower and 40 reads go through the entry
+    Then every read is answered within 300 ms
+    And the entry counts hedges and cancelled reads at the slow target
+
+  Scenario: A full queue refuses as not run
+    Given an entry before 1 slow target with 2 places in flight and a queue of 4
+    When 12 bookings arrive at once
+    Then at most 6 of them run, and the others are refused with code 1204
+
+  Scenario: A HEAD answer has its length and no body
+    Given an entry before a raw target that answers HEAD with a length of 5
+    When HEAD is asked twice on one connection to the entry
+    Then both answers have a length of 5 and no body, on one target connection
--- a/features/entry_rig.py
+++ b/features/entry_rig.py
@@ -2,9 +2,11 @@
 
 import json
 import socket
+import time
 import urllib.request
 from typing import Any
 
+from features.entry_raw_target import RAW_PORT, RawTarget
 from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.publisher import PUBLISHER_PORT, Publisher
 
@@ -15,6 +17,7 @@
 ENTRY_ADMIN_PORT = 23_001
 SOCKET_TIMEOUT_S = 10.0
 HOST = "climbs.example"
+WAIT_LIMIT_S = 10.0
 
 
 class Rig:
@@ -251,3 +254,41 @@
     data = None if document is None else json.dumps(document).encode()
     with urllib.request.urlopen(urllib.request.Request(url, data=data), timeout=10) as answer:
         return json.loads(answer.read())
+
+
+def wait_until(predicate):
+    """Poll until the predicate holds; fail after the time limit."""
+    limit = time.monotonic() + WAIT_LIMIT_S
+    while not predicate():
+        assert time.monotonic() < limit, "the awaited state was not reached in time"
+
+
+def new_rig(context) -> Rig:
+    """Create a rig that ends with the scenario."""
+    launcher = context.resources.enter_context(Launcher())
+    context.rig = Rig(launcher)
+    context.resources.callback(context.rig.close)
+    return context.rig
+
+
+def start_rig(context, targets, settings=None, proxied=False, service=None, **target_settings):
+    """Start targets, a publisher and an entry that has their view."""
+    rig = new_rig(context)
+    for number in range(1, targets + 1):
+        rig.start_target(f"target-{number}", **target_settings)
+    if proxied:
+        rig.put_proxy_before("target-1")
+    rig.publisher.publish([rig.service(**(service or {}))])
+    rig.start_entry(**(settings or {}))
+    return rig
+
+
+def start_raw_rig(context, **settings):
+    """Start a publisher and an entry before one raw target."""
+    rig = new_rig(context)
+    context.raw = RawTarget(rig.launcher.new_host())
+    context.resources.callback(context.raw.close)
+    rig.targets["raw-1"] = (context.raw.listener.getsockname()[0], RAW_PORT)
+    rig.publisher.publish([rig.service()])
+    rig.start_entry(**settings)
+    return rig
--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -8,49 +8,29 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import psutil
 from behave import given, then, when
 
-from features.entry_raw_target import RAW_PORT, RawTarget
-from features.entry_rig import ENTRY_ADMIN_PORT, Rig, request
-from poplarlane.bench.processes import Launcher
+from features.entry_rig import (
+    ENTRY_ADMIN_PORT,
+    new_rig,
+    request,
+    start_raw_rig,
+    start_rig,
+    wait_until,
+)
 from poplarlane.bench.publisher import Publisher
 
 UNKNOWN_CODES = {"1300", "1302", "1303"}
 LOAD_S = 3.0
-WAIT_LIMIT_S = 10.0
 LEAVING_BOUND_S = 2.0
 LARGE_BYTES = 16_000_000
 TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
 PARENT_ID = "00f067aa0ba902b7"
 
 
-def wait_until(predicate):
-    """Poll until the predicate holds; fail after the time limit."""
-    limit = time.monotonic() + WAIT_LIMIT_S
-    while not predicate():
-        assert time.monotonic() < limit, "the awaited state was not reached in time"
-
-
-def new_rig(context) -> Rig:
-    launcher = context.resources.enter_context(Launcher())
-    context.rig = Rig(launcher)
-    context.resources.callback(context.rig.close)
-    return context.rig
-
-
-def start_rig(context, targets, settings=None, proxied=False, service=None, **target_settings):
-    rig = new_rig(context)
-    for number in range(1, targets + 1):
-        rig.start_target(f"target-{number}", **target_settings)
-    if proxied:
-        rig.put_proxy_before("target-1")
-    rig.publisher.publish([rig.service(**(service or {}))])
-    rig.start_entry(**(settings or {}))
-    return rig
-
-
 @given("an entry before {count:d} stand-in target")
 @given("an entry before {count:d} stand-in targets")
 def step_entry(context, count):
@@ -394,14 +374,10 @@
 
 @given("an entry that traces every request before a raw target")
 def step_traced(context):
-    rig = new_rig(context)
-    context.raw = RawTarget(rig.launcher.new_host())
-    context.resources.callback(context.raw.close)
+    directory = context.resources.enter_context(TemporaryDirectory())
+    context.spans = Path(directory) / "spans.jsonl"
+    start_raw_rig(context, tracing={"sample_ratio": 1.0, "file": str(context.spans)})
     context.raw.answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
-    rig.targets["raw-1"] = (context.raw.listener.getsockname()[0], RAW_PORT)
-    rig.publisher.publish([rig.service()])
-    context.spans = Path(rig.launcher.directory.name) / "spans.jsonl"
-    rig.start_entry(tracing={"sample_ratio": 1.0, "file": str(context.spans)})
 
 
 @when("a caller sends a traceparent and the entry stops")
