Hold back callers that read no answers, and resume paused target connections

A caller that sent requests without reading answers made the entry hold all of them. Change: a pooled connection reads again, a caller whose write buffer is full is not read, and an idle caller with unread bytes is reset.

--- a/features/entry_fuzz.feature
+++ b/features/entry_fuzz.feature
@@ -9,3 +9,6 @@
 
   Scenario: A valid answer that is cut at any byte is never read as whole
     Then 1000 cut answers are never read as whole
+
+  Scenario: A paused connection is not kept paused in the pool
+    Then a target connection paused at the end of a streamed answer reads its next answer
--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -88,6 +88,7 @@
     When 8 callers ask for 16 MB each and read nothing until the entry holds back
     Then the entry's memory has grown by less than 20 MB
     And each of those callers receives its whole answer
+    And further reads on the same target connections are answered
 
   Scenario: A traced request has one span per hop
     Given an entry that traces every request before a raw target
@@ -116,3 +117,9 @@
     Given an entry before a raw target that answers HEAD with a length of 5
     When HEAD is asked twice on one connection to the entry
     Then both answers have a length of 5 and no body, on one target connection
+
+  Scenario: A caller that sends requests and reads no answers is held back
+    Given an entry before 1 stand-in target
+    When a caller sends reads of 200 kB one after another and takes no answer
+    Then the entry's memory has grown by less than 20 MB
+    And the entry has stopped reading that caller's requests
--- a/features/entry_rig.py
+++ b/features/entry_rig.py
@@ -6,6 +6,8 @@
 import urllib.request
 from typing import Any
 
+import psutil
+
 from features.entry_raw_target import RAW_PORT, RawTarget
 from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.publisher import PUBLISHER_PORT, Publisher
@@ -127,9 +129,9 @@
         """Read the entry's status page."""
         return call(f"http://{self.entry_address}:{ENTRY_ADMIN_PORT}/status")
 
-    def caller(self) -> "Caller":
+    def caller(self, receive_buffer: int = 0) -> "Caller":
         """Connect a caller to the entry."""
-        return Caller(self.entry_address, ENTRY_PORT)
+        return Caller(self.entry_address, ENTRY_PORT, receive_buffer)
 
     def ask(self, method: str, path: str = "/", body: bytes = b"", **headers: str) -> "Reply":
         """Make one request on a connection of its own."""
@@ -173,8 +175,12 @@
 class Caller:
     """Speak HTTP over a raw socket, so that malformed bytes can be sent."""
 
-    def __init__(self, address: str, port: int) -> None:
-        self.socket = socket.create_connection((address, port), timeout=SOCKET_TIMEOUT_S)
+    def __init__(self, address: str, port: int, receive_buffer: int = 0) -> None:
+        self.socket = socket.socket()
+        self.socket.settimeout(SOCKET_TIMEOUT_S)
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.connect((address, port))
         self.file = self.socket.makefile("rb")
 
     def send(self, data: bytes) -> None:
@@ -292,3 +298,8 @@
     rig.publisher.publish([rig.service()])
     rig.start_entry(**settings)
     return rig
+
+
+def memory_bytes(process: Process) -> int:
+    """Give the resident memory of a process."""
+    return psutil.Process(process.popen.pid).memory_info().rss
--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.written = b""
         self.aborted = False
+        self.reading = True
 
     def get_extra_info(self, _name):
         return ("127.0.0.1", 1)
@@ -53,7 +54,10 @@
     close = abort
 
     def pause_reading(self):
-        pass
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
 
 
 class FakeShell:
@@ -315,3 +319,18 @@
         cut = data[: place % len(data)]
         answer, failed, _ = read_answer(split(cut, cuts), close=True)
         assert answer is None and failed, cut
+
+
+@then("a target connection paused at the end of a streamed answer reads its next answer")
+def step_paused(context):
+    shell = FakeShell()
+    pool = Pool(Target("t", "127.0.0.1", 1, "brasov", {}), 5)
+    connection = TargetConnection(shell, pool)
+    connection.connection_made(FakeTransport())
+    exchange = Exchange(1, 1, False, b"", b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    exchange.streaming_to = object()
+    # The caller's write buffer fills up with the last bytes of the answer.
+    shell.take_answer_data = lambda *_: connection.transport.pause_reading()
+    connection.send(exchange)
+    connection.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc")
+    assert pool.take() is connection and connection.transport.reading
--- a/features/steps/entry_limit_steps.py
+++ b/features/steps/entry_limit_steps.py
@@ -5,10 +5,18 @@
 
 from behave import given, then, when
 
-from features.entry_rig import ENTRY_ADMIN_PORT, request, start_raw_rig, start_rig
+from features.entry_rig import (
+    ENTRY_ADMIN_PORT,
+    memory_bytes,
+    request,
+    start_raw_rig,
+    start_rig,
+    wait_until,
+)
 
 WARM_UP_READS = 60
 SLOW_FACTOR = 200
+GREEDY_READS = 100
 
 
 @when("a caller books with {left:d} ms left through the entry")
@@ -110,3 +118,28 @@
     for reply in context.replies:
         assert reply.status == 200 and reply.headers["content-length"] == "5", reply
     assert context.raw.connections == 1
+
+
+@when("a caller sends reads of 200 kB one after another and takes no answer")
+def step_greedy(context):
+    rig = context.rig
+    rig.ask("GET", "/", x_answer_bytes="200000")
+    context.memory = memory_bytes(rig.entry)
+    caller = rig.caller(receive_buffer=16_384)
+    context.resources.callback(caller.close)
+    for number in range(GREEDY_READS):
+        name = f"greedy-{number}"
+        caller.send(request("GET", "/", x_request_id=name, x_answer_bytes="200000"))
+        limit = time.monotonic() + 0.3
+        while name not in rig.ledger("target-1")["executions"]:
+            if time.monotonic() > limit:
+                context.held_back = True
+                return
+        # The answer has left the entry's request state when nothing is in flight.
+        wait_until(lambda: rig.status()["in_flight"] == 0)
+    context.held_back = False
+
+
+@then("the entry has stopped reading that caller's requests")
+def step_held_back(context):
+    assert context.held_back
--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -10,11 +10,11 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-import psutil
 from behave import given, then, when
 
 from features.entry_rig import (
     ENTRY_ADMIN_PORT,
+    memory_bytes,
     new_rig,
     request,
     start_raw_rig,
@@ -27,6 +27,7 @@
 LOAD_S = 3.0
 LEAVING_BOUND_S = 2.0
 LARGE_BYTES = 16_000_000
+RECEIVE_BUFFER_BYTES = 16_384
 TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
 PARENT_ID = "00f067aa0ba902b7"
 
@@ -335,16 +336,13 @@
         thread.join()
 
 
-def memory_bytes(process):
-    return psutil.Process(process.popen.pid).memory_info().rss
-
-
 @when("{count:d} callers ask for 16 MB each and read nothing until the entry holds back")
 def step_slow_readers(context, count):
     rig = context.rig
     rig.ask("GET", "/", x_answer_bytes="1000000")
     context.memory = memory_bytes(rig.entry)
-    context.callers = [rig.caller() for _ in range(count)]
+    # Small buffers keep these callers behind the entry up to the last byte.
+    context.callers = [rig.caller(RECEIVE_BUFFER_BYTES) for _ in range(count)]
     for caller in context.callers:
         caller.send(request("GET", "/", x_answer_bytes=str(LARGE_BYTES), x_deadline_ms="20000"))
     # The entry holds back once its memory and the answers under way no longer change.
@@ -372,6 +370,16 @@
         assert reply.whole and len(reply.body) == LARGE_BYTES + 1, reply
 
 
+@then("further reads on the same target connections are answered")
+def step_further(context):
+    # As many at once as there were large answers, so that every pooled connection is used.
+    for caller in context.callers:
+        caller.send(request("GET", "/", x_deadline_ms="1500"))
+    for caller in context.callers:
+        reply = caller.reply()
+        assert reply.status == 200 and reply.whole, reply
+
+
 @given("an entry that traces every request before a raw target")
 def step_traced(context):
     directory = context.resources.enter_context(TemporaryDirectory())
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -58,6 +58,7 @@
         "expires_at",
         "close_after",
         "closing",
+        "is_pipelining",
         "paused_target",
         "stream_chunked",
         "span",
@@ -84,6 +85,7 @@
         self.expires_at = 0.0
         self.close_after = False
         self.closing = False
+        self.is_pipelining = False
         self.paused_target = None
         self.stream_chunked = False
         self.span = None
@@ -106,11 +108,14 @@
         return False
 
     def pause_writing(self) -> None:
-        """Stop reading from the target that is streamed to this caller."""
+        """Stop reading from the streamed target, and from a caller that does not read answers."""
+        self.transport.pause_reading()
         self.shell.caller_paused(self)
 
     def resume_writing(self) -> None:
-        """Read again from the target that is streamed to this caller."""
+        """Read again from the streamed target and from the caller."""
+        if not self.is_pipelining:
+            self.transport.resume_reading()
         self.shell.caller_resumed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -230,9 +235,10 @@
 
     def pipelined(self) -> None:
         """Stop reading: bytes after a request close the connection once it is answered."""
-        if not self.close_after:
-            self.close_after = True
+        if not self.is_pipelining:
+            self.is_pipelining = True
             self.shell.note_pipelining(self)
+        self.close_after = True
         self.transport.pause_reading()
 
     def refuse(self, status: int, detail: str) -> None:
@@ -281,7 +287,11 @@
         self.expires_at = 0.0
         if self.is_idle():
             self.closing = True
-            self.transport.close()
+            if self.transport.get_write_buffer_size():
+                # A close would wait for a caller that does not read its answer.
+                self.transport.abort()
+            else:
+                self.transport.close()
         else:
             self.refuse(408, "the request arrived too slowly")
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -38,6 +38,7 @@
 SWEEP_INTERVAL_S = 0.1
 # Idle connections to a target are closed before a usual target would close them.
 TARGET_IDLE_S = 30.0
+FAULT_LOGS_PER_S = 20
 MAX_CACHED_SOURCES = 4_096
 DEFAULT_CONNECTION_LIMIT = 13
 
@@ -72,6 +73,8 @@
         "results",
         "held_body_bytes",
         "stop_at",
+        "logged",
+        "logged_second",
     )
 
     def __init__(
@@ -107,6 +110,9 @@
         self.idle_timeout_s = settings.idle_timeout_ms / 1000.0
         # Earliest instant at which a drained entry ends; 0 while it accepts.
         self.stop_at = 0.0
+        # Faults of targets logged in the current second.
+        self.logged = 0
+        self.logged_second = 0
         # Bytes of request bodies in memory, over all callers.
         self.held_body_bytes = 0
         # Answers by result code.
@@ -256,13 +262,23 @@
         """Report an attempt that ended without a whole answer."""
         self.exchanges.pop(exchange.attempt_id, None)
         if cause is FailureCause.ANSWER_INVALID:
-            log("answer_invalid", "warning", attempt=exchange.attempt_id, reason=detail)
+            self.log_limited("answer_invalid", attempt=exchange.attempt_id, reason=detail)
         self.feed(AttemptFailed(self.now(), self.draw(), exchange.attempt_id, cause, detail))
 
     def log_target(self, target: Target, reason: str) -> None:
         """Log what is wrong with a connection that carries no request."""
         self.metrics.count("target_connection_fault_total", {"target": target.name})
-        log("target_connection_fault", "warning", target=target.name, reason=reason)
+        self.log_limited("target_connection_fault", target=target.name, reason=reason)
+
+    def log_limited(self, event: str, **fields: object) -> None:
+        """Log a fault of a target unless many were logged in this second."""
+        second = int(self.now())
+        if second != self.logged_second:
+            self.logged_second = second
+            self.logged = 0
+        self.logged += 1
+        if self.logged <= FAULT_LOGS_PER_S:
+            log(event, "warning", **fields)
 
     # Control.
 
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -230,6 +230,9 @@
         )
         self.exchange = None
         exchange.connection = None
+        if exchange.streaming_to is not None:
+            # A slow caller may have paused it with the last bytes, and nobody would resume it.
+            self.transport.resume_reading()
         if clean:
             self.pool.release(self)
         else:
