--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -154,6 +154,9 @@
                 head.chunked = True
             elif trusted:
                 read_trusted_header(head, lower, value)
+                if lower == b"x-caller-labels":
+                    # A target that calls further services passes them on.
+                    lines.append((name, value))
         elif lower == b"traceparent":
             head.traceparent = value
         else:
