Notice by the spread of the reports that all of them lag

Change: an entry watches the variance of the reports over their mean; above 1.4 it compares four random targets, below 0.9 all again.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -47,3 +47,11 @@
     Then for any number of targets, entries and any subset size, targets differ by at most one entry
     And no entry's subset prefers a data centre
     And an entry that is replaced changes at most 1 target of each other entry's subset
+
+  Scenario: Reports that prove too stale are followed by few requests only
+    All entries follow equally late reports; what each of them sees is targets that are far more
+    unevenly loaded than chance makes them.
+    Given the adaptive policy and 17 targets whose reports alternate between 0 and 10 for 10 seconds
+    Then a target that reports 0 alone gets at most a third of the choices
+    When the reports stay between 2 and 4 for 10 seconds
+    Then a target that reports 0 alone gets more than nine in ten of the choices
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -171,3 +171,42 @@
     left = before[:10] + before[11:]
     for old, new in zip(left, after, strict=True):
         assert len(set(old) - set(new)) <= limit, (old, new)
+
+
+def report_for_ten_seconds(context, lowest, highest):
+    """Let targets report random numbers while the policy chooses 100 times a second."""
+    draws = random.Random(13)
+    for step in range(1000):
+        context.now += 0.01
+        load = context.loads[step % 17]
+        health.observe_report(load, draws.choice((lowest, highest)), context.now, context.now)
+        choose_target(context.policy, context.loads, context.now, draws.getrandbits(64))
+
+
+@given(
+    "the adaptive policy and 17 targets whose reports alternate between {lowest:d} and {highest:d} "
+    "for 10 seconds"
+)
+def step_uneven(context, lowest, highest):
+    context.now = NOW
+    context.policy = policy_by_name("adaptive")
+    context.loads = make_loads(17)
+    report_for_ten_seconds(context, lowest, highest)
+
+
+@when("the reports stay between {lowest:d} and {highest:d} for 10 seconds")
+def step_even_again(context, lowest, highest):
+    report_for_ten_seconds(context, lowest, highest)
+
+
+@then("a target that reports 0 alone gets {least} of the choices")
+def step_follow(context, least):
+    for load in context.loads:
+        load.reported_in_flight, load.reported_at = 4.0, context.now
+    context.loads[5].reported_in_flight = 0.0
+    draws = random.Random(17)
+    hits = 0
+    for _ in range(1000):
+        draw = draws.getrandbits(64)
+        hits += choose_target(context.policy, context.loads, context.now, draw) is context.loads[5]
+    assert hits <= 333 if least == "at most a third" else hits > 900, hits
--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/adaptive.py
@@ -8,6 +8,7 @@
 
 import math
 
+from poplarlane.decisions.draws import draw_some
 from poplarlane.decisions.policies import Adaptive
 from poplarlane.decisions.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad
@@ -20,6 +21,15 @@
 # Smaller differences between targets are noise. Without this, entries that hold the same stale
 # reports would all choose the same target.
 TIE_REQUESTS = 0.05
+# Random choices spread the requests in flight with a variance of about 1.4 times their mean,
+# choices by fresh reports with 0.5 times. Above the first bound the reports must be so stale that
+# entries follow each other to the same targets; then a few random targets are compared, which
+# gives 0.8 with fresh reports and 1.1 with stale ones, so below the second bound all are again.
+NARROW_DISPERSION = 1.4
+WIDE_DISPERSION = 0.9
+NARROW_CHOICES = 4
+DISPERSION_INTERVAL_S = 0.05
+DISPERSION_GAIN = 0.05
 
 
 def choose_adaptively(
@@ -36,12 +46,16 @@
 def lowest_expected_time(
     policy: Adaptive, loads: list[TargetLoad], now: float, draw: int
 ) -> TargetLoad:
-    """Compare all targets, starting at a random one so that ties are spread."""
-    count = len(loads)
+    """Compare targets, starting at a random one so that ties are spread."""
     typical_s = loads[0].typical_s or DEFAULT_TYPICAL_S
     slot_s = typical_s / policy.slots
     memory_s = typical_s * REPORT_MEMORY_TYPICAL
-    mean = sum([load.reported_in_flight for load in loads]) / count
+    mean = sum([load.reported_in_flight for load in loads]) / len(loads)
+    if now >= policy.dispersion_at + DISPERSION_INTERVAL_S:
+        observe_dispersion(policy, loads, now)
+    if policy.narrow:
+        loads = draw_some(loads, NARROW_CHOICES, draw >> 8)
+    count = len(loads)
     start = draw % count
     tie_s = slot_s * TIE_REQUESTS
     best, best_s = loads[start], math.inf
@@ -61,3 +75,17 @@
         if expected_s < best_s - tie_s:
             best, best_s = load, expected_s
     return best
+
+
+def observe_dispersion(policy: Adaptive, loads: list[TargetLoad], now: float) -> None:
+    """Update how unevenly loaded the targets are, and whether to compare only a few of them."""
+    policy.dispersion_at = now
+    reports = [load.reported_in_flight for load in loads if load.reported_at > -math.inf]
+    if len(reports) <= NARROW_CHOICES:
+        return
+    mean = sum(reports) / len(reports)
+    variance = sum([(report - mean) ** 2 for report in reports]) / len(reports)
+    found = variance / max(mean, 1.0)
+    policy.dispersion += DISPERSION_GAIN * (found - policy.dispersion)
+    bound = WIDE_DISPERSION if policy.narrow else NARROW_DISPERSION
+    policy.narrow = policy.dispersion > bound
--- a/poplarlane/decisions/policies.py
+++ b/poplarlane/decisions/policies.py
@@ -3,6 +3,8 @@
 A policy object belongs to one service in one entry and holds the state of its choices.
 """
 
+import math
+
 DEFAULT_SLOTS = 6
 
 
@@ -53,10 +55,15 @@
 class Adaptive(Policy):
     """Choose the lowest expected time from own counts, reports, latency and verdicts."""
 
-    __slots__ = ("slots", "trial_credit")
+    __slots__ = ("slots", "trial_credit", "dispersion", "dispersion_at", "narrow")
 
     def __init__(self, slots: int = DEFAULT_SLOTS) -> None:
         self.slots = slots
+        # Variance over mean of the targets' reports, smoothed, and the time of the last update.
+        self.dispersion = 0.5
+        self.dispersion_at = -math.inf
+        # Whether reports proved so stale that only a few targets are compared.
+        self.narrow = False
         # Trials that the requests so far have earned.
         self.trial_credit = 1.0
 
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/routing.py
@@ -3,6 +3,7 @@
 from functools import singledispatch
 
 from poplarlane.decisions.adaptive import choose_adaptively
+from poplarlane.decisions.draws import draw_some, pick
 from poplarlane.decisions.policies import (
     Adaptive,
     LeastOutstanding,
@@ -18,11 +19,6 @@
 PROBE_CHOICES = 5
 
 
-def pick(draw: int, count: int) -> tuple[int, int]:
-    """Take a number below `count` from the random bits; return it and the remaining bits."""
-    return draw % count, draw // count
-
-
 @singledispatch
 def choose_target(
     policy: Policy, candidates: list[TargetLoad], now: float, draw: int, trial: bool = True
@@ -112,16 +108,6 @@
     return min(pool, key=estimated_in_flight)
 
 
-def draw_some(loads: list[TargetLoad], count: int, draw: int) -> list[TargetLoad]:
-    """Draw `count` different targets."""
-    left = list(loads)
-    drawn = []
-    while left and len(drawn) < count:
-        index, draw = pick(draw, len(left))
-        drawn.append(left.pop(index))
-    return drawn
-
-
 def known_at(load: TargetLoad) -> float:
     """Give the time of the newest report or probe."""
     return max(load.reported_at, load.probed_at)
