Take turns with the list of VMs, and measure outages

Cause: with 5,300 targets on the list, agents chosen by a hash of the time drew uneven numbers of long lists. Change: agents take turns by name, and the interval grows when the list is long and the agents are few; a stop waits for grant writes only; control_cost measures outages and long lists.

--- a/poplarlane/bench/control_cost.py
+++ b/poplarlane/bench/control_cost.py
@@ -3,6 +3,7 @@
     python -m poplarlane.bench.control_cost cost --agents 24
     python -m poplarlane.bench.control_cost cost --agents 24 --services 350 --targets 5300
     python -m poplarlane.bench.control_cost calls --sizes 6,12,24
+    python -m poplarlane.bench.control_cost outage --agents 24 --seconds 20
     python -m poplarlane.bench.control_cost in-force --agents 24 --changes 50
 
 Each command prints key=value lines. All processes share one machine, so CPU is given as a share
@@ -31,8 +32,13 @@
 MAX_KB_PER_S = 19.0
 # Calls of a fleet may not grow by more than this per added VM and second.
 MAX_CALLS_SLOPE = 0.02
+# Calls in an outage and in the first seconds after it, as multiples of the usual rate.
+MAX_OUTAGE_FACTOR = 3.0
+RECOVERY_S = 2.0
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 SETTLE_S = 5.0
+# Thousands of facts reach all agents in this time; they are a one-time cost.
+LISTED_SETTLE_S = 20.0
 START_TIMEOUT_S = 60.0
 DAILY_CHANGES = 26_000
 SECONDS_PER_DAY = 86_400
@@ -110,6 +116,24 @@
             break
         return service["revision"], self.write(service)
 
+    def list_targets(self) -> None:
+        """Put every target on the platform's list of VMs."""
+        for service in self.services.values():
+            for name, target in service["targets"].items():
+                centre = target["data_centre"]
+                self.layout.register_vm(name, target["address"], centre, "target")
+
+    def set_outage(self, outage: bool) -> None:
+        """Make the platform unavailable, or available again."""
+        faults = {"outage": outage}
+        call(self.layout.platform_address, PLATFORM_PORT, "POST", "/v1/faults", faults)
+
+    def calls_per_s(self, seconds: float) -> float:
+        """Measure the calls of all agents over some time."""
+        before, began = self.platform_calls(), time.monotonic()
+        time.sleep(seconds)
+        return (self.platform_calls() - before) / (time.monotonic() - began)
+
     def platform_calls(self) -> int:
         """Count the calls of agents."""
         path = "/v1/calls"
@@ -156,7 +180,9 @@
     with Launcher() as launcher:
         fleet = Fleet(launcher, options.seed, options.probe_rate)
         show("ready_s", fleet.start(options.agents, options.services, options.targets))
-        time.sleep(SETTLE_S)
+        if options.listed:
+            fleet.list_targets()
+        time.sleep(LISTED_SETTLE_S if options.listed else SETTLE_S)
         before = [Usage(vm) for vm in fleet.vms]
         began = time.monotonic()
         show("changes", keep_changing(fleet, options.seconds))
@@ -185,9 +211,7 @@
             fleet = Fleet(launcher, options.seed, options.probe_rate)
             fleet.start(size, options.services, options.targets)
             time.sleep(SETTLE_S)
-            before, began = fleet.platform_calls(), time.monotonic()
-            time.sleep(options.seconds)
-            rate = (fleet.platform_calls() - before) / (time.monotonic() - began)
+            rate = fleet.calls_per_s(options.seconds)
         rates.append(rate)
         show(f"calls_per_s_at_{size}", rate)
     slope = float(numpy.polyfit(sizes, rates, 1)[0])
@@ -195,6 +219,23 @@
     return slope <= MAX_CALLS_SLOPE
 
 
+def measure_outage(options: argparse.Namespace) -> bool:
+    """Measure calls to the platform before, in and directly after an outage."""
+    with Launcher() as launcher:
+        fleet = Fleet(launcher, options.seed, options.probe_rate)
+        fleet.start(options.agents, options.services, options.targets)
+        time.sleep(SETTLE_S)
+        usual = fleet.calls_per_s(options.seconds)
+        fleet.set_outage(True)
+        within = fleet.calls_per_s(options.seconds)
+        fleet.set_outage(False)
+        after = fleet.calls_per_s(RECOVERY_S)
+    show("calls_per_s_usual", usual)
+    show("calls_per_s_in_outage", within)
+    show("calls_per_s_after", after)
+    return max(within, after) <= MAX_OUTAGE_FACTOR * usual
+
+
 def measure_in_force(options: argparse.Namespace) -> bool:
     """Measure the time until a change is in force at every entry."""
     times = []
@@ -228,6 +269,7 @@
 COMMANDS: dict[str, Callable[[argparse.Namespace], bool]] = {
     "cost": measure_cost,
     "calls": measure_calls,
+    "outage": measure_outage,
     "in-force": measure_in_force,
 }
 
@@ -242,6 +284,7 @@
     parser.add_argument("--sizes", default="6,12,24")
     parser.add_argument("--changes", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--listed", action="store_true", help="put targets on the VM list")
     parser.add_argument("--probe-rate", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -186,7 +186,7 @@
         "tried_at",
         "listed_at",
         "fallback_at",
-        "vm_list_slot",
+        "vm_list_slot_ends",
         "vm_list_pending",
         "vm_list_as_of",
         "copies_pending",
@@ -204,7 +204,7 @@
         self.tried_at = now - 3600.0
         self.listed_at = now - 3600.0
         self.fallback_at = 0.0
-        self.vm_list_slot = -1
+        self.vm_list_slot_ends = 0.0
         self.vm_list_pending = False
         self.vm_list_as_of = -1.0
         self.copies_pending: set[str] = set()
--- a/poplarlane/decisions/watching.py
+++ b/poplarlane/decisions/watching.py
@@ -21,6 +21,9 @@
 # that waited its time is followed at once by the next: a change could be missed in between.
 EARLY_WATCH_PAUSE_S = 0.2
 HTTP_GONE = 410
+# Size of a row of the list of VMs, and what the lists may cost each agent on average.
+LIST_ROW_BYTES = 130
+LIST_BYTES_PER_S = 4_000.0
 
 
 def decide_watching(state: AgentState, generator: random.Random) -> list[Effect]:
@@ -77,21 +80,29 @@
 def list_vms(state: AgentState) -> list[Effect]:
     """Fetch the list of VMs when it is this agent's turn.
 
-    Turns rotate over the fleet, so that the number of calls does not grow with it and no agent
-    carries the whole cost of a long list.
+    Agents take turns in the order of their names, so that the number of calls does not grow with
+    the fleet and all carry the same part of the cost of a long list.
     """
     watch = state.watch
-    slot = int(state.wall / state.vm_list_s)
-    if slot == watch.vm_list_slot or watch.vm_list_pending or state.stopping:
+    if state.wall < watch.vm_list_slot_ends or watch.vm_list_pending or state.stopping:
         return []
-    watch.vm_list_slot = slot
     names = [peer.name for peer in membership.live_peers(state) if peer.contacted]
-    if membership.rank_by_hash(f"vms/{slot}", [*names, state.name])[0] != state.name:
+    interval_s = list_interval_s(state, len(names) + 1)
+    slot = int(state.wall / interval_s)
+    watch.vm_list_slot_ends = (slot + 1) * interval_s
+    turns = sorted([*names, state.name])
+    if turns[slot % len(turns)] != state.name:
         return []
     watch.vm_list_pending = True
     return [ListVms()]
 
 
+def list_interval_s(state: AgentState, agents: int) -> float:
+    """Give the time between two lists, longer when a list is long and agents are few."""
+    list_bytes = len(state.facts) * LIST_ROW_BYTES
+    return max(state.vm_list_s, list_bytes / (agents * LIST_BYTES_PER_S))
+
+
 def on_objects(event: PlatformObjects, state: AgentState) -> list[Effect]:
     """Take in objects of the platform; older revisions among them change nothing."""
     watch = state.watch
--- a/poplarlane/plumbing/agent_shell.py
+++ b/poplarlane/plumbing/agent_shell.py
@@ -29,6 +29,7 @@
 # A process that did not run for this long may have missed deadlines; busy machines stay below.
 PAUSE_S = 1.5
 STOP_LIMIT_S = 1.0
+GRANT_WRITE = "grant_write"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 412
@@ -92,9 +93,9 @@
         for effect in results:
             execute(effect, self)
 
-    def spawn(self, work: Coroutine) -> None:
+    def spawn(self, work: Coroutine, name: str = "call") -> None:
         """Run a call in the background."""
-        task = asyncio.ensure_future(work)
+        task = asyncio.create_task(work, name=name)
         self.tasks.add(task)
         task.add_done_callback(self.finish)
 
@@ -125,10 +126,11 @@
             await asyncio.sleep(TICK_S)
 
     async def finish_calls(self) -> None:
-        """Let calls that give grants back end, within a limit."""
+        """Let calls that give grants back end, within a limit; drop all others."""
         others = self.tasks - {asyncio.current_task()}
-        if others:
-            await asyncio.wait(others, timeout=STOP_LIMIT_S)
+        writes = {task for task in others if task.get_name() == GRANT_WRITE}
+        if writes:
+            await asyncio.wait(writes, timeout=STOP_LIMIT_S)
         for task in others:
             task.cancel()
         self.stopped.set()
@@ -303,7 +305,7 @@
 
 @execute.register
 def execute_write_grant(effect: effects.WriteGrant, shell: AgentShell) -> None:
-    shell.spawn(shell.write_grant(effect))
+    shell.spawn(shell.write_grant(effect), GRANT_WRITE)
 
 
 @execute.register
