Simulate operators with crashes and bad objects; make recovery safe when it ends halfway

Cause: real processes meet writers that end halfway, writes executed late and bad objects in combination too rarely. Change: a recovery first writes the last accepted object into the copy, one revision below the next one, so no service revision is ever more than one above its copy's. A conflict is confirmed through the copy, not by rewriting the watched object.

--- a/features/ctl_changes.feature
+++ b/features/ctl_changes.feature
@@ -95,6 +95,13 @@
       | the same revision, other content   |
       | the name of another service        |
 
+  Scenario: A revision that readers may hold is not used again after the former object came back
+    Given another writer wrote revision 2 of the service but not its copy
+    And another tool wrote over the service with the initial object
+    When an operator sets label "site" of "t1" to "two"
+    Then the operator exits with status 0
+    And the labels "role=serving" and "site=two" of "t1" are stored in revision 3
+
   Scenario: A bad object is shown with its fault, and the last accepted one with it
     Given another tool wrote over the service with an unknown field
     When an operator asks for the service
--- /dev/null
+++ b/features/ctl_simulation.py
@@ -0,0 +1,277 @@
+"""Simulated operators, readers and another tool on a faulty platform, in virtual time."""
+
+import asyncio
+import base64
+import json
+import random
+
+import msgspec
+
+from features.ctl_world import SERVICE, service_document
+from poplarlane.decisions import configuration, edits
+from poplarlane.decisions.configuration import Accepted
+from poplarlane.decisions.edits import Mark
+from poplarlane.decisions.validation import check_service
+from poplarlane.objects import SERVICE_COPIES_KIND, SERVICES_KIND
+from poplarlane.plumbing.ctl_client import (
+    PlatformFailure,
+    StoredValue,
+    VersionConflict,
+    Written,
+)
+from poplarlane.programs.ctl.change_outcomes import Done, FleetView
+from poplarlane.programs.ctl.changing import Change
+
+TARGETS = 3
+CHANGES_PER_OPERATOR = 7
+OPERATORS = 4
+READERS = 3
+TIMEOUT_S = 3.0
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run timers in order without waiting for them."""
+
+    def __init__(self):
+        super().__init__()
+        self.virtual_s = 0.0
+
+    def time(self):
+        """Give the virtual time."""
+        return self.virtual_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.virtual_s = max(self.virtual_s, self._scheduled[0].when())
+        super()._run_once()
+
+
+class SimulatedPlatform:
+    """Keep every version, and lose, delay and refuse calls by seeded draws."""
+
+    def __init__(self, draws):
+        self.draws = draws
+        self.version = 0
+        # Per kind: (version, time, body, writer), oldest first.
+        self.log = {SERVICES_KIND: [], SERVICE_COPIES_KIND: []}
+        self.outage = False
+        self.calm = False
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def put(self, kind, body, writer):
+        """Write unconditionally."""
+        self.version += 1
+        self.log[kind].append((self.version, self.now(), body, writer))
+        return self.version
+
+    def show(self, record):
+        """Give a version as the client decodes it."""
+        version, _, body, _ = record
+        try:
+            msgspec.json.decode(body)
+        except msgspec.DecodeError:
+            return StoredValue(SERVICE, version, raw=base64.b64encode(body).decode())
+        return StoredValue(SERVICE, version, msgspec.Raw(body))
+
+    async def delay(self):
+        """Take the time of half a call."""
+        slow = self.draws.random() < 0.05
+        await asyncio.sleep(self.draws.uniform(0.0005, 0.2 if slow else 0.005))
+
+    async def read(self, kind, _name):
+        """Read, sometimes from the past."""
+        await self.delay()
+        if self.outage:
+            return PlatformFailure("outage", False)
+        stale_s = 0.0
+        if not self.calm and self.draws.random() < 0.3:
+            stale_s = self.draws.uniform(0, 0.5)
+        past = [record for record in self.log[kind] if record[1] <= self.now() - stale_s]
+        await self.delay()
+        return self.show(past[-1]) if past else StoredValue(SERVICE)
+
+    async def write(self, kind, _name, body, version):
+        """Write conditionally; a failed call may still be executed, even later."""
+        await self.delay()
+        if self.outage:
+            return PlatformFailure("outage", False)
+        fate = 1.0 if self.calm else self.draws.random()
+        if fate < 0.05:
+            return PlatformFailure("request lost", True)
+        if fate < 0.10:
+            later_s = self.draws.uniform(0, 0.4)
+            asyncio.get_running_loop().call_later(later_s, self.execute, kind, body, version)
+            return PlatformFailure("timed out", True)
+        result = self.execute(kind, body, version)
+        await self.delay()
+        return PlatformFailure("answer lost", True) if fate < 0.20 else result
+
+    def execute(self, kind, body, version):
+        """Compare the version and write."""
+        current = self.log[kind][-1]
+        if current[0] != version:
+            return VersionConflict(self.show(current))
+        return Written(self.put(kind, body, "operator"))
+
+
+class Reader:
+    """Hold what an agent would hold."""
+
+    def __init__(self):
+        self.held = None
+
+    def take(self, value):
+        """Take a revision the way agents do."""
+        checked = check_service(value.body(), SERVICE)
+        if not isinstance(checked, list):
+            outcome = configuration.accept(self.held, checked)
+            if isinstance(outcome, Accepted):
+                self.held = outcome.service
+
+
+class Simulation:
+    """Run one seed."""
+
+    def __init__(self, seed):
+        self.draws = random.Random(seed)
+        self.platform = SimulatedPlatform(self.draws)
+        self.readers = [Reader() for _ in range(READERS)]
+        # Half of the runs have agents that can be asked.
+        self.agents_answer = seed % 2 == 0
+        self.changes = {}
+        self.done = {}
+        self.running = True
+
+    async def ask_fleet(self, _service):
+        """Answer for the readers."""
+        held = [reader.held for reader in self.readers if reader.held]
+        if not self.agents_answer or not held:
+            return FleetView()
+        newest = max(held, key=lambda service: service.revision)
+        return FleetView(newest, newest.revision)
+
+    async def run(self):
+        """Run all parts, then one calm change, after which every reader must agree."""
+        initial = json.dumps(service_document(TARGETS)).encode()
+        for kind in (SERVICES_KIND, SERVICE_COPIES_KIND):
+            self.platform.put(kind, initial, "initial")
+        await asyncio.sleep(1.0)
+        others = [asyncio.ensure_future(self.read(reader)) for reader in self.readers]
+        others.append(asyncio.ensure_future(self.disturb()))
+        await asyncio.gather(*(self.operate(number) for number in range(OPERATORS)))
+        self.running = False
+        await asyncio.gather(*others)
+        self.platform.outage = False
+        self.platform.calm = True
+        await asyncio.sleep(1.0)
+        await self.change("last", edits.set_label("t1", "last", "one"), None)
+        for reader in self.readers:
+            reader.take(await self.platform.read(SERVICES_KIND, SERVICE))
+
+    async def read(self, reader):
+        """Read the object now and then."""
+        while self.running:
+            await asyncio.sleep(self.draws.uniform(0.005, 0.2))
+            value = await self.platform.read(SERVICES_KIND, SERVICE)
+            if isinstance(value, StoredValue) and value.version:
+                reader.take(value)
+
+    async def disturb(self):
+        """Write bad objects, and begin and end outages."""
+        while self.running:
+            await asyncio.sleep(self.draws.uniform(0.05, 0.6))
+            self.platform.outage = self.draws.random() < 0.2
+            if self.draws.random() < 0.4:
+                self.platform.put(SERVICES_KIND, self.bad_object(), "tool")
+
+    def bad_object(self):
+        """Draw an object that no reader may apply in place of a newer one."""
+        stored = self.platform.log[SERVICES_KIND]
+        last, first = stored[-1][2], stored[0][2]
+        kind = self.draws.choice(("cut", "field", "older"))
+        if kind == "cut":
+            return last[: len(last) // 2]
+        if kind == "older":
+            return first
+        return json.dumps(json.loads(first) | {"colour": "red"}).encode()
+
+    async def operate(self, number):
+        """Make changes one after the other; some end halfway."""
+        for step in range(CHANGES_PER_OPERATOR):
+            target = f"t{self.draws.randint(1, TARGETS)}"
+            key = self.draws.choice(("shared", f"own{number}"))
+            edit = edits.set_label(target, key, f"v{step}")
+            end_s = self.draws.uniform(0, 0.1) if self.draws.random() < 0.2 else None
+            await self.change(f"o{number}-{step}", edit, end_s)
+
+    async def change(self, change_id, edit, end_s):
+        """Run one change, ended after `end_s` if that is set."""
+        self.changes[change_id] = edit
+        change = Change(
+            self.platform,
+            SERVICE,
+            edit,
+            operator=change_id,
+            change_id=change_id,
+            at="",
+            timeout_s=TIMEOUT_S,
+            draws=self.draws,
+            ask_fleet=self.ask_fleet,
+        )
+        try:
+            async with asyncio.timeout(end_s):
+                outcome = await change.run()
+        except TimeoutError:
+            return
+        if isinstance(outcome, Done):
+            self.done[change_id] = outcome
+
+    def bad_objects(self):
+        """Count the objects that the other tool wrote."""
+        return sum(record[3] == "tool" for record in self.platform.log[SERVICES_KIND])
+
+    def check_copies(self):
+        """An accepted change stays, is there once, and the labels follow from the history."""
+        revision, ids = 0, []
+        for _, _, body, _ in self.platform.log[SERVICE_COPIES_KIND]:
+            held = check_service(body, SERVICE)
+            found = [change.change_id for change in held.changes]
+            assert held.revision >= revision, "the copy fell back"
+            assert len(set(found)) == len(found), f"applied twice: {found}"
+            assert found[: len(ids)] == ids, f"an accepted change was lost: {ids} -> {found}"
+            revision, ids = held.revision, found
+        assert self.done.keys() <= set(ids), f"lost: {self.done.keys() - set(ids)}"
+        assert "last" in self.done, "a calm change failed"
+        labels = {f"t{number}": {"role": "serving"} for number in range(1, TARGETS + 1)}
+        for change_id in ids:
+            edit = self.changes[change_id]
+            assert edit.value is not Mark.ABSENT
+            labels[edit.path[1]][edit.path[3]] = edit.value
+        assert labels == {name: target.labels for name, target in held.targets.items()}
+
+    def check_revisions(self):
+        """No revision was written with two contents by operators."""
+        contents = {}
+        for _, _, body, writer in self.platform.log[SERVICES_KIND]:
+            if writer == "operator":
+                held = check_service(body, SERVICE)
+                assert contents.setdefault(held.revision, held) == held, held.revision
+
+    def check_readers(self):
+        """Every reader ends with the stored object."""
+        final = check_service(self.platform.log[SERVICES_KIND][-1][2], SERVICE)
+        for reader in self.readers:
+            assert reader.held == final, (reader.held.revision, final.revision)
+
+
+def run_seed(seed):
+    """Run one seed and return the simulation, to be checked."""
+    simulation = Simulation(seed)
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(simulation.run())
+    finally:
+        loop.close()
+    return simulation
--- a/features/steps/ctl_change_steps.py
+++ b/features/steps/ctl_change_steps.py
@@ -280,6 +280,7 @@
         "text that is not JSON": b'{"service": "avail',
         "an unknown field": stored | {"colour": "red"},
         "an older revision": context.initial,
+        "the initial object": context.initial,
         "the same revision, other content": stored | {"policy": "random"},
         "the name of another service": stored | {"service": "bookings"},
     }
--- a/features/steps/ctl_soak_steps.py
+++ b/features/steps/ctl_soak_steps.py
@@ -10,7 +10,8 @@
 from poplarlane.decisions import edits
 from poplarlane.decisions.edits import EditConflict, EditInvalid, Mark
 from poplarlane.plumbing.ctl_client import PlatformClient
-from poplarlane.programs.ctl.changing import Change, Done
+from poplarlane.programs.ctl.change_outcomes import Done
+from poplarlane.programs.ctl.changing import Change
 
 TARGETS = 6
 SHARED_KEYS = ("role", "site")
--- a/poplarlane/decisions/configuration.py
+++ b/poplarlane/decisions/configuration.py
@@ -129,12 +129,16 @@
 
 
 def is_intact(stored: StoredObject, copy: StoredObject) -> bool:
-    """Tell whether the stored object is valid and was not written over by an older one."""
+    """Tell whether the stored object is valid and was not written over by an older one.
+
+    A writer writes the object before its copy. An object that equals its copy but was written
+    later may have been put back by another tool, over a newer revision that readers hold.
+    """
     if stored.service is None:
         return False
     if copy.service is None or stored.revision > copy.revision:
         return True
-    return stored.service == copy.service
+    return stored.service == copy.service and stored.version < copy.version
 
 
 def holds_change(service: ServiceObject | None, change_id: str) -> bool:
--- a/poplarlane/programs/ctl/change_commands.py
+++ b/poplarlane/programs/ctl/change_commands.py
@@ -10,13 +10,13 @@
 from cleo.io.inputs.option import Option
 
 from poplarlane.decisions import edits
-from poplarlane.decisions.configuration import NoBase
-from poplarlane.decisions.edits import Edit, EditConflict, EditInvalid, Mark
+from poplarlane.decisions.edits import Edit, Mark
 from poplarlane.decisions.labels import InvalidLabels, key_fault, parse_labels
 from poplarlane.decisions.selectors import InvalidSelector, parse
 from poplarlane.objects import SelectorObject
 from poplarlane.plumbing.ctl_client import PlatformClient
-from poplarlane.programs.ctl.changing import Change, Done, Planned, Unfinished
+from poplarlane.programs.ctl.change_outcomes import Done, Outcome, Planned
+from poplarlane.programs.ctl.changing import Change
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, common_options
 from poplarlane.programs.ctl.fleet import held_by_fleet
 from poplarlane.programs.ctl.reports import Report, done, failed_change, progress
@@ -79,7 +79,7 @@
 
     async def change(
         self, settings: CtlSettings, client: PlatformClient, name: str, edit: Edit
-    ) -> Done | Planned | EditConflict | EditInvalid | NoBase | Unfinished:
+    ) -> Outcome:
         """Run the change procedure."""
         change = Change(
             client,
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -6,9 +6,8 @@
 
 import asyncio
 import random
-import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from poplarlane.decisions import configuration
 from poplarlane.decisions.configuration import Base, NoBase, StoredObject
@@ -37,6 +36,15 @@
     VersionConflict,
     Written,
 )
+from poplarlane.programs.ctl.change_outcomes import (
+    AskFleet,
+    Done,
+    FleetView,
+    Outcome,
+    Planned,
+    Unfinished,
+    ask_nobody,
+)
 
 MAX_SUMMARY_CHARACTERS = 200
 FIRST_RETRY_DELAY_MS = 20
@@ -45,52 +53,9 @@
 CONFLICT_DELAY_MS = 80
 
 
-@dataclass(frozen=True, slots=True)
-class Done:
-    """Report an accepted change; times are seconds since the change began."""
-
-    service: ServiceObject
-    revision: int
-    recovered: bool
-    accepted_s: float
-    code: ResultCode = ResultCode.CHANGE_DONE
-
-
-@dataclass(frozen=True, slots=True)
-class Planned:
-    """Report what a dry run would have written."""
-
-    service: ServiceObject
-    previous: ServiceObject | None
-    code: ResultCode = ResultCode.CHANGE_DONE
-
-
-@dataclass(frozen=True, slots=True)
-class Unfinished:
-    """Report a change that ran out of time; `maybe_written` tells that it may take effect."""
-
-    reason: str
-    maybe_written: bool
-    code: ResultCode
-
-
-Outcome = Done | Planned | EditConflict | EditInvalid | NoBase | Unfinished
-
-
-@dataclass(frozen=True, slots=True)
-class FleetView:
-    """Hold the newest revision that agents report and, when one gives it, the object."""
-
-    service: ServiceObject | None = None
-    revision: int = 0
-
-
-AskFleet = Callable[[str], Awaitable[FleetView]]
-
-
-async def ask_nobody(_service: str) -> FleetView:
-    """Stand in for a fleet that cannot be asked."""
-    return FleetView()
+def now() -> float:
+    """Give the time of the running event loop, which a simulation can advance."""
+    return asyncio.get_running_loop().time()
 
 
 class Change:
@@ -117,6 +82,7 @@
         "copy_confirmed",
         "conflicts",
         "gave_way",
+        "raised_to",
         "recovered",
         "maybe_written_as",
         "failures",
@@ -143,7 +109,7 @@
         self.operator = operator
         self.change_id = change_id
         self.at = at
-        self.began = time.monotonic()
+        self.began = now()
         self.deadline = self.began + timeout_s
         self.draws = draws
         self.ask_fleet = ask_fleet
@@ -160,6 +126,8 @@
         self.conflicts = 0
         # Cleared by a conflict: other writers get time to finish before the next write.
         self.gave_way = True
+        # The revision to which this change has raised the copy in order to replace a bad object.
+        self.raised_to = 0
         self.recovered = False
         # The revision as which the change may have been written; 0 when it certainly was not.
         self.maybe_written_as = 0
@@ -168,7 +136,7 @@
 
     async def run(self) -> Outcome:
         """Repeat steps until one gives an outcome or the time is up."""
-        while time.monotonic() < self.deadline:
+        while now() < self.deadline:
             outcome = await self.step()
             if outcome is not None:
                 return outcome
@@ -191,7 +159,8 @@
             return self.done()
         in_place = configuration.is_intact(self.stored, self.copy)
         if in_place and configuration.holds_change(self.stored.service, self.change_id):
-            return await self.write_copy(self.stored.service)
+            await self.write_copy(self.stored.service)
+            return None
         if self.is_beyond_history():
             return self.unfinished(
                 f"{MAX_RECORDED_CHANGES} later changes hide whether revision "
@@ -203,7 +172,8 @@
         if isinstance(base, NoBase) or base.recovered:
             return await self.recover(base)
         if base.copy_is_behind and not self.dry_run:
-            return await self.write_copy(base.service)
+            await self.write_copy(base.service)
+            return None
         if self.needs_current_value():
             return await self.confirm_copy()
         return await self.edit_and_write(base)
@@ -233,12 +203,24 @@
         if isinstance(base, NoBase):
             if not self.replace_bad:
                 return base
-            base = Base(None, self.fleet.revision + 1, False, True)
-        if not self.copy_confirmed and not self.dry_run:
-            return await self.confirm_copy()
-        if base.copy_is_behind and not self.dry_run:
-            return await self.write_copy(base.service)
-        return await self.edit_and_write(base)
+            return await self.edit_and_write(Base(None, self.fleet.revision + 1, False, True))
+        if self.dry_run:
+            return await self.edit_and_write(base)
+        if self.raised_to and self.copy.revision == self.raised_to:
+            # Nobody else has written the copy since, so no revision above it has been written.
+            raised = Base(self.copy.service, self.raised_to + 1, False, True)
+            return await self.edit_and_write(raised)
+        return await self.raise_copy(base)
+
+    async def raise_copy(self, base: Base) -> None:
+        """Write the last accepted object into the copy, one revision below the next one.
+
+        No service revision is ever more than one above its copy's. A recovery that ends halfway
+        therefore cannot lead the following one to use a revision that readers already hold.
+        """
+        raised = msgspec.structs.replace(base.service, revision=base.next_revision - 1)
+        if await self.write_copy(raised):
+            self.raised_to = raised.revision
 
     def choose_base(self) -> Base | NoBase:
         """Choose the last accepted object from what was read so far."""
@@ -281,9 +263,9 @@
         """Apply the edit to the base and write the next revision."""
         edited = self.edited(base)
         if isinstance(edited, EditConflict | EditInvalid):
-            if self.confirmed or self.stored.version == 0 or self.dry_run:
+            if self.confirmed or self.copy_confirmed or self.dry_run:
                 return edited
-            return await self.confirm_stored()
+            return await self.confirm_copy()
         change = ChangeObject(
             revision=base.next_revision,
             change_id=self.change_id,
@@ -336,18 +318,20 @@
             return
         await self.write_copy(self.copy.service)
 
-    async def write_copy(self, service: ServiceObject) -> None:
+    async def write_copy(self, service: ServiceObject) -> bool:
         """Write the copy; on a conflict the current copy is taken and judged again."""
         result = await self.write(SERVICE_COPIES_KIND, encode_service(service), self.copy.version)
         if isinstance(result, Written):
             self.copy = StoredObject(result.version, service, [])
             self.copy_confirmed = True
+            return True
+        return False
 
     def done(self) -> Done:
         """Report success: the copy holds the change, so it is accepted."""
         service = self.copy.service
         own = next(change for change in service.changes if change.change_id == self.change_id)
-        elapsed_s = time.monotonic() - self.began
+        elapsed_s = now() - self.began
         return Done(service, own.revision, self.recovered, elapsed_s)
 
     async def write(
@@ -366,6 +350,7 @@
         elif isinstance(result, VersionConflict):
             self.copy = decode_stored(result.current, self.name, SERVICE_COPIES_KIND)
             self.copy_confirmed = True
+            self.raised_to = 0
             # Another writer was here, so the object may have changed since it was read.
             self.confirmed = False
         return result
@@ -375,7 +360,7 @@
         self.last_failure = reason
         delay_ms = min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS * 2**self.failures)
         self.failures += 1
-        left_s = self.deadline - time.monotonic()
+        left_s = self.deadline - now()
         delay_s = delay_ms * self.draws.uniform(0.5, 1.0) / 1000
         await asyncio.sleep(max(0.0, min(delay_s, left_s)))
 
--- a/poplarlane/programs/ctl/fleet.py
+++ b/poplarlane/programs/ctl/fleet.py
@@ -9,7 +9,7 @@
 from poplarlane.objects import ServiceObject
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure, read_admin
 from poplarlane.plumbing.http_call import CallFailure
-from poplarlane.programs.ctl.changing import FleetView
+from poplarlane.programs.ctl.change_outcomes import FleetView
 from poplarlane.settings import CtlSettings
 
 POPLARLANE_ROLE = "poplarlane"
--- a/poplarlane/programs/ctl/reports.py
+++ b/poplarlane/programs/ctl/reports.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions.validation import ObjectFault
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformFailure
-from poplarlane.programs.ctl.changing import Unfinished
+from poplarlane.programs.ctl.change_outcomes import Unfinished
 
 
 class ExitStatus(IntEnum):
