Follow the new signature of the generated fleet in the capacity command

Cause: control_cost.Fleet takes a probe rate since the measurement of outages, and capacity.py did not pass one; no test ran it. Change: capacity.py passes 0.0.

--- a/poplarlane/bench/capacity.py
+++ b/poplarlane/bench/capacity.py
@@ -53,7 +53,7 @@
 def control_figures(agents: int, services: int, targets: int, seed: int) -> ControlFigures:
     """Measure a fleet of agents under the planned rate of changes."""
     with Launcher() as launcher:
-        fleet = control_cost.Fleet(launcher, seed)
+        fleet = control_cost.Fleet(launcher, seed, 0.0)
         ready_s = fleet.start(agents, services, targets)
         time.sleep(control_cost.SETTLE_S)
         before = [control_cost.Usage(vm) for vm in fleet.vms]
@@ -137,7 +137,7 @@
         with Launcher() as launcher:
             host = launcher.new_host()
             publisher = Publisher(host)
-            fleet = control_cost.Fleet(launcher, seed)
+            fleet = control_cost.Fleet(launcher, seed, 0.0)
             publisher.publish(generated_services(fleet, services, targets))
             settings: dict[str, Any] = {
                 "name": "entry-1",
@@ -170,7 +170,7 @@
     points = []
     for size in FLEET_SIZES[:4]:
         with Launcher() as launcher:
-            fleet = control_cost.Fleet(launcher, seed)
+            fleet = control_cost.Fleet(launcher, seed, 0.0)
             fleet.start(size, FLEET_SERVICES, FLEET_TARGETS)
             for vm in fleet.vms:
                 fleet.layout.start_entry(vm, None)
