--- a/poplarlane/bench/capacity.py
+++ b/poplarlane/bench/capacity.py
@@ -25,6 +25,8 @@
 FLEET_SERVICES = 3
 FLEET_TARGETS = 36
 CALL_RATES_PER_S = (250.0, 500.0, 750.0, 1_000.0, 1_250.0)
+SAMPLING_RATIOS = (0.0, 0.01, 0.1, 0.5, 1.0)
+SAMPLING_RATE_PER_S = 750.0
 CONTROL_SECONDS = 20.0
 RATE_SECONDS = 6.0
 CHANGES_PER_SIZE = 12
@@ -130,6 +132,37 @@
     ]
 
 
+class TracedBench(entry_cost.Bench):
+    """Run an entry that traces a share of its requests."""
+
+    def __init__(self, launcher: Launcher, seed: int, ratio: float) -> None:
+        self.ratio = ratio
+        super().__init__(launcher, seed)
+
+    def settings(self) -> dict[str, Any]:
+        """Add tracing to the entry's settings."""
+        spans = str(Path(self.launcher.directory.name) / "spans.jsonl")
+        return super().settings() | {"tracing": {"sample_ratio": self.ratio, "file": spans}}
+
+
+def entry_by_sampling(seed: int) -> list[Slope]:
+    """Measure the CPU of one call against the share of requests that are traced."""
+    generator = random.Random(seed)
+    points = []
+    for ratio in SAMPLING_RATIOS:
+        with Launcher() as launcher:
+            bench = TracedBench(launcher, seed, ratio)
+            before = entry_cost.cpu_s(bench.entry)
+            port = entry_cost.ENTRY_PORT
+            loop = entry_cost.open_loop(
+                bench.host, port, SAMPLING_RATE_PER_S, RATE_SECONDS, generator
+            )
+            answers = len(asyncio.run(loop))
+            points.append((ratio * 100, (entry_cost.cpu_s(bench.entry) - before) / answers * 1e6))
+            bench.publisher.close()
+    return [Slope("entry-cpu-by-sampling", "% of calls traced", "us/call", points)]
+
+
 def entry_by_targets(seed: int) -> list[Slope]:
     """Measure the memory of one entry against the number of targets in its view."""
     points = []
@@ -195,6 +228,7 @@
     "agent-by-targets": agent_by_targets,
     "agent-by-vms": agent_by_vms,
     "entry-by-rate": entry_by_rate,
+    "entry-by-sampling": entry_by_sampling,
     "entry-by-targets": entry_by_targets,
     "in-force-by-vms": in_force_by_vms,
 }
