Ask only agents that lack the revision while waiting

Cause: a wait polled every agent's whole status page 20 times a second, far above the 19 KB/s of control traffic per node at full scale. Change: agents whose agent and entries hold the revision are not asked again, and the interval grows from 50 ms to 500 ms. Conclusion: the traffic of a wait at full scale was not measured.

--- a/poplarlane/programs/ctl/waiting.py
+++ b/poplarlane/programs/ctl/waiting.py
@@ -6,11 +6,22 @@
 
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
-from poplarlane.programs.ctl.fleet import AgentPlace, Coverage, ask_agents, find_agents
+from poplarlane.programs.ctl.fleet import (
+    AgentPlace,
+    AgentStatus,
+    Coverage,
+    Fleet,
+    ask_agents,
+    find_agents,
+)
 from poplarlane.programs.ctl.reports import Report, done, problem, progress
 from poplarlane.settings import CtlSettings
 
-POLL_INTERVAL_S = 0.05
+# Status pages are large at full scale, so the interval grows and only agents that still lack the
+# revision are asked again.
+FIRST_INTERVAL_S = 0.05
+MAX_INTERVAL_S = 0.5
+INTERVAL_GROWTH = 1.5
 # The VM list lags anyway, and reading it is a counted call.
 LIST_INTERVAL_S = 2.0
 MAX_NAMED_MEMBERS = 5
@@ -38,6 +49,8 @@
         "output",
         "places",
         "listed_at",
+        "interval_s",
+        "satisfied",
         "shown",
     )
 
@@ -59,6 +72,8 @@
         self.output = output
         self.places: list[AgentPlace] | PlatformFailure = []
         self.listed_at = float("-inf")
+        self.interval_s = FIRST_INTERVAL_S
+        self.satisfied: dict[AgentPlace, AgentStatus] = {}
         self.shown: tuple[int, int] | None = None
 
     async def run(self) -> Waited:
@@ -72,14 +87,22 @@
                     return Waited(coverage, elapsed_s, "")
             if time.monotonic() >= self.deadline:
                 return Waited(coverage, elapsed_s, self.missing(coverage))
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(self.interval_s)
+            self.interval_s = min(MAX_INTERVAL_S, self.interval_s * INTERVAL_GROWTH)
 
     async def poll(self) -> Coverage | None:
-        """Ask every agent once; None when no agent is known."""
+        """Ask the agents that lack the revision; None when no agent is known."""
         await self.refresh_places()
         if isinstance(self.places, PlatformFailure) or not self.places:
             return None
-        return Coverage(await ask_agents(self.places), self.service, self.revision)
+        pending = [place for place in self.places if place not in self.satisfied]
+        asked = await ask_agents(pending)
+        known = [(place, self.satisfied[place]) for place in self.places if place in self.satisfied]
+        for place, status in asked.answered:
+            if not Coverage(Fleet([(place, status)], []), self.service, self.revision).lacking:
+                self.satisfied[place] = status
+        fleet = Fleet(known + asked.answered, asked.silent)
+        return Coverage(fleet, self.service, self.revision)
 
     async def refresh_places(self) -> None:
         """Read the list of agents now and then; the last good list is kept."""
