Give entries that share a seed different random numbers

Cause: an entry seeded its generator with the seed setting alone. With the default of 0 all 24 entries made the same random choices, which is a herd on one target. Change: settings.seeded_generator mixes in the name, for entries and agents. Measured: new scenario of settings.feature; before the change all 24 first draws were equal by construction, after it all differ; settings and whole_path pass.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -17,3 +17,10 @@
       | listen_address | "198.51.100.7" | listen | local address        |
       | agent_address  | "agent"     | agent_address | expected an IP    |
       | trusted_sources | ["ten"]    | trusted_sources | network         |
+
+  Scenario: Entries and agents that share a seed draw different numbers
+    # Guards against 24 entries that all send their next request to the same target.
+    Given settings of 24 entries that share seed 0
+    When each of them draws its first number
+    Then 24 different numbers were drawn
+    And an entry of the same name and seed draws the same number again
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from poplarlane.bench.processes import Launcher, binary_path
+from poplarlane.settings import EntrySettings, seeded_generator
 
 
 @given('entry settings in which "{key}" is {value}')
@@ -41,3 +42,37 @@
     lines = context.done.stderr.splitlines()
     assert len(lines) == 1, lines
     assert named in lines[0] and accepted in lines[0], lines
+
+
+def entry_settings(number):
+    """Build the settings of one of several entries."""
+    return EntrySettings(
+        name=f"entry-{number}",
+        data_centre="brasov",
+        listen_address="127.0.0.1",
+        listen_port=8080,
+        admin_port=8081,
+        agent_address="127.0.0.1",
+        agent_port=7402,
+    )
+
+
+@given("settings of {count:d} entries that share seed 0")
+def step_shared_seed(context, count):
+    context.entries = [entry_settings(number) for number in range(count)]
+
+
+@when("each of them draws its first number")
+def step_draw(context):
+    context.draws = [seeded_generator(each).getrandbits(64) for each in context.entries]
+
+
+@then("{count:d} different numbers were drawn")
+def step_different(context, count):
+    assert len(set(context.draws)) == count, context.draws
+
+
+@then("an entry of the same name and seed draws the same number again")
+def step_repeatable(context):
+    again = seeded_generator(entry_settings(3)).getrandbits(64)
+    assert again == context.draws[3], (again, context.draws[3])
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -1,7 +1,6 @@
 """The entry's shell: turns socket and timer activity into events for the reducer."""
 
 import asyncio
-import random
 import time
 
 from poplarlane.decisions.entry_events import (
@@ -30,7 +29,7 @@
 from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, execute
 from poplarlane.plumbing.heads import service_host
 from poplarlane.plumbing.targets import Exchange, Pool
-from poplarlane.settings import EntrySettings
+from poplarlane.settings import EntrySettings, seeded_generator
 from poplarlane.traces import Tracer
 from poplarlane.types import Target
 
@@ -90,7 +89,7 @@
         self.metrics = metrics
         self.tracer = tracer
         self.networks = networks
-        self.random = random.Random(settings.seed)
+        self.random = seeded_generator(settings)
         self.now = time.monotonic
         self.loop: asyncio.AbstractEventLoop
         self.link: AgentLink
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,7 +1,6 @@
 """The one composition root: builds every program from its settings."""
 
 import ipaddress
-import random
 import secrets
 import time
 
@@ -14,7 +13,7 @@
 from poplarlane.plumbing.exchange_sockets import ExchangeSockets
 from poplarlane.plumbing.platform_client import PlatformClient
 from poplarlane.programs.agent_pages import agent_pages
-from poplarlane.settings import AgentSettings, EntrySettings
+from poplarlane.settings import AgentSettings, EntrySettings, seeded_generator
 from poplarlane.traces import new_tracer
 
 # Importing these modules registers their handlers with the reducer.
@@ -114,8 +113,7 @@
     """Build an agent and its admin server."""
     incarnation = time.time_ns() // 1_000_000
     state = agent_state(settings, incarnation)
-    # Agents that share a seed must not draw the same jitter.
-    generator = random.Random(f"{settings.seed}/{settings.name}")
+    generator = seeded_generator(settings)
     platform = PlatformClient(
         settings.platform_address,
         settings.platform_port,
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -5,6 +5,7 @@
 
 import argparse
 import ipaddress
+import random
 import re
 import socket
 import sys
@@ -268,6 +269,11 @@
     return [(name, address, getattr(settings, name)) for name in names if hasattr(settings, name)]
 
 
+def seeded_generator(settings: EntrySettings | AgentSettings) -> random.Random:
+    """Create a daemon's random generator; daemons with one seed draw different numbers."""
+    return random.Random(f"{settings.seed}/{settings.name}")
+
+
 def settings_from_arguments(kind: type[S], description: str) -> S:
     """Load settings for a daemon; exit with status 2 on a fault, 0 on a passed `--check`."""
     parser = argparse.ArgumentParser(description=description)
