Test that late messages of an old term or incarnation are refused

Cause: the refusal had no test. Change: a scenario on the reducer; results of term 4 after term 5 and a message of an earlier incarnation of the peer change nothing.

--- a/features/control_probe_rules.feature
+++ b/features/control_probe_rules.feature
@@ -22,3 +22,10 @@
     When each of 60 seeds runs for 90 simulated seconds
     Then two probes never arrive closer together than the budget allows
     And the target was probed under several grants
+
+  Scenario: What a paused or replaced process sends late is refused
+    # Guards against results of a lapsed grant, and messages of a predecessor of the same name.
+    Given an agent that heard of a grant with term 5 from a peer with incarnation 9
+    When results with terms 5, 4 and 6 arrive and then a message of incarnation 8
+    Then only the results with terms 5 and 6 are passed on
+    And the message of incarnation 8 changes nothing
--- /dev/null
+++ b/features/steps/control_terms_steps.py
@@ -0,0 +1,52 @@
+"""Steps about messages that carry an old term or incarnation."""
+
+from behave import given, then, when
+
+from features.control_simulation import SERVICE, SimulatedAgent, World
+from poplarlane.decisions import agent_effects as effects
+from poplarlane.decisions import agent_events as events
+from poplarlane.decisions.agent_state import EntryLink
+from poplarlane.decisions.reducer import reduce
+from poplarlane.exchange_messages import News, Sender
+from poplarlane.messages import MemberNotice, ProbeNotice
+from poplarlane.types import MemberKind
+
+
+def deliver(state, incarnation, probes, facts=()):
+    """Deliver a message of the peer; give the probe results that reach the entry."""
+    sender = Sender("peer", incarnation, "dc", "127.0.0.9", 1, True)
+    message = News(sender, [], list(facts), [], probes)
+    results = reduce(events.PeerMessage(200.0, 200.0, 7, message), state)
+    updates = [each.update for each in results if isinstance(each, effects.SendToEntry)]
+    return [(probe.term, probe.target) for update in updates for probe in update.probes]
+
+
+def result(term):
+    return ProbeNotice(SERVICE, "t", True, False, 1, 0, 0.001, 0.0, term, "peer")
+
+
+@given("an agent that heard of a grant with term 5 from a peer with incarnation 9")
+def step_agent(context):
+    context.state = SimulatedAgent("agent", 1, World(1)).state
+    context.state.entries["entry"] = EntryLink("entry", b"id", 1, 200.0)
+    assert deliver(context.state, 9, [result(5)]) == [(5, "t")]
+
+
+@when("results with terms 5, 4 and 6 arrive and then a message of incarnation 8")
+def step_results(context):
+    context.passed = [deliver(context.state, 9, [result(term)]) for term in (5, 4, 6)]
+    leaving = MemberNotice("t", "target", 1, "leaving", 1.0, "peer")
+    context.late = deliver(context.state, 8, [result(7)], [leaving])
+
+
+@then("only the results with terms 5 and 6 are passed on")
+def step_passed(context):
+    assert context.passed == [[(5, "t")], [], [(6, "t")]], context.passed
+    assert context.state.counts["old_terms_refused"] == 1
+
+
+@then("the message of incarnation 8 changes nothing")
+def step_late(context):
+    assert context.late == [], context.late
+    assert (MemberKind.TARGET, "t") not in context.state.facts
+    assert context.state.counts["old_incarnations_refused"] == 1
