Run control measurements as experiments, with loss and platform faults

Cause: the time in force was measured only without faults, and by a command that no experiment file names. The fleet behind relays moves from the features to bench/relayed_fleet.py, so that both use it.

--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -6,7 +6,6 @@
 from behave import given, then, when
 
 from features.control_support import (
-    ControlFleet,
     assert_no_faults,
     logged_at,
     make_service,
@@ -14,6 +13,7 @@
     wait_until,
 )
 from poplarlane.bench.processes import Launcher
+from poplarlane.bench.relayed_fleet import RelayedFleet
 
 SEED = 7
 IN_FORCE_S = 4.0
@@ -23,7 +23,7 @@
 
 def start_fleet(context, agents, centres, spare=0, **platform):
     launcher = context.resources.enter_context(Launcher())
-    context.fleet = ControlFleet(launcher, SEED, [f"dc-{number}" for number in range(centres)])
+    context.fleet = RelayedFleet(launcher, SEED, [f"dc-{number}" for number in range(centres)])
     context.resources.callback(assert_no_faults, context.fleet)
     context.fleet.start(agents, spare, **platform)
     context.changes = []
--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies as st
 
 from features.control_support import (
-    ControlFleet,
     assert_no_faults,
     logged_at,
     make_service,
@@ -17,6 +16,7 @@
 )
 from poplarlane.bench.layout import ENTRY_PORT, TARGET_PORT
 from poplarlane.bench.processes import Launcher
+from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.bench.standin_client import call
 from poplarlane.decisions.agent_state import AgentState
 from poplarlane.decisions.membership import learn, merge, precedence, same_standing
@@ -92,7 +92,7 @@
 
 def start_fleet(context, agents, targets, entries):
     launcher = context.resources.enter_context(Launcher())
-    fleet = context.fleet = ControlFleet(launcher, SEED, ["dc-0", "dc-1"])
+    fleet = context.fleet = RelayedFleet(launcher, SEED, ["dc-0", "dc-1"])
     context.resources.callback(assert_no_faults, fleet)
     fleet.start(agents)
     for number in range(targets):
--- a/features/steps/control_probes_steps.py
+++ b/features/steps/control_probes_steps.py
@@ -8,9 +8,10 @@
 from behave import given, then, when
 
 from features.control_simulation import RATE_PER_S, World, shortest_gap
-from features.control_support import ControlFleet, assert_no_faults, make_service, wait_until
+from features.control_support import assert_no_faults, make_service, wait_until
 from poplarlane.bench.layout import AGENT_ENTRY_PORT
 from poplarlane.bench.processes import Launcher
+from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.messages import ENCODER, VIEW_DECODER, EntryHello
 
 SEED = 13
@@ -53,7 +54,7 @@
 @given("a probing fleet of {agents:d} agents, {spare:d} spare VMs and a target that refuses probes")
 def step_fleet(context, agents, spare):
     launcher = context.resources.enter_context(Launcher())
-    fleet = context.fleet = ControlFleet(launcher, SEED, ["dc-0", "dc-1"])
+    fleet = context.fleet = RelayedFleet(launcher, SEED, ["dc-0", "dc-1"])
     context.resources.callback(assert_no_faults, fleet)
     fleet.extra = {"grant_duration_ms": GRANT_MS}
     context.refusing = RefusingTarget(launcher.new_host())
--- a/poplarlane/bench/control_cost.py
+++ b/poplarlane/bench/control_cost.py
@@ -2,11 +2,11 @@
 
     python -m poplarlane.bench.control_cost cost --agents 24
     python -m poplarlane.bench.control_cost cost --agents 24 --services 350 --targets 5300
-    python -m poplarlane.bench.control_cost calls --sizes 6,12,24
+    python -m poplarlane.bench.control_cost calls --sizes 6 12 24
     python -m poplarlane.bench.control_cost outage --agents 24 --seconds 20
     python -m poplarlane.bench.control_cost in-force --agents 24 --changes 50
 
-Each command prints key=value lines. All processes share one machine, so CPU is given as a share
+Each command prints one key=value line. All processes share one machine, so CPU is given as a share
 of one core, and bytes are those that agents send and receive among each other and exchange with
 the platform.
 """
@@ -17,13 +17,15 @@
 import time
 from collections.abc import Callable
 from datetime import datetime
-from typing import Any
+from typing import Any, Literal
 
+import msgspec
 import numpy
 import psutil
 
 from poplarlane.bench.layout import AGENT_ADMIN_PORT, PLATFORM_PORT, Layout, Vm
 from poplarlane.bench.processes import Launcher, Process
+from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.bench.standin_client import call
 
 MAX_IN_FORCE_S = 4.0
@@ -44,6 +46,35 @@
 SECONDS_PER_DAY = 86_400
 
 
+PLATFORM_FAULTS: dict[str, dict[str, Any]] = {
+    "none": {"outage": False, "delay_ms": 0},
+    "slow": {"outage": False, "delay_ms": 1_500},
+    "outage": {"outage": True, "delay_ms": 0},
+}
+FAULT_RECOVERY_S = 4.0
+
+Figures = dict[str, float]
+Measured = tuple[Figures, bool]
+
+
+class ControlExperiment(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Describe one measurement of the control work; `control` names the measure."""
+
+    name: str
+    control: Literal["cost", "calls", "outage", "in-force"]
+    agents: int = 24
+    services: int = 3
+    targets: int = 36
+    sizes: tuple[int, ...] = (6, 12, 24)
+    changes: int = 50
+    seconds: float = 20.0
+    listed: bool = False
+    probe_rate: float = 0.0
+    loss_share: float = 0.0
+    platform_fault: Literal["none", "slow", "outage"] = "none"
+    seed: int = 1
+
+
 class Fleet:
     """Run agents over a generated configuration whose targets do not exist."""
 
@@ -158,11 +189,6 @@
         self.received_kb = (shown["exchange"]["received_bytes"] + platform["received_bytes"]) / 1e3
 
 
-def show(key: str, value: float) -> None:
-    """Print one figure."""
-    print(f"{key}={value:.6g}", flush=True)
-
-
 def keep_changing(fleet: Fleet, seconds: float) -> int:
     """Make changes at the planned daily rate for some seconds; give their number."""
     interval_s = SECONDS_PER_DAY / DAILY_CHANGES
@@ -175,17 +201,17 @@
     return count
 
 
-def measure_cost(options: argparse.Namespace) -> bool:
+def measure_cost(options: ControlExperiment) -> Measured:
     """Measure CPU, memory and bytes of an agent, worst and mean over the fleet."""
     with Launcher() as launcher:
         fleet = Fleet(launcher, options.seed, options.probe_rate)
-        show("ready_s", fleet.start(options.agents, options.services, options.targets))
+        ready_s = fleet.start(options.agents, options.services, options.targets)
         if options.listed:
             fleet.list_targets()
         time.sleep(LISTED_SETTLE_S if options.listed else SETTLE_S)
         before = [Usage(vm) for vm in fleet.vms]
         began = time.monotonic()
-        show("changes", keep_changing(fleet, options.seconds))
+        changes = keep_changing(fleet, options.seconds)
         elapsed_s = time.monotonic() - began
         after = [Usage(vm) for vm in fleet.vms]
     pairs = list(zip(before, after, strict=True))
@@ -195,31 +221,32 @@
         for first, last in pairs
     ]
     memory = [last.memory_mb for last in after]
+    figures: Figures = {"ready_s": ready_s, "changes": changes}
     for key, values in (("cpu_share", cpu), ("kb_per_s", kb), ("memory_mb", memory)):
-        show(f"{key}_mean", float(numpy.mean(values)))
-        show(f"{key}_max", max(values))
+        figures[f"{key}_mean"] = float(numpy.mean(values))
+        figures[f"{key}_max"] = max(values)
     within = max(cpu) <= MAX_CPU_SHARE and max(memory) <= MAX_MEMORY_MB
-    return within and max(kb) <= MAX_KB_PER_S
+    return figures, within and max(kb) <= MAX_KB_PER_S
 
 
-def measure_calls(options: argparse.Namespace) -> bool:
+def measure_calls(options: ControlExperiment) -> Measured:
     """Measure calls to the platform at several fleet sizes, and their slope per VM."""
-    sizes = [int(size) for size in options.sizes.split(",")]
+    figures: Figures = {}
     rates = []
-    for size in sizes:
+    for size in options.sizes:
         with Launcher() as launcher:
             fleet = Fleet(launcher, options.seed, options.probe_rate)
             fleet.start(size, options.services, options.targets)
             time.sleep(SETTLE_S)
             rate = fleet.calls_per_s(options.seconds)
         rates.append(rate)
-        show(f"calls_per_s_at_{size}", rate)
-    slope = float(numpy.polyfit(sizes, rates, 1)[0])
-    show("calls_per_s_per_vm", slope)
-    return slope <= MAX_CALLS_SLOPE
+        figures[f"calls_per_s_at_{size}"] = rate
+    slope = float(numpy.polyfit(options.sizes, rates, 1)[0])
+    figures["calls_per_s_per_vm"] = slope
+    return figures, slope <= MAX_CALLS_SLOPE
 
 
-def measure_outage(options: argparse.Namespace) -> bool:
+def measure_outage(options: ControlExperiment) -> Measured:
     """Measure calls to the platform before, in and directly after an outage."""
     with Launcher() as launcher:
         fleet = Fleet(launcher, options.seed, options.probe_rate)
@@ -230,34 +257,58 @@
         within = fleet.calls_per_s(options.seconds)
         fleet.set_outage(False)
         after = fleet.calls_per_s(RECOVERY_S)
-    show("calls_per_s_usual", usual)
-    show("calls_per_s_in_outage", within)
-    show("calls_per_s_after", after)
-    return max(within, after) <= MAX_OUTAGE_FACTOR * usual
+    figures = {
+        "calls_per_s_usual": usual,
+        "calls_per_s_in_outage": within,
+        "calls_per_s_after": after,
+    }
+    return figures, max(within, after) <= MAX_OUTAGE_FACTOR * usual
+
 
+def measure_in_force(options: ControlExperiment) -> Measured:
+    """Measure the time until a change is in force at every entry, also under faults.
 
-def measure_in_force(options: argparse.Namespace) -> bool:
-    """Measure the time until a change is in force at every entry."""
+    Messages between agents pass a relay that loses a share of them; the platform fails directly
+    after each write, and recovers when the change is in force.
+    """
     times = []
     with Launcher() as launcher:
+        relayed = RelayedFleet(launcher, options.seed, list(DATA_CENTRES))
         fleet = Fleet(launcher, options.seed, options.probe_rate)
-        fleet.start(options.agents, options.services, options.targets)
-        for vm in fleet.vms:
-            fleet.layout.start_entry(vm, None)
-        for vm in fleet.vms:
-            vm.entry.wait_for("ready", START_TIMEOUT_S)
+        fleet.layout = relayed.layout
+        relayed.start(options.agents, writes_per_s=100_000, reads_per_s=100_000)
+        for number in range(options.services):
+            share = options.targets // options.services
+            fleet.write(fleet.generated(f"service-{number}", share))
+        relayed.start_entries()
+        relayed.lose_messages(options.loss_share)
         time.sleep(SETTLE_S)
         for _ in range(options.changes):
-            name = fleet.generator.choice(list(fleet.services))
-            revision, at = fleet.change(name)
-            times.append(max(applied_at(vm.entry, name, revision) for vm in fleet.vms) - at)
-            # Faster changes would be held back by the agents' bound on calls per second.
-            time.sleep(fleet.generator.uniform(0.2, 0.8))
-    show("changes", len(times))
-    show("in_force_p50_s", float(numpy.percentile(times, 50)))
-    show("in_force_p99_s", float(numpy.percentile(times, 99)))
-    show("in_force_max_s", max(times))
-    return max(times) <= MAX_IN_FORCE_S
+            times.append(time_change(fleet, relayed, options))
+        dropped = relayed.dropped()
+    figures = {
+        "changes": len(times),
+        "messages_lost": dropped,
+        "in_force_p50_s": float(numpy.percentile(times, 50)),
+        "in_force_p99_s": float(numpy.percentile(times, 99)),
+        "in_force_max_s": max(times),
+    }
+    lossy = dropped > 0 or options.loss_share == 0.0
+    return figures, max(times) <= MAX_IN_FORCE_S and lossy
+
+
+def time_change(fleet: Fleet, relayed: RelayedFleet, options: ControlExperiment) -> float:
+    """Make one change, fail the platform, and give the time until in force everywhere."""
+    name = fleet.generator.choice(list(fleet.services))
+    revision, at = fleet.change(name)
+    relayed.platform_faults(**PLATFORM_FAULTS[options.platform_fault])
+    applied = max(applied_at(vm.entry, name, revision) for vm in fleet.vms)
+    relayed.platform_faults(**PLATFORM_FAULTS["none"])
+    # Faster changes would be held back by the agents' bound on calls per second; after a fault
+    # the watchers need a few seconds to watch again.
+    pause_s = fleet.generator.uniform(0.2, 0.8)
+    time.sleep(pause_s if options.platform_fault == "none" else pause_s + FAULT_RECOVERY_S)
+    return applied - at
 
 
 def applied_at(entry: Process, name: str, revision: int) -> float:
@@ -266,7 +317,7 @@
     return datetime.fromisoformat(line.fields["time"]).timestamp()
 
 
-COMMANDS: dict[str, Callable[[argparse.Namespace], bool]] = {
+MEASURES: dict[str, Callable[[ControlExperiment], Measured]] = {
     "cost": measure_cost,
     "calls": measure_calls,
     "outage": measure_outage,
@@ -274,22 +325,32 @@
 }
 
 
+def run(experiment: ControlExperiment) -> tuple[str, bool]:
+    """Run one experiment; give its figures as one key=value line, and whether targets were met."""
+    figures, within = MEASURES[experiment.control](experiment)
+    pairs = [f"{key}={value:.6g}" for key, value in figures.items()]
+    line = " ".join([f"experiment={experiment.name}", f"seed={experiment.seed}", *pairs])
+    return f"{line} within_targets={int(within)}", within
+
+
 def main() -> int:
-    """Run one measurement."""
+    """Run one measurement from the command line."""
     parser = argparse.ArgumentParser(description="Measure the control work of the agents.")
-    parser.add_argument("command", choices=sorted(COMMANDS))
+    parser.add_argument("control", choices=sorted(MEASURES))
     parser.add_argument("--agents", type=int, default=24)
     parser.add_argument("--services", type=int, default=3)
     parser.add_argument("--targets", type=int, default=36)
-    parser.add_argument("--sizes", default="6,12,24")
+    parser.add_argument("--sizes", type=int, nargs="+", default=[6, 12, 24])
     parser.add_argument("--changes", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--listed", action="store_true", help="put targets on the VM list")
     parser.add_argument("--probe-rate", type=float, default=0.0)
+    parser.add_argument("--loss-share", type=float, default=0.0)
+    parser.add_argument("--platform-fault", choices=sorted(PLATFORM_FAULTS), default="none")
     parser.add_argument("--seed", type=int, default=1)
-    options = parser.parse_args()
-    within = COMMANDS[options.command](options)
-    print(f"within_targets={int(within)}")
+    options = vars(parser.parse_args())
+    line, within = run(ControlExperiment(name=options["control"], **options))
+    print(line)
     return 0 if within else 1
 
 
--- a/poplarlane/bench/main.py
+++ b/poplarlane/bench/main.py
@@ -3,18 +3,29 @@
 import sys
 from pathlib import Path
 
+import msgspec
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from poplarlane.bench import capacity
-from poplarlane.bench.experiment import InvalidExperiment, load_experiment
+from poplarlane.bench import capacity, control_cost
+from poplarlane.bench.control_cost import ControlExperiment
+from poplarlane.bench.experiment import InvalidExperiment, decode, load_experiment
 from poplarlane.bench.runner import Run
 
 EXIT_INVALID = 2
 LINE_WIDTH = 150
 
 
+def is_control_experiment(path: str) -> bool:
+    """Tell whether a file describes control work instead of a load."""
+    try:
+        document = msgspec.json.decode(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError):
+        return False
+    return isinstance(document, dict) and "control" in document
+
+
 class RunCommand(Command):
     """Run one experiment file."""
 
@@ -29,6 +40,8 @@
     def handle(self) -> int:
         """Run, report, and give status 1 unless every check held."""
         path = self.argument("experiment")
+        if is_control_experiment(path):
+            return self.run_control(path)
         try:
             experiment, layouts = load_experiment(path)
         except InvalidExperiment as error:
@@ -42,6 +55,19 @@
         run.write(f"poplarlane-bench run {path} --out {out}, seeds {experiment.seeds}")
         return self.conclude(run, out)
 
+    def run_control(self, path: str) -> int:
+        """Run an experiment on control work; its last line holds the figures."""
+        try:
+            experiment = decode(Path(path), ControlExperiment)
+        except InvalidExperiment as error:
+            self.line_error(str(error))
+            return EXIT_INVALID
+        if self.option("seed"):
+            experiment.seed = int(self.option("seed"))
+        line, within = control_cost.run(experiment)
+        self.line(line)
+        return 0 if within else 1
+
     def progress(self, text: str) -> None:
         """Show progress on one line of a terminal, and not at all elsewhere."""
         if sys.stderr.isatty():
