Remove unused state of the agent

Cause: HashIndex.drop and the ever_ready flag had no reader. Change: both are gone. Measured: features.runner features/control_*.feature features/whole_path.feature: 18 passed, 0 failed.

--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -32,10 +32,6 @@
         self.hashes[bucket_of(key)] ^= fingerprint ^ self.fingerprints.get(key, 0)
         self.fingerprints[key] = fingerprint
 
-    def drop(self, key: str) -> None:
-        """Remove a key."""
-        self.hashes[bucket_of(key)] ^= self.fingerprints.pop(key, 0)
-
     def pack(self) -> bytes:
         """Give all bucket hashes as bytes."""
         return b"".join(value.to_bytes(BUCKET_BYTES, "little") for value in self.hashes)
@@ -150,7 +146,6 @@
 
     __slots__ = (
         "ready",
-        "ever_ready",
         "started_at",
         "nonce",
         "verified_by",
@@ -162,7 +157,6 @@
 
     def __init__(self) -> None:
         self.ready = False
-        self.ever_ready = False
         self.started_at = 0.0
         self.nonce = 0
         self.verified_by: set[str] = set()
--- a/poplarlane/decisions/verification.py
+++ b/poplarlane/decisions/verification.py
@@ -25,11 +25,9 @@
 
 def begin(state: AgentState, generator: random.Random) -> None:
     """Treat the view as unverified and start an attempt."""
-    ever_ready = state.verification.ever_ready
     verification = Verification()
     state.nonce += 1
     verification.nonce = state.nonce
-    verification.ever_ready = ever_ready
     verification.started_at = state.now
     verification.next_try_at = state.now
     wait_s = PEER_WAIT_S if state.peers else 0.0
@@ -122,7 +120,6 @@
     if behind:
         return []
     verification.ready = True
-    verification.ever_ready = True
     fields = {
         "services": len(state.services),
         "peers": ",".join(sorted(verification.verified_by)) or "none",
