--- a/features/steps/entry_request_steps.py
+++ b/features/steps/entry_request_steps.py
@@ -8,49 +8,30 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
-import psutil
 from behave import given, then, when
 
-from features.entry_raw_target import RAW_PORT, RawTarget
-from features.entry_rig import ENTRY_ADMIN_PORT, Rig, request
-from poplarlane.bench.processes import Launcher
+from features.entry_rig import (
+    ENTRY_ADMIN_PORT,
+    memory_bytes,
+    new_rig,
+    request,
+    start_raw_rig,
+    start_rig,
+    wait_until,
+)
 from poplarlane.bench.publisher import Publisher
 
 UNKNOWN_CODES = {"1300", "1302", "1303"}
 LOAD_S = 3.0
-WAIT_LIMIT_S = 10.0
 LEAVING_BOUND_S = 2.0
 LARGE_BYTES = 16_000_000
+RECEIVE_BUFFER_BYTES = 16_384
 TRACE_ID = "4bf92f3577b34da6a3ce929d0e0e4736"
 PARENT_ID = "00f067aa0ba902b7"
 
 
-def wait_until(predicate):
-    """Poll until the predicate holds; fail after the time limit."""
-    limit = time.monotonic() + WAIT_LIMIT_S
-    while not predicate():
-        assert time.monotonic() < limit, "the awaited state was not reached in time"
-
-
-def new_rig(context) -> Rig:
-    launcher = context.resources.enter_context(Launcher())
-    context.rig = Rig(launcher)
-    context.resources.callback(context.rig.close)
-    return context.rig
-
-
-def start_rig(context, targets, settings=None, proxied=False, service=None, **target_settings):
-    rig = new_rig(context)
-    for number in range(1, targets + 1):
-        rig.start_target(f"target-{number}", **target_settings)
-    if proxied:
-        rig.put_proxy_before("target-1")
-    rig.publisher.publish([rig.service(**(service or {}))])
-    rig.start_entry(**(settings or {}))
-    return rig
-
-
 @given("an entry before {count:d} stand-in target")
 @given("an entry before {count:d} stand-in targets")
 def step_entry(context, count):
@@ -355,16 +336,13 @@
         thread.join()
 
 
-def memory_bytes(process):
-    return psutil.Process(process.popen.pid).memory_info().rss
-
-
 @when("{count:d} callers ask for 16 MB each and read nothing until the entry holds back")
 def step_slow_readers(context, count):
     rig = context.rig
     rig.ask("GET", "/", x_answer_bytes="1000000")
     context.memory = memory_bytes(rig.entry)
-    context.callers = [rig.caller() for _ in range(count)]
+    # Small buffers keep these callers behind the entry up to the last byte.
+    context.callers = [rig.caller(RECEIVE_BUFFER_BYTES) for _ in range(count)]
     for caller in context.callers:
         caller.send(request("GET", "/", x_answer_bytes=str(LARGE_BYTES), x_deadline_ms="20000"))
     # The entry holds back once its memory and the answers under way no longer change.
@@ -392,16 +370,22 @@
         assert reply.whole and len(reply.body) == LARGE_BYTES + 1, reply
 
 
+@then("further reads on the same target connections are answered")
+def step_further(context):
+    # As many at once as there were large answers, so that every pooled connection is used.
+    for caller in context.callers:
+        caller.send(request("GET", "/", x_deadline_ms="1500"))
+    for caller in context.callers:
+        reply = caller.reply()
+        assert reply.status == 200 and reply.whole, reply
+
+
 @given("an entry that traces every request before a raw target")
 def step_traced(context):
-    rig = new_rig(context)
-    context.raw = RawTarget(rig.launcher.new_host())
-    context.resources.callback(context.raw.close)
+    directory = context.resources.enter_context(TemporaryDirectory())
+    context.spans = Path(directory) / "spans.jsonl"
+    start_raw_rig(context, tracing={"sample_ratio": 1.0, "file": str(context.spans)})
     context.raw.answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
-    rig.targets["raw-1"] = (context.raw.listener.getsockname()[0], RAW_PORT)
-    rig.publisher.publish([rig.service()])
-    context.spans = Path(rig.launcher.directory.name) / "spans.jsonl"
-    rig.start_entry(tracing={"sample_ratio": 1.0, "file": str(context.spans)})
 
 
 @when("a caller sends a traceparent and the entry stops")
