Order the verdicts of one entry, so that agents pass each on once

Cause: agents compared the values of verdicts. Ruled out: the rate of new verdicts, which was low after only confirmed faults were told. Change: a verdict carries its source's incarnation and a sequence number; older ones are dropped. Conclusion: each agent forwards a version once; a storm cannot sustain itself.

--- a/features/steps/ctl_fuzz_steps.py
+++ b/features/steps/ctl_fuzz_steps.py
@@ -28,7 +28,7 @@
     True,
     [messages.ServiceBody("availability", 7, b"{}")],
     [messages.MemberNotice("t1", "target", 1, "live", 1.5, "agent-1")],
-    [messages.VerdictNotice("availability", "t1", "suspect", "entry-1", 2.0)],
+    [messages.VerdictNotice("availability", "t1", "suspect", "entry-1", 2.0, 3, 1)],
     4,
 )
 SENDER = exchange_messages.Sender("agent-1", 1, "brasov", "10.0.0.1", 7400, True)
--- a/poplarlane/decisions/entry_links.py
+++ b/poplarlane/decisions/entry_links.py
@@ -96,14 +96,16 @@
 
 
 def learn_verdict(state: AgentState, verdict: VerdictNotice) -> None:
-    """Keep a verdict and pass it on when it is new or about to run out."""
+    """Keep a verdict and pass it on when it is newer than the one held.
+
+    Each agent passes a version on once. Comparing values instead let two alternating verdicts
+    replace each other in the fleet without end.
+    """
     key = (verdict.service, verdict.target, verdict.source)
     known = state.verdicts.get(key)
     expires_at = state.now + verdict.valid_for_s
-    if known is not None:
-        same = known[0].verdict == verdict.verdict
-        if same and known[1] - state.now > verdict.valid_for_s / 2:
-            return
+    if known is not None and verdict.version() <= known[0].version():
+        return
     state.verdicts[key] = (verdict, expires_at)
     state.changed_verdicts.append(verdict)
     while len(state.verdicts) > MAX_VERDICTS:
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -152,6 +152,7 @@
     __slots__ = (
         "name",
         "incarnation",
+        "verdict_sequence",
         "policy_name",
         "hedged_reads",
         "delay_s_by_data_centre",
@@ -182,6 +183,7 @@
     def __init__(self, name: str, incarnation: int) -> None:
         self.name = name
         self.incarnation = incarnation
+        self.verdict_sequence = 0
         self.policy_name = ""
         self.hedged_reads = True
         self.delay_s_by_data_centre: dict[str, float] = {}
--- a/poplarlane/decisions/reports.py
+++ b/poplarlane/decisions/reports.py
@@ -59,9 +59,16 @@
 
 def verdict_report(state: EntryState, service: ServiceState, changed: list[TargetLoad]) -> Effect:
     """Report changed verdicts at once."""
+    state.verdict_sequence += 1
     notices = [
         VerdictNotice(
-            service.name, load.target.name, load.verdict.value, state.name, VERDICT_VALID_S
+            service.name,
+            load.target.name,
+            load.verdict.value,
+            state.name,
+            VERDICT_VALID_S,
+            state.incarnation,
+            state.verdict_sequence,
         )
         for load in changed
     ]
--- a/poplarlane/messages.py
+++ b/poplarlane/messages.py
@@ -31,13 +31,22 @@
 
 
 class VerdictNotice(msgspec.Struct, array_like=True):
-    """Carry an entry's verdict on a target; `valid_for_s` counts from the time of receipt."""
+    """Carry an entry's verdict on a target; `valid_for_s` counts from the time of receipt.
+
+    The source's incarnation and its sequence number order the verdicts of one source.
+    """
 
     service: str
     target: str
     verdict: str
     source: str
     valid_for_s: float
+    incarnation: int
+    sequence: int
+
+    def version(self) -> tuple[int, int]:
+        """Give what orders the verdicts of one source."""
+        return self.incarnation, self.sequence
 
 
 class ProbeNotice(msgspec.Struct, array_like=True):
