Name the fakes of two features for what they are

Cause: 'simulation' suggested a simulator of the fleet; both files drive the real reducer or change procedure against a fake platform, in virtual time, for one matter each. Change: control_grant_contention.py, ctl_interleaving.py and ctl_interleaved_changes.feature. Conclusion: names only.

--- a/features/control_simulation.py
+++ b/features/control_grant_contention.py
@@ -1,4 +1,4 @@
-"""Simulation of agents that compete for one probe grant, on the real reducer."""
+"""Agents that contend for one probe grant on a fake platform, with the real reducer."""
 
 import heapq
 import itertools
@@ -13,7 +13,7 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.objects import ProbeBudgetObject, ServiceObject, TargetObject
 
-SERVICE = "simulated"
+SERVICE = "contended"
 TICK_S = 0.1
 GRANT_S = 2.0
 CALL_TIMEOUT_S = 2.0
@@ -22,7 +22,7 @@
 FOREVER_S = 1e9
 
 
-class SimulatedAgent:
+class ContendingAgent:
     """Hold one process; while paused it handles nothing."""
 
     def __init__(self, name: str, process: int, world: "World") -> None:
@@ -78,7 +78,7 @@
 
 
 class World:
-    """Hold the simulated time, the platform and the arrivals at the target."""
+    """Hold the virtual time, the platform and the arrivals at the target."""
 
     def __init__(self, seed: int) -> None:
         self.generator = random.Random(seed)
@@ -94,9 +94,9 @@
         self.agents = [self.start(f"agent-{number}") for number in range(3)]
         self.at(self.now, self.disturb)
 
-    def start(self, name: str) -> SimulatedAgent:
+    def start(self, name: str) -> ContendingAgent:
         """Start a process."""
-        agent = SimulatedAgent(name, next(self.processes), self)
+        agent = ContendingAgent(name, next(self.processes), self)
         agent.later(self.now + self.generator.random(), agent.tick)
         return agent
 
@@ -105,7 +105,7 @@
         heapq.heappush(self.queue, (at, next(self.order), act))
 
     def run(self, seconds: float) -> None:
-        """Run for some simulated seconds."""
+        """Run for some seconds of virtual time."""
         end = self.now + seconds
         while self.queue and self.queue[0][0] <= end:
             self.now, _, act = heapq.heappop(self.queue)
@@ -132,7 +132,7 @@
             return self.generator.uniform(0.001, 0.05)
         return self.generator.uniform(0.05, 4.0)
 
-    def call(self, agent: SimulatedAgent, effect) -> None:
+    def call(self, agent: ContendingAgent, effect) -> None:
         """Carry a call to the platform; it may take effect after the caller gave up."""
         sent_at = self.now
         settled = [False]
@@ -164,11 +164,11 @@
             return True, self.version, effect.grant
         return False, self.version, self.grant
 
-    def probe(self, agent: SimulatedAgent, effect: effects.SendProbe) -> None:
+    def probe(self, agent: ContendingAgent, effect: effects.SendProbe) -> None:
         """Send a probe after a short while, in which the process may be paused."""
         agent.later(self.now + self.generator.uniform(0.0, 0.02), lambda: self.send(agent, effect))
 
-    def send(self, agent: SimulatedAgent, effect: effects.SendProbe) -> None:
+    def send(self, agent: ContendingAgent, effect: effects.SendProbe) -> None:
         """Check the deadline as the shell does, and let the probe arrive."""
         sent_at = self.now
 
--- a/features/control_probe_rules.feature
+++ b/features/control_probe_rules.feature
@@ -1,4 +1,4 @@
-Feature: Probe results are shared, and the rules of the budget hold in simulation
+Feature: Probe results are shared, and the rules of the budget hold in rare orders of events
   The holder of a grant probes for the whole fleet; what it learns is of use only where callers are
   served, and rare orders of events need many more runs than real processes allow.
 
@@ -15,11 +15,11 @@
     When 5 probes for the second service have arrived
     Then no probe for the first service has arrived
 
-  Scenario: Simulated processes that all believe to be first choice never exceed the budget
+  Scenario: Contending processes that all believe to be first choice never exceed the budget
     # Guards against orders of events that real processes reach rarely: writes that take effect
     # after their caller gave up, pauses between a check and its act, probes that arrive late.
-    Given simulated agents with pauses, slow and lost calls, outages and restarts
-    When each of 60 seeds runs for 90 simulated seconds
+    Given contending agents with pauses, slow and lost calls, outages and restarts
+    When each of 60 seeds runs for 90 seconds of virtual time
     Then two probes never arrive closer together than the budget allows
     And the target was probed under several grants
 
--- a/features/ctl_simulated_changes.feature
+++ b/features/ctl_interleaved_changes.feature
@@ -1,9 +1,9 @@
-Feature: Simulated operators, readers and another tool in virtual time
+Feature: Interleaved operators, readers and another tool in virtual time
   Writers that end halfway, writes executed late, bad objects and outages in combination reach
   orders of events that a run of real processes meets too rarely.
 
   Scenario: 200 seeds of 4 operators, 3 readers, another tool and outages
-    When seeds 0 to 199 of simulated changes run
+    When seeds 0 to 199 of interleaved changes run
     Then in no seed an accepted change was lost, applied twice or given the revision of another
     And in every seed all readers ended with the stored object
     And at least 4000 changes were accepted and at least 400 objects were written over
--- a/features/ctl_simulation.py
+++ b/features/ctl_interleaving.py
@@ -1,4 +1,4 @@
-"""Simulated operators, readers and another tool on a faulty platform, in virtual time."""
+"""Interleaved operators, readers and another tool on a fake platform, in virtual time."""
 
 import asyncio
 import base64
@@ -46,7 +46,7 @@
         super()._run_once()
 
 
-class SimulatedPlatform:
+class FakePlatform:
     """Keep every version, and lose, delay and refuse calls by seeded draws."""
 
     def __init__(self, draws):
@@ -131,12 +131,12 @@
                 self.held = outcome.service
 
 
-class Simulation:
+class InterleavedRun:
     """Run one seed."""
 
     def __init__(self, seed):
         self.draws = random.Random(seed)
-        self.platform = SimulatedPlatform(self.draws)
+        self.platform = FakePlatform(self.draws)
         self.readers = [Reader() for _ in range(READERS)]
         # Half of the runs have agents that can be asked.
         self.agents_answer = seed % 2 == 0
@@ -267,11 +267,11 @@
 
 
 def run_seed(seed):
-    """Run one seed and return the simulation, to be checked."""
-    simulation = Simulation(seed)
+    """Run one seed and return the run, to be checked."""
+    run = InterleavedRun(seed)
     loop = VirtualLoop()
     try:
-        loop.run_until_complete(simulation.run())
+        loop.run_until_complete(run.run())
     finally:
         loop.close()
-    return simulation
+    return run
--- a/features/steps/control_probes_steps.py
+++ b/features/steps/control_probes_steps.py
@@ -7,7 +7,7 @@
 import zmq
 from behave import given, then, when
 
-from features.control_simulation import RATE_PER_S, World, shortest_gap
+from features.control_grant_contention import RATE_PER_S, World, shortest_gap
 from features.control_support import assert_no_faults, make_service, wait_until
 from poplarlane.bench.layout import AGENT_ENTRY_PORT
 from poplarlane.bench.processes import Launcher
@@ -252,13 +252,13 @@
         assert "silent" not in context.fleet.status(vm)["probes"]
 
 
-@given("simulated agents with pauses, slow and lost calls, outages and restarts")
-def step_simulation(context):
+@given("contending agents with pauses, slow and lost calls, outages and restarts")
+def step_contention(context):
     context.worlds = []
 
 
-@when("each of {seeds:d} seeds runs for {seconds:d} simulated seconds")
-def step_simulate(context, seeds, seconds):
+@when("each of {seeds:d} seeds runs for {seconds:d} seconds of virtual time")
+def step_contend(context, seeds, seconds):
     for seed in range(seeds):
         world = World(seed)
         world.run(seconds)
@@ -277,4 +277,4 @@
     probes = [len(world.arrivals) for _, world in context.worlds]
     terms = [len(world.terms) for _, world in context.worlds]
     assert min(probes) > 0 and max(terms) >= 3, (probes, terms)
-    print(f"simulated_probes={sum(probes)} terms={sum(terms)}")
+    print(f"probes={sum(probes)} terms={sum(terms)}")
--- a/features/steps/control_terms_steps.py
+++ b/features/steps/control_terms_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from features.control_simulation import SERVICE, SimulatedAgent, World
+from features.control_grant_contention import SERVICE, ContendingAgent, World
 from poplarlane.decisions import agent_effects as effects
 from poplarlane.decisions import agent_events as events
 from poplarlane.decisions.agent_state import EntryLink
@@ -27,7 +27,7 @@
 
 @given("an agent that heard of a grant with term 5 from a peer with incarnation 9")
 def step_agent(context):
-    context.state = SimulatedAgent("agent", 1, World(1)).state
+    context.state = ContendingAgent("agent", 1, World(1)).state
     context.state.entries["entry"] = EntryLink("entry", b"id", 1, 200.0)
     assert deliver(context.state, 9, [result(5)]) == [(5, "t")]
 
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -54,7 +54,7 @@
 
 
 def now() -> float:
-    """Give the time of the running event loop, which a simulation can advance."""
+    """Give the time of the running event loop, which a test can advance."""
     return asyncio.get_running_loop().time()
 
 
