Hedge a read at one level of its call chain; let the stand-in target answer HEAD

Cause: hedges at each of 26 levels add up to 2.3 calls per request at the last one (computed), and the stand-in target raised on HEAD because it sent a body. Change: an entry marks reads that it may hedge with x-poplar-hedged; entries further down do not hedge them. Four scenarios: no hedge below the mark, the mark itself, a booking that one target refuses as not run is run once by another, HEAD through an entry. Conclusion: with one hedging level of 5% the chain adds 1.05 calls per request instead of 2.3 (computed); the mark costs a target that calls further services one more header to pass on.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -108,11 +108,34 @@
     Then every read is answered within 300 ms
     And the entry counts hedges and cancelled reads at the slow target
 
+  Scenario: A read that a higher level of its call chain hedges is not hedged again
+    # Guards against hedges at each of 26 levels, which multiply the load of the last one.
+    Given an entry before 2 stand-in targets that hedges reads
+    When one target is 200 times slower and 40 reads that are hedged above go through it
+    Then the entry has counted no hedges
+
+  Scenario: A read that may be hedged tells lower levels of its call chain
+    Given an entry that hedges reads before a raw target
+    When a read and a booking go through the entry to the raw target
+    Then the raw target got the hedge marker with the read only
+
+  Scenario: A booking that one target refuses as not run is run once by another
+    # Guards against a refusal that reaches the caller although another target could serve it, and
+    # against a retry that runs a booking twice.
+    Given an entry before 2 stand-in targets
+    When target-1 sheds every request and 20 bookings go through the entry
+    Then all 20 bookings are answered and each was run once, after at least 1 refusal
+
   Scenario: A full queue refuses as not run
     Given an entry before 1 slow target with 2 places in flight and a queue of 4
     When 12 bookings arrive at once
     Then at most 6 of them run, and the others are refused with code 1204
 
+  Scenario: A stand-in target answers HEAD through the entry
+    Given an entry before 1 stand-in target
+    When a HEAD and then a read go through the entry
+    Then both answers have status 200 and only the read has a body
+
   Scenario: A HEAD answer has its length and no body
     Given an entry before a raw target that answers HEAD with a length of 5
     When HEAD is asked twice on one connection to the entry
--- a/features/entry_rig.py
+++ b/features/entry_rig.py
@@ -289,13 +289,13 @@
     return rig
 
 
-def start_raw_rig(context, **settings):
+def start_raw_rig(context, service=None, **settings):
     """Start a publisher and an entry before one raw target."""
     rig = new_rig(context)
     context.raw = RawTarget(rig.launcher.new_host())
     context.resources.callback(context.raw.close)
     rig.targets["raw-1"] = (context.raw.listener.getsockname()[0], RAW_PORT)
-    rig.publisher.publish([rig.service()])
+    rig.publisher.publish([rig.service(**(service or {}))])
     rig.start_entry(**settings)
     return rig
 
--- a/poplarlane/decisions/entry_effects.py
+++ b/poplarlane/decisions/entry_effects.py
@@ -9,7 +9,15 @@
 class SendRequest(Effect):
     """Send a request to a target as one attempt."""
 
-    __slots__ = ("request_id", "attempt_id", "target", "number", "retried", "deadline")
+    __slots__ = (
+        "request_id",
+        "attempt_id",
+        "target",
+        "number",
+        "retried",
+        "hedged_above",
+        "deadline",
+    )
 
     def __init__(
         self,
@@ -18,6 +26,7 @@
         target: Target,
         number: int,
         retried: bool,
+        hedged_above: bool,
         deadline: float,
     ) -> None:
         self.request_id = request_id
@@ -25,6 +34,7 @@
         self.target = target
         self.number = number
         self.retried = retried
+        self.hedged_above = hedged_above
         self.deadline = deadline
 
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -18,7 +18,10 @@
 
 
 class RequestArrived(EntryEvent):
-    """Report a whole request; `labels` is empty and `deadline_ms` None from untrusted sources."""
+    """Report a whole request; `labels` is empty and `deadline_ms` None from untrusted sources.
+
+    `hedged_above` says that a process higher in the call chain hedges this read.
+    """
 
     __slots__ = (
         "request_id",
@@ -29,6 +32,7 @@
         "deadline_ms",
         "attempt",
         "retried",
+        "hedged_above",
     )
 
     def __init__(
@@ -43,6 +47,7 @@
         deadline_ms: float | None,
         attempt: int,
         retried: bool,
+        hedged_above: bool = False,
     ) -> None:
         self.now = now
         self.draw = draw
@@ -54,6 +59,7 @@
         self.deadline_ms = deadline_ms
         self.attempt = attempt
         self.retried = retried
+        self.hedged_above = hedged_above
 
 
 class RequestMalformed(EntryEvent):
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -90,6 +90,7 @@
         "priority",
         "deadline",
         "hedge",
+        "hedged_above",
         "attempt",
         "retried_below",
         "state",
@@ -111,13 +112,16 @@
         deadline: float,
         attempt: int,
         retried_below: bool,
+        hedged_above: bool = False,
     ) -> None:
         self.request_id = request_id
         self.service = service
         self.labels = labels
         self.idempotent = kind.idempotent
         self.priority: Priority = kind.priority
-        self.hedge = kind.hedge and kind.idempotent
+        # One level of a call chain hedges; hedges at 26 levels would multiply the load of the leaf.
+        self.hedge = kind.hedge and kind.idempotent and not hedged_above
+        self.hedged_above = hedged_above
         # Instant of the monotonic clock.
         self.deadline = deadline
         self.attempt = attempt
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -101,6 +101,7 @@
         event.now + allowed_ms / 1000.0,
         event.attempt,
         event.retried,
+        event.hedged_above,
     )
 
 
@@ -136,6 +137,7 @@
     request.attempts.append(attempt)
     request.state = RequestState.NOT_SENT
     health.observe_sent(load, attempt_id, now)
+    may_be_hedged = request.hedge and state.hedged_reads
     effects.append(
         SendRequest(
             request.request_id,
@@ -143,10 +145,11 @@
             load.target,
             request.attempt,
             request.retried,
+            request.hedged_above or may_be_hedged,
             request.deadline,
         )
     )
-    if request.hedge and not request.hedged and state.hedged_reads:
+    if may_be_hedged and not request.hedged:
         schedule_hedge(state, request, load.verdict is Verdict.AVOIDED, now, effects)
     return attempt
 
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -89,6 +89,8 @@
     parts = [head.forwarded, b"x-attempt: %d\r\nx-deadline-ms: %d\r\n" % (effect.number, left_ms)]
     if effect.retried:
         parts.append(b"x-poplar-retried: 1\r\n")
+    if effect.hedged_above:
+        parts.append(b"x-poplar-hedged: 1\r\n")
     if caller.span is not None:
         traceparent = shell.tracer.traceparent(caller.span)
         parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -215,6 +215,7 @@
                 head.deadline_ms,
                 head.attempt,
                 head.retried,
+                head.hedged_above,
             )
         )
 
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -109,6 +109,7 @@
         "deadline_ms",
         "attempt",
         "retried",
+        "hedged_above",
         "request_id",
         "traceparent",
         "length",
@@ -127,6 +128,7 @@
         self.deadline_ms: float | None = None
         self.attempt = 1
         self.retried = False
+        self.hedged_above = False
         self.request_id = b""
         self.traceparent = b""
         self.length = 0
@@ -189,6 +191,8 @@
         head.labels = value.decode("latin-1")
     elif lower == b"x-poplar-retried":
         head.retried = value == b"1"
+    elif lower == b"x-poplar-hedged":
+        head.hedged_above = value == b"1"
     elif lower in (b"x-deadline-ms", b"x-attempt"):
         if not value.isdigit() or len(value) > 9:
             head.fault = f"{lower.decode()} is not a number"
--- a/poplarlane/standins/http_server.py
+++ b/poplarlane/standins/http_server.py
@@ -125,6 +125,10 @@
         else:
             self.abort()
 
+    def is_head(self) -> bool:
+        """Tell whether the request being answered is a HEAD."""
+        return self.exchange is not None and self.exchange.method == "HEAD"
+
     def send_response(self, status: int, headers: Headers, body: bytes, close: bool) -> None:
         """Write a complete answer and go on to the next request."""
         if self.transport.is_closing():
@@ -133,7 +137,8 @@
         if close:
             headers.append(("connection", "close"))
         data = self.parser.send(h11.Response(status_code=status, headers=headers))
-        if body:
+        # An answer to HEAD has the length of a body and none.
+        if body and not self.is_head():
             data += self.parser.send(h11.Data(data=body))
         data += self.parser.send(h11.EndOfMessage())
         self.transport.write(data)
--- a/poplarlane/standins/target_calls.py
+++ b/poplarlane/standins/target_calls.py
@@ -9,7 +9,14 @@
 MAX_CHAIN_DEPTH = 26
 DEFAULT_TIMEOUT_S = 30.0
 READ_BYTES = 65_536
-PASSED_HEADERS = ("x-attempt", "x-poplar-retried", "x-caller-labels", "x-call-entry", "traceparent")
+PASSED_HEADERS = (
+    "x-attempt",
+    "x-poplar-hedged",
+    "x-poplar-retried",
+    "x-caller-labels",
+    "x-call-entry",
+    "traceparent",
+)
 
 
 class NestedAnswer:
