--- a/features/steps/ctl_fleet_steps.py
+++ b/features/steps/ctl_fleet_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.ctl_world import SERVICE, finish, wait_until
-from poplarlane.bench.layout import AGENT_ADMIN_PORT, PLATFORM_PORT, Layout, call_json
+from poplarlane.bench.layout import AGENT_ADMIN_PORT, PLATFORM_PORT, Layout
 from poplarlane.bench.processes import Launcher, binary_path
 from poplarlane.bench.standin_client import call
 
@@ -71,7 +71,7 @@
 
     def faults(self, **faults: object) -> None:
         """Set faults of the platform."""
-        call_json("POST", self.layout.platform_address, PLATFORM_PORT, "/v1/faults", faults)
+        call(self.layout.platform_address, PLATFORM_PORT, "POST", "/v1/faults", faults)
 
     def write(self, kind: str, document: dict) -> None:
         """Write an object as another tool would."""
--- a/poplarlane/bench/broken_passthrough.py
+++ b/poplarlane/bench/broken_passthrough.py
@@ -17,6 +17,7 @@
 MAX_TRIES = 3
 # As long as the balancer needs to notice that readiness fails, twice over.
 DRAIN_ACCEPT_S = 1.0
+HOLD_S = 0.5
 DRAIN_POLL_S = 0.02
 SKIPPED_HEADERS = frozenset({"connection", "content-length", "transfer-encoding"})
 
@@ -190,9 +191,20 @@
             return True
         if self.count % BROKEN_EVERY == 0:
             self.held = (exchange, status, headers, body)
+            asyncio.get_running_loop().call_later(HOLD_S, self.release, exchange)
             return True
         return False
 
+    def release(self, exchange: Exchange) -> None:
+        """Give a held answer to its own caller when no other answer came.
+
+        Without this the last held answer of a run was never given, which counted as cut.
+        """
+        if self.held is not None and self.held[0] is exchange:
+            _, *answer = self.held
+            self.held = None
+            exchange.reply(*answer)
+
     def refuse_falsely(self, exchange: Exchange) -> None:
         """Claim that a request was not run although it was sent, on purpose."""
         exchange.reply(503, [("x-poplar-result", "1207")], b"not run")
--- a/poplarlane/bench/fleet.py
+++ b/poplarlane/bench/fleet.py
@@ -9,14 +9,14 @@
 
 from poplarlane.bench.experiment import LayoutPlan, ServicePlan, Variant
 from poplarlane.bench.layout import (
-    AGENT_ADMIN_PORT,
-    AGENT_ENTRY_PORT,
-    AGENT_EXCHANGE_PORT,
     ENTRY_ADMIN_PORT,
     ENTRY_PORT,
     PLATFORM_PORT,
     TARGET_PORT,
     Vm,
+    agent_settings,
+    entry_settings,
+    register_vm,
 )
 from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.standin_client import call
@@ -175,36 +175,22 @@
     def register_all(self) -> None:
         """Put every VM on the platform's list."""
         for vm in self.vms:
-            self.register_vm(vm.name, vm.address, vm.data_centre, "poplarlane")
+            register_vm(self.platform_address, vm.name, vm.address, vm.data_centre, "poplarlane")
         for place in self.targets:
             self.register_target(place, "live")
 
     def register_target(self, place: TargetPlace, state: str) -> None:
         """Put the state of a target on the platform's list."""
-        self.register_vm(
-            place.name, place.address, place.data_centre, "target", state, place.incarnation
+        register_vm(
+            self.platform_address,
+            place.name,
+            place.address,
+            place.data_centre,
+            "target",
+            state,
+            place.incarnation,
         )
 
-    def register_vm(
-        self,
-        name: str,
-        address: str,
-        data_centre: str,
-        role: str,
-        state: str = "live",
-        incarnation: int = 1,
-    ) -> None:
-        """Put one VM on the platform's list."""
-        document = {
-            "name": name,
-            "address": address,
-            "data_centre": data_centre,
-            "role": role,
-            "state": state,
-            "incarnation": incarnation,
-        }
-        self.platform_call("PUT", f"/v1/vms/{name}", document)
-
     def platform_call(self, method: str, path: str, document: Any) -> None:
         """Call the platform; raises RuntimeError unless it succeeds."""
         answer = call(self.platform_address, PLATFORM_PORT, method, path, document)
@@ -246,18 +232,11 @@
         """Start one agent per VM."""
         for number, vm in enumerate(self.vms):
             peers = [self.vms[(number + step) % len(self.vms)] for step in range(1, SEED_PEERS + 1)]
-            settings = {
-                "data_centre": vm.data_centre,
-                "listen_address": vm.address,
-                "exchange_port": AGENT_EXCHANGE_PORT,
-                "entry_port": AGENT_ENTRY_PORT,
-                "admin_port": AGENT_ADMIN_PORT,
-                "platform_address": self.platform_address,
-                "platform_port": PLATFORM_PORT,
-                "seed": self.seed * 1_000 + number,
-                "seed_peers": [peer_settings(peer) for peer in peers if peer is not vm],
-            }
-            vm.agent = self.launch("poplarlane-agent", f"agent-{vm.name}", settings)
+            settings = agent_settings(
+                vm, self.platform_address, [peer for peer in peers if peer is not vm]
+            )
+            settings["seed"] = self.seed * 1_000 + number
+            vm.agent = self.launch("poplarlane-agent", settings["name"], settings)
         self.wait_ready([vm.agent for vm in self.vms])
 
     def start_entries(self, variant: Variant) -> None:
@@ -273,32 +252,35 @@
 
     def launch_entry(self, vm: Vm) -> None:
         """Start the entry of a VM as the variant wants it."""
-        name = f"entry-{vm.name}"
-        settings = {
-            "listen_address": vm.address,
-            "listen_port": ENTRY_PORT,
-            "admin_port": ENTRY_ADMIN_PORT,
-        }
         if self.variant.passthrough:
-            settings |= {"name": name, "targets": self.targets_by_host(), **self.variant.settings}
-            path = self.launcher.settings_path(name, settings)
-            module = [sys.executable, "-m", "poplarlane.bench.broken_passthrough"]
-            vm.entry = Process(name, [*module, "--settings", path])
-            self.launcher.processes[name] = vm.entry
+            self.launch_passthrough(vm)
             return
-        settings |= {
-            "data_centre": vm.data_centre,
-            "agent_address": vm.address,
-            "agent_port": AGENT_ENTRY_PORT,
+        settings = entry_settings(vm) | {
             "seed": self.seed * 1_000 + self.vms.index(vm),
-            "trusted_sources": ["127.0.0.0/8"],
             "data_centre_delay_ms": {
                 other: self.layout.delay_ms
                 for other in self.layout.data_centres
                 if other != vm.data_centre
             },
         }
-        vm.entry = self.launch("poplarlane-entry", name, settings | self.variant.settings)
+        full = settings | self.variant.settings
+        vm.entry = self.launch("poplarlane-entry", settings["name"], full)
+
+    def launch_passthrough(self, vm: Vm) -> None:
+        """Start the bare pass-through in the place of a VM's entry."""
+        settings = {
+            "name": f"entry-{vm.name}",
+            "listen_address": vm.address,
+            "listen_port": ENTRY_PORT,
+            "admin_port": ENTRY_ADMIN_PORT,
+            "targets": self.targets_by_host(),
+            **self.variant.settings,
+        }
+        name = settings["name"]
+        path = self.launcher.settings_path(name, settings)
+        module = [sys.executable, "-m", "poplarlane.bench.broken_passthrough"]
+        vm.entry = Process(name, [*module, "--settings", path])
+        self.launcher.processes[name] = vm.entry
 
     def targets_by_host(self) -> dict[str, list[tuple[str, int]]]:
         """List the addresses of the targets per host name."""
@@ -341,16 +323,6 @@
         ]
 
 
-def peer_settings(vm: Vm) -> dict[str, Any]:
-    """Describe an agent as a seed peer."""
-    return {
-        "name": f"agent-{vm.name}",
-        "address": vm.address,
-        "port": AGENT_EXCHANGE_PORT,
-        "data_centre": vm.data_centre,
-    }
-
-
 def wait_until_ready(vm: Vm) -> None:
     """Wait until the readiness check of an entry succeeds."""
     deadline = time.monotonic() + READY_TIMEOUT_S
--- a/poplarlane/bench/layout.py
+++ b/poplarlane/bench/layout.py
@@ -1,10 +1,9 @@
 """Lay out a small deployment of real processes on loopback addresses."""
 
-import json
-import urllib.request
 from typing import Any
 
 from poplarlane.bench.processes import Launcher, Process
+from poplarlane.bench.standin_client import call
 
 PLATFORM_PORT = 21_000
 TARGET_PORT = 22_000
@@ -13,7 +12,6 @@
 AGENT_EXCHANGE_PORT = 24_000
 AGENT_ENTRY_PORT = 24_001
 AGENT_ADMIN_PORT = 24_002
-CALL_TIMEOUT_S = 10.0
 
 
 class Vm:
@@ -74,58 +72,20 @@
 
     def start_agent(self, vm: Vm, ready_event: str | None = "ready", **settings: Any) -> Process:
         """Start the agent of a VM; the other VMs are its seed peers."""
-        peers = [
-            {
-                "name": f"agent-{other.name}",
-                "address": other.address,
-                "port": AGENT_EXCHANGE_PORT,
-                "data_centre": other.data_centre,
-            }
-            for other in self.vms
-            if other is not vm
-        ]
-        base = {
-            "name": f"agent-{vm.name}",
-            "data_centre": vm.data_centre,
-            "listen_address": vm.address,
-            "exchange_port": AGENT_EXCHANGE_PORT,
-            "entry_port": AGENT_ENTRY_PORT,
-            "admin_port": AGENT_ADMIN_PORT,
-            "platform_address": self.platform_address,
-            "platform_port": PLATFORM_PORT,
-            "seed_peers": peers,
-            "seed": self.seed,
-        }
+        peers = [other for other in self.vms if other is not vm]
+        base = agent_settings(vm, self.platform_address, peers) | {"seed": self.seed}
         vm.agent = self.launcher.start("poplarlane-agent", base | settings, ready_event)
         return vm.agent
 
     def start_entry(self, vm: Vm, ready_event: str | None = "ready", **settings: Any) -> Process:
         """Start the entry of a VM."""
-        base = {
-            "name": f"entry-{vm.name}",
-            "data_centre": vm.data_centre,
-            "listen_address": vm.address,
-            "listen_port": ENTRY_PORT,
-            "admin_port": ENTRY_ADMIN_PORT,
-            "agent_address": vm.address,
-            "agent_port": AGENT_ENTRY_PORT,
-            "trusted_sources": ["127.0.0.0/8"],
-            "seed": self.seed,
-        }
+        base = entry_settings(vm) | {"seed": self.seed}
         vm.entry = self.launcher.start("poplarlane-entry", base | settings, ready_event)
         return vm.entry
 
     def register_vm(self, name: str, address: str, data_centre: str, role: str) -> None:
         """Put a VM on the platform's list."""
-        body = {
-            "name": name,
-            "address": address,
-            "data_centre": data_centre,
-            "role": role,
-            "state": "live",
-            "incarnation": 1,
-        }
-        call_json("PUT", self.platform_address, PLATFORM_PORT, f"/v1/vms/{name}", body)
+        register_vm(self.platform_address, name, address, data_centre, role)
 
     def service_object(self, service: str, labels: dict[str, dict[str, str]]) -> dict[str, Any]:
         """Build a service object over the started targets; `labels` maps target names."""
@@ -151,14 +111,63 @@
         }
 
 
-def call_json(method: str, address: str, port: int, path: str, body: Any = None) -> Any:
-    """Make one JSON call over HTTP; raises urllib.error.HTTPError on a status above 399."""
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(
-        f"http://{address}:{port}{path}",
-        data=data,
-        method=method,
-        headers={"content-type": "application/json"},
-    )
-    with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as answer:
-        return json.loads(answer.read() or b"null")
+def agent_settings(vm: Vm, platform_address: str, peers: list[Vm]) -> dict[str, Any]:
+    """Build the settings of a VM's agent."""
+    return {
+        "name": f"agent-{vm.name}",
+        "data_centre": vm.data_centre,
+        "listen_address": vm.address,
+        "exchange_port": AGENT_EXCHANGE_PORT,
+        "entry_port": AGENT_ENTRY_PORT,
+        "admin_port": AGENT_ADMIN_PORT,
+        "platform_address": platform_address,
+        "platform_port": PLATFORM_PORT,
+        "seed_peers": [peer_settings(peer) for peer in peers],
+    }
+
+
+def peer_settings(vm: Vm) -> dict[str, Any]:
+    """Describe an agent as a seed peer."""
+    return {
+        "name": f"agent-{vm.name}",
+        "address": vm.address,
+        "port": AGENT_EXCHANGE_PORT,
+        "data_centre": vm.data_centre,
+    }
+
+
+def entry_settings(vm: Vm) -> dict[str, Any]:
+    """Build the settings of a VM's entry."""
+    return {
+        "name": f"entry-{vm.name}",
+        "data_centre": vm.data_centre,
+        "listen_address": vm.address,
+        "listen_port": ENTRY_PORT,
+        "admin_port": ENTRY_ADMIN_PORT,
+        "agent_address": vm.address,
+        "agent_port": AGENT_ENTRY_PORT,
+        "trusted_sources": ["127.0.0.0/8"],
+    }
+
+
+def register_vm(
+    platform_address: str,
+    name: str,
+    address: str,
+    data_centre: str,
+    role: str,
+    state: str = "live",
+    incarnation: int = 1,
+) -> None:
+    """Put a VM on the platform's list; raises RuntimeError unless it succeeds."""
+    document = {
+        "name": name,
+        "address": address,
+        "data_centre": data_centre,
+        "role": role,
+        "state": state,
+        "incarnation": incarnation,
+    }
+    answer = call(platform_address, PLATFORM_PORT, "PUT", f"/v1/vms/{name}", document)
+    if answer.status != 200:
+        raise RuntimeError(f"VM {name}: status {answer.status}: {answer.body[:200]!r}")
