Begin a recovery only with a proof that is younger than the copy read

A change that had met a conflict kept the proof that the object was current, then read a newer copy: the object looked older than its copy, and the change 'recovered' an intact object, which skips revisions. Ruled out: loss of a change and double application; the history was complete in both runs. Change: reading a newer copy withdraws the proof. The interleaved runs also run without bad objects and then allow no gap in the revisions.

--- a/features/ctl_interleaved_changes.feature
+++ b/features/ctl_interleaved_changes.feature
@@ -7,3 +7,10 @@
     Then in no seed an accepted change was lost, applied twice or given the revision of another
     And in every seed all readers ended with the stored object
     And at least 4000 changes were accepted and at least 400 objects were written over
+
+  Scenario: Without another tool, stale reads and lost answers lead to no recovery
+    # Guards against a recovery of an object that is intact, which skips revisions.
+    When seeds 1000 to 1199 of interleaved changes run without another tool
+    Then in no seed an accepted change was lost, applied twice or given the revision of another
+    And in no seed a revision was skipped
+    And in every seed all readers ended with the stored object
--- a/features/ctl_interleaving.py
+++ b/features/ctl_interleaving.py
@@ -27,6 +27,8 @@
 OPERATORS = 4
 READERS = 3
 TIMEOUT_S = 3.0
+# Chance that the other tool writes a bad object, at each of its turns.
+BAD_OBJECT_SHARE = 0.4
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -134,8 +136,9 @@
 class InterleavedRun:
     """Run one seed."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, bad_object_share):
         self.draws = random.Random(seed)
+        self.bad_object_share = bad_object_share
         self.platform = FakePlatform(self.draws)
         self.readers = [Reader() for _ in range(READERS)]
         # Half of the runs have agents that can be asked.
@@ -183,7 +186,7 @@
         while self.running:
             await asyncio.sleep(self.draws.uniform(0.05, 0.6))
             self.platform.outage = self.draws.random() < 0.2
-            if self.draws.random() < 0.4:
+            if self.draws.random() < self.bad_object_share:
                 self.platform.put(SERVICES_KIND, self.bad_object(), "tool")
 
     def bad_object(self):
@@ -259,6 +262,14 @@
                 held = check_service(body, SERVICE)
                 assert contents.setdefault(held.revision, held) == held, held.revision
 
+    def check_gaps(self):
+        """Without bad objects no change recovers: revisions have no gaps."""
+        revisions = {
+            json.loads(body)["revision"] for _, _, body, _ in self.platform.log[SERVICES_KIND]
+        }
+        expected = set(range(1, 1 + len(revisions)))
+        assert revisions == expected, sorted(expected ^ revisions)
+
     def check_readers(self):
         """Every reader ends with the stored object."""
         final = check_service(self.platform.log[SERVICES_KIND][-1][2], SERVICE)
@@ -266,9 +277,9 @@
             assert reader.held == final, (reader.held.revision, final.revision)
 
 
-def run_seed(seed):
+def run_seed(seed, bad_object_share=BAD_OBJECT_SHARE):
     """Run one seed and return the run, to be checked."""
-    run = InterleavedRun(seed)
+    run = InterleavedRun(seed, bad_object_share)
     loop = VirtualLoop()
     try:
         loop.run_until_complete(run.run())
--- a/features/steps/ctl_interleaving_steps.py
+++ b/features/steps/ctl_interleaving_steps.py
@@ -10,6 +10,11 @@
     context.runs = {seed: run_seed(seed) for seed in range(first, last + 1)}
 
 
+@when("seeds {first:d} to {last:d} of interleaved changes run without another tool")
+def step_run_alone(context, first, last):
+    context.runs = {seed: run_seed(seed, 0.0) for seed in range(first, last + 1)}
+
+
 def failures(context, check):
     """Collect the seeds in which a check fails."""
     found = {}
@@ -27,6 +32,12 @@
     assert not failures(context, lambda run: run.check_revisions())
 
 
+@then("in no seed a revision was skipped")
+def step_no_gaps(context):
+    found = failures(context, lambda run: run.check_gaps())
+    assert not found, found
+
+
 @then("in every seed all readers ended with the stored object")
 def step_readers(context):
     assert not failures(context, lambda run: run.check_readers())
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -258,6 +258,9 @@
             self.confirmed = False
         if self.copy.version <= held_copy.version:
             self.copy = held_copy
+        else:
+            # A proof that the object is current says nothing about a copy that was read later.
+            self.confirmed = False
 
     async def edit_and_write(self, base: Base) -> Outcome | None:
         """Apply the edit to the base and write the next revision."""
