Ask the platform for gzip and decompress within a bound

Cause: the list of VMs of the planned scale has about 660 KB, and an agent that fetched it used more than 19 KB/s in a window of 50 s.

Change: reads of the agent send `accept-encoding: gzip`. The stand-in platform compresses answers of 512 bytes and more when asked; its setting `gzip` turns that off, as a platform that ignores the header. Decompression ends at the bound on an answer (64 MB); content that is cut off, altered, too large or in another encoding is a failed call.

--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,6 +12,9 @@
 READ_BYTES = 65_536
 MAX_ANSWER_BYTES = 64_000_000
 MAX_IDLE_CONNECTIONS = 4
+# `wbits` with which zlib expects the header and the checksum of gzip.
+GZIP_WBITS = 31
+GZIP = b"gzip"
 CALLER_HEADER = "x-poplarlane-caller"
 # Reads may be repeated once, and only 10% of them on average.
 RETRY_RATIO = 0.1
@@ -184,8 +188,9 @@
             writer.write(data)
             sent.append(True)
             self.sent_bytes += len(data)
-            answer = await read_answer(reader, connection)
-            self.received_bytes += len(answer.body)
+            status, encoding, content = await read_content(reader, connection)
+            self.received_bytes += len(content)
+            answer = PlatformAnswer(status, decode_content(encoding, content))
             finished = connection.our_state is connection.their_state is h11.DONE
             return answer
         finally:
@@ -219,6 +224,8 @@
     ) -> bytes:
         """Encode a request."""
         fields = [("host", self.address), (CALLER_HEADER, self.caller), *headers.items()]
+        if method == "GET":
+            fields.append(("accept-encoding", GZIP.decode()))
         if body:
             fields += [("content-type", "application/json"), ("content-length", str(len(body)))]
         data = connection.send(h11.Request(method=method, target=path, headers=fields))
@@ -234,20 +241,63 @@
 
 
 async def read_answer(reader: asyncio.StreamReader, connection: h11.Connection) -> PlatformAnswer:
-    """Read one whole answer; raises h11.RemoteProtocolError on a broken one."""
+    """Read one whole answer to a request that asked for no encoding."""
+    status, _, content = await read_content(reader, connection)
+    return PlatformAnswer(status, content)
+
+
+async def read_content(
+    reader: asyncio.StreamReader, connection: h11.Connection
+) -> tuple[int, bytes, bytes]:
+    """Read one whole answer; gives status, content encoding and content.
+
+    Raises h11.RemoteProtocolError on a broken answer.
+    """
     status = 0
-    body = bytearray()
+    encoding = b""
+    content = bytearray()
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            encoding = dict(event.headers).get(b"content-encoding", b"").strip().lower()
         elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_ANSWER_BYTES:
+            content += event.data
+            if len(content) > MAX_ANSWER_BYTES:
                 raise h11.RemoteProtocolError("the platform's answer is too large")
         elif isinstance(event, h11.EndOfMessage):
-            return PlatformAnswer(status, bytes(body))
+            return status, encoding, bytes(content)
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("the connection closed before the answer")
+
+
+def decode_content(encoding: bytes, content: bytes) -> bytes:
+    """Decode the content of an answer; raises h11.RemoteProtocolError when that fails."""
+    if encoding in (b"", b"identity"):
+        return content
+    if encoding != GZIP:
+        raise h11.RemoteProtocolError(f"unknown content encoding {encoding!r}")
+    return decompress(content, MAX_ANSWER_BYTES)
+
+
+def decompress(content: bytes, limit: int) -> bytes:
+    """Decompress gzip into at most `limit` bytes; raises h11.RemoteProtocolError.
+
+    The bound holds while decompressing: 64 KB of gzip can hold 64 MB.
+    """
+    body = bytearray()
+    while content:
+        stream = zlib.decompressobj(GZIP_WBITS)
+        try:
+            body += stream.decompress(content, limit + 1 - len(body))
+        except zlib.error as error:
+            raise h11.RemoteProtocolError(f"malformed gzip: {error}") from error
+        if len(body) > limit:
+            raise h11.RemoteProtocolError("the platform's answer is too large")
+        if not stream.eof:
+            raise h11.RemoteProtocolError("the gzip content is incomplete")
+        # A gzip file may have several members.
+        content = stream.unused_data
+    return bytes(body)
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -120,6 +120,8 @@
     writes_per_s: PositiveCount = 300
     vm_list_lag_ms: Milliseconds = 1_000
     kept_changes: PositiveCount = 10_000
+    # Whether answers are compressed for callers that accept it.
+    gzip: bool = True
 
 
 class TargetSettings(Settings, kw_only=True):
--- a/poplarlane/standins/platform.py
+++ b/poplarlane/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform: an object API with conditional updates, watches and faults."""
 
 import asyncio
+import gzip
 import random
 import time
 from collections.abc import Callable
@@ -22,6 +23,9 @@
 from poplarlane.standins.platform_store import Store, StoredVersion, VmList
 
 MAX_WAIT_MS = 60_000
+# A shorter answer gains little from compression.
+MIN_GZIP_BYTES = 512
+GZIP_LEVEL = 1
 
 
 class Watch:
@@ -47,6 +51,7 @@
         self.vms = VmList(settings.vm_list_lag_ms / 1000)
         self.read_bucket = TokenBucket(settings.reads_per_s, now)
         self.write_bucket = TokenBucket(settings.writes_per_s, now)
+        self.gzip = settings.gzip
         self.counts = CallCounts()
         self.faults = PlatformFaults()
         self.watches: set[Watch] = set()
@@ -91,10 +96,15 @@
     def answer(self, exchange: Exchange, status: int, document: Any) -> None:
         """Answer after the delay in force."""
         body = msgspec.json.encode(document)
+        headers = [("content-type", "application/json")]
+        if self.gzip and len(body) >= MIN_GZIP_BYTES and accepts_gzip(exchange.headers):
+            body = gzip.compress(body, GZIP_LEVEL, mtime=0)
+            headers.append(("content-encoding", "gzip"))
         if self.faults.delay_ms > 0:
-            self.loop.call_later(self.faults.delay_ms / 1000, exchange.reply_json, status, body)
+            delay_s = self.faults.delay_ms / 1000
+            self.loop.call_later(delay_s, exchange.reply, status, headers, body)
         else:
-            exchange.reply_json(status, body)
+            exchange.reply(status, headers, body)
 
     def set_faults(self, exchange: Exchange) -> None:
         """Change the faults named in the body and keep the others."""
@@ -223,6 +233,15 @@
         self.answer(exchange, 200, {"as_of": time.time() - self.vms.lag_s, "vms": vms})
 
 
+def accepts_gzip(headers: dict[str, str]) -> bool:
+    """Tell whether the caller asked for gzip; a quality of 0 refuses it."""
+    for offer in headers.get("accept-encoding", "").lower().split(","):
+        coding, _, quality = offer.replace(" ", "").partition(";")
+        if coding == "gzip":
+            return quality not in ("q=0", "q=0.0", "q=0.00", "q=0.000")
+    return False
+
+
 def condition_holds(headers: dict[str, str], current: StoredVersion | None) -> bool:
     """Check `If-Match` and `If-None-Match` against the current version."""
     if headers.get("if-none-match") == "*" and current is not None:
