--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from poplarlane.bench.control_cost import ControlExperiment
+from poplarlane.bench.control_fleet import ControlExperiment
 from poplarlane.bench.experiment import InvalidExperiment, decode, load_experiment
 from poplarlane.bench.main import is_control_experiment
 from poplarlane.bench.processes import binary_path
--- a/poplarlane/bench/capacity.py
+++ b/poplarlane/bench/capacity.py
@@ -13,7 +13,7 @@
 
 import psutil
 
-from poplarlane.bench import control_cost, entry_cost
+from poplarlane.bench import control_cost, control_fleet, entry_cost
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.publisher import Publisher
 from poplarlane.bench.slopes import Slope, format_slope, write_slope
@@ -55,16 +55,16 @@
 def control_figures(agents: int, services: int, targets: int, seed: int) -> ControlFigures:
     """Measure a fleet of agents under the planned rate of changes."""
     with Launcher() as launcher:
-        fleet = control_cost.Fleet(launcher, seed, 0.0)
+        fleet = control_fleet.Fleet(launcher, seed, 0.0)
         ready_s = fleet.start(agents, services, targets)
-        time.sleep(control_cost.SETTLE_S)
-        before = [control_cost.Usage(vm) for vm in fleet.vms]
+        time.sleep(control_fleet.SETTLE_S)
+        before = [control_fleet.Usage(vm) for vm in fleet.vms]
         calls = fleet.platform_calls()
         began = time.monotonic()
-        control_cost.keep_changing(fleet, CONTROL_SECONDS)
+        control_fleet.keep_changing(fleet, CONTROL_SECONDS)
         elapsed_s = time.monotonic() - began
         calls = fleet.platform_calls() - calls
-        after = [control_cost.Usage(vm) for vm in fleet.vms]
+        after = [control_fleet.Usage(vm) for vm in fleet.vms]
     cpu_s = sum(last.cpu_s - first.cpu_s for first, last in zip(before, after, strict=True))
     kb = sum(
         last.sent_kb + last.received_kb - first.sent_kb - first.received_kb
@@ -170,7 +170,7 @@
         with Launcher() as launcher:
             host = launcher.new_host()
             publisher = Publisher(host)
-            fleet = control_cost.Fleet(launcher, seed, 0.0)
+            fleet = control_fleet.Fleet(launcher, seed, 0.0)
             publisher.publish(generated_services(fleet, services, targets))
             settings: dict[str, Any] = {
                 "name": "entry-1",
@@ -189,7 +189,7 @@
 
 
 def generated_services(
-    fleet: control_cost.Fleet, services: int, targets: int
+    fleet: control_fleet.Fleet, services: int, targets: int
 ) -> list[dict[str, Any]]:
     """Generate the services of a view."""
     share, rest = divmod(targets, services)
@@ -203,17 +203,17 @@
     points = []
     for size in FLEET_SIZES[:4]:
         with Launcher() as launcher:
-            fleet = control_cost.Fleet(launcher, seed, 0.0)
+            fleet = control_fleet.Fleet(launcher, seed, 0.0)
             fleet.start(size, FLEET_SERVICES, FLEET_TARGETS)
             for vm in fleet.vms:
                 fleet.layout.start_entry(vm, None)
             for vm in fleet.vms:
-                vm.entry.wait_for("ready", control_cost.START_TIMEOUT_S)
+                vm.entry.wait_for("ready", control_fleet.START_TIMEOUT_S)
             points.append((size, slowest_change_s(fleet)))
     return [Slope("in-force-by-vms", "VMs", "s", points)]
 
 
-def slowest_change_s(fleet: control_cost.Fleet) -> float:
+def slowest_change_s(fleet: control_fleet.Fleet) -> float:
     """Make changes one after the other; give the longest time until one was in force."""
     slowest_s = 0.0
     for _ in range(CHANGES_PER_SIZE):
--- a/poplarlane/bench/main.py
+++ b/poplarlane/bench/main.py
@@ -9,7 +9,7 @@
 from cleo.helpers import argument, option
 
 from poplarlane.bench import capacity, control_cost
-from poplarlane.bench.control_cost import ControlExperiment
+from poplarlane.bench.control_fleet import ControlExperiment
 from poplarlane.bench.experiment import InvalidExperiment, decode, load_experiment
 from poplarlane.bench.runner import Run
 
--- a/poplarlane/bench/processes.py
+++ b/poplarlane/bench/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import shlex
 import signal
 import subprocess
@@ -9,11 +10,13 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 EVENT_TIMEOUT_S = 15.0
 MAX_KEPT_LINES = 20_000
+QUOTING = re.compile(r"[\"'\\]")
 
 
 class LogLine:
@@ -27,9 +30,13 @@
 
 
 def parse_fields(text: str) -> dict[str, str]:
-    """Parse key=value pairs; values may be quoted."""
+    """Parse key=value pairs; values may be quoted.
+
+    Lines without quotes take the fast way: a reader slower than a process that logs a burst would
+    block it on a full pipe.
+    """
     try:
-        words = shlex.split(text)
+        words = shlex.split(text) if QUOTING.search(text) else text.split()
     except ValueError:
         words = text.split()
     return dict(word.split("=", 1) for word in words if "=" in word)
@@ -65,15 +72,27 @@
         self, event: str, timeout_s: float = EVENT_TIMEOUT_S, start: int = 0, **fields: str
     ) -> LogLine:
         """Wait for a log event with the given fields, from line `start` on."""
-        deadline = time.monotonic() + timeout_s
         wanted = {"event": event, **fields}
+        return self.wait_until(
+            lambda line: wanted.items() <= line.fields.items(), timeout_s, start, str(wanted)
+        )
+
+    def wait_until(
+        self,
+        matches: Callable[[LogLine], bool],
+        timeout_s: float = EVENT_TIMEOUT_S,
+        start: int = 0,
+        wanted: str = "that matches",
+    ) -> LogLine:
+        """Wait for a line that matches, from line `start` on."""
+        deadline = time.monotonic() + timeout_s
         position = start
         with self.condition:
             while True:
                 while position < len(self.lines):
                     line = self.lines[position]
                     position += 1
-                    if wanted.items() <= line.fields.items():
+                    if matches(line):
                         return line
                 left = deadline - time.monotonic()
                 if left <= 0 or not self.reader.is_alive():
--- a/poplarlane/bench/relayed_fleet.py
+++ b/poplarlane/bench/relayed_fleet.py
@@ -11,7 +11,7 @@
     Layout,
     Vm,
 )
-from poplarlane.bench.processes import Launcher, Process
+from poplarlane.bench.processes import EVENT_TIMEOUT_S, Launcher, Process
 from poplarlane.bench.standin_client import call
 
 PROXY_ADMIN_PORT = 25_000
@@ -22,55 +22,75 @@
 class RelayedFleet:
     """Run agents whose messages pass a relay per (data centre of the sender, receiver).
 
-    The calls to the platform pass a TCP route per data centre.
+    The calls to the platform pass a TCP route per data centre. One proxy process relays everything,
+    or with `proxy_per_data_centre` one per data centre of the receiver.
     """
 
-    def __init__(self, launcher: Launcher, seed: int, data_centres: list[str]) -> None:
+    def __init__(
+        self,
+        launcher: Launcher,
+        seed: int,
+        data_centres: list[str],
+        proxy_per_data_centre: bool = False,
+    ) -> None:
         self.launcher = launcher
         self.layout = Layout(launcher, seed)
         self.data_centres = data_centres
-        self.proxy_address = launcher.new_host()
+        shared = "" if proxy_per_data_centre else launcher.new_host()
+        self.proxies = {centre: shared or launcher.new_host() for centre in data_centres}
         self.seed = seed
-        self.routes: list[dict[str, Any]] = []
+        self.routes: dict[str, dict[str, Any]] = {}
+        self.proxy_processes: list[Process] = []
         self.extra: dict[str, Any] = {}
 
     def start(self, agents: int, spare: int = 0, **platform: Any) -> None:
         """Start platform, proxy and agents; spare VMs are known but not started."""
+        self.prepare(agents + spare, **platform)
+        self.start_agents(self.vms[:agents])
+
+    def prepare(self, vms: int, **platform: Any) -> None:
+        """Start platform and proxies for some VMs."""
         self.layout.start_platform(**platform)
         count = len(self.data_centres)
-        for number in range(agents + spare):
+        for number in range(vms):
             self.layout.add_vm(f"vm-{number}", self.data_centres[number % count])
         for vm in self.vms:
             for centre in self.data_centres:
-                self.add_route(f"{centre}-{vm.name}", "zmq", vm.address, AGENT_EXCHANGE_PORT)
+                name, proxy = f"{centre}-{vm.name}", self.proxies[vm.data_centre]
+                self.add_route(name, "zmq", proxy, vm.address, AGENT_EXCHANGE_PORT)
         for number, centre in enumerate(self.data_centres):
-            self.add_route(f"platform-{centre}", "tcp", self.layout.platform_address, PLATFORM_PORT)
-            self.routes[-1]["listen_port"] = PLATFORM_ROUTE_PORT + number
-        settings = {
-            "name": "proxy",
-            "admin_address": self.proxy_address,
-            "admin_port": PROXY_ADMIN_PORT,
-            "seed": self.seed,
-            "routes": self.routes,
-        }
-        self.launcher.start("poplarlane-standin-proxy", settings)
-        for vm in self.vms[:agents]:
-            self.start_agent(vm, None)
-        for vm in self.vms[:agents]:
-            vm.agent.wait_for("ready")
-
-    def add_route(self, name: str, mode: str, address: str, port: int) -> None:
-        """Describe a route of the proxy."""
-        self.routes.append(
-            {
-                "name": name,
-                "mode": mode,
-                "listen_address": self.proxy_address,
-                "listen_port": ROUTE_PORT_BASE + len(self.routes),
-                "upstream_address": address,
-                "upstream_port": port,
+            address, proxy = self.layout.platform_address, self.proxies[centre]
+            self.add_route(f"platform-{centre}", "tcp", proxy, address, PLATFORM_PORT)
+            self.routes[f"platform-{centre}"]["listen_port"] = PLATFORM_ROUTE_PORT + number
+        for number, proxy in enumerate(sorted(set(self.proxies.values()))):
+            routes = self.routes.values()
+            settings = {
+                "name": f"proxy-{number}",
+                "admin_address": proxy,
+                "admin_port": PROXY_ADMIN_PORT,
+                "seed": self.seed,
+                "routes": [route for route in routes if route["listen_address"] == proxy],
             }
-        )
+            process = self.launcher.start("poplarlane-standin-proxy", settings)
+            self.proxy_processes.append(process)
+
+    def start_agents(self, vms: list[Vm], timeout_s: float = EVENT_TIMEOUT_S) -> None:
+        """Start the agents of some VMs and wait until they are ready."""
+        for vm in vms:
+            self.start_agent(vm, None)
+        for vm in vms:
+            vm.agent.wait_for("ready", timeout_s)
+
+    def add_route(self, name: str, mode: str, proxy: str, address: str, port: int) -> None:
+        """Describe a route of a proxy."""
+        self.routes[name] = {
+            "name": name,
+            "mode": mode,
+            "listen_address": proxy,
+            "listen_port": ROUTE_PORT_BASE + len(self.routes),
+            "upstream_address": address,
+            "upstream_port": port,
+        }
 
     @property
     def vms(self) -> list[Vm]:
@@ -84,12 +104,11 @@
 
     def start_agent(self, vm: Vm, ready_event: str | None = "ready", **settings: Any) -> Process:
         """Start an agent that reaches its peers and the platform through the proxy."""
-        ports = {route["name"]: route["listen_port"] for route in self.routes}
         peers = [
             {
                 "name": f"agent-{other.name}",
-                "address": self.proxy_address,
-                "port": ports[f"{vm.data_centre}-{other.name}"],
+                "address": self.proxies[other.data_centre],
+                "port": self.routes[f"{vm.data_centre}-{other.name}"]["listen_port"],
                 "data_centre": other.data_centre,
             }
             for other in self.vms
@@ -97,34 +116,42 @@
         ]
         base = {
             "seed_peers": peers,
-            "platform_address": self.proxy_address,
-            "platform_port": ports[f"platform-{vm.data_centre}"],
+            "platform_address": self.proxies[vm.data_centre],
+            "platform_port": self.routes[f"platform-{vm.data_centre}"]["listen_port"],
         }
         merged = base | self.extra | settings
         return self.layout.start_agent(vm, ready_event, **merged)
 
     def start_entries(self) -> None:
         """Start an entry on every running VM."""
-        for vm in self.running:
+        self.start_entries_of(self.running)
+
+    def start_entries_of(self, vms: list[Vm]) -> None:
+        """Start an entry on some VMs."""
+        for vm in vms:
             self.layout.start_entry(vm, None)
-        for vm in self.running:
+        for vm in vms:
             vm.entry.wait_for("ready")
 
     def proxy(self, route: str, **faults: Any) -> None:
         """Set the faults of a route."""
-        answer = call(self.proxy_address, PROXY_ADMIN_PORT, "POST", f"/routes/{route}", faults)
+        address = self.routes[route]["listen_address"]
+        answer = call(address, PROXY_ADMIN_PORT, "POST", f"/routes/{route}", faults)
         assert answer.status == 200, answer.body
 
     def lose_messages(self, share: float) -> None:
         """Lose a share of the messages on every relay."""
-        for route in self.routes:
+        for name, route in self.routes.items():
             if route["mode"] == "zmq":
-                self.proxy(route["name"], loss_to_upstream=share)
+                self.proxy(name, loss_to_upstream=share)
 
     def dropped(self) -> int:
         """Count the messages that the relays lost."""
-        answer = call(self.proxy_address, PROXY_ADMIN_PORT, "GET", "/routes").json()
-        return sum(route["counts"]["dropped"] for route in answer.values())
+        return sum(
+            route["counts"]["dropped"]
+            for proxy in set(self.proxies.values())
+            for route in call(proxy, PROXY_ADMIN_PORT, "GET", "/routes").json().values()
+        )
 
     def platform(self, method: str, path: str, body: Any = None, **headers: str) -> Any:
         """Call the platform directly; asserts success."""
--- a/poplarlane/standins/proxy_zmq.py
+++ b/poplarlane/standins/proxy_zmq.py
@@ -11,6 +11,8 @@
 # libzmq starts the routing ids that it makes up itself with a zero byte.
 GENERATED_ID_START = b"\0"
 MAX_QUEUED_MESSAGES = 10_000
+# Each pair of a sender and a receiver has a socket; the default of libzmq is 1,023.
+MAX_SOCKETS = 16_384
 
 
 class ZmqRoute:
@@ -22,6 +24,7 @@
         self.route = route
         self.state = state
         self.context = zmq.asyncio.Context.instance()
+        self.context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self.router: zmq.asyncio.Socket | None = None
         self.dealers: dict[bytes, zmq.asyncio.Socket] = {}
         self.tasks: set[asyncio.Task] = set()
