Tell of all live agents in digests, and let started agents ask less

Cause: a digest named a random 16 of the agents that its sender had heard of. In a fleet of 85 an agent stayed unmentioned for longer than the limit of silence (10.6 s), so live agents were suspected, and their refutations were sent to everybody. A started agent that had heard of nobody took every turn to fetch the list of VMs for its own, and each of the peers that it asked sent it all facts.

Marks leave the incarnation out, because a refutation changes it. 85 agents are suspected after 15 s of silence, as news of an agent was up to 10.6 s old at 20% loss. An agent fetches the list of VMs only once it is ready, unless it knows no peers. Facts are not compared on the question of a starting agent but on the answer to it, and at most once in 0.5 s.

No run with 85 real processes yet.

--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -293,6 +293,7 @@
         "facts",
         "fact_index",
         "recent_facts",
+        "wanted_facts_at",
         "peers",
         "retired",
         "entries",
@@ -346,6 +347,8 @@
         self.facts: dict[tuple[MemberKind, str], MemberFact] = {}
         self.fact_index = HashIndex()
         self.recent_facts: OrderedDict[tuple[MemberKind, str], float] = OrderedDict()
+        # When facts were last compared with any peer.
+        self.wanted_facts_at = 0.0
         self.peers: dict[str, Peer] = {}
         # Incarnation at which an agent was given up, so that old notices do not bring it back.
         self.retired: dict[str, int] = {}
--- a/poplarlane/decisions/distribution.py
+++ b/poplarlane/decisions/distribution.py
@@ -3,7 +3,7 @@
 import random
 import zlib
 
-from poplarlane.decisions import intake, membership
+from poplarlane.decisions import intake, liveness, membership
 from poplarlane.decisions.agent_effects import SendToPeer
 from poplarlane.decisions.agent_state import (
     EXCHANGE_BURST_BYTES,
@@ -16,7 +16,6 @@
 from poplarlane.decisions.effects import Effect
 from poplarlane.exchange_messages import (
     MAX_MESSAGE_BODY_BYTES,
-    AliveNotice,
     Digest,
     FactHoldings,
     Holdings,
@@ -30,7 +29,6 @@
 DIGEST_PEERS = 2
 FORWARD_PEERS = 3
 FOREIGN_SHARE = 0.25
-MAX_ALIVE_NOTICES = 16
 MAX_REJECTION_NOTICES = 16
 RECENT_S = 10.0
 MAX_FACTS_PER_MESSAGE = 500
@@ -38,6 +36,8 @@
 MAX_DIRECT_PEERS = 64
 BODY_OVERHEAD_BYTES = 64
 FACTS_INTERVAL_S = 2.0
+# Facts of 5,300 targets take about 300 KB; a starting agent asked a dozen peers for all of them.
+FACTS_GAP_S = 0.5
 # Service objects repeat their keys for every target; the fastest level already removes that.
 PACK_LEVEL = 1
 
@@ -68,33 +68,14 @@
         state.service_index.pack(),
         state.fact_index.pack(),
         recent,
-        alive_notices(state, generator),
+        liveness.alive_notices(state, generator),
         list(state.rejected.values())[:MAX_REJECTION_NOTICES],
         state.now - state.watch.answered_at,
         state.now - state.watch.tried_at,
+        liveness.pack_ages(state, generator),
     )
 
 
-def alive_notices(state: AgentState, generator: random.Random) -> list[AliveNotice]:
-    """Sample the agents that were heard of lately."""
-    limit = state.now - membership.SUSPECT_AFTER_S
-    heard = [peer for peer in state.peers.values() if peer.contacted and peer.heard_at > limit]
-    if len(heard) > MAX_ALIVE_NOTICES:
-        heard = generator.sample(heard, MAX_ALIVE_NOTICES)
-    return [
-        AliveNotice(
-            peer.name,
-            peer.incarnation,
-            peer.data_centre,
-            peer.advertised or peer.address,
-            peer.port,
-            peer.ready,
-            state.now - peer.heard_at,
-        )
-        for peer in heard
-    ]
-
-
 def choose_peers(state: AgentState, generator: random.Random, count: int) -> list[Peer]:
     """Choose random agents, mostly of the own data centre."""
     live = membership.live_peers(state)
@@ -125,6 +106,7 @@
     """Compare a digest with the own holdings and answer with the difference."""
     name = digest.sender.name
     effects = membership.hear_of(state, digest.alive)
+    liveness.hear_ages(state, digest.ages)
     note_platform(state, digest)
     for notice in digest.rejected:
         effects += intake.report_rejection(state, notice)
@@ -134,7 +116,8 @@
     differing = state.service_index.differing(digest.services)
     if differing and not digest.nonce:
         effects.append(SendToPeer(name, holdings(state, differing, True, digest.reply_to)))
-    return effects + compare_facts(state, name, digest.facts)
+    # A starting agent asks several peers at once; it chooses itself from whom it takes the facts.
+    return effects if digest.nonce else effects + compare_facts(state, name, digest.facts)
 
 
 def note_platform(state: AgentState, digest: Digest) -> None:
@@ -145,12 +128,14 @@
 
 
 def compare_facts(state: AgentState, name: str, packed: bytes) -> list[Effect]:
-    """Exchange facts in the buckets that differ, at a bounded rate per peer."""
+    """Exchange facts in the buckets that differ, at a bounded rate per peer and in total."""
     differing = state.fact_index.differing(packed)
     peer = state.peers.get(name)
     if not differing or peer is None or state.now - peer.wanted_facts_at < FACTS_INTERVAL_S:
         return []
-    peer.wanted_facts_at = state.now
+    if state.now - state.wanted_facts_at < FACTS_GAP_S:
+        return []
+    peer.wanted_facts_at = state.wanted_facts_at = state.now
     return send_facts(state, name, differing, True)
 
 
--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership.py
@@ -13,8 +13,9 @@
 STATE_ORDER = (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING, MemberState.GONE)
 # With two digests a second and 20% loss, 24 agents hear of each other within about 4 s.
 SUSPECT_AFTER_S = 8.0
-# Digests carry a sample of members, so news of each takes longer in a larger fleet.
-FLEET_AT_FULL_RATE = 64
+# News of an agent takes more rounds in a larger fleet. With 85 agents in 7 data centres and 20%
+# loss it was up to 10.6 s old, so these are suspected after 15 s.
+FLEET_AT_FULL_RATE = 45
 # Silence alone does not tell a dead VM from one behind a broken link that still serves callers. The
 # platform's list confirms a loss at once; without it a silent agent is kept this long.
 GONE_AFTER_S = 3_600.0
--- a/poplarlane/decisions/watching.py
+++ b/poplarlane/decisions/watching.py
@@ -86,6 +86,10 @@
     watch = state.watch
     if state.wall < watch.vm_list_slot_ends or watch.vm_list_pending or state.stopping:
         return []
+    # An agent that has not heard of the others yet would take every turn for its own. When a
+    # quarter of 85 agents restarted at once, each fetched the list.
+    if state.peers and not state.verification.ready:
+        return []
     names = [peer.name for peer in membership.live_peers(state) if peer.contacted]
     interval_s = list_interval_s(state, len(names) + 1)
     slot = int(state.wall / interval_s)
--- a/poplarlane/exchange_messages.py
+++ b/poplarlane/exchange_messages.py
@@ -51,6 +51,8 @@
     `services` and `facts` are 32 bucket hashes of 4 bytes each. `nonce` asks for a digest in
     return; `reply_to` repeats the nonce of the request. `platform_age_s` is the age of the last
     answer of the platform to a watch or list by any agent, `try_age_s` that of the last attempt.
+    `ages` tells of all agents heard from: per agent a hash of the name (4 bytes) and
+    the age in units of 0.1 s (1 byte); `alive` introduces a sample of them.
     """
 
     sender: Sender
@@ -63,6 +65,7 @@
     rejected: list[RejectionNotice]
     platform_age_s: float
     try_age_s: float
+    ages: bytes = b""
 
 
 class Holdings(msgspec.Struct, tag=2, array_like=True):
