--- a/poplarlane/bench/fleet_measures.py
+++ b/poplarlane/bench/fleet_measures.py
@@ -27,7 +27,7 @@
     suspicions,
 )
 from poplarlane.bench.processes import Launcher
-from poplarlane.bench.samplers import CallSampler, UsageSampler
+from poplarlane.bench.samplers import SAMPLE_S, WINDOW_S, CallSampler, UsageSampler
 
 BURST_CHANGES = 500
 BURST_TIMEOUT_S = 30.0
@@ -38,6 +38,8 @@
 POLL_S = 0.25
 LOST_DATA_CENTRE = "dc-n1"
 RESTART_INTERVAL_S = 2.0
+# How long calls are counted before and after a restart wave.
+USUAL_S = 10.0
 RESTARTED_SHARE = 4
 
 
@@ -116,7 +118,8 @@
 def measure_cost(planned: PlannedFleet) -> Measured:
     """Measure CPU, memory and bytes of the agents under the planned rate of changes."""
     with UsageSampler(planned.vms) as usage, CallSampler(planned) as calls:
-        changes = keep_changing(planned.fleet, planned.options.seconds)
+        seconds = max(planned.options.seconds, WINDOW_S + SAMPLE_S)
+        changes = keep_changing(planned.fleet, seconds)
     figures = {"changes": float(changes), **usage.figures(), "calls_per_s": calls.rate()}
     return figures, within_cost(figures)
 
@@ -209,7 +212,7 @@
 def measure_restart_wave(planned: PlannedFleet) -> Measured:
     """Restart a quarter of the agents at once; measure readiness and calls."""
     with CallSampler(planned) as usual:
-        keep_changing(planned.fleet, planned.options.seconds)
+        keep_changing(planned.fleet, USUAL_S)
     chosen = planned.vms[::RESTARTED_SHARE]
     began = time.time()
     clock = time.monotonic()
@@ -220,7 +223,7 @@
             int(vm.agent.wait_for("ready", START_TIMEOUT_S).fields["after_ms"]) for vm in chosen
         ]
         ready_s = time.monotonic() - clock
-        keep_changing(planned.fleet, planned.options.seconds)
+        keep_changing(planned.fleet, USUAL_S)
     told = suspicions(planned.vms, began)
     tell(told)
     times = [delay for _, delay in time_changes(planned, planned.vms, 10)]
