Divide connections by the entries that use a target; choose subsets without a setting

Cause: connection_share divided 330 by all entries even when a subset was set, so a subset brought no connection more; with 170 entries each had 1, below the 2 that keep a slot busy, and with more than 330 entries the minimum of 1 exceeded the target's 330. Subsets had to be set by hand, while operators set labels and selectors only. Change: decisions/shares.py works out, per set of targets that a selector allows, how many of them an entry uses, and divides each target's connections by the entries that use it, overlaps included. Limits are only sent to the sockets when they change.

--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -212,7 +212,7 @@
 
 @then("an entry keeps at most 13 connections per target")
 def step_connections(context):
-    assert limits.connection_share(context.bounds) == 13
+    assert context.bounds.loads[0].connection_share == 13
 
 
 @then("it has room for 2 requests at a target that reports no free slot")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions import health
 from poplarlane.decisions.policies import policy_by_name
 from poplarlane.decisions.routing import choose_target
-from poplarlane.decisions.subsets import choose_subset
+from poplarlane.decisions.subsets import choose_subset, interleave
 from poplarlane.types import Target, TargetLoad
 
 NOW = 1000.0
@@ -135,8 +135,9 @@
 
 def subsets_of(loads, size, entries):
     """Give the target names of every entry's subset."""
+    circle = interleave(loads)
     return [
-        [load.target.name for load in choose_subset(loads, size, rank, entries)]
+        [load.target.name for load in choose_subset(circle, size, rank, entries)]
         for rank in range(entries)
     ]
 
@@ -157,9 +158,9 @@
 
 @then("no entry's subset prefers a data centre")
 def step_centres(context):
-    loads = make_loads(18)
+    circle = interleave(make_loads(18))
     for rank in range(24):
-        centres = Counter(load.target.data_centre for load in choose_subset(loads, 6, rank, 24))
+        centres = Counter(load.target.data_centre for load in choose_subset(circle, 6, rank, 24))
         assert set(centres.values()) == {2}, centres
 
 
--- a/poplarlane/decisions/drain.py
+++ b/poplarlane/decisions/drain.py
@@ -8,9 +8,10 @@
     StopAccepting,
 )
 from poplarlane.decisions.entry_events import StopSignalled
-from poplarlane.decisions.entry_state import EntryState, ServiceState, TimerKind, add_timer
+from poplarlane.decisions.entry_state import EntryState, TimerKind, add_timer
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import current_report
+from poplarlane.decisions.shares import share_service
 from poplarlane.types import Target, TargetLoad
 
 
@@ -21,13 +22,13 @@
         load = service.loads.get(target.name)
         if load is not None and not load.leaving:
             load.leaving = True
-            refresh_usable(service)
+            share_service(service, effects)
     effects.append(SetConnectionLimit(target, 0))
     effects.append(Log("target_leaving", "info", {"target": target.name, "source": source}))
     effects.append(current_report(state))
 
 
-def mark_returned(state: EntryState, name: str) -> None:
+def mark_returned(state: EntryState, name: str, effects: list[Effect]) -> None:
     """Take a target with a new incarnation back into service."""
     state.leaving.discard(name)
     for service in state.services.values():
@@ -35,13 +36,7 @@
         if load is not None and load.leaving:
             # What was observed about the old process says nothing about the new one.
             service.loads[name] = TargetLoad(load.target, load.distance_s)
-            refresh_usable(service)
-
-
-def refresh_usable(service: ServiceState) -> None:
-    """Drop what was derived from the set of usable targets."""
-    service.reachable.clear()
-    service.limits.loads = [load for load in service.loads.values() if not load.leaving]
+            share_service(service, effects)
 
 
 @reduce.register
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -9,7 +9,7 @@
 from poplarlane.decisions.policies import Policy
 from poplarlane.decisions.retries import Budget
 from poplarlane.decisions.selectors import Access
-from poplarlane.decisions.subsets import choose_subset
+from poplarlane.decisions.subsets import TargetGroup
 from poplarlane.outcomes import Refusal
 from poplarlane.types import Priority, RequestKind, TargetLoad
 
@@ -55,6 +55,7 @@
         "access",
         "loads",
         "reachable",
+        "groups",
         "limits",
         "health",
         "retry_budget",
@@ -73,6 +74,8 @@
         self.loads: dict[str, TargetLoad] = {}
         # Usable targets by the text of the caller's labels; None when no selector allows any.
         self.reachable: dict[str, list[TargetLoad] | None] = {}
+        # Usable targets by the names that one selector allows.
+        self.groups: dict[frozenset[str], TargetGroup] = {}
         self.limits: ServiceLimits
         self.health = ServiceHealth()
         self.retry_budget: Budget
@@ -240,13 +243,12 @@
     labels = parse_labels(text)
     # Malformed labels reach nothing: as no labels they could satisfy a selector such as `!kind`.
     denied = isinstance(labels, InvalidLabels)
-    names = frozenset() if denied else service.access.allowed(labels)
-    found = [load for name, load in sorted(service.loads.items()) if name in names]
-    usable = [load for load in found if not load.leaving] if found else None
-    if usable:
-        bounds = service.limits
-        usable = choose_subset(usable, bounds.subset_size, bounds.entry_rank, bounds.entries)
+    rules = [] if denied else service.access.matching(labels)
+    groups = {rule.target_names for rule in rules if rule.target_names}
+    usable = [service.groups[names] for names in groups if names in service.groups]
+    chosen = {load.target.name: load for group in usable for load in group.subset}
+    found = [load for _, load in sorted(chosen.items())] if groups else None
     if len(service.reachable) >= MAX_CACHED_ACCESSES:
         service.reachable.clear()
-    service.reachable[text] = usable
-    return usable
+    service.reachable[text] = found
+    return found
--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -74,23 +74,25 @@
         self.loads = loads
         self.queues: dict[Priority, deque[Admissible]] = {name: deque() for name in PRIORITIES}
         self.queued = 0
-        # Targets that one entry uses (0 is all), and its place among the entries.
+        # The most targets of one group that an entry uses (0 is no bound), and its place among the
+        # entries.
         self.subset_size = 0
         self.entry_rank = 0
         # Time within which a request of this service can be answered at best; 0 is unknown.
         self.minimum_s = 0.0
         self.minimum_at = 0.0
+        for load in loads:
+            share_target(self, load, self.entries)
 
 
-def connection_share(limits: ServiceLimits) -> int:
-    """Give the connections that this entry may keep to one target."""
-    return max(1, limits.connections_per_target // max(1, limits.entries))
-
-
-def in_flight_share(limits: ServiceLimits) -> int:
-    """Give the requests that this entry may always have outstanding at one target."""
-    share = limits.slots_per_target * IN_FLIGHT_PER_SLOT / max(1, limits.entries)
-    return min(connection_share(limits), max(MIN_IN_FLIGHT_SHARE, round(share)))
+def share_target(limits: ServiceLimits, load: TargetLoad, users: int) -> None:
+    """Give this entry its part of a target that `users` entries of the fleet use."""
+    if users == 0:
+        load.connection_share = load.in_flight_share = 0
+        return
+    load.connection_share = max(1, limits.connections_per_target // users)
+    in_flight = round(limits.slots_per_target * IN_FLIGHT_PER_SLOT / users)
+    load.in_flight_share = min(load.connection_share, max(MIN_IN_FLIGHT_SHARE, in_flight))
 
 
 def has_room(limits: ServiceLimits, load: TargetLoad) -> bool:
@@ -99,17 +101,18 @@
     Beyond its share it may while the target reports free slots, because the platform's balancer
     may send most of the traffic to a few entries.
     """
-    if load.outstanding < in_flight_share(limits):
+    if load.outstanding < load.in_flight_share:
         return True
-    if load.outstanding >= connection_share(limits) or not load.reports_believed:
+    if load.outstanding >= load.connection_share or not load.reports_believed:
         return False
     return load.reported_in_flight + load.sent_since_report < limits.slots_per_target
 
 
 def targets_with_room(limits: ServiceLimits, loads: list[TargetLoad]) -> list[TargetLoad]:
     """List the targets that this entry may send one more request to."""
-    share = in_flight_share(limits)
-    return [load for load in loads if load.outstanding < share or has_room(limits, load)]
+    return [
+        load for load in loads if load.outstanding < load.in_flight_share or has_room(limits, load)
+    ]
 
 
 def observe_minimum(limits: ServiceLimits, minimum_s: float, now: float) -> None:
--- a/poplarlane/decisions/selectors.py
+++ b/poplarlane/decisions/selectors.py
@@ -244,11 +244,14 @@
     def work_out(self, caller: Mapping[str, str]) -> frozenset[str]:
         """Unite the targets of every rule that selects the caller."""
         names: frozenset[str] = frozenset()
-        for rule in self.rules:
-            if matches(rule.callers, caller):
-                names |= rule.target_names
+        for rule in self.matching(caller):
+            names |= rule.target_names
         return names
 
+    def matching(self, caller: Mapping[str, str]) -> list[AccessRule]:
+        """List the rules that select the caller."""
+        return [rule for rule in self.rules if matches(rule.callers, caller)]
+
 
 def compile_access(service: ServiceObject) -> Access:
     """Compile the selectors of a validated service; ValueError when one does not parse."""
--- a/poplarlane/decisions/subsets.py
+++ b/poplarlane/decisions/subsets.py
@@ -13,17 +13,42 @@
 from poplarlane.types import TargetLoad
 
 
-def choose_subset(loads: list[TargetLoad], size: int, rank: int, entries: int) -> list[TargetLoad]:
-    """Choose `size` targets for the entry with this rank among the live entries; 0 means all."""
-    count = len(loads)
+class TargetGroup:
+    """Hold the usable targets that one selector allows, and which of them this entry uses.
+
+    `overlap` is the most groups that any of its targets belongs to; `users` are the entries that
+    use one of its targets at the most, 0 before the group was divided.
+    """
+
+    __slots__ = ("circle", "overlap", "subset", "users")
+
+    def __init__(self, circle: list[TargetLoad]) -> None:
+        self.circle = circle
+        self.overlap = 1
+        self.subset: list[TargetLoad] = []
+        self.users = 0
+
+
+def choose_subset(circle: list[TargetLoad], size: int, rank: int, entries: int) -> list[TargetLoad]:
+    """Choose `size` interleaved targets for the entry with this rank among the live entries.
+
+    A size of 0 means all.
+    """
+    count = len(circle)
     if size <= 0 or size >= count:
-        return loads
-    circle = interleave(loads)
+        return circle
     entries = max(1, entries)
     start = rank % entries * count // entries
     return [circle[(start + step) % count] for step in range(size)]
 
 
+def subset_users(count: int, size: int, entries: int) -> int:
+    """Give how many entries use one of `count` targets at the most."""
+    if size <= 0 or size >= count:
+        return entries
+    return -(-entries * size // count)
+
+
 def interleave(loads: list[TargetLoad]) -> list[TargetLoad]:
     """Order targets so that every stretch holds each data centre in proportion to its size."""
     by_data_centre: dict[str, list[TargetLoad]] = defaultdict(list)
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -1,7 +1,7 @@
 """Handlers for views from the agent: services, members and peers' verdicts."""
 
 from poplarlane.decisions import health, limits, retries, selectors
-from poplarlane.decisions.drain import mark_leaving, mark_returned, refresh_usable
+from poplarlane.decisions.drain import mark_leaving, mark_returned
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit, StartAccepting
 from poplarlane.decisions.entry_events import ViewReceived
@@ -10,6 +10,7 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import current_report, hello
 from poplarlane.decisions.requests import send_queued
+from poplarlane.decisions.shares import divide, share_service
 from poplarlane.decisions.validation import check_service
 from poplarlane.messages import MemberNotice, ProbeNotice, ServiceBody, VerdictNotice, ViewUpdate
 from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
@@ -31,7 +32,7 @@
     effects: list[Effect] = []
     view = event.view
     note_agent(state, view, event.now, effects)
-    changed = [body.service for body in view.services if take_service(state, body, effects)]
+    changed = {body.service for body in view.services if take_service(state, body, effects)}
     if changed:
         rebuild_hosts(state, effects)
     entries = max(1, view.fleet_entries)
@@ -40,7 +41,13 @@
         state.entry_rank = view.entry_rank
         state.fleet_entries = entries
     for name in state.services if resized else changed:
-        share_limits(state, state.services[name], effects)
+        service = state.services[name]
+        service.limits.entries = state.fleet_entries
+        service.limits.entry_rank = state.entry_rank
+        if name in changed:
+            share_service(service, effects)
+        else:
+            divide(service, effects)
     for notice in view.members:
         take_member(state, notice, effects)
     for verdict in view.verdicts:
@@ -140,7 +147,6 @@
         service.policy.slots = found.limits.slots_per_target
     set_limits(state, service, found.limits, fresh)
     service.limits.subset_size = found.limits.subset_size
-    refresh_usable(service)
 
 
 def release_removed(state: EntryState, gone: list[Target], effects: list[Effect]) -> None:
@@ -216,16 +222,6 @@
     state.hosts = hosts
 
 
-def share_limits(state: EntryState, service: ServiceState, effects: list[Effect]) -> None:
-    """Give this entry its share of a service's slots and connections."""
-    service.limits.entries = state.fleet_entries
-    service.limits.entry_rank = state.entry_rank
-    refresh_usable(service)
-    share = limits.connection_share(service.limits)
-    for load in service.loads.values():
-        effects.append(SetConnectionLimit(load.target, 0 if load.leaving else share))
-
-
 def take_member(state: EntryState, notice: MemberNotice, effects: list[Effect]) -> None:
     """Apply a fact about a target; leaving is not undone within an incarnation."""
     if notice.kind != MemberKind.TARGET:
@@ -251,11 +247,8 @@
 
 def restore(state: EntryState, name: str, effects: list[Effect]) -> None:
     """Take a restarted target back and restore its connections."""
-    mark_returned(state, name)
+    mark_returned(state, name, effects)
     effects.append(Log("target_returned", "info", {"target": name}))
-    for service in state.services.values():
-        if name in service.loads:
-            share_limits(state, service, effects)
 
 
 def known_target(state: EntryState, name: str) -> Target | None:
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -127,6 +127,8 @@
         "sheds_in_a_row",
         "shed_until",
         "leaving",
+        "connection_share",
+        "in_flight_share",
     )
 
     def __init__(self, target: Target, distance_s: float = 0.0) -> None:
@@ -175,6 +177,9 @@
         self.sheds_in_a_row = 0
         self.shed_until = 0.0
         self.leaving = False
+        # What this entry may keep of the target's connections, and always have in flight there.
+        self.connection_share = 0
+        self.in_flight_share = 0
 
 
 class MemberFact:
