Hold requests after a pause of an entry until its agent confirms the view

An entry that was stopped for minutes woke with its old view and sent the requests that waited in its sockets by it. Requests now wait until a complete view repeats the nonce of a hello sent after the pause, for at most 2 s; attempts of which no byte was sent are taken back.

--- a/features/control_support.py
+++ b/features/control_support.py
@@ -3,7 +3,6 @@
 import json
 import time
 from collections.abc import Callable
-from datetime import datetime
 from typing import Any
 
 from poplarlane.bench.layout import Layout
@@ -40,7 +39,7 @@
 
 def logged_at(line: LogLine) -> float:
     """Give the wall-clock time of a log line."""
-    return datetime.fromisoformat(line.fields["time"]).timestamp()
+    return line.logged_at()
 
 
 def show(document: Any) -> str:
--- a/poplarlane/bench/control_cost.py
+++ b/poplarlane/bench/control_cost.py
@@ -16,7 +16,6 @@
 import sys
 import time
 from collections.abc import Callable
-from datetime import datetime
 from typing import Any, Literal
 
 import msgspec
@@ -314,7 +313,7 @@
 def applied_at(entry: Process, name: str, revision: int) -> float:
     """Give the wall-clock time at which an entry applied a revision."""
     line = entry.wait_for("service_applied", service=name, revision=str(revision))
-    return datetime.fromisoformat(line.fields["time"]).timestamp()
+    return line.logged_at()
 
 
 MEASURES: dict[str, Callable[[ControlExperiment], Measured]] = {
--- a/poplarlane/bench/processes.py
+++ b/poplarlane/bench/processes.py
@@ -9,6 +9,7 @@
 import tempfile
 import threading
 import time
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,10 @@
         self.text = text
         self.fields = parse_fields(text)
 
+    def logged_at(self) -> float:
+        """Give the wall-clock time at which the line was written."""
+        return datetime.fromisoformat(self.fields["time"]).timestamp()
+
 
 def parse_fields(text: str) -> dict[str, str]:
     """Parse key=value pairs; values may be quoted."""
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -120,6 +120,7 @@
         "rejected",
         "sent_at",
         "leaving",
+        "nonce",
     )
 
     def __init__(self, name: str, identity: bytes, incarnation: int, now: float) -> None:
@@ -135,6 +136,8 @@
         # When each service was last sent, so that a slow entry is not sent it twice a second.
         self.sent_at: dict[str, float] = {}
         self.leaving: set[str] = set()
+        # Nonce of the entry's last hello, which every view repeats.
+        self.nonce = 0
 
 
 class Verification:
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -28,6 +28,7 @@
     next_draw,
     reachable_targets,
 )
+from poplarlane.decisions.pauses import view_limit_passed
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import verdict_report
 from poplarlane.decisions.requests import (
@@ -268,6 +269,8 @@
             accept_ended(state, effects)
         elif kind is TimerKind.DRAIN_LIMIT:
             drain_limit_passed(state, effects)
+        elif kind is TimerKind.VIEW_LIMIT:
+            view_limit_passed(state, event.now, draw, effects)
         elif request_id in state.requests:
             request_timer(state, state.requests[request_id], kind, event.now, draw, effects)
             draw = next_draw(draw)
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -172,6 +172,16 @@
         self.view = view
 
 
+class EntryPaused(EntryEvent):
+    """Report that the process did not run for `gap_s` seconds."""
+
+    __slots__ = ("gap_s",)
+
+    def __init__(self, now: float, draw: int, gap_s: float) -> None:
+        super().__init__(now, draw)
+        self.gap_s = gap_s
+
+
 class ReportDue(EntryEvent):
     """Report that the next periodic report to the agent is due."""
 
--- a/poplarlane/decisions/entry_links.py
+++ b/poplarlane/decisions/entry_links.py
@@ -35,6 +35,7 @@
     if known is not None and known.incarnation > hello.incarnation:
         return []
     state.entries[hello.entry] = link
+    link.nonce = hello.nonce
     take_applied(state, link, hello.applied)
     announce(state, link, MemberState.LIVE)
     fresh = known is None or known.incarnation != hello.incarnation
@@ -206,6 +207,7 @@
         membership.fleet_entries(state),
         probes,
         membership.entry_rank(state, link.name),
+        link.nonce,
     )
     return SendToEntry(link.identity, view)
 
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -39,6 +39,7 @@
     HEDGE = 2
     ACCEPT_END = 3
     DRAIN_LIMIT = 4
+    VIEW_LIMIT = 5
 
 
 class ServiceState:
@@ -182,6 +183,8 @@
         "malformed_second",
         "last_view_at",
         "agent_incarnation",
+        "view_nonce",
+        "unconfirmed_until",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -214,6 +217,10 @@
         self.malformed_second = 0
         self.last_view_at = 0.0
         self.agent_incarnation = 0
+        # Marks the hellos sent since the last pause; a view that answers one confirms the view.
+        self.view_nonce = 0
+        # Instant until which requests wait for that; 0 while the view is not in doubt.
+        self.unconfirmed_until = 0.0
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/limits.py
+++ b/poplarlane/decisions/limits.py
@@ -57,6 +57,7 @@
         "entry_rank",
         "minimum_s",
         "minimum_at",
+        "held",
     )
 
     def __init__(
@@ -80,6 +81,8 @@
         # Time within which a request of this service can be answered at best; 0 is unknown.
         self.minimum_s = 0.0
         self.minimum_at = 0.0
+        # Nothing is sent while the entry waits for its agent to confirm the view after a pause.
+        self.held = False
 
 
 def connection_share(limits: ServiceLimits) -> int:
@@ -108,6 +111,8 @@
 
 def targets_with_room(limits: ServiceLimits, loads: list[TargetLoad]) -> list[TargetLoad]:
     """List the targets that this entry may send one more request to."""
+    if limits.held:
+        return []
     share = in_flight_share(limits)
     return [load for load in loads if load.outstanding < share or has_room(limits, load)]
 
--- /dev/null
+++ b/poplarlane/decisions/pauses.py
@@ -0,0 +1,71 @@
+"""What an entry does after a pause: nothing is sent by the old view until the agent confirms it."""
+
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.entry_effects import CancelAttempt, SendToAgent, SetTimer
+from poplarlane.decisions.entry_events import EntryPaused
+from poplarlane.decisions.entry_state import (
+    Attempt,
+    EntryState,
+    TimerKind,
+    add_timer,
+    next_draw,
+)
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.reports import hello
+from poplarlane.decisions.requests import end_attempt, enqueue, send_queued
+
+# An agent that was paused with its entry compares its view with peers in this time, also with 20%
+# loss. After it the entry serves by the view that it has, as it does without an agent.
+CONFIRM_LIMIT_S = 2.0
+
+
+@reduce.register
+def entry_paused(event: EntryPaused, state: EntryState) -> list[Effect]:
+    """Hold all requests, and ask the agent for a view that is newer than the pause."""
+    effects: list[Effect] = [Log("paused", "warning", {"gap_ms": round(event.gap_s * 1000)})]
+    if not state.ready:
+        return effects
+    state.view_nonce += 1
+    state.unconfirmed_until = event.now + CONFIRM_LIMIT_S
+    for service in state.services.values():
+        service.limits.held = True
+    for attempt in list(state.attempts.values()):
+        if not attempt.sent_at:
+            take_back(state, attempt, effects)
+    effects.append(SendToAgent(hello(state)))
+    if add_timer(state, state.unconfirmed_until, TimerKind.VIEW_LIMIT):
+        effects.append(SetTimer(state.timer_at))
+    return effects
+
+
+def take_back(state: EntryState, attempt: Attempt, effects: list[Effect]) -> None:
+    """Give up an attempt of which no byte was sent, and queue its request again."""
+    end_attempt(state, attempt)
+    effects.append(CancelAttempt(attempt.attempt_id))
+    if not attempt.request.attempts:
+        enqueue(state, attempt.request, effects)
+
+
+def confirm(state: EntryState, now: float, effects: list[Effect]) -> None:
+    """Send requests again: the view in force holds all that the agent knows after the pause."""
+    waited_s = CONFIRM_LIMIT_S - (state.unconfirmed_until - now)
+    effects.append(Log("view_confirmed", "info", {"after_ms": round(waited_s * 1000)}))
+    release(state)
+
+
+def release(state: EntryState) -> None:
+    """End the hold; the caller sends what is queued."""
+    state.unconfirmed_until = 0.0
+    for service in state.services.values():
+        service.limits.held = False
+
+
+def view_limit_passed(state: EntryState, now: float, draw: int, effects: list[Effect]) -> None:
+    """Serve by the view in force when the agent has not answered in time."""
+    if not state.unconfirmed_until or now < state.unconfirmed_until:
+        return
+    effects.append(Log("view_unconfirmed", "warning", {}))
+    release(state)
+    for service in state.services.values():
+        draw = next_draw(draw)
+        send_queued(state, service, now, draw, effects)
--- a/poplarlane/decisions/reports.py
+++ b/poplarlane/decisions/reports.py
@@ -25,7 +25,8 @@
         if changed:
             effects.append(verdict_report(state, service, changed))
     effects.append(current_report(state))
-    if not state.ready or event.now - state.last_view_at > HELLO_INTERVAL_S:
+    silent = event.now - state.last_view_at > HELLO_INTERVAL_S
+    if not state.ready or state.unconfirmed_until or silent:
         state.last_view_at = event.now
         effects.append(SendToAgent(hello(state)))
     return effects
@@ -33,7 +34,7 @@
 
 def hello(state: EntryState) -> EntryHello:
     """Ask for every service that is newer than what is applied."""
-    return EntryHello(state.name, state.incarnation, applied_revisions(state))
+    return EntryHello(state.name, state.incarnation, applied_revisions(state), state.view_nonce)
 
 
 def applied_revisions(state: EntryState) -> dict[str, int]:
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -6,6 +6,7 @@
 from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit, StartAccepting
 from poplarlane.decisions.entry_events import ViewReceived
 from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
+from poplarlane.decisions.pauses import confirm
 from poplarlane.decisions.policies import Adaptive, policy_by_name
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import current_report, hello
@@ -49,6 +50,8 @@
         take_probe(state, probe, event.now)
     if changed or view.members:
         ramp_new_targets(state, event.now)
+    if view.complete and state.unconfirmed_until and view.reply_to == state.view_nonce:
+        confirm(state, event.now, effects)
     if view.complete and not state.ready:
         state.ready = True
         if state.accepting:
@@ -194,6 +197,7 @@
             state.fleet_entries,
             [],
         )
+        service.limits.held = state.unconfirmed_until > 0.0
         service.retry_budget = retries.retry_budget(found.retry_ratio)
         service.hedge_budget = retries.hedge_budget(found.hedge_ratio)
         return
--- a/poplarlane/messages.py
+++ b/poplarlane/messages.py
@@ -4,11 +4,15 @@
 
 
 class EntryHello(msgspec.Struct, tag=1, array_like=True):
-    """Announce an entry to its agent and ask for every service newer than `applied`."""
+    """Announce an entry to its agent and ask for every service newer than `applied`.
+
+    Every view that the agent sends from then on repeats the `nonce`.
+    """
 
     entry: str
     incarnation: int
     applied: dict[str, int]
+    nonce: int = 0
 
 
 class ServiceBody(msgspec.Struct, array_like=True):
@@ -72,7 +76,8 @@
     """Bring an entry's view up to date; `complete` says that nothing is missing.
 
     `fleet_entries` is the number of live entries, which divides connections and slots, and
-    `entry_rank` the place of the receiving entry among them, from 0 on.
+    `entry_rank` the place of the receiving entry among them, from 0 on. `reply_to` is the nonce of
+    the last hello that the agent handled.
     """
 
     agent: str
@@ -85,6 +90,7 @@
     fleet_entries: int
     probes: list[ProbeNotice] = []
     entry_rank: int = 0
+    reply_to: int = 0
 
 
 class EntryReport(msgspec.Struct, tag=3, array_like=True):
--- a/poplarlane/plumbing/agent_shell.py
+++ b/poplarlane/plumbing/agent_shell.py
@@ -21,13 +21,12 @@
 from poplarlane.metrics import Metrics
 from poplarlane.objects import JSON_ENCODER, PROBE_GRANTS_KIND
 from poplarlane.plumbing.exchange_sockets import ExchangeSockets
+from poplarlane.plumbing.pauses import PauseWatch, clock
 from poplarlane.plumbing.platform_client import PlatformAnswer, PlatformClient, PlatformFailure
 from poplarlane.plumbing.platform_objects import decode_grant, decode_list, decode_vms
 from poplarlane.plumbing.probe_client import probe
 
 TICK_S = 0.1
-# A process that did not run for this long may have missed deadlines; busy machines stay below.
-PAUSE_S = 1.5
 STOP_LIMIT_S = 1.0
 GRANT_WRITE = "grant_write"
 HTTP_OK = 200
@@ -35,11 +34,6 @@
 HTTP_CONFLICT = 412
 
 
-def clock() -> float:
-    """Give seconds of a clock that also runs while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class AgentShell:
     """Run one agent."""
 
@@ -50,7 +44,7 @@
         "metrics",
         "generator",
         "source",
-        "last_step_at",
+        "pauses",
         "tasks",
         "stopped",
     )
@@ -70,7 +64,7 @@
         self.metrics = metrics
         self.generator = generator
         self.source = source
-        self.last_step_at = clock()
+        self.pauses = PauseWatch()
         self.tasks: set[asyncio.Task] = set()
         self.stopped = asyncio.Event()
 
@@ -81,9 +75,8 @@
     def step(self, kind: type[events.AgentEvent], *fields: Any) -> None:
         """Apply one event; a pause is noticed before anything else is done."""
         now, wall, draw = self.stamp()
-        gap_s = now - self.last_step_at
-        self.last_step_at = now
-        if gap_s > PAUSE_S:
+        gap_s = self.pauses.step()
+        if gap_s:
             pause = events.AgentPaused(now, wall, self.generator.getrandbits(64), gap_s)
             self.execute(reduce(pause, self.state))
         self.execute(reduce(kind(now, wall, draw, *fields), self.state))
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -120,6 +120,8 @@
             detail = str(error) or "connecting timed out"
             shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
+    # After a pause the attempt is cancelled here, before its first byte.
+    shell.notice_pause()
     if exchange.cancelled:
         connection.abort()
         return
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -9,8 +9,10 @@
     AnswerCompleted,
     AnswerStarted,
     AttemptFailed,
+    AttemptSent,
     CallerGone,
     EntryEvent,
+    EntryPaused,
     FailureCause,
     ReportDue,
     RequestArrived,
@@ -30,6 +32,7 @@
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, execute
 from poplarlane.plumbing.heads import service_host
+from poplarlane.plumbing.pauses import PauseWatch
 from poplarlane.plumbing.targets import Exchange, Pool
 from poplarlane.settings import EntrySettings, seeded_generator
 from poplarlane.traces import Tracer
@@ -88,6 +91,7 @@
         "stop_at",
         "logged",
         "logged_second",
+        "pauses",
     )
 
     def __init__(
@@ -128,6 +132,7 @@
         self.logged_second = 0
         # Bytes of request bodies in memory, over all callers.
         self.held_body_bytes = 0
+        self.pauses = PauseWatch()
         # Answers by result code.
         self.results: dict[int, int] = {}
 
@@ -144,6 +149,19 @@
         self.report()
 
     def feed(self, event: EntryEvent) -> None:
+        """Handle one event, and first a pause before it."""
+        # An attempt that is just being sent cannot be taken back.
+        if type(event) is not AttemptSent:
+            self.notice_pause()
+        self.apply(event)
+
+    def notice_pause(self) -> None:
+        """Report a pause of this process, before anything else is done after it."""
+        gap_s = self.pauses.step()
+        if gap_s:
+            self.apply(EntryPaused(self.now(), self.draw(), gap_s))
+
+    def apply(self, event: EntryEvent) -> None:
         """Reduce one event and execute its effects."""
         for effect in handler_of(reduce, type(event))(event, self.state):
             handler_of(execute, type(effect))(effect, self)
@@ -317,6 +335,7 @@
     def sweep(self) -> None:
         """Expire slow callers and idle connections, and again after the interval."""
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
+        self.notice_pause()
         now = self.now()
         late = [
             caller
--- a/poplarlane/programs/agent_pages.py
+++ b/poplarlane/programs/agent_pages.py
@@ -5,7 +5,8 @@
 
 from poplarlane.decisions import grants, membership, verification
 from poplarlane.metrics import AdminAnswer, AdminHandler, AdminRequest, json_answer
-from poplarlane.plumbing.agent_shell import AgentShell, clock
+from poplarlane.plumbing.agent_shell import AgentShell
+from poplarlane.plumbing.pauses import clock
 from poplarlane.types import MemberKind, MemberState
 
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -8,9 +8,10 @@
 from poplarlane.decisions.agent_state import AgentState, Peer
 from poplarlane.decisions.entry_state import EntryState
 from poplarlane.metrics import AdminAnswer, AdminRequest, AdminServer, Metrics, json_answer
-from poplarlane.plumbing.agent_shell import AgentShell, clock
+from poplarlane.plumbing.agent_shell import AgentShell
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.exchange_sockets import ExchangeSockets
+from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient
 from poplarlane.programs.agent_pages import agent_pages
 from poplarlane.settings import AgentSettings, EntrySettings, seeded_generator
