Prove absent and bad objects current, and ask agents again, before a change acts on them

Review of the change procedure for old reads and old proofs.

The interleaved runs now also draw removals, selectors and whole objects (also deleting ones), 9 operators, and writers that sleep for 0.5 to 3 s around a call; the content is replayed from the accepted changes, and each must replace the value that it expected.

ctl_changes.feature: an apply of a file based on revision 1 over revision 2, with a read that shows nothing, is now told that the revision is 2 instead of 1 ("but exists in revision 2" before), because the absence is no longer believed; exit status and stored revision are checked as before.

--- a/features/ctl_changes.feature
+++ b/features/ctl_changes.feature
@@ -65,7 +65,7 @@
     Given "role=one" was set on "t1" and the platform answers that there is no service
     When an operator applies the initial file
     Then the operator exits with status 3
-    And the operator is told "but exists in revision 2"
+    And the operator is told "revision was expected to be 1, but is 2"
     And the stored service has revision 2 when reads are current again
 
   Scenario: An expected value is compared with the current one, not with a stale read
--- a/features/ctl_interleaved_changes.feature
+++ b/features/ctl_interleaved_changes.feature
@@ -14,3 +14,15 @@
     Then in no seed an accepted change was lost, applied twice or given the revision of another
     And in no seed a revision was skipped
     And in every seed all readers ended with the stored object
+
+  Scenario: Edits of every kind by 9 operators that are paused for seconds, with another tool
+    # Guards against proofs and reads that a writer made before it slept.
+    When seeds 3000 to 3039 of interleaved edits of every kind by paused writers run
+    Then in no seed an accepted change was lost, applied twice or given the revision of another
+    And in every seed all readers ended with the stored object
+
+  Scenario: Edits of every kind by 9 paused operators lead to no recovery without another tool
+    When seeds 4000 to 4039 of interleaved edits of every kind by paused writers run without another tool
+    Then in no seed an accepted change was lost, applied twice or given the revision of another
+    And in no seed a revision was skipped
+    And in every seed all readers ended with the stored object
--- a/features/ctl_interleaving.py
+++ b/features/ctl_interleaving.py
@@ -4,15 +4,21 @@
 import base64
 import json
 import random
+from dataclasses import dataclass
 
 import msgspec
 
 from features.ctl_world import SERVICE, service_document
 from poplarlane.decisions import configuration, edits
 from poplarlane.decisions.configuration import Accepted
-from poplarlane.decisions.edits import Mark
+from poplarlane.decisions.edits import content_of, look_up
 from poplarlane.decisions.validation import check_service
-from poplarlane.objects import SERVICE_COPIES_KIND, SERVICES_KIND
+from poplarlane.objects import (
+    MAX_RECORDED_CHANGES,
+    SERVICE_COPIES_KIND,
+    SERVICES_KIND,
+    SelectorObject,
+)
 from poplarlane.plumbing.ctl_client import (
     PlatformFailure,
     StoredValue,
@@ -24,11 +30,30 @@
 
 TARGETS = 3
 CHANGES_PER_OPERATOR = 7
-OPERATORS = 4
 READERS = 3
-TIMEOUT_S = 3.0
-# Chance that the other tool writes a bad object, at each of its turns.
-BAD_OBJECT_SHARE = 0.4
+# How long a paused writer sleeps between two steps of its change.
+PAUSE_S = (0.5, 3.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Mix:
+    """Say what a run consists of.
+
+    `bad_object_share` is the chance that the other tool writes at each of its turns, and
+    `pause_share` the chance that a writer sleeps for seconds around one of its calls.
+    """
+
+    operators: int = 4
+    bad_object_share: float = 0.4
+    pause_share: float = 0.0
+    all_edits: bool = False
+    timeout_s: float = 3.0
+
+
+LABELS = Mix()
+LABELS_ALONE = Mix(bad_object_share=0.0)
+EVERYTHING = Mix(9, 0.4, 0.04, True, 8.0)
+EVERYTHING_ALONE = Mix(9, 0.0, 0.04, True, 8.0)
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -118,6 +143,33 @@
         return Written(self.put(kind, body, "operator"))
 
 
+class PausingClient:
+    """Let the process of one operator sleep for seconds before or after a call."""
+
+    def __init__(self, platform, share):
+        self.platform = platform
+        self.share = share
+
+    async def sleep(self):
+        """Sleep now and then, unless the faults are over."""
+        if self.share and not self.platform.calm and self.platform.draws.random() < self.share:
+            await asyncio.sleep(self.platform.draws.uniform(*PAUSE_S))
+
+    async def read(self, kind, name):
+        """Read; what was read may be old when the process goes on."""
+        await self.sleep()
+        value = await self.platform.read(kind, name)
+        await self.sleep()
+        return value
+
+    async def write(self, kind, name, body, version):
+        """Write; what was prepared may be old when it is sent."""
+        await self.sleep()
+        result = await self.platform.write(kind, name, body, version)
+        await self.sleep()
+        return result
+
+
 class Reader:
     """Hold what an agent would hold."""
 
@@ -136,9 +188,9 @@
 class InterleavedRun:
     """Run one seed."""
 
-    def __init__(self, seed, bad_object_share):
+    def __init__(self, seed, mix):
         self.draws = random.Random(seed)
-        self.bad_object_share = bad_object_share
+        self.mix = mix
         self.platform = FakePlatform(self.draws)
         self.readers = [Reader() for _ in range(READERS)]
         # Half of the runs have agents that can be asked.
@@ -163,7 +215,7 @@
         await asyncio.sleep(1.0)
         others = [asyncio.ensure_future(self.read(reader)) for reader in self.readers]
         others.append(asyncio.ensure_future(self.disturb()))
-        await asyncio.gather(*(self.operate(number) for number in range(OPERATORS)))
+        await asyncio.gather(*(self.operate(number) for number in range(self.mix.operators)))
         self.running = False
         await asyncio.gather(*others)
         self.platform.outage = False
@@ -186,7 +238,7 @@
         while self.running:
             await asyncio.sleep(self.draws.uniform(0.05, 0.6))
             self.platform.outage = self.draws.random() < 0.2
-            if self.draws.random() < self.bad_object_share:
+            if self.draws.random() < self.mix.bad_object_share:
                 self.platform.put(SERVICES_KIND, self.bad_object(), "tool")
 
     def bad_object(self):
@@ -203,26 +255,48 @@
     async def operate(self, number):
         """Make changes one after the other; some end halfway."""
         for step in range(CHANGES_PER_OPERATOR):
-            target = f"t{self.draws.randint(1, TARGETS)}"
-            key = self.draws.choice(("shared", f"own{number}"))
-            edit = edits.set_label(target, key, f"v{step}")
+            edit = self.draw_edit(number, step)
             end_s = self.draws.uniform(0, 0.1) if self.draws.random() < 0.2 else None
             await self.change(f"o{number}-{step}", edit, end_s)
 
+    def draw_edit(self, number, step):
+        """Draw a label to set or, in the full mix, any other edit."""
+        target = f"t{self.draws.randint(1, TARGETS)}"
+        key = self.draws.choice(("shared", f"own{number}"))
+        kind = self.draws.random() if self.mix.all_edits else 1.0
+        if kind < 0.15:
+            return edits.remove_label(target, key)
+        if kind < 0.25:
+            return edits.set_selector(key, SelectorObject(callers="", targets=f"shared=v{step}"))
+        if kind < 0.3:
+            return edits.remove_selector(key)
+        if kind < 0.4:
+            return self.draw_object(step)
+        return edits.set_label(target, key, f"v{step}")
+
+    def draw_object(self, step):
+        """Draw a whole object, sometimes one that takes the service out of force."""
+        stored = [check_service(record[2], SERVICE) for record in self.platform.log[SERVICES_KIND]]
+        held = [service for service in stored if not isinstance(service, list)][-1]
+        limits = msgspec.structs.replace(held.limits, queue_length=step)
+        deleted = self.draws.random() < 0.3
+        drawn = msgspec.structs.replace(held, limits=limits, deleted=deleted)
+        return edits.apply_object(drawn, based_on=self.draws.choice((0, held.revision)))
+
     async def change(self, change_id, edit, end_s):
         """Run one change, ended after `end_s` if that is set."""
-        self.changes[change_id] = edit
         change = Change(
-            self.platform,
+            PausingClient(self.platform, self.mix.pause_share),
             SERVICE,
             edit,
             operator=change_id,
             change_id=change_id,
             at="",
-            timeout_s=TIMEOUT_S,
+            timeout_s=self.mix.timeout_s,
             draws=self.draws,
             ask_fleet=self.ask_fleet,
         )
+        self.changes[change_id] = change
         try:
             async with asyncio.timeout(end_s):
                 outcome = await change.run()
@@ -236,23 +310,22 @@
         return sum(record[3] == "tool" for record in self.platform.log[SERVICES_KIND])
 
     def check_copies(self):
-        """An accepted change stays, is there once, and the labels follow from the history."""
+        """An accepted change stays, is there once, and the content follows from the history."""
         revision, ids = 0, []
         for _, _, body, _ in self.platform.log[SERVICE_COPIES_KIND]:
             held = check_service(body, SERVICE)
-            found = [change.change_id for change in held.changes]
             assert held.revision >= revision, "the copy fell back"
-            assert len(set(found)) == len(found), f"applied twice: {found}"
-            assert found[: len(ids)] == ids, f"an accepted change was lost: {ids} -> {found}"
-            revision, ids = held.revision, found
+            revision = held.revision
+            ids += added_ids(ids, [change.change_id for change in held.changes])
         assert self.done.keys() <= set(ids), f"lost: {self.done.keys() - set(ids)}"
         assert "last" in self.done, "a calm change failed"
-        labels = {f"t{number}": {"role": "serving"} for number in range(1, TARGETS + 1)}
+        replayed = check_service(self.platform.log[SERVICES_KIND][0][2], SERVICE)
         for change_id in ids:
-            edit = self.changes[change_id]
-            assert edit.value is not Mark.ABSENT
-            labels[edit.path[1]][edit.path[3]] = edit.value
-        assert labels == {name: target.labels for name, target in held.targets.items()}
+            edit = self.changes[change_id].edit
+            current, _ = look_up(edit.path, replayed)
+            assert current == edit.expected, f"{change_id} replaced {current}"
+            replayed = edits.apply_edit(edit, replayed, SERVICE)
+        assert content_of(replayed) == content_of(held)
 
     def check_revisions(self):
         """No revision was written with two contents by operators."""
@@ -277,9 +350,22 @@
             assert reader.held == final, (reader.held.revision, final.revision)
 
 
-def run_seed(seed, bad_object_share=BAD_OBJECT_SHARE):
+def added_ids(known, found):
+    """Give the changes that a version of the copy adds to those known from earlier ones."""
+    if not known:
+        return found
+    assert known[-1] in found, f"an accepted change was lost: {known[-1]}"
+    kept = found.index(known[-1]) + 1
+    assert found[:kept] == known[-kept:], (known, found)
+    assert kept == len(known) or len(found) == MAX_RECORDED_CHANGES, (known, found)
+    added = found[kept:]
+    assert len({*known, *added}) == len(known) + len(added), f"applied twice: {added}"
+    return added
+
+
+def run_seed(seed, mix=LABELS):
     """Run one seed and return the run, to be checked."""
-    run = InterleavedRun(seed, bad_object_share)
+    run = InterleavedRun(seed, mix)
     loop = VirtualLoop()
     try:
         loop.run_until_complete(run.run())
--- a/features/steps/ctl_interleaving_steps.py
+++ b/features/steps/ctl_interleaving_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from features.ctl_interleaving import run_seed
+from features.ctl_interleaving import EVERYTHING, EVERYTHING_ALONE, LABELS_ALONE, run_seed
 
 
 @when("seeds {first:d} to {last:d} of interleaved changes run")
@@ -12,7 +12,20 @@
 
 @when("seeds {first:d} to {last:d} of interleaved changes run without another tool")
 def step_run_alone(context, first, last):
-    context.runs = {seed: run_seed(seed, 0.0) for seed in range(first, last + 1)}
+    context.runs = {seed: run_seed(seed, LABELS_ALONE) for seed in range(first, last + 1)}
+
+
+@when("seeds {first:d} to {last:d} of interleaved edits of every kind by paused writers run")
+def step_run_everything(context, first, last):
+    context.runs = {seed: run_seed(seed, EVERYTHING) for seed in range(first, last + 1)}
+
+
+@when(
+    "seeds {first:d} to {last:d} of interleaved edits of every kind by paused writers run "
+    "without another tool"
+)
+def step_run_everything_alone(context, first, last):
+    context.runs = {seed: run_seed(seed, EVERYTHING_ALONE) for seed in range(first, last + 1)}
 
 
 def failures(context, check):
--- a/poplarlane/decisions/edits.py
+++ b/poplarlane/decisions/edits.py
@@ -21,6 +21,7 @@
 from poplarlane.outcomes import ResultCode
 
 MAX_SHOWN_FIELDS = 5
+MAX_SUMMARY_CHARACTERS = 200
 # These fields are written by the change procedure, never by an edit.
 BOOKKEEPING_FIELDS = ("revision", "change_id", "changes")
 
@@ -223,3 +224,10 @@
         where = f"{path}.{key}" if path else key
         found.extend(differences(old.get(key), new.get(key), where))
     return found
+
+
+def shortened(summary: str) -> str:
+    """Cut a summary to a length that the history can hold for 50 changes."""
+    if len(summary) <= MAX_SUMMARY_CHARACTERS:
+        return summary
+    return summary[: MAX_SUMMARY_CHARACTERS - 3] + "..."
--- a/poplarlane/programs/ctl/change_outcomes.py
+++ b/poplarlane/programs/ctl/change_outcomes.py
@@ -48,6 +48,12 @@
     service: ServiceObject | None = None
     revision: int = 0
 
+    def merged(self, later: "FleetView") -> "FleetView":
+        """Keep the newest of two answers; agents that answer later may hold less."""
+        held = [view.service for view in (self, later) if view.service is not None]
+        newest = max(held, key=lambda service: service.revision, default=None)
+        return FleetView(newest, max(self.revision, later.revision))
+
 
 AskFleet = Callable[[str], Awaitable[FleetView]]
 
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -18,6 +18,7 @@
     Mark,
     apply_edit,
     observe,
+    shortened,
 )
 from poplarlane.decisions.validation import check_service
 from poplarlane.objects import (
@@ -32,7 +33,6 @@
 from poplarlane.plumbing.ctl_client import (
     PlatformClient,
     PlatformFailure,
-    StoredValue,
     VersionConflict,
     Written,
 )
@@ -45,12 +45,15 @@
     Unfinished,
     ask_nobody,
 )
+from poplarlane.programs.ctl.stored_objects import decode_stored
 
-MAX_SUMMARY_CHARACTERS = 200
 FIRST_RETRY_DELAY_MS = 20
 MAX_RETRY_DELAY_MS = 250
 # Other writers that were just seen need a few calls to finish, copy included.
 CONFLICT_DELAY_MS = 80
+# A version that the platform never reaches: a write on this condition changes nothing, and its
+# refusal shows the current object, which a read may not.
+NO_VERSION = 2**53 - 1
 
 
 def now() -> float:
@@ -77,6 +80,7 @@
         "stored",
         "copy",
         "fleet",
+        "fleet_is_current",
         "observed",
         "confirmed",
         "copy_confirmed",
@@ -118,7 +122,9 @@
         self.replace_bad = replace_bad
         self.stored: StoredObject | None = None
         self.copy: StoredObject | None = None
-        self.fleet: FleetView | None = None
+        self.fleet = FleetView()
+        # Whether agents were asked since the object or its copy was last seen to change.
+        self.fleet_is_current = False
         self.observed = False
         # A plain read may be stale; a conditional write proves that the version is current.
         self.confirmed = False
@@ -161,14 +167,14 @@
         if in_place and configuration.holds_change(self.stored.service, self.change_id):
             await self.write_copy(self.stored.service)
             return None
-        if self.is_beyond_history():
+        base = self.choose_base()
+        if self.is_beyond_history(base):
             return self.unfinished(
                 f"{MAX_RECORDED_CHANGES} later changes hide whether revision "
                 f"{self.maybe_written_as} was this change"
             )
         if not self.gave_way:
             return await self.give_way()
-        base = self.choose_base()
         if isinstance(base, NoBase) or base.recovered:
             return await self.recover(base)
         if base.copy_is_behind and not self.dry_run:
@@ -187,18 +193,23 @@
             return False
         return self.edit.expected is Mark.UNSEEN
 
-    def is_beyond_history(self) -> bool:
-        """Tell whether a write without an answer may lie before the recorded changes."""
-        if not self.maybe_written_as or self.stored.service is None:
+    def is_beyond_history(self, base: Base | NoBase) -> bool:
+        """Tell whether a write without an answer may lie before the recorded changes.
+
+        The changes are those of the object that would be written next, which is not the stored one
+        when that is bad.
+        """
+        if not self.maybe_written_as or isinstance(base, NoBase) or base.service is None:
             return False
-        return not configuration.history_reaches(self.stored.service, self.maybe_written_as)
+        return not configuration.history_reaches(base.service, self.maybe_written_as)
 
     async def recover(self, base: Base | NoBase) -> Outcome | None:
         """Replace a bad object, after making sure that no newer accepted one exists."""
         if not self.confirmed and not self.dry_run:
             return await self.confirm_stored()
-        if self.fleet is None:
-            self.fleet = await self.ask_fleet(self.name)
+        if not self.fleet_is_current:
+            self.fleet = self.fleet.merged(await self.ask_fleet(self.name))
+            self.fleet_is_current = True
             return None
         if isinstance(base, NoBase):
             if not self.replace_bad:
@@ -224,7 +235,7 @@
 
     def choose_base(self) -> Base | NoBase:
         """Choose the last accepted object from what was read so far."""
-        fleet = self.fleet or FleetView()
+        fleet = self.fleet
         return configuration.choose_base(self.stored, self.copy, fleet.service, fleet.revision)
 
     async def read_both(self) -> None:
@@ -255,12 +266,17 @@
         if self.stored.version <= held.version:
             self.stored = held
         else:
-            self.confirmed = False
+            self.distrust()
         if self.copy.version <= held_copy.version:
             self.copy = held_copy
         else:
             # A proof that the object is current says nothing about a copy that was read later.
-            self.confirmed = False
+            self.distrust()
+
+    def distrust(self) -> None:
+        """Drop what was proved or asked before the object or its copy was seen to change."""
+        self.confirmed = False
+        self.fleet_is_current = False
 
     async def edit_and_write(self, base: Base) -> Outcome | None:
         """Apply the edit to the base and write the next revision."""
@@ -306,8 +322,8 @@
         """Find out whether the read was stale, by writing the same object over itself."""
         service = self.stored.service
         if service is None:
-            # A bad object is left as it is; its version is checked by the write that replaces it.
-            self.confirmed = True
+            # A bad object is not written again, because every watch would deliver it once more.
+            await self.look(SERVICES_KIND)
             return
         result = await self.write(SERVICES_KIND, encode_service(service), self.stored.version)
         if isinstance(result, Written):
@@ -315,11 +331,25 @@
             self.confirmed = True
 
     async def confirm_copy(self) -> None:
-        """Prove that the copy is current before a bad object is replaced from it."""
-        if self.copy.service is None:
-            self.copy_confirmed = True
+        """Prove that the copy is current, or that there is no valid one."""
+        if self.copy.service is not None:
+            await self.write_copy(self.copy.service)
             return
-        await self.write_copy(self.copy.service)
+        if self.stored.version == 0:
+            await self.look(SERVICES_KIND)
+        await self.look(SERVICE_COPIES_KIND)
+
+    async def look(self, kind: str) -> None:
+        """Take the current object from the refusal of a write that can never take effect."""
+        held = self.held_version(kind)
+        await self.write(kind, b"{}", NO_VERSION)
+        if self.held_version(kind) == held:
+            # Nobody else wrote, so nobody needs time.
+            self.gave_way = True
+
+    def held_version(self, kind: str) -> int:
+        """Give the version of what was last read of a kind."""
+        return (self.stored if kind == SERVICES_KIND else self.copy).version
 
     async def write_copy(self, service: ServiceObject) -> bool:
         """Write the copy; on a conflict the current copy is taken and judged again."""
@@ -349,13 +379,14 @@
         if isinstance(result, VersionConflict) and kind == SERVICES_KIND:
             self.stored = decode_stored(result.current, self.name)
             self.confirmed = True
+            self.fleet_is_current = False
             self.gave_way = False
         elif isinstance(result, VersionConflict):
             self.copy = decode_stored(result.current, self.name, SERVICE_COPIES_KIND)
             self.copy_confirmed = True
             self.raised_to = 0
             # Another writer was here, so the object may have changed since it was read.
-            self.confirmed = False
+            self.distrust()
         return result
 
     async def pause(self, reason: str) -> None:
@@ -366,20 +397,3 @@
         left_s = self.deadline - now()
         delay_s = delay_ms * self.draws.uniform(0.5, 1.0) / 1000
         await asyncio.sleep(max(0.0, min(delay_s, left_s)))
-
-
-def shortened(summary: str) -> str:
-    """Cut a summary to a length that the history can hold for 50 changes."""
-    if len(summary) <= MAX_SUMMARY_CHARACTERS:
-        return summary
-    return summary[: MAX_SUMMARY_CHARACTERS - 3] + "..."
-
-
-def decode_stored(value: StoredValue, name: str, kind: str = SERVICES_KIND) -> StoredObject:
-    """Validate what the platform returned."""
-    if value.version == 0:
-        return StoredObject(0, None, [])
-    checked = check_service(value.body(), name, kind)
-    if isinstance(checked, list):
-        return StoredObject(value.version, None, checked)
-    return StoredObject(value.version, checked, [])
--- a/poplarlane/programs/ctl/fleet_commands.py
+++ b/poplarlane/programs/ctl/fleet_commands.py
@@ -7,11 +7,11 @@
 from poplarlane.objects import SERVICES_KIND
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
-from poplarlane.programs.ctl.changing import decode_stored
 from poplarlane.programs.ctl.command import CtlCommand, common_options
 from poplarlane.programs.ctl.fleet import AgentStatus, Coverage, Fleet, ask_agents, find_agents
 from poplarlane.programs.ctl.object_commands import absent, read_accepted
 from poplarlane.programs.ctl.reports import Report, done, problem, unreachable
+from poplarlane.programs.ctl.stored_objects import decode_stored
 from poplarlane.programs.ctl.waiting import Wait, some, wait_report
 from poplarlane.settings import CtlSettings
 
--- a/poplarlane/programs/ctl/object_commands.py
+++ b/poplarlane/programs/ctl/object_commands.py
@@ -18,9 +18,9 @@
     change_options,
     difference_lines,
 )
-from poplarlane.programs.ctl.changing import decode_stored
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, common_options
 from poplarlane.programs.ctl.reports import Report, done, invalid, unreachable
+from poplarlane.programs.ctl.stored_objects import decode_stored
 from poplarlane.settings import CtlSettings
 
 
