Judge a target anew when its next incarnation is listed, leaving or not

Cause: a target that closed its connections and listener without saying that it leaves is avoided by verdict, and only trials, at most 8 s apart, returned it after its restart. Change: a newer incarnation replaces what the entry observed of the old process, whether or not it was leaving, and the target is ramped up. Test: a scenario in target_health.feature fails without the change.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -337,9 +337,9 @@
 
 
 @given("an entry whose service runs on 3 targets")
-def step_running(context):
+def step_running(context, standing="live"):
     context.state = EntryState("entry-1", 1)
-    members = [MemberNotice("t-0", "target", 1, "leaving", 0.0, "list")]
+    members = [MemberNotice("t-0", "target", 1, standing, 0.0, "list")]
     reduce(view_event(100.0, 1, 3, members), context.state)
     service = context.state.services["s"]
     service.health.typical_s = SERVICE_S
@@ -348,6 +348,36 @@
     service.loads["t-0"].verdict = Verdict.AVOIDED
 
 
+@given("an entry whose service runs on 3 targets, one of which is leaving")
+def step_running_with_one_leaving(context):
+    step_running(context, "leaving")
+
+
+@given("the first one is avoided because it refused connections")
+def step_refused_connections(context):
+    service = context.state.services["s"]
+    load = service.loads["t-0"]
+    load.verdict = Verdict.HEALTHY
+    for _ in range(4):
+        health.observe_failure(load, 100.0)
+    health.review(service.health, service.limits.loads, 100.0)
+    assert load.verdict is Verdict.AVOIDED
+
+
+@when("the first one returns from a restart")
+def step_restart(context):
+    members = [MemberNotice("t-0", "target", 2, "live", 1.0, "list")]
+    reduce(view_event(110.0, 1, 3, members), context.state)
+
+
+@then("it is ramped up, and nothing old is held against it")
+def step_judged_anew(context):
+    loads = context.state.services["s"].loads
+    load = loads["t-0"]
+    assert [name for name, other in loads.items() if other.ramp_until > 110.0] == ["t-0"]
+    assert (load.verdict, load.doubt, load.consecutive_failures) == (Verdict.HEALTHY, 0.0, 0)
+
+
 @when("a fourth target is configured and the first one returns from a restart")
 def step_join(context):
     members = [MemberNotice("t-0", "target", 2, "live", 1.0, "list")]
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -75,6 +75,13 @@
 
   Scenario: A target that joins a running service or restarts gets a growing share
     24 entries that send a cold target its full share at once would keep it slow.
-    Given an entry whose service runs on 3 targets
+    Given an entry whose service runs on 3 targets, one of which is leaving
     When a fourth target is configured and the first one returns from a restart
     Then both are ramped up, the others keep their share, and nothing old is held against them
+
+  Scenario: A target that restarted without having said that it leaves is judged anew
+    A target whose connections closed is avoided; its trials alone would return it only in seconds.
+    Given an entry whose service runs on 3 targets
+    And the first one is avoided because it refused connections
+    When the first one returns from a restart
+    Then it is ramped up, and nothing old is held against it
--- a/poplarlane/decisions/drain.py
+++ b/poplarlane/decisions/drain.py
@@ -32,7 +32,7 @@
     state.leaving.discard(name)
     for service in state.services.values():
         load = service.loads.get(name)
-        if load is not None and load.leaving:
+        if load is not None:
             # What was observed about the old process says nothing about the new one.
             service.loads[name] = TargetLoad(load.target, load.distance_s)
             refresh_usable(service)
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -236,8 +236,9 @@
     leaving = notice.state in (MemberState.LEAVING, MemberState.GONE)
     if notice.incarnation > incarnation:
         state.members[notice.name] = (notice.incarnation, leaving)
-        # The first fact about a target does not undo what its answers already said.
-        if not leaving and incarnation >= 0 and notice.name in state.leaving:
+        # The first fact about a target does not undo what its answers already said. A target may
+        # also restart without having said that it leaves; trials alone would return it in seconds.
+        if not leaving and incarnation >= 0:
             restore(state, notice.name, effects)
     if leaving and not was_leaving or notice.incarnation > incarnation and leaving:
         state.members[notice.name] = (notice.incarnation, True)
