--- a/features/checkers.feature
+++ b/features/checkers.feature
@@ -15,6 +15,22 @@
       | false_not_run | 1      | false_not_run |
       | cut           | 1      | cut           |
 
+  Scenario Outline: A variant that goes on using a leaving target is caught
+    Given a small experiment with a pass-through in which a target leaves by "<signal>"
+    When the bench runs it with seed 5
+    Then the bench exits with status 1
+    And it names the signal "<signal>" and its last line gives more than 0.5 s for it
+
+    Examples:
+      | signal   |
+      | list     |
+      | answers  |
+      | refusals |
+
+  Scenario: An aim is missed when the ratio is above it or nothing measured it
+    Then of p99 ratios 0.5 and 0.7 an aim of 0.6 is missed by the second only
+    And an aim about a policy that did not run is missed
+
   Scenario: Probes above the budget are counted
     Then 3 probes within one second are 1 window over a budget of 1 per second
     And 2 probes within one second are no window over a budget of 1 per second
--- a/features/steps/checkers_steps.py
+++ b/features/steps/checkers_steps.py
@@ -7,8 +7,10 @@
 
 from behave import given, then, when
 
+from poplarlane.bench.aims import check_aims
 from poplarlane.bench.bound import central_queue_latencies
 from poplarlane.bench.checks import windows_over_budget
+from poplarlane.bench.experiment import Aim
 from poplarlane.bench.processes import binary_path
 
 LAYOUT = {
@@ -40,6 +42,51 @@
     directory = context.resources.enter_context(tempfile.TemporaryDirectory())
     context.directory = Path(directory)
     stops = [{"at_ms": 500, "do": "stop_entry", "index": 0}]
+    write_experiment(context, broken, {"fault": "stop", "duration_ms": 1500, "actions": stops})
+
+
+@given('a small experiment with a pass-through in which a target leaves by "{signal}"')
+def step_leaving_experiment(context, signal):
+    directory = context.resources.enter_context(tempfile.TemporaryDirectory())
+    context.directory = Path(directory)
+    body = {"signal": signal, "duration_ms": 1000}
+    leave = {"at_ms": 500, "do": "leave_target", "index": 0, "body": body}
+    phase = {"fault": "leaving", "duration_ms": 2500, "actions": [leave]}
+    write_experiment(context, "", phase, max_leaving_s=0.5)
+
+
+@then('it names the signal "{signal}" and its last line gives more than 0.5 s for it')
+def step_late_requests(context, signal):
+    line = context.done.stdout.splitlines()[-1]
+    values = dict(word.split("=") for word in line.split())
+    assert float(values[f"leaving_{signal}_max_s"]) > 0.5, line
+    assert f"failed: signal {signal}: a new request after" in context.done.stdout, context.done
+
+
+@then("of p99 ratios 0.5 and 0.7 an aim of 0.6 is missed by the second only")
+def step_aim(context):
+    aim = Aim(fault="f", policy="new", over="old", at_most=0.6)
+    rows = [
+        {"firm": "x", "service": service, "fault": "f", "policy": policy, "p99_ms": p99_ms}
+        for service, policy, p99_ms in (
+            ("first", "new", 5.0),
+            ("first", "old", 10.0),
+            ("second", "new", 7.0),
+            ("second", "old", 10.0),
+        )
+    ]
+    missed = check_aims([aim], rows)
+    assert len(missed) == 1 and "x second" in missed[0], missed
+
+
+@then("an aim about a policy that did not run is missed")
+def step_aim_not_measured(context):
+    missed = check_aims([Aim(fault="f", policy="new", over="bound", at_most=1.3)], [])
+    assert missed == ["new over bound, f: not measured"], missed
+
+
+def write_experiment(context, broken, phase, **options):
+    """Write an experiment with one pass-through, and its layout."""
     experiment = {
         "name": "broken",
         "layouts": ["layout.json"],
@@ -51,7 +98,8 @@
         "variants": [
             {"name": "broken", "passthrough": True, "settings": {"broken": broken}},
         ],
-        "phases": [{"fault": "stop", "duration_ms": 1500, "actions": stops}],
+        "phases": [phase],
+        **options,
     }
     (context.directory / "layout.json").write_text(json.dumps(LAYOUT))
     (context.directory / "experiment.json").write_text(json.dumps(experiment))
--- a/poplarlane/bench/actions.py
+++ b/poplarlane/bench/actions.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from poplarlane.bench.experiment import Action, Experiment
 from poplarlane.bench.fleet import (
@@ -16,15 +17,26 @@
 )
 from poplarlane.bench.standin_client import call
 
-MAX_ACTIONS_AT_ONCE = 16
+MAX_ACTIONS_AT_ONCE = 32
 DEFAULT_DOWN_MS = 500
 DEFAULT_DRAIN_MS = 4_000
+ENDLESS_MS = 3_600_000.0
 
 
 class Event:
     """Record one action; times are seconds of CLOCK_MONOTONIC, `entry` is -1 for other things."""
 
-    __slots__ = ("what", "subject", "entry", "planned", "at", "ended_at", "fault")
+    __slots__ = (
+        "what",
+        "subject",
+        "entry",
+        "planned",
+        "at",
+        "ended_at",
+        "returned_at",
+        "signal",
+        "fault",
+    )
 
     def __init__(self, what: str, subject: str, entry: int = -1, planned: bool = True) -> None:
         self.what = what
@@ -33,10 +45,27 @@
         self.planned = planned
         self.at = time.monotonic()
         self.ended_at = 0.0
+        # When the platform's list was told of the target's next incarnation.
+        self.returned_at = 0.0
+        # The one signal that a target gives when it leaves.
+        self.signal = ""
         # Says what went wrong, for example an exit status that is not 0.
         self.fault = ""
 
 
+def leaving_switches(signal: str, duration_ms: float) -> dict[str, Any]:
+    """Give the switches by which a target shows that it is leaving."""
+    match signal:
+        case "answers":
+            return {"drain": True, "drain_notice_ms": ENDLESS_MS, "announce": "answers"}
+        case "refusals":
+            return {"drain": True, "drain_notice_ms": 0.0, "announce": "refusals"}
+        case "closed":
+            return {"closed_ms": duration_ms}
+        case _:
+            raise ValueError(f"unknown signal {signal!r}")
+
+
 class Schedule:
     """Run the actions of one segment in threads of their own."""
 
@@ -104,6 +133,9 @@
             case "drain_target":
                 for place in self.fleet.find(action.service, action.index):
                     self.drain_target(place, action)
+            case "leave_target":
+                for place in self.fleet.find(action.service, action.index):
+                    self.leave_target(place, action)
 
     def note(self, what: str, subject: str, entry: int = -1, planned: bool = True) -> Event:
         """Record the start of an action."""
@@ -155,7 +187,7 @@
         place.incarnation += 1
         self.fleet.launch_target(place)
         self.fleet.wait_ready([place.process])
-        self.fleet.register_target(place, "live")
+        self.bring_back(place, event)
 
     def drain_target(self, place: TargetPlace, action: Action) -> None:
         """Drain one target for a while without ending its process."""
@@ -167,7 +199,31 @@
         event.ended_at = time.monotonic()
         place.incarnation += 1
         self.fleet.control(place, {"drain": False, "drain_notice_ms": 0.0})
+        self.bring_back(place, event)
+
+    def leave_target(self, place: TargetPlace, action: Action) -> None:
+        """Let one target leave by one signal alone, and return as a new incarnation."""
+        duration_ms = action.body.get("duration_ms", DEFAULT_DRAIN_MS)
+        signal = action.body["signal"]
+        event = self.note("leave_target", place.name)
+        event.signal = signal
+        if signal == "list":
+            self.fleet.register_target(place, "leaving")
+        else:
+            event.at = self.fleet.control(place, leaving_switches(signal, duration_ms))
+        time.sleep(max(event.at + duration_ms / 1000 - time.monotonic(), 0.0))
+        event.ended_at = time.monotonic()
+        place.incarnation += 1
+        if signal == "closed":
+            self.fleet.wait_listening(place)
+        else:
+            self.fleet.control(place, {"drain": False, "drain_notice_ms": 0.0})
+        self.bring_back(place, event)
+
+    def bring_back(self, place: TargetPlace, event: Event) -> None:
+        """Put the next incarnation of a target on the platform's list."""
         self.fleet.register_target(place, "live")
+        event.returned_at = time.monotonic()
 
     def restore(self) -> None:
         """End every fault after a segment."""
--- a/poplarlane/bench/checks.py
+++ b/poplarlane/bench/checks.py
@@ -10,7 +10,7 @@
 MAX_EXAMPLES = 20
 # Unknown outcomes that a planned stop may not cause; 1301 is a deadline, not a cut.
 CUT_CODES = frozenset({1300, 1302, 1303})
-PLANNED_STOPS = frozenset({"stop_entry", "stop_target", "drain_target"})
+PLANNED_STOPS = frozenset({"stop_entry", "stop_target", "drain_target", "leave_target"})
 # Requests at a killed entry may fail from the kill until their connections are gone.
 KILL_WINDOW_S = 0.25
 
--- a/poplarlane/bench/experiment.py
+++ b/poplarlane/bench/experiment.py
@@ -72,7 +72,9 @@
     """Describe a fault at a time after the start of its phase.
 
     `target` and `proxy` send `body` to the control interface of one target (all without an
-    index) or of its proxy route; `platform` sets platform faults; the others act on processes.
+    index) or of its proxy route; `platform` sets platform faults; `leave_target` lets a target
+    leave by the one `signal` of its body (`list`, `answers`, `refusals` or `closed`) for
+    `duration_ms`; the others act on processes.
     """
 
     at_ms: int
@@ -84,6 +86,7 @@
         "kill_entry",
         "stop_target",
         "drain_target",
+        "leave_target",
     ]
     service: str = ""
     index: int = -1
@@ -115,12 +118,27 @@
         return not (self.passthrough or self.direct)
 
 
+class Aim(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Bound the p99 of a policy under a fault, in multiples of another policy's p99.
+
+    With `over` equal to `bound` it is compared with the lower bound of a central queue.
+    """
+
+    fault: str
+    policy: str
+    over: str
+    at_most: float
+
+
 class Experiment(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Hold one experiment; `noise_variant` names the variant that runs twice.
 
     `targets_share` scales the number of targets of each service; `entries` and `service_ms`
     replace those of the layouts. `strict_cuts` counts answers of unknown outcome as cut, for runs
-    with planned stops only. `cancel_share` of the callers leave after `cancel_after_ms`.
+    with planned stops only. Above 0, `max_leaving_s` bounds the time from a signal's arrival at any
+    VM to the last new request at the leaving target, and `max_return_s` the time from the listing
+    of a target's next incarnation to its first request. `aims` are checked at the end.
+    `cancel_share` of the callers leave after `cancel_after_ms`.
     """
 
     name: str
@@ -141,6 +159,9 @@
     cancel_share: float = 0.0
     cancel_after_ms: float = 20.0
     strict_cuts: bool = False
+    max_leaving_s: float = 0.0
+    max_return_s: float = 0.0
+    aims: list[Aim] = []
 
     def duration_ms(self) -> int:
         """Give the length of one segment."""
--- a/poplarlane/bench/fleet.py
+++ b/poplarlane/bench/fleet.py
@@ -45,6 +45,8 @@
     "shed_above_queue": -1,
     "drain": False,
     "drain_notice_ms": 0.0,
+    "announce": "answers",
+    "cold_start_ms": 0.0,
     "report": "true",
     "report_lag_ms": 0.0,
 }
@@ -309,6 +311,18 @@
             raise RuntimeError(f"{place.name}: {answer.body!r}")
         return answer.json()["now"]
 
+    def wait_listening(self, place: TargetPlace) -> None:
+        """Wait until a target that closed its listener accepts connections again."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            try:
+                self.control(place, {})
+                return
+            except OSError:
+                if time.monotonic() > deadline:
+                    raise
+            time.sleep(READY_POLL_S)
+
     def find(self, service: str, index: int) -> list[TargetPlace]:
         """Find the targets that an action names; an empty service or -1 names all."""
         return [
--- /dev/null
+++ b/poplarlane/bench/leaving.py
@@ -0,0 +1,168 @@
+"""How long leaving targets still get new requests, and how they get traffic after their return."""
+
+import time
+from datetime import datetime
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from poplarlane.bench.actions import Event
+from poplarlane.bench.experiment import Experiment
+from poplarlane.bench.fleet import Fleet
+from poplarlane.bench.results import Segment, histogram_of
+
+TARGET_EVENTS = ("leave_target", "stop_target", "drain_target")
+# The usual rate of a target is taken over this long before it leaves.
+USUAL_S = 3.0
+# The share of a returned target is restored when this part of its usual rate arrives in a window.
+RESTORED_SHARE = 0.5
+RESTORED_WINDOW_S = 1.0
+# Entries give a returned target a growing share for this long.
+FIRST_REQUESTS_S = 2.0
+
+Times = dict[str, list[float]]
+
+
+def times_heard(fleet: Fleet) -> Times:
+    """Read from the logs when VMs learned that a target is leaving, in CLOCK_MONOTONIC."""
+    offset = time.time() - time.monotonic()
+    heard: Times = {}
+    for vm in fleet.vms:
+        for process in (vm.agent, vm.entry):
+            for line in list(process.lines) if process else []:
+                if line.fields.get("event") == "target_leaving":
+                    at = datetime.fromisoformat(line.fields["time"]).timestamp() - offset
+                    heard.setdefault(line.fields["target"], []).append(at)
+    return heard
+
+
+def leaving_rows(segment: Segment) -> list[dict[str, Any]]:
+    """Build one row per target that left in a segment."""
+    arrivals: Times = {}
+    announced: Times = {}
+    for ledger in segment.ledgers:
+        arrivals.setdefault(ledger["target"], []).extend(ledger["arrivals"])
+        announced.setdefault(ledger["target"], []).extend(ledger["announcements"])
+    return [
+        leaving_row(event, sorted(arrivals.get(event.subject, [])), segment.heard, announced)
+        for event in segment.events
+        if event.what in TARGET_EVENTS
+    ]
+
+
+def leaving_row(
+    event: Event, arrivals: list[float], heard: Times, announced: Times
+) -> dict[str, Any]:
+    """Describe one target's leave and return; times are seconds."""
+    reached_at = signal_reached_at(event, heard, announced)
+    origin = event.at if reached_at is None else reached_at
+    late = [at - origin for at in arrivals if origin < at <= event.ended_at]
+    return {
+        "target": event.subject,
+        "what": event.what,
+        "signal": event.signal,
+        "heard": reached_at is not None,
+        "signal_reached_s": round(origin - event.at, 3),
+        "last_new_request_s": round(max(late, default=0.0), 3),
+        "requests_after_start": len(late),
+        **return_columns(event, arrivals),
+        "fault": event.fault,
+    }
+
+
+def signal_reached_at(event: Event, heard: Times, announced: Times) -> float | None:
+    """Give the time at which the signal first reached a VM; None when it reached none.
+
+    What a target announces counts from its sending; several signals at once count from the first.
+    """
+    match event.signal:
+        case "list":
+            times = heard.get(event.subject, [])
+        case "answers" | "refusals":
+            times = announced.get(event.subject, [])
+        case _:
+            return event.at
+    return min((at for at in times if event.at <= at <= event.ended_at), default=None)
+
+
+def return_columns(event: Event, arrivals: list[float]) -> dict[str, float | None]:
+    """Describe the requests of a target after its return, compared with its usual rate.
+
+    `first_request_s` and `restored_s` count from the listing of the next incarnation and are None
+    when no such time came. `first_share` is the part of its usual requests that it got at first.
+    """
+    usual = sum(event.at - USUAL_S <= at < event.at for at in arrivals) / USUAL_S
+    after = [at for at in arrivals if at > event.ended_at]
+    if not after or not event.returned_at or not usual:
+        return {"first_request_s": None, "restored_s": None, "first_share": None}
+    first = sum(at < after[0] + FIRST_REQUESTS_S for at in after)
+    restored = restored_at(after, usual)
+    return {
+        "first_request_s": round(max(after[0] - event.returned_at, 0.0), 3),
+        "restored_s": restored and round(max(restored - event.returned_at, 0.0), 3),
+        "first_share": round(first / (usual * FIRST_REQUESTS_S), 3),
+    }
+
+
+def restored_at(after: list[float], usual: float) -> float | None:
+    """Give the end of the first window that holds a fair part of the usual requests."""
+    wanted = max(int(usual * RESTORED_SHARE * RESTORED_WINDOW_S), 1)
+    for first, last in zip(after, after[wanted - 1 :], strict=False):
+        if last - first <= RESTORED_WINDOW_S:
+            return last
+    return None
+
+
+def summary(experiment: Experiment, rows: list[dict[str, Any]]) -> tuple[list[str], list[str]]:
+    """Give the figures as key=value words, and what missed its bound."""
+    words: list[str] = []
+    missed: list[str] = []
+    if experiment.max_leaving_s:
+        for signal in sorted({row["signal"] for row in rows if row["signal"]}):
+            chosen = [row for row in rows if row["signal"] == signal]
+            add_leaving(signal, chosen, experiment.max_leaving_s, words, missed)
+    if experiment.max_return_s:
+        add_return(rows, experiment.max_return_s, words, missed)
+    return words, missed
+
+
+def add_leaving(
+    signal: str, rows: list[dict[str, Any]], bound_s: float, words: list[str], missed: list[str]
+) -> None:
+    """Add the figures of one signal; a signal that reached no VM measures nothing."""
+    times = [row["last_new_request_s"] for row in rows]
+    p99 = percentile_s(histogram_of(times))
+    unheard = [row["target"] for row in rows if not row["heard"]]
+    words.append(f"leaving_{signal}_targets={len(rows)}")
+    words.append(f"leaving_{signal}_p99_s={p99:.3f}")
+    words.append(f"leaving_{signal}_max_s={max(times):.3f}")
+    if max(times) > bound_s:
+        missed.append(f"signal {signal}: a new request after {max(times):.3f} s, bound {bound_s} s")
+    if unheard:
+        missed.append(f"signal {signal} of {', '.join(unheard)} reached no VM")
+
+
+def percentile_s(histogram: HdrHistogram) -> float:
+    """Read the p99 in seconds."""
+    return histogram.get_value_at_percentile(99.0) / 1e6
+
+
+def add_return(
+    rows: list[dict[str, Any]], bound_s: float, words: list[str], missed: list[str]
+) -> None:
+    """Add the figures of the returns: none may be late, and none may begin with a burst."""
+    lost = [row["target"] for row in rows if row["restored_s"] is None]
+    back = [row for row in rows if row["restored_s"] is not None]
+    if lost:
+        missed.append(f"got no fair share after the return: {', '.join(lost)}")
+    if not back:
+        return
+    slowest = max(row["restored_s"] for row in back)
+    share = max(row["first_share"] for row in back)
+    words.append(f"first_request_max_s={max(row['first_request_s'] for row in back):.3f}")
+    words.append(f"restored_max_s={slowest:.3f}")
+    words.append(f"first_share_max={share:.3f}")
+    if slowest > bound_s:
+        missed.append(f"a returned target waited {slowest:.3f} s for its share, bound {bound_s} s")
+    if share > 1.0:
+        missed.append(f"a returned target began with {share:.2f} times its usual requests")
--- a/poplarlane/bench/main.py
+++ b/poplarlane/bench/main.py
@@ -82,7 +82,7 @@
             self.line(f"failed: {text}")
         for text in run.tally.examples:
             self.line(f"violated: {text}")
-        self.line(run.tally.line())
+        self.line(run.line())
         return 0 if run.passed() else 1
 
 
--- a/poplarlane/bench/report.py
+++ b/poplarlane/bench/report.py
@@ -97,12 +97,14 @@
 def drain_table(drains: list[dict[str, Any]]) -> list[str]:
     """Show how long leaving targets still received requests."""
     lines = [
-        "| policy | target | how | last new request after s | requests after start | fault |",
-        "|---|---|---|---|---|---|",
+        "| policy | target | how | last new request after s | requests after start "
+        "| share restored after s | first share | fault |",
+        "|---|---|---|---|---|---|---|---|",
     ]
     for row in drains:
         lines.append(
-            f"| {row['policy']} | {row['target']} | {row['what']} | {row['last_new_request_s']} "
-            f"| {row['requests_after_start']} | {row['fault']} |"
+            f"| {row['policy']} | {row['target']} | {row['what']} {row['signal']} "
+            f"| {row['last_new_request_s']} | {row['requests_after_start']} "
+            f"| {row['restored_s']} | {row['first_share']} | {row['fault']} |"
         )
     return lines
--- a/poplarlane/bench/results.py
+++ b/poplarlane/bench/results.py
@@ -30,6 +30,7 @@
         "records",
         "ledgers",
         "events",
+        "heard",
         "entry_cpu_s",
         "agent_cpu_s",
         "proxy_counts",
@@ -45,6 +46,8 @@
         self.records: list[Record] = []
         self.ledgers: list[dict[str, Any]] = []
         self.events: list[Event] = []
+        # When VMs learned that a target is leaving, by target.
+        self.heard: dict[str, list[float]] = {}
         self.entry_cpu_s = 0.0
         self.agent_cpu_s = 0.0
         self.proxy_counts: dict[str, int] = {}
@@ -235,28 +238,3 @@
     counted = histogram_of([counted_latency_s(record, segment.layout) for record in records])
     over = quantiles(counted)["p99_ms"] / bound if bound else None
     return {"bound_p99_ms": bound, "p99_over_bound": over and round(over, 3)}
-
-
-def drain_rows(segment: Segment) -> list[dict[str, Any]]:
-    """Tell how long after the start of its drain each target still received requests."""
-    rows = []
-    for event in segment.events:
-        if event.what not in ("drain_target", "stop_target"):
-            continue
-        late = [
-            at - event.at
-            for ledger in segment.ledgers
-            if ledger["target"] == event.subject
-            for at in ledger["arrivals"]
-            if event.at < at <= event.ended_at
-        ]
-        rows.append(
-            {
-                "target": event.subject,
-                "what": event.what,
-                "last_new_request_s": round(max(late, default=0.0), 3),
-                "requests_after_start": len(late),
-                "fault": event.fault,
-            }
-        )
-    return rows
--- a/poplarlane/bench/runner.py
+++ b/poplarlane/bench/runner.py
@@ -13,16 +13,18 @@
 import psutil
 
 from poplarlane.bench.actions import Schedule
+from poplarlane.bench.aims import check_aims
 from poplarlane.bench.checks import Tally, check_segment
 from poplarlane.bench.experiment import Experiment, LayoutPlan, Variant, segment_variants
 from poplarlane.bench.fleet import Fleet
+from poplarlane.bench.leaving import leaving_rows, summary, times_heard
 from poplarlane.bench.ledgers import collect_ledgers, proxy_counts
 from poplarlane.bench.load_worker import ANSWER_GRACE_S
 from poplarlane.bench.plots import plot_over_time, plot_percentiles
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.records import RECORDS_DECODER, WorkerPlan
 from poplarlane.bench.report import markdown
-from poplarlane.bench.results import Segment, drain_rows, segment_rows
+from poplarlane.bench.results import Segment, segment_rows
 
 # Workers need this long to start and to draw their arrivals.
 LEAD_S = 2.0
@@ -46,6 +48,8 @@
         self.rows: list[dict[str, Any]] = []
         self.drains: list[dict[str, Any]] = []
         self.faults: list[str] = []
+        # Figures of the verdict line beside the tally.
+        self.words: list[str] = []
         # What the proxy did up to the end of each segment: shows that the faults took effect.
         self.injected: list[dict[str, Any]] = []
         self.segments: list[Segment] = []
@@ -63,6 +67,12 @@
         for layout in self.layouts:
             with Launcher() as launcher:
                 self.run_layout(launcher, layout)
+        self.words, missed = summary(self.experiment, self.drains)
+        self.faults += missed + check_aims(self.experiment.aims, self.rows)
+
+    def line(self) -> str:
+        """Give the verdict line with every figure of the run."""
+        return " ".join([self.tally.line(), *self.words])
 
     def run_layout(self, launcher: Launcher, layout: LayoutPlan) -> None:
         """Run the rounds of one layout on the same targets and agents."""
@@ -96,6 +106,7 @@
         schedule.restore()
         segment.ledgers = collect_ledgers(fleet)
         segment.proxy_counts = proxy_counts(fleet)
+        segment.heard = times_heard(fleet)
         fleet.end_entries()
         self.conclude(segment, schedule)
 
@@ -193,7 +204,7 @@
                 segment.agent_cpu_s / duration_s / segment.layout.entries, 4
             )
             self.rows.append(row)
-        self.drains.extend({"policy": segment.variant, **row} for row in drain_rows(segment))
+        self.drains.extend({"policy": segment.variant, **row} for row in leaving_rows(segment))
         self.faults.extend(schedule.faults)
         self.faults.extend(
             f"{event.what} {event.subject}: {event.fault}"
@@ -210,7 +221,7 @@
         document = {
             "experiment": self.experiment.name,
             "command": command,
-            "checks": self.tally.line(),
+            "checks": self.line(),
             "cut_by_kills": self.tally.excused,
             "examples": self.tally.examples,
             "faults_of_the_run": self.faults,
--- a/poplarlane/standins/http_server.py
+++ b/poplarlane/standins/http_server.py
@@ -134,7 +134,7 @@
         if self.transport.is_closing():
             return
         headers = [*headers, ("content-length", str(len(body)))]
-        if close:
+        if close or self.server.closing:
             headers.append(("connection", "close"))
         data = self.parser.send(h11.Response(status_code=status, headers=headers))
         # An answer to HEAD has the length of a body and none.
@@ -174,6 +174,7 @@
         "opened_connections",
         "refused_connections",
         "listener",
+        "closing",
     )
 
     def __init__(
@@ -185,14 +186,25 @@
         self.opened_connections = 0
         self.refused_connections = 0
         self.listener: asyncio.Server | None = None
+        # Whether each connection is closed after its next answer.
+        self.closing = False
 
     async def listen(self, address: str, port: int) -> None:
         """Start to accept connections."""
+        self.closing = False
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
             lambda: HttpConnection(self), address, port, backlog=1024
         )
 
+    def close_idle(self) -> None:
+        """Stop accepting, close idle connections now and busy ones after their answers."""
+        self.listener.close()
+        self.closing = True
+        for connection in list(self.connections):
+            if connection.exchange is None:
+                connection.transport.close()
+
     def close(self) -> None:
         """Stop accepting and close every connection."""
         self.listener.close()
--- a/poplarlane/standins/target.py
+++ b/poplarlane/standins/target.py
@@ -23,6 +23,7 @@
     Execution,
     Job,
     Slots,
+    deadline_of,
     service_time_s,
 )
 
@@ -54,6 +55,9 @@
         self.refusals = 0
         self.dropped_in_queue = 0
         self.open_work = 0
+        # Per drain, the time of the first answer that said that the target is leaving.
+        self.announcements: list[float] = []
+        self.server: HttpServer | None = None
 
     def handle(self, exchange: Exchange) -> None:
         """Route one request; control paths have neither delay nor cost."""
@@ -87,6 +91,7 @@
 
     def answer(self, exchange: Exchange, status: int, headers: list, body: bytes) -> None:
         """Answer with the load report, after the network delay."""
+        refused = ("x-not-run", "1") in headers
         in_flight, queued = self.current_report()
         headers = [
             *headers,
@@ -95,8 +100,10 @@
             ("x-load", f"in_flight={in_flight};queued={queued}"),
             ("x-body-crc", f"{zlib.crc32(body):08x}"),
         ]
-        if self.drain_started_at < math.inf:
+        if self.drain_started_at < math.inf and (refused or self.switches.announce == "answers"):
             headers.append(("x-leaving", "1"))
+            if not self.announcements or self.announcements[-1] < self.drain_started_at:
+                self.announcements.append(self.loop.time())
         delay_s = self.one_way_s(exchange)
         if delay_s > 0:
             self.loop.call_later(delay_s, exchange.reply, status, headers, body)
@@ -153,7 +160,7 @@
             self.end_execution(execution, ENDED_FAILED)
             self.answer(exchange, 500, [], b"failed at once")
             return
-        self.submit(exchange, execution, deadline_of(exchange))
+        self.submit(exchange, execution, deadline_of(exchange.headers, exchange.received_at))
 
     def submit(self, exchange: Exchange, execution: Execution, deadline: float) -> None:
         """Run a request in a slot."""
@@ -316,8 +323,17 @@
             self.drain_started_at = math.inf
         elif self.drain_started_at == math.inf:
             self.drain_started_at = now
+        if switches.closed_ms > 0 and self.switches.closed_ms <= 0:
+            asyncio.ensure_future(self.close_for_a_while(switches.closed_ms / 1000))
         self.switches = switches
 
+    async def close_for_a_while(self, closed_s: float) -> None:
+        """Close the listener and idle connections, and accept again later."""
+        self.server.close_idle()
+        await asyncio.sleep(closed_s)
+        await self.server.listen(self.settings.listen_address, self.settings.listen_port)
+        self.switches = msgspec.structs.replace(self.switches, closed_ms=0.0)
+
     def clear_ledger(self) -> None:
         """Forget what has been read."""
         self.ledger.clear()
@@ -339,6 +355,7 @@
             "arrivals": self.arrivals,
             "accepted_arrivals": self.accepted_arrivals,
             "drain_started_at": None if drain == math.inf else drain,
+            "announcements": self.announcements,
             "probes": self.probes,
             "probe_time_s": self.probe_time_s,
             "refusals": self.refusals,
@@ -348,14 +365,6 @@
         }
 
 
-def deadline_of(exchange: Exchange) -> float:
-    """Turn the remaining milliseconds on the wire into an instant."""
-    try:
-        return exchange.received_at + int(exchange.headers["x-deadline-ms"]) / 1000
-    except (KeyError, ValueError):
-        return math.inf
-
-
 async def drain_and_stop(target: Target, server: HttpServer) -> None:
     """Refuse new requests, finish the running ones, and leave when the entries have left."""
     target.apply(msgspec.structs.replace(target.switches, drain=True))
@@ -376,7 +385,7 @@
 
     async def start():
         target = Target(settings)
-        server = HttpServer(target.handle, settings.max_connections)
+        server = target.server = HttpServer(target.handle, settings.max_connections)
         await server.listen(settings.listen_address, settings.listen_port)
 
         async def stop() -> None:
--- a/poplarlane/standins/target_switches.py
+++ b/poplarlane/standins/target_switches.py
@@ -1,6 +1,7 @@
 """Switches of the stand-in target and its load report."""
 
 from collections import deque
+from typing import Literal
 
 import msgspec
 
@@ -11,7 +12,9 @@
     """Hold what `POST /_control` can change.
 
     `fail_fast` and `shed` are shares of requests. `drain` announces itself in answers for
-    `drain_notice_ms`, after which new requests are refused. `report` is the mode of the load
+    `drain_notice_ms`, after which new requests are refused; with `announce` set to `refusals` only
+    the refusals say that the target is leaving. `closed_ms` closes the listener for that time and
+    every connection once it is idle. `report` is the mode of the load
     report: `true`, `frozen` (the report of the time of the change) or `lying` (always
     `lie_in_flight`).
     """
@@ -22,6 +25,8 @@
     shed_above_queue: int = -1
     drain: bool = False
     drain_notice_ms: float = 0.0
+    announce: Literal["answers", "refusals"] = "answers"
+    closed_ms: float = 0.0
     cold_start_ms: float = 0.0
     cold_factor: float = 1.0
     report: str = "true"
--- a/poplarlane/standins/target_work.py
+++ b/poplarlane/standins/target_work.py
@@ -147,6 +147,14 @@
         job.on_expired(self.cancel(job))
 
 
+def deadline_of(headers: dict[str, str], received_at: float) -> float:
+    """Turn the remaining milliseconds on the wire into an instant."""
+    try:
+        return received_at + int(headers["x-deadline-ms"]) / 1000
+    except (KeyError, ValueError):
+        return math.inf
+
+
 def service_time_s(quantile: float, distribution: str, mean_s: float) -> float:
     """Give the quantile in [0, 1) of a service time with the given mean."""
     match distribution:
