Disbelieve a report below the entry's own outstanding requests

Cause: a target that always reports no load attracted requests from every entry until each had 16 equal reports; the adaptive policy was then worse than least_outstanding. Change: a report that is below the number of requests of this entry that have been at the target for more than 10 ms cannot be true, and counts as frozen until the target reports another number. Test: a scenario in target_health.feature fails without the change.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -288,6 +288,33 @@
     context.watched.review()
 
 
+@when("one target reports 1 request in flight while 2 of this entry have long been there")
+def step_impossible_report(context):
+    watched = context.watched
+    context.load = watched.loads[6]
+    for number in range(2):
+        health.observe_sent(context.load, 10**9 + number, watched.now)
+    report_later(context, 1.0)
+
+
+@when("it reports 2 requests in flight instead")
+def step_possible_report(context):
+    report_later(context, 2.0)
+
+
+def report_later(context, in_flight):
+    """Let the target report, long enough after the requests that they have arrived."""
+    watched = context.watched
+    watched.now += 0.06
+    health.observe_report(context.load, in_flight, watched.now, watched.now)
+    watched.review()
+
+
+@then("its reports are believed")
+def step_believed(context):
+    assert context.load.reports_believed
+
+
 @then("its reports are not believed")
 def step_not_believed(context):
     assert not context.load.reports_believed
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -61,6 +61,14 @@
     When one target answers 3 times slower and reports less load than the others
     Then its reports are not believed
 
+  Scenario: A report below the entry's own outstanding requests is not believed
+    A target that always reports no load attracted requests from 24 entries until each had 16 answers.
+    Given 17 targets that one entry has used for 20 seconds
+    When one target reports 1 request in flight while 2 of this entry have long been there
+    Then its reports are not believed
+    When it reports 2 requests in flight instead
+    Then its reports are believed
+
   Scenario: A target that sheds is paused, longer each time, and is not called faulty
     Given 17 targets that one entry has used for 20 seconds
     When one target refuses 3 requests as not run
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -30,6 +30,10 @@
 MAX_PEER_DOUBT = 4.9
 MAX_PEER_DOUBT_IF_SLOW = 3.9
 MIN_OWN_DOUBT = 1.0
+# In a busy service the same number in this many reports in a row shows that it is not measured.
+FROZEN_REPORTS = 16
+# A request that is outstanding for longer has reached its target, connection set-up included.
+ARRIVAL_SLACK_S = 0.01
 SHED_PAUSE_S = 0.05
 MAX_SHED_PAUSE_S = 1.0
 # A refusal shows that the target was full; it counts as this many requests per reported one.
@@ -191,11 +195,20 @@
         return
     same = in_flight == load.reported_in_flight
     load.report_repeats = load.report_repeats + 1 if same else 0
+    if len(load.sent_at) > in_flight and in_flight < arrived_before(load, at):
+        # It cannot be true: not even this entry's own requests are counted.
+        load.report_repeats = max(load.report_repeats, FROZEN_REPORTS)
     load.reported_in_flight = in_flight
     load.reported_at = at
     load.sent_since_report = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
 
 
+def arrived_before(load: TargetLoad, at: float) -> int:
+    """Count the outstanding requests that must have been at the target at an instant."""
+    limit = at - load.distance_s - ARRIVAL_SLACK_S
+    return sum(1 for sent_at in load.sent_at.values() if sent_at <= limit)
+
+
 def observe_probe(load: TargetLoad, in_flight: float, at: float, now: float) -> None:
     """Record a probe result that was true at `at`.
 
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -8,6 +8,7 @@
 
 from poplarlane.decisions import verdicts
 from poplarlane.decisions.evidence import (
+    FROZEN_REPORTS,
     LATENCY_MEMORY_S,
     ServiceHealth,
     current_doubt,
@@ -53,8 +54,6 @@
 PENALTY_TYPICAL = 1.0
 # Differences below two standard errors of an exponential latency are treated as noise.
 NOISE_STANDARD_ERRORS = 2.0
-# In a busy service the same number in this many reports in a row shows that it is not measured.
-FROZEN_REPORTS = 16
 
 
 def review(service: ServiceHealth, loads: list[TargetLoad], now: float) -> list[TargetLoad]:
