--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -61,6 +61,14 @@
     When one target answers 3 times slower and reports less load than the others
     Then its reports are not believed
 
+  Scenario: A report below the entry's own outstanding requests is not believed
+    A target that always reports no load attracted requests from 24 entries until each had 16 answers.
+    Given 17 targets that one entry has used for 20 seconds
+    When one target reports 1 request in flight while 2 of this entry have long been there
+    Then its reports are not believed
+    When it reports 2 requests in flight instead
+    Then its reports are believed
+
   Scenario: A target that sheds is paused, longer each time, and is not called faulty
     Given 17 targets that one entry has used for 20 seconds
     When one target refuses 3 requests as not run
@@ -75,6 +83,13 @@
 
   Scenario: A target that joins a running service or restarts gets a growing share
     24 entries that send a cold target its full share at once would keep it slow.
-    Given an entry whose service runs on 3 targets
+    Given an entry whose service runs on 3 targets, one of which is leaving
     When a fourth target is configured and the first one returns from a restart
     Then both are ramped up, the others keep their share, and nothing old is held against them
+
+  Scenario: A target that restarted without having said that it leaves is judged anew
+    A target whose connections closed is avoided; its trials alone would return it only in seconds.
+    Given an entry whose service runs on 3 targets
+    And the first one is avoided because it refused connections
+    When the first one returns from a restart
+    Then it is ramped up, and nothing old is held against it
