--- a/poplarlane/decisions/pauses.py
+++ b/poplarlane/decisions/pauses.py
@@ -12,7 +12,7 @@
 )
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import hello
-from poplarlane.decisions.requests import end_attempt, enqueue, send_queued
+from poplarlane.decisions.requests import end_attempt, enqueue, use_room
 
 # An agent that was paused with its entry compares its view with peers in this time, also with 20%
 # loss. After it the entry serves by the view that it has, as it does without an agent.
@@ -68,4 +68,4 @@
     release(state)
     for service in state.services.values():
         draw = next_draw(draw)
-        send_queued(state, service, now, draw, effects)
+        use_room(state, service, now, draw, effects)
