Send no request on an idle connection that its target has closed

Cause: while the event loop was busy, a request could be written to a pooled connection whose end had arrived but was not read yet; the outcome of a booking was then unknown (code 1300). Change: the pool polls an idle connection before it is used. The stand-in target, which reset connections with an unread request when it closed idle ones, counts these as busy. Test: a scenario in entry_requests.feature fails with code 1300 without the change to the pool. The bench also tells who heard last that a target leaves, and takes the first share of a returned target from the time at which the first entry took it back.

--- a/features/entry_requests.feature
+++ b/features/entry_requests.feature
@@ -78,6 +78,12 @@
     When two signals reach the entry while 3 reads run
     Then the entry logs 3 cut requests and exits with status 0
 
+  Scenario: A booking is not written to a connection that its target has closed
+    A busy entry reads a request before it sees the end of an idle connection; the outcome was unknown.
+    Given an entry before 1 stand-in target
+    When the target closes its connections after a booking reached the stopped entry
+    Then that booking is answered with status 200 and was executed once
+
   Scenario: Planned restarts of an entry cut no request of a steady load
     Given an entry before 2 stand-in targets
     When the entry is replaced 3 times by one on the same port during a steady load
--- a/poplarlane/bench/leaving.py
+++ b/poplarlane/bench/leaving.py
@@ -1,5 +1,6 @@
 """How long leaving targets still get new requests, and how they get traffic after their return."""
 
+import math
 import time
 from datetime import datetime
 from typing import Any
@@ -20,22 +21,34 @@
 # Entries give a returned target a growing share for this long.
 FIRST_REQUESTS_S = 2.0
 
+LOGGED_EVENTS = ("target_leaving", "target_returned")
+
 Times = dict[str, list[float]]
+# Times at which processes logged an event about a target, by event and target.
+Heard = dict[tuple[str, str], list[tuple[float, str]]]
 
 
-def times_heard(fleet: Fleet) -> Times:
-    """Read from the logs when VMs learned that a target is leaving, in CLOCK_MONOTONIC."""
+def times_heard(fleet: Fleet) -> Heard:
+    """Read from the logs when processes learned that targets leave or return (CLOCK_MONOTONIC)."""
     offset = time.time() - time.monotonic()
-    heard: Times = {}
+    heard: Heard = {}
     for vm in fleet.vms:
         for process in (vm.agent, vm.entry):
             for line in list(process.lines) if process else []:
-                if line.fields.get("event") == "target_leaving":
+                event = line.fields.get("event")
+                if event in LOGGED_EVENTS:
                     at = datetime.fromisoformat(line.fields["time"]).timestamp() - offset
-                    heard.setdefault(line.fields["target"], []).append(at)
+                    heard.setdefault((event, line.fields["target"]), []).append((at, process.name))
     return heard
 
 
+def heard_between(
+    heard: Heard, event: str, target: str, start: float, end: float
+) -> list[tuple[float, str]]:
+    """List who logged an event about a target within a span of time, in order of time."""
+    return sorted(item for item in heard.get((event, target), []) if start <= item[0] <= end)
+
+
 def leaving_rows(segment: Segment) -> list[dict[str, Any]]:
     """Build one row per target that left in a segment."""
     arrivals: Times = {}
@@ -51,9 +64,10 @@
 
 
 def leaving_row(
-    event: Event, arrivals: list[float], heard: Times, announced: Times
+    event: Event, arrivals: list[float], heard: Heard, announced: Times
 ) -> dict[str, Any]:
-    """Describe one target's leave and return; times are seconds."""
+    """Describe one target's leave and return in seconds; `last_heard` names who was last."""
+    learned = heard_between(heard, "target_leaving", event.subject, event.at, event.ended_at)
     reached_at = signal_reached_at(event, heard, announced)
     origin = event.at if reached_at is None else reached_at
     late = [at - origin for at in arrivals if origin < at <= event.ended_at]
@@ -65,19 +79,22 @@
         "signal_reached_s": round(origin - event.at, 3),
         "last_new_request_s": round(max(late, default=0.0), 3),
         "requests_after_start": len(late),
-        **return_columns(event, arrivals),
+        "processes_heard": len(learned),
+        "last_heard_s": round(learned[-1][0] - origin, 3) if learned else None,
+        "last_heard": learned[-1][1] if learned else "",
+        **return_columns(event, arrivals, heard),
         "fault": event.fault,
     }
 
 
-def signal_reached_at(event: Event, heard: Times, announced: Times) -> float | None:
+def signal_reached_at(event: Event, heard: Heard, announced: Times) -> float | None:
     """Give the time at which the signal first reached a VM; None when it reached none.
 
     What a target announces counts from its sending; several signals at once count from the first.
     """
     match event.signal:
         case "list":
-            times = heard.get(event.subject, [])
+            times = [at for at, _ in heard.get(("target_leaving", event.subject), [])]
         case "answers" | "refusals":
             times = announced.get(event.subject, [])
         case _:
@@ -85,17 +102,19 @@
     return min((at for at in times if event.at <= at <= event.ended_at), default=None)
 
 
-def return_columns(event: Event, arrivals: list[float]) -> dict[str, float | None]:
+def return_columns(event: Event, arrivals: list[float], heard: Heard) -> dict[str, float | None]:
     """Describe the requests of a target after its return, compared with its usual rate.
 
     `first_request_s` and `restored_s` count from the listing of the next incarnation and are None
-    when no such time came. `first_share` is the part of its usual requests that it got at first.
+    when no such time came. `first_share` is the part of its usual requests that it got while the
+    first entry that took it back raised its share.
     """
     usual = sum(event.at - USUAL_S <= at < event.at for at in arrivals) / USUAL_S
     after = [at for at in arrivals if at > event.ended_at]
-    if not after or not event.returned_at or not usual:
+    returned = heard_between(heard, "target_returned", event.subject, event.ended_at, math.inf)
+    if not after or not event.returned_at or not usual or not returned:
         return {"first_request_s": None, "restored_s": None, "first_share": None}
-    first = sum(at < after[0] + FIRST_REQUESTS_S for at in after)
+    first = sum(0.0 <= at - returned[0][0] < FIRST_REQUESTS_S for at in after)
     restored = restored_at(after, usual)
     return {
         "first_request_s": round(max(after[0] - event.returned_at, 0.0), 3),
--- a/poplarlane/bench/results.py
+++ b/poplarlane/bench/results.py
@@ -46,8 +46,8 @@
         self.records: list[Record] = []
         self.ledgers: list[dict[str, Any]] = []
         self.events: list[Event] = []
-        # When VMs learned that a target is leaving, by target.
-        self.heard: dict[str, list[float]] = {}
+        # Who learned when that a target leaves or returns, by event and target.
+        self.heard: dict[tuple[str, str], list[tuple[float, str]]] = {}
         self.entry_cpu_s = 0.0
         self.agent_cpu_s = 0.0
         self.proxy_counts: dict[str, int] = {}
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -1,6 +1,7 @@
 """The targets' side of an entry: pooled h11 client connections."""
 
 import asyncio
+import select
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -262,6 +263,18 @@
             exchange.connection = None
             self.shell.exchange_failed(exchange, cause, detail)
 
+    def is_open(self) -> bool:
+        """Tell whether an idle connection can carry a request.
+
+        The target may have closed it while the event loop was busy; a booking that is written then
+        has an unknown outcome. Nothing else may arrive on an idle connection either.
+        """
+        if self.closed or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return not poll.poll(0)
+
     def abort(self) -> None:
         """Close the connection without reuse."""
         self.reusable = False
@@ -300,7 +313,7 @@
         """Take an idle connection."""
         while self.idle:
             connection = self.idle.pop()
-            if not connection.closed and not connection.transport.is_closing():
+            if connection.is_open():
                 return connection
         return None
 
--- a/poplarlane/standins/http_server.py
+++ b/poplarlane/standins/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -149,6 +150,12 @@
             self.parser.start_next_cycle()
             self.read_events()
 
+    def has_input(self) -> bool:
+        """Tell whether bytes or an end of stream wait to be read."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         """Reset the connection."""
         peer = self.transport.get_extra_info("socket")
@@ -198,11 +205,14 @@
         )
 
     def close_idle(self) -> None:
-        """Stop accepting, close idle connections now and busy ones after their answers."""
+        """Stop accepting, close idle connections now and busy ones after their answers.
+
+        A connection whose next request has arrived but was not read yet counts as busy.
+        """
         self.listener.close()
         self.closing = True
         for connection in list(self.connections):
-            if connection.exchange is None:
+            if connection.exchange is None and not connection.has_input():
                 connection.transport.close()
 
     def close(self) -> None:
