Judge a restarted target anew even if its first incarnation was never told

Cause: an entry that started before its agent had read the list of VMs did not know a target's incarnation, so the next one was the first that it heard of and an avoided target waited for its trials. Test: the scenario in target_health.feature is an outline over both cases.

--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -363,10 +363,10 @@
     return ViewReceived(now, 1, view)
 
 
-@given("an entry whose service runs on 3 targets")
+@given("an entry whose service runs on 3 targets and that heard of their incarnations")
 def step_running(context, standing="live"):
     context.state = EntryState("entry-1", 1)
-    members = [MemberNotice("t-0", "target", 1, standing, 0.0, "list")]
+    members = [MemberNotice("t-0", "target", 1, standing, 0.0, "list")] if standing else []
     reduce(view_event(100.0, 1, 3, members), context.state)
     service = context.state.services["s"]
     service.health.typical_s = SERVICE_S
@@ -380,6 +380,11 @@
     step_running(context, "leaving")
 
 
+@given("an entry whose service runs on 3 targets and that did not hear of their incarnations")
+def step_running_unheard(context):
+    step_running(context, "")
+
+
 @given("the first one is avoided because it refused connections")
 def step_refused_connections(context):
     service = context.state.services["s"]
--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -87,9 +87,14 @@
     When a fourth target is configured and the first one returns from a restart
     Then both are ramped up, the others keep their share, and nothing old is held against them
 
-  Scenario: A target that restarted without having said that it leaves is judged anew
+  Scenario Outline: A target that restarted without having said that it leaves is judged anew
     A target whose connections closed is avoided; its trials alone would return it only in seconds.
-    Given an entry whose service runs on 3 targets
+    Given an entry whose service runs on 3 targets and that <heard> of their incarnations
     And the first one is avoided because it refused connections
     When the first one returns from a restart
     Then it is ramped up, and nothing old is held against it
+
+    Examples:
+      | heard         |
+      | heard         |
+      | did not hear  |
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -238,7 +238,9 @@
         state.members[notice.name] = (notice.incarnation, leaving)
         # The first fact about a target does not undo what its answers already said. A target may
         # also restart without having said that it leaves; trials alone would return it in seconds.
-        if not leaving and incarnation >= 0:
+        # Agents tell a running entry of live targets only when their incarnation changed.
+        known = incarnation >= 0
+        if not leaving and (known or is_avoided(state, notice.name)):
             restore(state, notice.name, effects)
     if leaving and not was_leaving or notice.incarnation > incarnation and leaving:
         state.members[notice.name] = (notice.incarnation, True)
@@ -250,6 +252,12 @@
                 mark_leaving(state, target, notice.source, effects)
 
 
+def is_avoided(state: EntryState, name: str) -> bool:
+    """Tell whether a target that is not leaving is avoided in any service."""
+    loads = [service.loads[name] for service in state.services.values() if name in service.loads]
+    return any(load.verdict is Verdict.AVOIDED and not load.leaving for load in loads)
+
+
 def restore(state: EntryState, name: str, effects: list[Effect]) -> None:
     """Take a restarted target back and restore its connections."""
     mark_returned(state, name)
