Test the empty bucket of a former holder and the kernel's limit on a probe's flight

Cause: with the line taken out that empties the bucket for targets known from an earlier grant, all scenarios passed. The limit that the kernel sets on unacknowledged bytes had no test at all.

Change: the successor in the handovers knows every other target from an earlier grant. The scenario on the check before the send also reads TCP_USER_TIMEOUT of the probe's connection.

--- a/features/control_handover.py
+++ b/features/control_handover.py
@@ -3,6 +3,7 @@
 from features.control_grant_contention import ContendingAgent, World, make_service
 from poplarlane.decisions import agent_effects as effects
 from poplarlane.decisions import agent_events as events
+from poplarlane.decisions import probe_schedule
 from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S
 
 SERVICE = "handed-over"
@@ -56,8 +57,10 @@
         self.start_second()
 
     def start_second(self) -> None:
-        """Start the second agent."""
+        """Start the second agent, which knows every other target from an earlier grant."""
         self.second = ContendingAgent("second", 2, self, FAST_CLOCK)
+        self.second.hold(make_service(SERVICE, 0, TARGETS[::2], self.rate), 0.0)
+        probe_schedule.start_term(self.second.state, probe_schedule.shard_of(SERVICE))
         self.configure(self.second)
         self.second.later(self.now + SHORT_S, self.drive_second)
 
--- a/features/control_probe_rules.feature
+++ b/features/control_probe_rules.feature
@@ -52,6 +52,7 @@
     Given a target that records the probes that it gets
     When a probe is made whose grant ends while the connection is opened, and one in time
     Then the target got only the probe in time
+    And the kernel drops a probe that is not acknowledged within 1000 ms
 
   Scenario: Holders spread evenly, and a shard without services that may be probed has none
     # Guards against one agent that holds many shards, and against grants that nobody needs.
--- a/features/steps/control_shard_steps.py
+++ b/features/steps/control_shard_steps.py
@@ -1,6 +1,8 @@
 """Steps about the grants of shards: handovers, even spread, many targets, the last check."""
 
 import asyncio
+import os
+import socket
 from collections import Counter
 
 from behave import given, then, when
@@ -10,7 +12,12 @@
 from poplarlane.decisions import agent_effects as effects
 from poplarlane.decisions import agent_events as events
 from poplarlane.decisions.grants import candidates
-from poplarlane.decisions.probe_schedule import GRANT_SHARDS, shard_of
+from poplarlane.decisions.probe_schedule import (
+    GRANT_SHARDS,
+    MAX_PROBE_FLIGHT_S,
+    PROBE_TIMEOUT_S,
+    shard_of,
+)
 from poplarlane.decisions.reducer import reduce
 from poplarlane.plumbing.probe_client import probe
 
@@ -65,22 +72,51 @@
     """Probe a recording server with a grant that ends at 1.5 by a clock of whole seconds."""
 
     async def serve(reader, writer):
-        context.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        try:
+            context.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The probe was withheld and its connection reset.
+            writer.close()
+            return
         writer.write(b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n")
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     context.outcomes = []
+    context.flight_limits = []
     for times in ([1.0, 2.0, 3.0], [1.0, 1.0, 3.0]):
         clock = iter(times).__next__
-        in_grant = lambda now: now < 1.5  # noqa: E731
-        outcome = await probe("127.0.0.1", port, "127.0.0.1", 2.0, clock, in_grant)
+
+        def in_grant(now):
+            context.flight_limits.append(flight_limit_ms(port))
+            return now < 1.5
+
+        outcome = await probe("127.0.0.1", port, "127.0.0.1", PROBE_TIMEOUT_S, clock, in_grant)
         context.outcomes.append(outcome)
     server.close()
     await server.wait_closed()
 
 
+def flight_limit_ms(port):
+    """Read after what time the kernel drops unacknowledged bytes of this process to a port."""
+    for number in os.listdir("/proc/self/fd"):
+        try:
+            with socket.socket(fileno=os.dup(int(number))) as copy:
+                if copy.getpeername()[1:2] == (port,):
+                    return copy.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        except OSError:
+            # No socket, or one without a peer.
+            continue
+    return None
+
+
+@then("the kernel drops a probe that is not acknowledged within {limit_ms:d} ms")
+def step_kernel(context, limit_ms):
+    assert context.flight_limits == [limit_ms, limit_ms], context.flight_limits
+    assert PROBE_TIMEOUT_S + limit_ms / 1000 <= MAX_PROBE_FLIGHT_S
+
+
 @then("the target got only the probe in time")
 def step_one_probe(context):
     assert len(context.requests) == 1, context.requests
