Spread the last probes of a lost holder over the end of its grant

Cause: with the allowance for clock drift taken out, the handovers passed: all probes of the first holder left in step, none of them directly before its deadline.

--- a/features/control_handover.py
+++ b/features/control_handover.py
@@ -4,7 +4,7 @@
 from poplarlane.decisions import agent_effects as effects
 from poplarlane.decisions import agent_events as events
 from poplarlane.decisions import probe_schedule
-from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S
+from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
 
 SERVICE = "handed-over"
 SLOW_CLOCK, FAST_CLOCK = 0.9901, 1.0099
@@ -78,9 +78,9 @@
         """Deliver answers to the first agent late."""
         return self.late_answer_s if agent is self.first else SHORT_S
 
-    def connect_s(self, _agent: ContendingAgent) -> float:
-        """Open connections at once."""
-        return SHORT_S
+    def connect_s(self, agent: ContendingAgent) -> float:
+        """Spread the probes of the first agent, so that some leave directly before its deadline."""
+        return self.generator.uniform(SHORT_S, PROBE_TIMEOUT_S) if agent is self.first else SHORT_S
 
     def flight_s(self, agent: ContendingAgent) -> float:
         """Let the probes of the first agent arrive as late, and those of the second as early."""
