--- a/features/control_handover.py
+++ b/features/control_handover.py
@@ -3,7 +3,8 @@
 from features.control_grant_contention import ContendingAgent, World, make_service
 from poplarlane.decisions import agent_effects as effects
 from poplarlane.decisions import agent_events as events
-from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S
+from poplarlane.decisions import probe_schedule
+from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
 
 SERVICE = "handed-over"
 SLOW_CLOCK, FAST_CLOCK = 0.9901, 1.0099
@@ -56,8 +57,10 @@
         self.start_second()
 
     def start_second(self) -> None:
-        """Start the second agent."""
+        """Start the second agent, which knows every other target from an earlier grant."""
         self.second = ContendingAgent("second", 2, self, FAST_CLOCK)
+        self.second.hold(make_service(SERVICE, 0, TARGETS[::2], self.rate), 0.0)
+        probe_schedule.start_term(self.second.state, probe_schedule.shard_of(SERVICE))
         self.configure(self.second)
         self.second.later(self.now + SHORT_S, self.drive_second)
 
@@ -75,9 +78,9 @@
         """Deliver answers to the first agent late."""
         return self.late_answer_s if agent is self.first else SHORT_S
 
-    def connect_s(self, _agent: ContendingAgent) -> float:
-        """Open connections at once."""
-        return SHORT_S
+    def connect_s(self, agent: ContendingAgent) -> float:
+        """Spread the probes of the first agent, so that some leave directly before its deadline."""
+        return self.generator.uniform(SHORT_S, PROBE_TIMEOUT_S) if agent is self.first else SHORT_S
 
     def flight_s(self, agent: ContendingAgent) -> float:
         """Let the probes of the first agent arrive as late, and those of the second as early."""
