--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -33,7 +33,11 @@
         self.aborted = False
         self.reading = True
 
-    def get_extra_info(self, _name):
+    def get_extra_info(self, name):
+        if name == "socket":
+            # An open socket on which nothing has arrived.
+            self.socket, self.peer = socket.socketpair()
+            return self.socket
         return ("127.0.0.1", 1)
 
     def set_write_buffer_limits(self, high):
