Measure the memory of an entry's connections to callers and to targets

Change: `poplarlane-bench capacity entry-by-connections`; the bench's sink can answer late, so that many requests are in flight at once.

--- a/poplarlane/bench/capacity.py
+++ b/poplarlane/bench/capacity.py
@@ -14,7 +14,7 @@
 import psutil
 
 from poplarlane.bench import control_cost, entry_cost
-from poplarlane.bench.processes import Launcher
+from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.publisher import Publisher
 from poplarlane.bench.slopes import Slope, format_slope, write_slope
 
@@ -27,6 +27,12 @@
 CALL_RATES_PER_S = (250.0, 500.0, 750.0, 1_000.0, 1_250.0)
 SAMPLING_RATIOS = (0.0, 0.01, 0.1, 0.5, 1.0)
 SAMPLING_RATE_PER_S = 750.0
+CALLER_CONNECTIONS = (250, 500, 750, 1_000, 1_250, 1_500)
+TARGET_CONNECTIONS = (200, 400, 600, 800, 1_000)
+# Below the deadline of a request, and long enough for all requests of a point to be in flight.
+ANSWER_DELAY_MS = 1_500.0
+SLOTS = 330
+ANSWERS_TIMEOUT_S = 30.0
 CONTROL_SECONDS = 20.0
 RATE_SECONDS = 6.0
 CHANGES_PER_SIZE = 12
@@ -182,12 +188,94 @@
                 "agent_port": entry_cost.PUBLISHER_PORT,
             }
             entry = launcher.start("poplarlane-entry", settings)
-            memory_mb = psutil.Process(entry.popen.pid).memory_info().rss / 1e6
+            points.append((targets, memory_mb(entry)))
             publisher.close()
-        points.append((targets, memory_mb))
     return [Slope("entry-memory-by-targets", "targets", "MB", points)]
 
 
+class HeldBench(entry_cost.Bench):
+    """Run targets that answer late and accept many requests at once."""
+
+    def __init__(self, launcher: Launcher, seed: int) -> None:
+        super().__init__(launcher, seed, ANSWER_DELAY_MS)
+
+    def service(self) -> dict[str, Any]:
+        """Allow each target as many requests as the largest point needs."""
+        limits = {"slots_per_target": SLOTS, "connections_per_target": SLOTS}
+        return super().service() | {"limits": limits}
+
+
+def entry_by_connections(seed: int) -> list[Slope]:
+    """Measure the memory of one entry against its connections to callers and to targets.
+
+    A connection of either side has carried a request, so its part of the peak is included.
+    """
+    with Launcher() as launcher:
+        bench = entry_cost.Bench(launcher, seed)
+        callers = asyncio.run(caller_points(bench))
+        bench.publisher.close()
+    with Launcher() as launcher:
+        bench = HeldBench(launcher, seed)
+        targets = asyncio.run(target_points(bench))
+        bench.publisher.close()
+    return [
+        Slope("entry-memory-by-callers", "connections", "MB", callers),
+        Slope("entry-memory-by-target-connections", "connections", "MB", targets),
+    ]
+
+
+async def caller_points(bench: entry_cost.Bench) -> list[tuple[float, float]]:
+    """Open connections of callers in steps; each makes one request after the other's answer."""
+    points = []
+    count = 0
+    for size in CALLER_CONNECTIONS:
+        clients = await connect_callers(bench, size - count)
+        for client in clients:
+            await ask_at_once([client])
+        count = size
+        points.append((float(size), memory_mb(bench.entry)))
+    return points
+
+
+async def target_points(bench: entry_cost.Bench) -> list[tuple[float, float]]:
+    """Make more and more requests at once; every one needs a connection to a target."""
+    clients = await connect_callers(bench, TARGET_CONNECTIONS[-1])
+    points = []
+    for size in TARGET_CONNECTIONS:
+        await ask_at_once(clients[:size])
+        points.append((float(target_connections(bench)), memory_mb(bench.entry)))
+    return points
+
+
+async def connect_callers(bench: entry_cost.Bench, count: int) -> list[entry_cost.Client]:
+    """Open connections to the entry; a client is not asked again before its answer."""
+    return await entry_cost.connect(
+        bench.host, entry_cost.ENTRY_PORT, count, lambda client, _: client.answered.set()
+    )
+
+
+async def ask_at_once(clients: list[entry_cost.Client]) -> None:
+    """Send a request on each connection and wait for all answers."""
+    for client in clients:
+        client.answered = asyncio.Event()
+        client.send(time.monotonic())
+    async with asyncio.timeout(ANSWERS_TIMEOUT_S):
+        for client in clients:
+            await client.answered.wait()
+
+
+def target_connections(bench: entry_cost.Bench) -> int:
+    """Count the entry's open connections to targets, from its sockets."""
+    ports = range(entry_cost.SINK_PORT, entry_cost.SINK_PORT + entry_cost.TARGETS)
+    sockets = psutil.Process(bench.entry.popen.pid).net_connections("tcp")
+    return sum(1 for found in sockets if found.raddr and found.raddr.port in ports)
+
+
+def memory_mb(process: Process) -> float:
+    """Read the resident memory of a process; the kernel's socket buffers are not part of it."""
+    return psutil.Process(process.popen.pid).memory_info().rss / 1e6
+
+
 def generated_services(
     fleet: control_cost.Fleet, services: int, targets: int
 ) -> list[dict[str, Any]]:
@@ -227,6 +315,7 @@
 MEASUREMENTS: dict[str, Callable[[int], list[Slope]]] = {
     "agent-by-targets": agent_by_targets,
     "agent-by-vms": agent_by_vms,
+    "entry-by-connections": entry_by_connections,
     "entry-by-rate": entry_by_rate,
     "entry-by-sampling": entry_by_sampling,
     "entry-by-targets": entry_by_targets,
--- a/poplarlane/bench/entry_cost.py
+++ b/poplarlane/bench/entry_cost.py
@@ -42,6 +42,7 @@
         self.left = 0
         self.started = 0.0
         self.buffer = b""
+        self.answered = asyncio.Event()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
@@ -143,13 +144,15 @@
 class Bench:
     """Hold the processes of one run."""
 
-    def __init__(self, launcher: Launcher, seed: int) -> None:
+    def __init__(self, launcher: Launcher, seed: int, answer_delay_ms: float = 0.0) -> None:
         self.launcher = launcher
         self.host = launcher.new_host()
         self.seed = seed
         self.publisher = Publisher(self.host)
         self.sink = self.module(
-            "sink", "--listen", f"{self.host}:{SINK_PORT}", "--ports", str(TARGETS)
+            "sink",
+            *("--listen", f"{self.host}:{SINK_PORT}", "--ports", str(TARGETS)),
+            *("--delay-ms", str(answer_delay_ms)),
         )
         self.passthrough = self.module(
             "passthrough",
--- a/poplarlane/bench/sink.py
+++ b/poplarlane/bench/sink.py
@@ -1,4 +1,4 @@
-"""Server that answers every request at once with the same bytes; it costs little CPU itself."""
+"""Server that answers every request with the same bytes; it costs little CPU itself."""
 
 import argparse
 import asyncio
@@ -13,7 +13,10 @@
 
 
 class Sink(asyncio.Protocol):
-    """Answer once per head; requests have no body."""
+    """Answer once per head, at once or after a delay; requests have no body."""
+
+    def __init__(self, delay_s: float) -> None:
+        self.delay_s = delay_s
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
@@ -22,15 +25,18 @@
     def data_received(self, data: bytes) -> None:
         """Answer each head that ends in the data; heads are sent in one piece on loopback."""
         for _ in range(data.count(HEAD_END)):
-            self.transport.write(ANSWER)
+            if self.delay_s:
+                asyncio.get_running_loop().call_later(self.delay_s, self.transport.write, ANSWER)
+            else:
+                self.transport.write(ANSWER)
 
 
-async def serve(listen: str, ports: int) -> None:
+async def serve(listen: str, ports: int, delay_s: float) -> None:
     """Serve on consecutive ports until the process is ended."""
     address, _, first = listen.rpartition(":")
     loop = asyncio.get_running_loop()
     servers = [
-        await loop.create_server(Sink, address, port)
+        await loop.create_server(lambda: Sink(delay_s), address, port)
         for port in range(int(first), int(first) + ports)
     ]
     print("event=ready", file=sys.stderr, flush=True)
@@ -42,8 +48,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--listen", required=True, metavar="ADDRESS:PORT")
     parser.add_argument("--ports", type=int, default=1)
+    parser.add_argument("--delay-ms", type=float, default=0.0)
     arguments = parser.parse_args()
-    asyncio.run(serve(arguments.listen, arguments.ports))
+    asyncio.run(serve(arguments.listen, arguments.ports, arguments.delay_ms / 1000.0))
 
 
 if __name__ == "__main__":
