--- a/poplarlane/bench/control_cost.py
+++ b/poplarlane/bench/control_cost.py
@@ -22,6 +22,7 @@
 import numpy
 import psutil
 
+from poplarlane.bench import control_soak
 from poplarlane.bench.layout import AGENT_ADMIN_PORT, PLATFORM_PORT, Layout, Vm
 from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.relayed_fleet import RelayedFleet
@@ -60,7 +61,7 @@
     """Describe one measurement of the control work; `control` names the measure."""
 
     name: str
-    control: Literal["cost", "calls", "outage", "in-force"]
+    control: Literal["cost", "calls", "outage", "in-force", "soak"]
     agents: int = 24
     services: int = 3
     targets: int = 36
@@ -71,6 +72,7 @@
     probe_rate: float = 0.0
     loss_share: float = 0.0
     platform_fault: Literal["none", "slow", "outage"] = "none"
+    operators: int = 4
     seed: int = 1
 
 
@@ -316,11 +318,19 @@
     return line.logged_at()
 
 
+def measure_soak(options: ControlExperiment) -> Measured:
+    """Run a soak of the control work; targets are met when every violation count is 0."""
+    return control_soak.measure(
+        options.agents, options.operators, options.seconds, options.loss_share, options.seed
+    )
+
+
 MEASURES: dict[str, Callable[[ControlExperiment], Measured]] = {
     "cost": measure_cost,
     "calls": measure_calls,
     "outage": measure_outage,
     "in-force": measure_in_force,
+    "soak": measure_soak,
 }
 
 
@@ -346,6 +356,7 @@
     parser.add_argument("--probe-rate", type=float, default=0.0)
     parser.add_argument("--loss-share", type=float, default=0.0)
     parser.add_argument("--platform-fault", choices=sorted(PLATFORM_FAULTS), default="none")
+    parser.add_argument("--operators", type=int, default=4)
     parser.add_argument("--seed", type=int, default=1)
     options = vars(parser.parse_args())
     line, within = run(ControlExperiment(name=options["control"], **options))
--- /dev/null
+++ b/poplarlane/bench/soak_faults.py
@@ -0,0 +1,196 @@
+"""Seeded faults of a soak: processes, platform, network and another tool, in lanes that overlap."""
+
+import json
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from http.client import HTTPException
+
+from poplarlane.bench.layout import PLATFORM_PORT, Vm
+from poplarlane.bench.processes import Process
+from poplarlane.bench.relayed_fleet import RelayedFleet
+from poplarlane.bench.standin_client import call
+from poplarlane.decisions.pauses import CONFIRM_LIMIT_S
+
+READY_TIMEOUT_S = 30.0
+# Gaps between the faults of one lane. Watchers that backed off need up to 2 s after an outage.
+PROCESS_GAP_S = (0.3, 1.5)
+PLATFORM_GAP_S = (3.0, 4.5)
+NETWORK_GAP_S = (1.0, 3.0)
+PAUSE_S = (0.5, 8.0)
+# Processes notice pauses of 1.5 s; below that they go on at once.
+NOTICED_PAUSE_S = 1.7
+CALM = {"outage": False, "delay_ms": 0, "stale_reads_ms": 0, "lose_answers": 0}
+
+Lane = Callable[[float], None]
+
+
+class Faults:
+    """Make faults until a time; each lane makes one after the other."""
+
+    def __init__(
+        self,
+        fleet: RelayedFleet,
+        down: dict[str, list[tuple[float, float]]],
+        services: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        self.fleet = fleet
+        self.down = down
+        self.services = services
+        self.seed = seed
+        self.replaced: list[Process] = []
+        self.counts: Counter[str] = Counter()
+
+    def lanes(self) -> list[Lane]:
+        """Give the lanes: two of processes on different VMs, the platform, the network."""
+        halves = (self.fleet.vms[::2], self.fleet.vms[1::2])
+        lanes = [self.lane_of_processes(number, vms) for number, vms in enumerate(halves)]
+        return [*lanes, self.lane_of_platform(), self.lane_of_network()]
+
+    def lane(
+        self, name: str, faults: list[Callable[[random.Random], None]], gap_s: tuple[float, float]
+    ) -> Lane:
+        """Make a lane that draws its faults from a list."""
+        draws = random.Random(f"{self.seed}/{name}")
+
+        def run(end: float) -> None:
+            time.sleep(draws.uniform(*gap_s))
+            while time.monotonic() < end:
+                fault = draws.choice(faults)
+                self.counts[fault.__name__] += 1
+                fault(draws)
+                time.sleep(draws.uniform(*gap_s))
+
+        return run
+
+    def lane_of_processes(self, number: int, vms: list[Vm]) -> Lane:
+        """Kill, restart and pause processes of some VMs."""
+
+        def kill_agent(draws: random.Random) -> None:
+            self.replace(draws.choice(vms), graceful=False)
+
+        def restart_agent(draws: random.Random) -> None:
+            self.replace(draws.choice(vms), graceful=True)
+
+        def pause_agent(draws: random.Random) -> None:
+            self.pause(draws.choice(vms), draws, entry=False, agent=True)
+
+        def pause_entry(draws: random.Random) -> None:
+            self.pause(draws.choice(vms), draws, entry=True, agent=False)
+
+        def pause_vm(draws: random.Random) -> None:
+            self.pause(draws.choice(vms), draws, entry=True, agent=True)
+
+        faults = [kill_agent, restart_agent, pause_agent, pause_entry, pause_entry, pause_vm]
+        return self.lane(f"processes-{number}", faults, PROCESS_GAP_S)
+
+    def replace(self, vm: Vm, graceful: bool) -> None:
+        """End an agent and start a new one in its place."""
+        began = time.monotonic()
+        old = vm.agent
+        if graceful:
+            old.terminate()
+            if old.exit_status() != 0:
+                raise RuntimeError(f"{old.name} ended with status {old.popen.returncode}")
+        else:
+            old.kill()
+        self.replaced.append(old)
+        new = self.fleet.start_agent(vm, None)
+        new.wait_for("ready", READY_TIMEOUT_S)
+        self.note_down(vm, began)
+
+    def pause(self, vm: Vm, draws: random.Random, entry: bool, agent: bool) -> None:
+        """Stop processes for some seconds."""
+        processes = [vm.entry] * entry + [vm.agent] * agent
+        draws.shuffle(processes)
+        began = time.monotonic()
+        lines = len(vm.agent.lines)
+        for process in processes:
+            process.pause()
+        length_s = draws.uniform(*PAUSE_S)
+        time.sleep(length_s)
+        woke = time.monotonic()
+        for process in processes:
+            process.resume()
+            # The two wake in any order, and some time apart.
+            time.sleep(draws.uniform(0.0, 0.5) if len(processes) > 1 else 0.0)
+        if agent and length_s > NOTICED_PAUSE_S:
+            vm.agent.wait_for("paused", READY_TIMEOUT_S, lines)
+            vm.agent.wait_for("ready", READY_TIMEOUT_S, lines)
+        # An entry that was paused as well waits for its agent, so it has no excuse.
+        waits = entry and length_s > NOTICED_PAUSE_S
+        if agent and not (waits and time.monotonic() - woke < CONFIRM_LIMIT_S):
+            self.note_down(vm, began)
+
+    def note_down(self, vm: Vm, began: float) -> None:
+        """Record a time without a verified agent that ends now."""
+        self.down.setdefault(vm.name, []).append((began, time.monotonic()))
+
+    def lane_of_platform(self) -> Lane:
+        """Make the platform stale, slow, lossy or unavailable."""
+
+        def stale_reads(draws: random.Random) -> None:
+            self.platform_for(draws, 2.0, 5.0, stale_reads_ms=draws.choice((300, 2_000, 60_000)))
+
+        def lost_answers(draws: random.Random) -> None:
+            self.platform_for(draws, 2.0, 5.0, lose_answers=0.3)
+
+        def outage(draws: random.Random) -> None:
+            self.platform_for(draws, 0.5, 4.0, outage=True)
+
+        def slow(draws: random.Random) -> None:
+            self.platform_for(draws, 1.0, 4.0, delay_ms=draws.choice((100, 400, 1_200)))
+
+        faults = [stale_reads, lost_answers, outage, slow]
+        return self.lane("platform", faults, PLATFORM_GAP_S)
+
+    def platform_for(
+        self, draws: random.Random, least: float, most: float, **faults: float
+    ) -> None:
+        """Set faults of the platform for some seconds."""
+        self.fleet.platform_faults(**faults)
+        time.sleep(draws.uniform(least, most))
+        self.fleet.platform_faults(**CALM)
+
+    def lane_of_network(self) -> Lane:
+        """Cut data centres off from each other, and write bad objects."""
+
+        def partition(draws: random.Random) -> None:
+            centre = draws.choice(self.fleet.data_centres)
+            self.cut(centre, True)
+            time.sleep(draws.uniform(1.0, 6.0))
+            self.cut(centre, False)
+
+        def bad_object(draws: random.Random) -> None:
+            name = draws.choice(self.services)
+            written = self.fleet.platform("GET", "/v1/history/services")
+            values = [shown["value"] for shown in written if "value" in shown]
+            own = [value for value in values if value.get("service") == name]
+            older = draws.choice(own)
+            newer = own[-1] | {"revision": own[-1]["revision"] + 1, "colour": "red"}
+            cut = json.dumps(own[-1])[:-20]
+            bad = draws.choice((json.dumps(older), json.dumps(newer), cut))
+            path = f"/v1/objects/services/{name}"
+            address = self.fleet.layout.platform_address
+            try:
+                call(address, PLATFORM_PORT, "PUT", path, bad.encode())
+            except (OSError, HTTPException):
+                # The answer to this write may be lost as well, or the platform be unavailable.
+                return
+
+        return self.lane("network", [partition, bad_object, bad_object], NETWORK_GAP_S)
+
+    def cut(self, centre: str, cut: bool) -> None:
+        """Separate the agents of a data centre from all others, or join them again."""
+        for sender in self.fleet.data_centres:
+            for vm in self.fleet.vms:
+                if (sender == centre) != (vm.data_centre == centre):
+                    self.fleet.proxy(f"{sender}-{vm.name}", partition=cut)
+
+    def clear(self) -> None:
+        """End the faults of the platform and the network."""
+        self.fleet.platform_faults(**CALM)
+        for centre in self.fleet.data_centres:
+            self.cut(centre, False)
--- a/poplarlane/standins/platform.py
+++ b/poplarlane/standins/platform.py
@@ -60,6 +60,8 @@
                 self.set_faults(exchange)
             case ("GET", "v1", "calls"):
                 exchange.reply_json(200, self.counts.document())
+            case ("GET", "v1", "history", kind):
+                exchange.reply_json(200, msgspec.json.encode(self.store.history(kind)))
             case ("PUT", "v1", "vms", name):
                 self.register_vm(exchange, name)
             case ("GET", "v1", "vms"):
--- a/poplarlane/standins/platform_store.py
+++ b/poplarlane/standins/platform_store.py
@@ -85,6 +85,11 @@
             return None
         return [change for change in self.changes if change.version > since and change.kind == kind]
 
+    def history(self, kind: str) -> list[dict[str, Any]]:
+        """Show every kept change of a kind with the time of its write, for checks of a run."""
+        changes = (change for change in self.changes if change.kind == kind)
+        return [change.document() | {"written_at": change.written_at} for change in changes]
+
 
 class VmList:
     """Keep the VM list, in which a change becomes visible after a lag."""
