--- a/features/control_configuration.feature
+++ b/features/control_configuration.feature
@@ -55,3 +55,34 @@
     Then every agent reports the bad object with its field within 4 s and holds control revision 3
     When a spare VM starts with peers and another one with the platform only
     Then both are ready with control revision 3 and report the bad object
+
+  Scenario: A paused agent that wakes before a stale platform is verified by its peers
+    # Guards against a stale list that confirms the view of before the pause.
+    Given a control fleet of 6 agents in 2 data centres
+    And control revisions 1 to 2 of a service are in force
+    When control revisions 3 to 4 follow, but all reads show the time before them
+    And one agent is stopped, control revision 5 is accepted, its entry starts and it continues
+    Then that agent reports its pause and the first revision of its entry is 5
+    And no agent and no entry ever took a lower revision
+
+  Scenario: Every agent is replaced in turn while all readers get old values
+    # Guards against a fleet that falls back together once nobody is left who saw the last change.
+    Given a control fleet of 4 agents with entries in 2 data centres
+    And control revisions 1 to 2 of a service are in force
+    When control revisions 3 to 5 follow, but all reads show the time before them
+    And every agent in turn is killed and started again
+    Then the restarted agents hold control revision 5 when they are ready
+    When control revision 6 is accepted
+    Then control revision 6 was in force at every entry within 4 s
+    And no agent and no entry ever took a lower revision
+
+  Scenario: A replaced VM in an outage is not ready below a revision that it has heard of
+    # Guards against a ready peer that is behind itself, when those that are not are out of reach.
+    Given a control fleet of 3 agents and 1 spare VMs in 3 data centres
+    And control revisions 1 to 3 of a service are in force
+    When the first data centre is cut off and control revision 4 is accepted elsewhere
+    And the platform is down, a spare VM there starts and hears of control revision 4 only
+    And the spare VM reaches the agent of its data centre, which holds control revision 3
+    Then the spare VM holds control revision 3 and stays unready
+    When the first data centre can send to the others again
+    Then the spare VM is ready with control revision 4
