Retry a read that fails at a target which deserves to be avoided already

Cause: reviews are rate-limited, so the verdict in force when a failure arrives is up to 50 ms older than the failure, and a caller got the first failure of each entry although peers had already found the target faulty. Change: the failure is judged with the evidence at that moment; the retry stays within the budget and for idempotent requests only. Test: an outline in target_health.feature; its case with peers fails without the change.

--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -53,6 +53,19 @@
     But with the peers' verdict one request without an answer is enough to avoid it
     And with the verdicts of two peers one failure is enough to avoid another target
 
+  Scenario Outline: A read that fails at a target which peers found faulty is sent elsewhere
+    With 24 entries a target that failed at once gave every caller of a first failure an error.
+    Given an entry that has sent a <method> to one of 3 targets
+    And <peers> peers call that target avoided
+    When that target answers with status 500
+    Then the request is <outcome>
+
+    Examples:
+      | method | peers | outcome                   |
+      | GET    | 2     | sent to another target    |
+      | GET    | 0     | answered with the failure |
+      | POST   | 2     | answered with the failure |
+
   Scenario: A frozen report and one that does not fit the latency are not believed
     A target that always reports no load would attract requests until it is far slower.
     Given 17 targets that one entry has used for 20 seconds
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -73,7 +73,7 @@
         request.retried_below = request.retried_below or notes.retried
         outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
         send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
-    elif not hide_failed_trial(state, attempt, notes, event, effects):
+    elif not hide_failure(state, attempt, notes, event, effects):
         observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, notes, effects)
     send_queued(state, request.service, event.now, next_draw(event.draw), effects)
@@ -236,21 +236,25 @@
     return True
 
 
-def hide_failed_trial(
+def hide_failure(
     state: EntryState,
     attempt: Attempt,
     notes: AnswerNotes,
     event: AnswerCompleted,
     effects: list[Effect],
 ) -> bool:
-    """Retry an idempotent request that failed as the trial of an avoided target."""
-    request = attempt.request
-    if notes.status < SERVER_ERROR or attempt.load.verdict is not Verdict.AVOIDED:
+    """Retry an idempotent request that failed at a target which deserves to be avoided.
+
+    The verdict in force may be older than this failure, because reviews are rate-limited.
+    """
+    request, load = attempt.request, attempt.load
+    if notes.status < SERVER_ERROR or request.attempts:
         return False
-    if request.attempts:
+    found = health.verdict(load, request.service.limits.loads, event.now)
+    if Verdict.AVOIDED not in (load.verdict, found):
         return False
-    request.tried.append(attempt.load)
-    outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, f"trial of {attempt.load.target.name} failed")
+    request.tried.append(load)
+    outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, f"{load.target.name} is to be avoided")
     return send_again(state, request, outcome, event.now, event.draw, effects)
 
 
