Let fleets whose targets never change their service probe them at once

Cause: a target that is new in a service waits grant duration + 6 s, plus 2%, before it is probed, since the holder of another shard may still probe it.

--- a/poplarlane/bench/fleet.py
+++ b/poplarlane/bench/fleet.py
@@ -236,6 +236,8 @@
                 vm, self.platform_address, [peer for peer in peers if peer is not vm]
             )
             settings["seed"] = self.seed * 1_000 + number
+            # No target changes its service here, and the phases are shorter than the wait.
+            settings["moved_target_wait_ms"] = 0
             vm.agent = self.launch("poplarlane-agent", settings["name"], settings)
         self.wait_ready([vm.agent for vm in self.vms])
 
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -220,6 +220,7 @@
         "exchange_s",
         "vm_list_s",
         "grant_s",
+        "moved_target_wait_s",
         "now",
         "wall",
         "services",
@@ -276,6 +277,8 @@
         self.exchange_s = 1.0
         self.vm_list_s = 2.0
         self.grant_s = 10.0
+        # None stands for the time after which no holder can still probe a target that moved.
+        self.moved_target_wait_s: float | None = None
         self.now = 0.0
         self.wall = 0.0
         self.services: dict[str, HeldService] = {}
--- a/poplarlane/decisions/probe_schedule.py
+++ b/poplarlane/decisions/probe_schedule.py
@@ -98,8 +98,10 @@
     its grant is about to end, renew it, and learn of the change only then; its last probe may be
     in flight when it does.
     """
-    wait_s = state.grant_s + CHANGE_IN_FORCE_S + MAX_PROBE_FLIGHT_S
-    return max(state.now, state.services[service].accepted_at + wait_s * CLOCK_DRIFT)
+    wait_s = state.moved_target_wait_s
+    if wait_s is None:
+        wait_s = (state.grant_s + CHANGE_IN_FORCE_S + MAX_PROBE_FLIGHT_S) * CLOCK_DRIFT
+    return max(state.now, state.services[service].accepted_at + wait_s)
 
 
 def update_targets(state: AgentState, shard: int, name: str) -> None:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -144,6 +144,8 @@
     state.exchange_s = settings.exchange_interval_ms / 1000.0
     state.vm_list_s = max(0.1, settings.vm_list_interval_ms / 1000.0)
     state.grant_s = settings.grant_duration_ms / 1000.0
+    if settings.moved_target_wait_ms is not None:
+        state.moved_target_wait_s = settings.moved_target_wait_ms / 1000.0
     for seed in settings.seed_peers:
         peer = Peer(seed.name, seed.data_centre, seed.address, seed.port, clock())
         peer.seed = True
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -96,6 +96,8 @@
     platform_timeout_ms: Milliseconds = 2_000
     platform_calls_per_s: Annotated[float, Meta(gt=0.0, le=1000.0)] = 5.0
     grant_duration_ms: Milliseconds = 10_000
+    # None: from the grant duration. Less is safe only where no target ever changes its service.
+    moved_target_wait_ms: Milliseconds | None = None
 
 
 class CtlSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
