Test that the shell writes a grant under its condition and dates it before the write

Cause: a shell that takes the time after the answer, or drops the condition, was found only by the features with real agents, and the first of the two by none.

Change: a scenario runs the agent's shell against a platform that notes condition and time.

--- a/features/control_probe_rules.feature
+++ b/features/control_probe_rules.feature
@@ -54,6 +54,13 @@
     Then the target got only the probe in time
     And the kernel drops a probe that is not acknowledged within 1000 ms
 
+  Scenario: A grant is written under its condition, and its time is from before the write
+    # Guards against a shell that loses what the rules of the grant rest on.
+    Given an agent whose platform notes when a grant is written and on what condition
+    When the agent writes a grant over version 7
+    Then the write was on condition of version 7
+    And the grant counts from a time before the write
+
   Scenario: Holders spread evenly, and a shard without services that may be probed has none
     # Guards against one agent that holds many shards, and against grants that nobody needs.
     Given 64 shards of services and fleets of 3, 24 and 85 agents
--- a/features/steps/control_shard_steps.py
+++ b/features/steps/control_shard_steps.py
@@ -19,6 +19,9 @@
     shard_of,
 )
 from poplarlane.decisions.reducer import reduce
+from poplarlane.objects import ProbeGrantObject
+from poplarlane.plumbing.agent_shell import AgentShell, clock
+from poplarlane.plumbing.platform_client import PlatformAnswer
 from poplarlane.plumbing.probe_client import probe
 
 HANDOVERS = {"is cut off from renewal": Handover, "is released in a stop": Release}
@@ -125,6 +128,52 @@
     assert timely.sent and timely.arrived, timely.reason
 
 
+class NotingPlatform:
+    """Note the writes of grants and accept them."""
+
+    def __init__(self):
+        self.writes = []
+
+    async def write(self, _operation, _path, _body, version):
+        """Note the condition and the time of a write."""
+        self.writes.append((version, clock()))
+        return PlatformAnswer(200, b'{"version": 8}')
+
+
+class RecordingShell(AgentShell):
+    """Record events instead of handling them."""
+
+    def step(self, kind, *fields):
+        """Record an event."""
+        self.state.append((kind, *fields))
+
+
+@given("an agent whose platform notes when a grant is written and on what condition")
+def step_noting(context):
+    context.platform = NotingPlatform()
+    context.events = []
+    context.shell = RecordingShell(context.events, None, context.platform, None, None, "")
+
+
+@when("the agent writes a grant over version {version:d}")
+def step_write(context, version):
+    grant = ProbeGrantObject(shard=3, holder="a", process=1, term=1, duration_ms=1000)
+    asyncio.run(context.shell.write_grant(effects.WriteGrant(3, version, grant)))
+
+
+@then("the write was on condition of version {version:d}")
+def step_condition(context, version):
+    assert [condition for condition, _ in context.platform.writes] == [version]
+
+
+@then("the grant counts from a time before the write")
+def step_before(context):
+    [(kind, shard, written, version, grant, sent_at)] = context.events
+    assert (kind, shard, written, version) == (events.GrantRead, 3, True, 8)
+    assert sent_at <= context.platform.writes[0][1], (sent_at, context.platform.writes)
+    assert grant.term == 1
+
+
 @given("64 shards of services and fleets of 3, 24 and 85 agents")
 def step_fleets(context):
     assert GRANT_SHARDS == 64
