Keep the time limit of the membership scenario with the wait for moved targets

Cause: a target that is new in a service waits 16.3 s for its first probe; the scenario allows 15 s from the step on, and passed only because the steps before it took a few seconds.

Change: its fleet sets moved_target_wait_ms to 0, as no target changes its service there. The limits of 15 s and 2 s are unchanged.

--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -94,6 +94,8 @@
     launcher = context.resources.enter_context(Launcher())
     fleet = context.fleet = RelayedFleet(launcher, SEED, ["dc-0", "dc-1"])
     context.resources.callback(assert_no_faults, fleet)
+    # No target changes its service here; the wait for that (16.3 s) exceeds the time for a probe.
+    fleet.extra = {"moved_target_wait_ms": 0}
     fleet.start(agents)
     for number in range(targets):
         fleet.layout.start_target(f"target-{number}", "dc-0")
