--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -1,6 +1,7 @@
 """Steps that fuzz the caller side and the target side of the entry's parsers."""
 
 import re
+import socket
 
 import h11
 from behave import then
