Release the parser and the last input of an answer with its end

Cause: an idle connection to a target kept both; the last input may have 256 KB. Change: both are dropped when the answer is handed over.

--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -100,7 +100,8 @@
         self.shell = shell
         self.pool = pool
         self.transport: asyncio.Transport
-        self.parser: h11.Connection
+        # Held from the head of an answer to its end.
+        self.parser: h11.Connection | None = None
         self.exchange: Exchange | None = None
         self.reusable = True
         self.buffer = b""
@@ -239,6 +240,8 @@
         )
         self.exchange = None
         exchange.connection = None
+        self.parser = None
+        self.recent = b""
         if exchange.streaming_to is not None:
             # A slow caller may have paused it with the last bytes, and nobody would resume it.
             self.transport.resume_reading()
