--- a/features/steps/control_configuration_steps.py
+++ b/features/steps/control_configuration_steps.py
@@ -165,6 +165,12 @@
     assert lines.index(held) < lines.index(ready), [line.text for line in lines]
 
 
+def cut_off(fleet, vm, cut):
+    """Drop all messages to a VM, or let them pass again."""
+    for centre in fleet.data_centres:
+        fleet.proxy(f"{centre}-{vm.name}", partition=cut)
+
+
 @when(
     "one agent is stopped, control revision {revision:d} is accepted, its entry starts and it "
     "continues"
@@ -173,9 +179,12 @@
     fleet = context.fleet
     context.paused = fleet.running[0]
     context.paused.agent.pause()
+    # What peers push must not wait in its sockets, or it might be handled before the hello.
+    cut_off(fleet, context.paused, True)
     fleet.write(make_service(fleet.layout, SERVICE, revision))
     for vm in fleet.running[1:]:
         vm.agent.wait_for("object_accepted", revision=str(revision))
+    cut_off(fleet, context.paused, False)
     entry = fleet.layout.start_entry(context.paused, "listening")
     # The agent detects a gap of 1.5 s; the entry's hello waits in its socket meanwhile.
     time.sleep(2.5)
--- a/poplarlane/bench/control_soak.py
+++ b/poplarlane/bench/control_soak.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import sys
 import threading
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -15,7 +16,7 @@
 from poplarlane.bench.layout import AGENT_ADMIN_PORT, ENTRY_PORT, PLATFORM_PORT, TARGET_PORT, Vm
 from poplarlane.bench.processes import Launcher, Process
 from poplarlane.bench.relayed_fleet import RelayedFleet
-from poplarlane.bench.soak_checks import Record, Served, Version, count_all
+from poplarlane.bench.soak_checks import Record, Served, Version, count_all, examples
 from poplarlane.bench.soak_faults import Faults
 from poplarlane.bench.standin_client import call
 from poplarlane.decisions import edits
@@ -42,6 +43,7 @@
 READ_TIMEOUT_S = 12.0
 SETTLE_S = 20.0
 MAX_THREADS = 200
+MAX_EXAMPLES = 10
 FAULT_EVENTS = ("tick_failed", "message_failed", "message_malformed", "call_failed")
 
 
@@ -201,7 +203,7 @@
                 if request_id.count("/") == 2:
                     vm, service, _ = request_id.split("/")
                     for execution in executions:
-                        served = Served(service, vm, target, execution["arrived_at"])
+                        served = Served(service, vm, target, execution["arrived_at"], request_id)
                         self.record.served.append(served)
 
     def collect_objects(self) -> None:
@@ -280,6 +282,8 @@
         soak = Soak(launcher, agents, seed, loss_share)
         soak.run(operators, seconds)
         violations = count_all(soak.record)
+        for line in examples(soak.record)[:MAX_EXAMPLES]:
+            print(line, file=sys.stderr)
         violations["process_faults"] = soak.process_faults()
         figures = {
             "agents": agents,
--- a/poplarlane/bench/soak_checks.py
+++ b/poplarlane/bench/soak_checks.py
@@ -25,13 +25,14 @@
 class Served:
     """Hold one request that arrived at a target through the entry of a VM."""
 
-    __slots__ = ("service", "vm", "target", "at")
+    __slots__ = ("service", "vm", "target", "at", "request")
 
-    def __init__(self, service: str, vm: str, target: str, at: float) -> None:
+    def __init__(self, service: str, vm: str, target: str, at: float, request: str = "") -> None:
         self.service = service
         self.vm = vm
         self.target = target
         self.at = at
+        self.request = request
 
 
 class Record:
@@ -176,6 +177,27 @@
     return due
 
 
+def examples(record: Record) -> list[str]:
+    """Describe what was found, a line each, for the reader of a failed run."""
+    lines = [f"ends elsewhere: {name} holds {record.final[name]}" for name in differing(record)]
+    for served in stale_answers(record):
+        down = [
+            (round(began - served.at, 2), round(ended - served.at, 2))
+            for began, ended in record.down.get(served.vm, [])
+        ]
+        removed = [
+            (version.service.revision, round(version.written_at - served.at, 2))
+            for version in record.copies[served.service]
+            if served.at - 20.0 < version.written_at < served.at
+            and served.target not in compile_access(version.service).allowed({})
+        ]
+        lines.append(
+            f"stale answer: {served.request} of {served.service} at {served.target}; accepted "
+            f"without it (revision, s before): {removed}; agent down (s before): {down}"
+        )
+    return lines
+
+
 def stale_answers(record: Record) -> list[Served]:
     """List the requests that reached a target which an accepted change had removed before."""
     configurations = {
--- a/poplarlane/bench/soak_faults.py
+++ b/poplarlane/bench/soak_faults.py
@@ -41,6 +41,8 @@
         self.services = services
         self.seed = seed
         self.replaced: list[Process] = []
+        # When the entry of each VM was last paused, and when it woke.
+        self.entry_paused: dict[str, tuple[float, float]] = {}
         self.counts: Counter[str] = Counter()
 
     def lanes(self) -> list[Lane]:
@@ -119,13 +121,22 @@
         if agent and length_s > NOTICED_PAUSE_S:
             vm.agent.wait_for("paused", READY_TIMEOUT_S, lines)
             vm.agent.wait_for("ready", READY_TIMEOUT_S, lines)
+        if entry and not agent:
+            self.entry_paused[vm.name] = (began, woke)
         # An entry that was paused as well waits for its agent, so it has no excuse.
         waits = entry and length_s > NOTICED_PAUSE_S
         if agent and not (waits and time.monotonic() - woke < CONFIRM_LIMIT_S):
             self.note_down(vm, began)
 
     def note_down(self, vm: Vm, began: float) -> None:
-        """Record a time without a verified agent that ends now."""
+        """Record a time without a verified agent that ends now.
+
+        An entry whose agent ends before it could confirm the view after a pause serves by the view
+        of before that pause.
+        """
+        paused_at, woke = self.entry_paused.get(vm.name, (0.0, -CONFIRM_LIMIT_S))
+        if began - woke < CONFIRM_LIMIT_S:
+            began = min(began, paused_at)
         self.down.setdefault(vm.name, []).append((began, time.monotonic()))
 
     def lane_of_platform(self) -> Lane:
