Pause a target that refuses connections

Cause: at most a third of a service's targets is avoided; a further one without a listener went on getting requests, each of which used a retry, until the budget was empty and callers were refused with code 1206. Change: each failed connection in a row pauses the target, for 50 ms doubled up to 1 s, like a refusal as not run. Test: a scenario in target_health.feature fails without the pause.

--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -88,6 +88,13 @@
     Then it is chosen for no request during the next 150 ms
     And the target of these steps is not avoided
 
+  Scenario: A target that refuses connections is paused when no more targets may be avoided
+    Requests went on failing at a sixth target without a listener until the retry budget was used up.
+    Given 17 targets that one entry has used for 20 seconds
+    When 5 other targets are avoided and one target refuses 3 connections
+    Then it is chosen for no request during the next 150 ms
+    And the target of these steps is not avoided
+
   Scenario: A cancelled request counts as slow
     A hedge that wins would otherwise hide the slow target for ever.
     Given 17 targets that one entry has used for 20 seconds
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -166,7 +166,10 @@
         return []
     request = attempt.request
     effects: list[Effect] = []
-    health.observe_failure(attempt.load, event.now)
+    if event.cause is FailureCause.CONNECT_FAILED:
+        health.observe_unreachable(attempt.load, event.now)
+    else:
+        health.observe_failure(attempt.load, event.now)
     end_attempt(state, attempt)
     labels = {"service": request.service.name, "cause": event.cause.name.lower()}
     effects.append(Count("attempt_failed_total", 1.0, labels))
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/evidence.py
@@ -186,6 +186,16 @@
     observe_answer(load, 0.0, False, now)
 
 
+def observe_unreachable(load: TargetLoad, now: float) -> None:
+    """Record a failed connection, and pause the target, longer with each failure in a row.
+
+    Nothing listens there, so the bound on avoided targets must not make requests try it again.
+    """
+    observe_failure(load, now)
+    row = min(load.consecutive_failures, 16)
+    load.shed_until = now + min(MAX_SHED_PAUSE_S, SHED_PAUSE_S * 2.0 ** (row - 1))
+
+
 def observe_shed(load: TargetLoad, now: float) -> None:
     """Record a refusal as not run: pause the target, longer with each refusal in a row."""
     load.shed_until = now + min(MAX_SHED_PAUSE_S, SHED_PAUSE_S * 2.0**load.sheds_in_a_row)
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health.py
@@ -23,6 +23,7 @@
     observe_report,
     observe_sent,
     observe_shed,
+    observe_unreachable,
 )
 from poplarlane.decisions.verdicts import start_ramp
 from poplarlane.types import TargetLoad, Verdict
@@ -39,6 +40,7 @@
     "observe_report",
     "observe_sent",
     "observe_shed",
+    "observe_unreachable",
     "review",
     "start_ramp",
     "verdict",
