--- a/poplarlane/bench/leaving.py
+++ b/poplarlane/bench/leaving.py
@@ -115,13 +115,15 @@
     usual = sum(event.at - USUAL_S <= at < event.at for at in own) / USUAL_S
     after = [at for at in own if at > event.ended_at]
     returned = heard_between(heard, "target_returned", event.subject, event.ended_at, math.inf)
-    if not after or not event.returned_at or not usual or not returned:
+    if not after or not event.returned_at or not usual:
         return {"first_request_s": None, "restored_s": None, "first_share": None}
+    # An entry that had not begun to avoid the target logs no return.
+    begin = returned[0][0] if returned else event.returned_at
     restored = restored_at(after, usual)
     return {
         "first_request_s": round(max(after[0] - event.returned_at, 0.0), 3),
         "restored_s": restored and round(max(restored - event.returned_at, 0.0), 3),
-        "first_share": first_share(event.subject, arrivals, returned[0][0]),
+        "first_share": first_share(event.subject, arrivals, begin),
     }
 
 
