--- a/features/control_handover.py
+++ b/features/control_handover.py
@@ -90,10 +90,10 @@
 class Release(Handover):
     """Let the first agent stop and release its grant while its connections are being opened.
 
-    The process is paused directly after the release, and its connections open meanwhile.
+    The process is paused directly after the release, and its connections open meanwhile, before the
+    answer to the release arrives.
     """
 
-    late_answer_s = SHORT_S
     held_s = 5.0
     pause_s = 4.0
 
@@ -108,7 +108,3 @@
         """Stop the first agent and pause it."""
         self.first.step(events.AgentStopRequested)
         self.first.paused_until = self.now + self.pause_s
-
-    def connect_s(self, agent: ContendingAgent) -> float:
-        """Open the connections of the first agent slowly."""
-        return 0.5 if agent is self.first else SHORT_S
