--- a/features/ctl_old_reads.feature
+++ b/features/ctl_old_reads.feature
@@ -23,3 +23,8 @@
     # Guards against a revision that readers already hold, below the one that they hold now.
     When a recovery from the agents is overtaken by another one, and both objects turn bad again
     Then the change is accepted in a revision above all that agents held
+
+  Scenario: A value that an operator saw is no conflict because a stale read does not show it
+    Given a writer that wrote revision 2 but not its copy, and reads of the object show revision 1
+    When an operator who saw revision 2 expects its label
+    Then the change is accepted in revision 3
--- a/features/steps/ctl_old_read_steps.py
+++ b/features/steps/ctl_old_read_steps.py
@@ -25,6 +25,7 @@
         self.loop = VirtualLoop()
         self.calm = True
         self.hidden = ()
+        self.outdated = ()
         for kind in KINDS:
             self.put(kind, json.dumps(service_document()).encode(), "initial")
 
@@ -37,6 +38,8 @@
 
     async def read(self, kind, name):
         """Read; a hidden kind shows that there is nothing yet."""
+        if kind in self.outdated:
+            return self.show(self.log[kind][0])
         return StoredValue(name) if kind in self.hidden else await super().read(kind, name)
 
     def spoil(self, *kinds):
@@ -124,6 +127,21 @@
     platform.hidden = (SERVICES_KIND,)
 
 
+@given("a writer that wrote revision 2 but not its copy, and reads of the object show revision 1")
+def step_outdated(context):
+    platform = new_platform(context)
+    document = service_document() | {"revision": 2, "change_id": "other"}
+    document["targets"]["t1"]["labels"]["role"] = "two"
+    platform.put(SERVICES_KIND, json.dumps(document).encode(), "operator")
+    platform.outdated = (SERVICES_KIND,)
+
+
+@when("an operator who saw revision 2 expects its label")
+def step_expects(context):
+    work = change(Client(context.platform), "own", "three", "two")
+    context.outcome = context.platform.loop.run_until_complete(work)
+
+
 @when("an operator sets a label")
 def step_set(context):
     work = change(Client(context.platform), "own", "first")
--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -282,9 +282,10 @@
         """Apply the edit to the base and write the next revision."""
         edited = self.edited(base)
         if isinstance(edited, EditConflict | EditInvalid):
-            if self.confirmed or self.copy_confirmed or self.dry_run:
+            if self.confirmed or self.dry_run:
                 return edited
-            return await self.confirm_copy()
+            # The operator may have seen a revision that a stale read does not show.
+            return await self.look(SERVICES_KIND)
         change = ChangeObject(
             revision=base.next_revision,
             change_id=self.change_id,
