--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/agent_state.py
@@ -223,6 +223,7 @@
         "exchange_s",
         "vm_list_s",
         "grant_s",
+        "moved_target_wait_s",
         "now",
         "wall",
         "services",
@@ -233,6 +234,7 @@
         "facts",
         "fact_index",
         "recent_facts",
+        "wanted_facts_at",
         "peers",
         "retired",
         "entries",
@@ -279,6 +281,8 @@
         self.exchange_s = 1.0
         self.vm_list_s = 2.0
         self.grant_s = 10.0
+        # None stands for the time after which no holder can still probe a target that moved.
+        self.moved_target_wait_s: float | None = None
         self.now = 0.0
         self.wall = 0.0
         self.services: dict[str, HeldService] = {}
@@ -291,6 +295,8 @@
         self.facts: dict[tuple[MemberKind, str], MemberFact] = {}
         self.fact_index = HashIndex()
         self.recent_facts: OrderedDict[tuple[MemberKind, str], float] = OrderedDict()
+        # When facts were last compared with any peer.
+        self.wanted_facts_at = 0.0
         self.peers: dict[str, Peer] = {}
         # Incarnation at which an agent was given up, so that old notices do not bring it back.
         self.retired: dict[str, int] = {}
