Repeat an action for every target or entry with one line of an experiment

Cause: the experiments on leaving targets and planned stops listed 144 and 60 actions each, 3,500 lines that nobody reads and in which a missing target would not be seen. Change: every_ms repeats an action for each target of the layout, evenly over the services, or for each entry; an action after the end of its phase is refused.

--- a/features/bench.feature
+++ b/features/bench.feature
@@ -18,3 +18,9 @@
     When poplarlane-bench measures "entry-by-targets"
     Then it prints a line with 4 points, a gradient and a residual
     And it has written the points as JSON and a plot
+
+  Scenario: A repeated action comes to every target or entry once, within its phase
+    # Guards against targets that a run of planned stops or leaving targets passes over.
+    Then in "leaving" each of 36 targets leaves once in each phase, 500 ms apart
+    And in "planned-stops-vltava" each of 36 targets and 24 entries stops once
+    And an action after the end of its phase is refused
--- a/features/steps/bench_steps.py
+++ b/features/steps/bench_steps.py
@@ -3,12 +3,19 @@
 import json
 import subprocess
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from behave import given, then, when
 
 from poplarlane.bench.control_fleet import ControlExperiment
-from poplarlane.bench.experiment import InvalidExperiment, decode, load_experiment
+from poplarlane.bench.experiment import (
+    InvalidExperiment,
+    check_times,
+    decode,
+    expand,
+    load_experiment,
+)
 from poplarlane.bench.main import is_control_experiment
 from poplarlane.bench.processes import binary_path
 from poplarlane.bench.slopes import Slope
@@ -97,3 +104,41 @@
     assert len(written["points"]) == 4, written
     plot = (Path(context.directory) / f"{SLOPE_NAME}.png").read_bytes()
     assert plot.startswith(b"\x89PNG"), plot[:8]
+
+
+def expanded_phases(name):
+    """Load an experiment and give the single actions of each phase."""
+    experiment, layouts = load_experiment(str(EXPERIMENTS / f"{name}.json"))
+    return [
+        [single for action in phase.actions for single in expand(action, layouts[0])]
+        for phase in experiment.phases
+    ]
+
+
+@then('in "{name}" each of {count:d} targets leaves once in each phase, {every:d} ms apart')
+def step_each_leaves(context, name, count, every):
+    for actions in expanded_phases(name):
+        assert len({(action.service, action.index) for action in actions}) == count
+        times = [action.at_ms for action in actions]
+        assert times == [times[0] + every * number for number in range(count)], times
+
+
+@then('in "{name}" each of {targets:d} targets and {entries:d} entries stops once')
+def step_each_stops(context, name, targets, entries):
+    [actions] = expanded_phases(name)
+    stops = Counter((action.do, action.service, action.index) for action in actions)
+    assert set(stops.values()) == {1}, stops
+    kinds = Counter(do for do, _, _ in stops)
+    assert kinds == {"stop_target": targets, "stop_entry": entries}, kinds
+
+
+@then("an action after the end of its phase is refused")
+def step_late_action(context):
+    experiment, layouts = load_experiment(str(EXPERIMENTS / "planned-stops-vltava.json"))
+    experiment.phases[0].duration_ms = 80_000
+    try:
+        check_times(experiment, layouts[0])
+    except InvalidExperiment as error:
+        assert "88000 ms" in str(error), error
+    else:
+        raise AssertionError("the action was accepted")
--- a/poplarlane/bench/actions.py
+++ b/poplarlane/bench/actions.py
@@ -5,7 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from poplarlane.bench.experiment import Action, Experiment
+from poplarlane.bench.experiment import Action, Experiment, Phase, expand
 from poplarlane.bench.fleet import (
     DRAIN_NOTICE_MS,
     EXIT_TIMEOUT_S,
@@ -83,7 +83,7 @@
         """Set a timer for every action."""
         start_ms = experiment.warm_up_ms
         for phase in experiment.phases:
-            for action in phase.actions:
+            for action in self.single_actions(phase):
                 at = begin + (start_ms + action.at_ms) / 1000
                 delay_s = max(at - time.monotonic(), 0.0)
                 timer = threading.Timer(delay_s, self.pool.submit, (self.run, action))
@@ -91,6 +91,10 @@
                 self.timers.append(timer)
             start_ms += phase.duration_ms
 
+    def single_actions(self, phase: Phase) -> list[Action]:
+        """List the actions of a phase, repeated ones for each of their targets or entries."""
+        return [single for action in phase.actions for single in expand(action, self.fleet.layout)]
+
     def finish(self) -> None:
         """Wait until every action has ended."""
         for timer in self.timers:
--- a/poplarlane/bench/experiment.py
+++ b/poplarlane/bench/experiment.py
@@ -10,6 +10,7 @@
 
 MAX_SEGMENTS = 200
 MAX_SEGMENT_MS = 600_000
+ENTRY_ACTIONS = ("stop_entry", "kill_entry")
 
 
 class KindPlan(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -74,10 +75,12 @@
     `target` and `proxy` send `body` to the control interface of one target (all without an
     index) or of its proxy route; `platform` sets platform faults; `leave_target` lets a target
     leave by the one `signal` of its body (`list`, `answers`, `refusals` or `closed`) for
-    `duration_ms`; the others act on processes.
+    `duration_ms`; the others act on processes. With `every_ms` the action is repeated at that
+    interval, once for each target of the layout, or for each entry if it is about entries.
     """
 
     at_ms: int
+    every_ms: int = 0
     do: Literal[
         "target",
         "proxy",
@@ -179,6 +182,7 @@
     layouts = [decode(Path(path).parent / name, LayoutPlan) for name in experiment.layouts]
     for layout in layouts:
         scale(layout, experiment)
+        check_times(experiment, layout)
     return experiment, layouts
 
 
@@ -203,6 +207,47 @@
         raise InvalidExperiment(f"the experiment has more than {MAX_SEGMENTS} segments")
 
 
+def expand(action: Action, layout: LayoutPlan) -> list[Action]:
+    """List the single actions that a repeated one stands for."""
+    if action.every_ms <= 0:
+        return [action]
+    if action.do in ENTRY_ACTIONS:
+        places = [("", number) for number in range(layout.entries)]
+    else:
+        places = spread_targets(layout)
+    return [
+        msgspec.structs.replace(
+            action,
+            at_ms=action.at_ms + number * action.every_ms,
+            every_ms=0,
+            service=service,
+            index=index,
+        )
+        for number, (service, index) in enumerate(places)
+    ]
+
+
+def spread_targets(layout: LayoutPlan) -> list[tuple[str, int]]:
+    """Order all targets so that those of each service come at even intervals."""
+    placed = [
+        ((index + 0.5) / service.targets, service.service, index)
+        for service in layout.services
+        for index in range(service.targets)
+    ]
+    return [(service, index) for _, service, index in sorted(placed)]
+
+
+def check_times(experiment: Experiment, layout: LayoutPlan) -> None:
+    """Refuse actions that would begin after the end of their phase."""
+    for phase in experiment.phases:
+        for action in phase.actions:
+            last = max(single.at_ms for single in expand(action, layout))
+            if last > phase.duration_ms:
+                raise InvalidExperiment(
+                    f"{action.do} at {last} ms is after the end of phase {phase.fault!r}"
+                )
+
+
 def scale(layout: LayoutPlan, experiment: Experiment) -> None:
     """Apply the experiment's size to a layout."""
     layout.entries = experiment.entries or layout.entries
