--- a/poplarlane/programs/ctl/changing.py
+++ b/poplarlane/programs/ctl/changing.py
@@ -127,8 +127,7 @@
         self.fleet_is_current = False
         self.observed = False
         # A plain read may be stale; a conditional write proves that the version is current.
-        self.confirmed = False
-        self.copy_confirmed = False
+        self.confirmed = self.copy_confirmed = False
         self.conflicts = 0
         # Cleared by a conflict: other writers get time to finish before the next write.
         self.gave_way = True
@@ -235,8 +234,8 @@
 
     def choose_base(self) -> Base | NoBase:
         """Choose the last accepted object from what was read so far."""
-        fleet = self.fleet
-        return configuration.choose_base(self.stored, self.copy, fleet.service, fleet.revision)
+        seen = self.fleet
+        return configuration.choose_base(self.stored, self.copy, seen.service, seen.revision)
 
     async def read_both(self) -> None:
         """Read the object and its copy."""
