--- a/poplarlane/bench/fleet_measures.py
+++ b/poplarlane/bench/fleet_measures.py
@@ -247,7 +247,9 @@
     with CallSampler(planned) as usual:
         keep_changing(planned.fleet, planned.options.seconds / 3)
     count = round(planned.options.seconds / RESTART_INTERVAL_S)
-    chosen = planned.fleet.generator.sample(planned.vms[len(planned.vms) // 4 :], count)
+    pool = planned.vms[len(planned.vms) // 4 :]
+    planned.fleet.generator.shuffle(pool)
+    chosen = [pool[number % len(pool)] for number in range(count)]
     stayed = [vm for vm in planned.vms if vm not in chosen]
     began, clock = time.time(), time.monotonic()
     with UsageSampler(stayed) as usage, CallSampler(planned) as calls:
