--- a/features/target_health.feature
+++ b/features/target_health.feature
@@ -54,7 +54,7 @@
     And with the verdicts of two peers one failure is enough to avoid another target
 
   Scenario Outline: An entry tells peers of a faulty target unless two of them have said so
-    24 entries that all told each other of each of 36 targets kept 2 cores busy.
+    Guards against 18 to 23 messages to the whole fleet per faulty target, one of each entry.
     Given 17 targets that one entry has used for 20 seconds
     When <peers> peers call a target avoided and it fails 4 requests
     Then the target is avoided and <told>
