--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -92,7 +92,7 @@
 
 @then("for any pattern of requests the extra ones stay within ratio and reserve")
 def step_budgets(context):
-    @settings(derandomize=True, max_examples=100, deadline=None)
+    @settings(max_examples=100)
     @for_all(st.lists(st.tuples(st.integers(1, 50), st.integers(0, 20)), max_size=50))
     def check(pattern):
         request = SimpleNamespace(
--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -38,7 +38,7 @@
     st.floats(0, 100, allow_nan=False),
     st.sampled_from(["platform", "agent-1", "entry-2"]),
 )
-deterministic = hypothesis_settings(derandomize=True, max_examples=EXAMPLES, database=None)
+deterministic = hypothesis_settings(max_examples=EXAMPLES)
 
 
 def equal(first, second):
--- a/features/steps/ctl_fuzz_steps.py
+++ b/features/steps/ctl_fuzz_steps.py
@@ -137,7 +137,7 @@
 
 
 def run(test, cases):
-    settings(max_examples=cases, derandomize=True, deadline=None, database=None)(test)()
+    settings(max_examples=cases)(test)()
 
 
 @then("of {cases:d} mutated service objects each is refused with named faults or safe to apply")
--- a/features/steps/ctl_property_steps.py
+++ b/features/steps/ctl_property_steps.py
@@ -135,4 +135,4 @@
 
 @then('the property "{name}" of the configuration model holds for {cases:d} cases')
 def step_property(context, name, cases):
-    settings(max_examples=cases, derandomize=True, deadline=None, database=None)(PROPERTIES[name])()
+    settings(max_examples=cases)(PROPERTIES[name])()
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -144,7 +144,7 @@
 
 @then("for any number of targets, entries and any subset size, targets differ by at most one entry")
 def step_subsets(context):
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @settings(max_examples=200)
     @for_all(st.integers(1, 40), st.integers(1, 60), st.integers(1, 40))
     def check(targets, entries, size):
         subsets = subsets_of(make_loads(targets), size, entries)
--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -129,7 +129,7 @@
 
 @then("for any observations at most a third of the targets is avoided")
 def step_third(context):
-    @settings(derandomize=True, max_examples=100, deadline=None)
+    @settings(max_examples=100)
     @for_all(st.integers(1, 17), st.lists(OBSERVATION, min_size=20, max_size=120))
     def check(count, observations):
         watched = Watched()
