Share the sampling thread of the fleet's samplers, and the time of a log line

Cause: two samplers had the same thread handling; two modules parsed the time of a log line again. Change: a base class Sampler; LogLine.logged_at everywhere. Conclusion: behaviour stays.

--- a/poplarlane/bench/leaving.py
+++ b/poplarlane/bench/leaving.py
@@ -2,7 +2,6 @@
 
 import math
 import time
-from datetime import datetime
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -38,7 +37,7 @@
             for line in list(process.lines) if process else []:
                 event = line.fields.get("event")
                 if event in LOGGED_EVENTS:
-                    at = datetime.fromisoformat(line.fields["time"]).timestamp() - offset
+                    at = line.logged_at() - offset
                     heard.setdefault((event, line.fields["target"]), []).append((at, process.name))
     return heard
 
--- a/poplarlane/bench/planned_fleet.py
+++ b/poplarlane/bench/planned_fleet.py
@@ -2,7 +2,6 @@
 
 import time
 from concurrent.futures import ThreadPoolExecutor
-from datetime import datetime
 from typing import Any
 
 import psutil
@@ -113,7 +112,7 @@
 
 def line_time(line: LogLine) -> float:
     """Give the wall-clock time of a log line."""
-    return datetime.fromisoformat(line.fields["time"]).timestamp()
+    return line.logged_at()
 
 
 def accepted_at(vm: Vm, name: str, revision: int, timeout_s: float) -> float:
--- a/poplarlane/bench/samplers.py
+++ b/poplarlane/bench/samplers.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from typing import Self
 
 import numpy
 
@@ -15,18 +16,16 @@
 PEAK_WINDOW_S = 1.0
 
 
-class CallSampler:
-    """Sample the agents' calls to the platform in a thread of its own."""
+class Sampler:
+    """Run a loop that takes samples in a thread of its own, until the block ends."""
 
-    __slots__ = ("planned", "samples", "stopped", "thread")
+    __slots__ = ("stopped", "thread")
 
-    def __init__(self, planned: PlannedFleet) -> None:
-        self.planned = planned
-        self.samples: list[tuple[float, int]] = []
+    def __init__(self) -> None:
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
-    def __enter__(self) -> "CallSampler":
+    def __enter__(self) -> Self:
         self.thread.start()
         return self
 
@@ -34,6 +33,21 @@
         self.stopped.set()
         self.thread.join()
 
+    def run(self) -> None:
+        """Sample until stopped."""
+        raise NotImplementedError
+
+
+class CallSampler(Sampler):
+    """Sample the agents' calls to the platform."""
+
+    __slots__ = ("planned", "samples")
+
+    def __init__(self, planned: PlannedFleet) -> None:
+        super().__init__()
+        self.planned = planned
+        self.samples: list[tuple[float, int]] = []
+
     def run(self) -> None:
         """Sample until stopped."""
         while not self.stopped.is_set():
@@ -52,24 +66,15 @@
         return max((last - first) / (ended - began) for (began, first), (ended, last) in pairs)
 
 
-class UsageSampler:
-    """Sample what some agents use in a thread of its own."""
+class UsageSampler(Sampler):
+    """Sample what some agents use."""
 
-    __slots__ = ("vms", "samples", "stopped", "thread")
+    __slots__ = ("vms", "samples")
 
     def __init__(self, vms: list[Vm]) -> None:
+        super().__init__()
         self.vms = vms
         self.samples: list[tuple[float, list[Usage]]] = []
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self.run, daemon=True)
-
-    def __enter__(self) -> "UsageSampler":
-        self.thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.stopped.set()
-        self.thread.join()
 
     def run(self) -> None:
         """Sample until stopped."""
