--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -2,10 +2,11 @@
 
 import heapq
 
-from poplarlane.decisions import health, limits, retries
+from poplarlane.decisions import completion, health, limits, retries
 from poplarlane.decisions.drain import accept_ended, drain_limit_passed, mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
+    CancelAttempt,
     DeliverAnswer,
     FinishStream,
     SetTimer,
@@ -31,11 +32,14 @@
     reachable_targets,
 )
 from poplarlane.decisions.pauses import view_limit_passed
+from poplarlane.decisions.policies import Measured
+from poplarlane.decisions.probe_events import fail_probe, finish_round, recheck
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import verdict_report
 from poplarlane.decisions.requests import (
     cancel_attempts,
     choose,
+    dispatch,
     end_attempt,
     enqueue,
     finish_refused,
@@ -74,6 +78,7 @@
         forget(state, request, effects)
     elif notes.not_run:
         request.uncertain -= 1
+        request.sends -= 1
         request.retried_below = request.retried_below or notes.retried
         outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
         send_again_or_finish(state, attempt, outcome, event.now, event.draw, effects)
@@ -95,6 +100,11 @@
         health.observe_shed(load, now)
     else:
         health.observe_answer(load, latency_s, ok, now)
+    if notes.running is not None:
+        at = now - load.distance_s / 2.0
+        completion.observe_details(load, notes.running, notes.waiting, notes.pace, at)
+    if ok and attempt.request.work_s:
+        learn_work(attempt, latency_s, notes)
     if ok:
         health.observe_latency(service.health, latency_s)
     if notes.in_flight is not None:
@@ -108,6 +118,15 @@
         effects.append(verdict_report(state, service, changed))
 
 
+def learn_work(attempt: Attempt, latency_s: float, notes: AnswerNotes) -> None:
+    """Update the estimate of the work of a kind of request from a successful answer."""
+    request = attempt.request
+    pace = (attempt.pace + notes.pace) / 2.0
+    known_s = request.service.work_s.get(request.kind.name, request.work_s)
+    worked_s = max(0.0, latency_s - attempt.load.distance_s)
+    request.service.work_s[request.kind.name] = completion.observe_work(known_s, worked_s, pace)
+
+
 def deliver(
     state: EntryState,
     request: Request,
@@ -228,6 +247,8 @@
     decision = retries.RetryDecision.NO
     if targets:
         decision = retries.decide_retry(service.retry_budget, request, outcome, now)
+    if request.max_attempts and request.sends >= request.max_attempts:
+        decision = retries.RetryDecision.NO
     if decision is not retries.RetryDecision.RETRY:
         # A retry that the budget denied must not be made by a level above either.
         request.retried = request.retried or decision is retries.RetryDecision.NO_BUDGET
@@ -235,6 +256,10 @@
     request.retried = True
     request.attempt += 1
     effects.append(Count("retry_total", 1.0, {"service": service.name}))
+    if type(service.policy) is Measured:
+        request.state = RequestState.QUEUED
+        dispatch(state, request, targets, now, draw, effects)
+        return True
     load = choose(request, targets, now, draw)
     if load is not None:
         send(state, request, load, now, effects)
@@ -279,6 +304,10 @@
             drain_limit_passed(state, effects)
         elif kind is TimerKind.VIEW_LIMIT:
             view_limit_passed(state, event.now, draw, effects)
+        elif kind is TimerKind.PROBE_LIMIT:
+            if request_id in state.probes:
+                effects.append(CancelAttempt(request_id))
+                fail_probe(state, request_id, event.now, draw, effects)
         elif request_id in state.requests:
             request_timer(state, state.requests[request_id], kind, event.now, draw, effects)
             draw = next_draw(draw)
@@ -301,6 +330,11 @@
     """Handle a due timer of a request that is not answered yet."""
     if kind is TimerKind.HEDGE:
         hedge(state, request, now, draw, effects)
+    elif kind is TimerKind.PROBE_END:
+        if request.in_round:
+            finish_round(state, request, now, draw, effects)
+    elif kind is TimerKind.RECHECK:
+        recheck(state, request, now, draw, effects)
     else:
         deadline_passed(state, request, now, draw, effects)
 
@@ -312,6 +346,7 @@
     service = request.service
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
+    request.in_round = False
     patience_s = TIMEOUT_LATENCIES * service.health.typical_s
     for attempt in request.attempts:
         if attempt.sent_at and now - attempt.sent_at >= patience_s:
--- /dev/null
+++ b/poplarlane/decisions/completion.py
@@ -0,0 +1,72 @@
+"""Expected completion time of a request at a target, from detailed load reports.
+
+A report says how many requests run and wait at the target and how long work takes on its VM at
+that moment, as a multiple of the usual time. Load shifts within a few hundred milliseconds, so
+reports are taken right before the choice (the synchronous mode of Prequal, Wydrowski et al. 2024)
+and an older one fades towards the mean.
+"""
+
+import math
+
+from poplarlane.types import TargetLoad
+
+# A VM keeps its pace for about this long, so an older report says little about the pace now.
+PACE_MEMORY_S = 0.1
+# What a target without a recent report is expected to take, as a multiple of the usual.
+UNKNOWN_PACE = 2.0
+# A target that has just started takes about twice the usual time.
+COLD_FACTOR = 2.0
+# Requests that may wait at a target for each of its slots; further ones wait in the entry, where
+# they can still go to another target or be refused as not run.
+WAITING_PER_SLOT = 0.5
+# Weight of one answer in the estimate of the work of a kind of request.
+WORK_GAIN = 0.1
+# An answer that took longer than this multiple of the estimate says more about the target.
+MAX_WORK_RATIO = 3.0
+# First estimate of the work of a kind, as a share of the time in which it should be answered.
+INITIAL_WORK_SHARE = 0.4
+
+
+def expected_pace(load: TargetLoad, now: float) -> float:
+    """Give the pace of a target, faded from its last report towards the mean."""
+    trust = math.exp(min(0.0, load.measured_at - now) / PACE_MEMORY_S)
+    pace = UNKNOWN_PACE + (load.pace - UNKNOWN_PACE) * trust
+    return pace * COLD_FACTOR if now < load.cold_until else pace
+
+
+def requests_there(load: TargetLoad) -> int:
+    """Give the requests at a target: those reported and those that this entry sent since."""
+    return max(load.running + load.waiting + load.sent_since_measured, load.outstanding)
+
+
+def expected_s(load: TargetLoad, work_s: float, slots: int, now: float) -> float:
+    """Give the time until the answer of a request that needs `work_s` at the usual pace."""
+    pace = expected_pace(load, now)
+    ahead = requests_there(load) - slots + 1
+    wait_s = max(0, ahead) * work_s * pace / slots
+    return work_s * pace + wait_s + load.distance_s + load.penalty_s
+
+
+def has_room(load: TargetLoad, slots: int) -> bool:
+    """Tell whether a request sent now would start soon, by what is known of the target."""
+    if load.outstanding >= load.connection_share:
+        return False
+    return requests_there(load) < slots + math.ceil(slots * WAITING_PER_SLOT)
+
+
+def observe_details(load: TargetLoad, running: int, waiting: int, pace: float, at: float) -> None:
+    """Record a detailed report that was true at `at`; older ones are ignored."""
+    if at < load.measured_at:
+        return
+    load.running = running
+    load.waiting = waiting
+    load.pace = pace
+    load.measured_at = at
+    load.sent_since_measured = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
+
+
+def observe_work(known_s: float, latency_s: float, pace: float) -> float:
+    """Fold an answer into the estimate of the work of its kind of request."""
+    sample_s = latency_s / max(1.0, pace)
+    sample_s = min(sample_s, known_s * MAX_WORK_RATIO)
+    return known_s + WORK_GAIN * (sample_s - known_s)
--- a/poplarlane/decisions/content.py
+++ b/poplarlane/decisions/content.py
@@ -24,6 +24,7 @@
     "power_of_two",
     "probe_pool",
     "adaptive",
+    "measured",
 )
 NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z")
 NAME_RULE = "1 to 63 of lowercase letters, digits, '-' and '.', a letter or digit first and last"
--- /dev/null
+++ b/poplarlane/decisions/directory.py
@@ -0,0 +1,220 @@
+"""The configuration and the instances of targets as the platform lists them, without its formats.
+
+`Directory` turns them into catalogues for the entry. A newer configuration replaces an older one,
+never the other way round.
+"""
+
+import math
+
+from poplarlane.decisions.route_table import Route
+from poplarlane.objects import LimitsObject, SelectorObject, ServiceObject, TargetObject
+from poplarlane.types import CallerLimits
+
+# Entries that lapsed while the platform was away are back within two seconds of its return.
+LAPSE_GRACE_S = 2.0
+EVERYTHING = {"all": SelectorObject(callers="", targets="")}
+
+
+class ServiceRecord:
+    """Hold what the configuration says of one service."""
+
+    __slots__ = ("name", "probe_path", "max_connections")
+
+    def __init__(self, name: str, probe_path: str, max_connections: int) -> None:
+        self.name = name
+        self.probe_path = probe_path
+        self.max_connections = max_connections
+
+
+class Configuration:
+    """Hold one version of the configuration."""
+
+    __slots__ = ("version", "routes", "services", "caller_limits")
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services: list[ServiceRecord],
+        caller_limits: CallerLimits | None,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.caller_limits = caller_limits
+
+
+class InstanceRecord:
+    """Hold what one process of a service says of itself; `warm_up_s` is left of its slow start.
+
+    `started_ms` tells processes apart that use one identity after the other.
+    """
+
+    __slots__ = (
+        "instance",
+        "service",
+        "address",
+        "port",
+        "data_centre",
+        "version",
+        "slots",
+        "leaving",
+        "started_ms",
+        "warm_up_s",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        address: str,
+        port: int,
+        data_centre: str,
+        version: str,
+        slots: int,
+        leaving: bool,
+        started_ms: int,
+        warm_up_s: float,
+    ) -> None:
+        self.instance = instance
+        self.service = service
+        self.address = address
+        self.port = port
+        self.data_centre = data_centre
+        self.version = version
+        self.slots = slots
+        self.leaving = leaving
+        self.started_ms = started_ms
+        self.warm_up_s = warm_up_s
+
+
+class Catalogue:
+    """Hold what an entry serves by: services with their targets, routes and callers' limits."""
+
+    __slots__ = ("services", "routes", "version", "caller_limits", "warm_up_s")
+
+    def __init__(
+        self,
+        services: dict[str, ServiceObject],
+        configuration: Configuration,
+        warm_up_s: dict[str, float],
+    ) -> None:
+        self.services = services
+        self.version = configuration.version
+        self.routes = configuration.routes
+        self.caller_limits = configuration.caller_limits
+        # Rest of the slow start, by target name.
+        self.warm_up_s = warm_up_s
+
+
+class Directory:
+    """Hold the newest configuration and the instances; pure, times are given."""
+
+    __slots__ = ("configuration", "instances", "lapsed", "grace_until", "retry_ratio", "policy")
+
+    def __init__(self, retry_ratio: float, policy: str) -> None:
+        self.configuration: Configuration | None = None
+        self.instances: dict[str, InstanceRecord] = {}
+        # Instances that vanished from the list while the platform was away or just after.
+        self.lapsed: dict[str, InstanceRecord] = {}
+        self.grace_until = -math.inf
+        self.retry_ratio = retry_ratio
+        self.policy = policy
+
+    def take_configuration(self, found: Configuration) -> bool:
+        """Accept a configuration that is newer than the one held."""
+        if self.configuration is not None and found.version <= self.configuration.version:
+            return False
+        self.configuration = found
+        return True
+
+    def take_instance(self, found: InstanceRecord) -> None:
+        """Record an instance; it is back if it had lapsed."""
+        self.instances[found.instance] = found
+        self.lapsed.pop(found.instance, None)
+
+    def drop_instance(self, instance: str, now: float) -> None:
+        """Forget an instance whose entry is gone, after a grace if entries may have lapsed."""
+        found = self.instances.pop(instance, None)
+        if found is not None and now < self.grace_until and not found.leaving:
+            self.lapsed[instance] = found
+
+    def take_listing(self, found: list[InstanceRecord], now: float) -> None:
+        """Replace all instances by a whole list."""
+        listed = {record.instance for record in found}
+        for instance in list(self.instances):
+            if instance not in listed:
+                self.drop_instance(instance, now)
+        for record in found:
+            self.take_instance(record)
+
+    def contact_regained(self, now: float) -> None:
+        """Start the grace for entries that lapsed while the platform was away."""
+        self.grace_until = now + LAPSE_GRACE_S
+
+    def expire_lapsed(self, now: float) -> bool:
+        """Drop the instances that did not come back in time; tell whether there were any."""
+        if not self.lapsed or now < self.grace_until:
+            return False
+        self.lapsed.clear()
+        return True
+
+    def catalogue(self) -> Catalogue | None:
+        """Build what the entry serves by; None before the first configuration."""
+        configuration = self.configuration
+        if configuration is None:
+            return None
+        records = {service.name: service for service in configuration.services}
+        targets: dict[str, dict[str, TargetObject]] = {name: {} for name in records}
+        slots: dict[str, int] = {}
+        warm_up_s = {}
+        for found in [*self.lapsed.values(), *self.instances.values()]:
+            if found.leaving or found.service not in records:
+                continue
+            name = target_name(found)
+            targets[found.service][name] = target_object(found, records[found.service])
+            slots[found.service] = max(found.slots, slots.get(found.service, 1))
+            if found.warm_up_s > 0.0:
+                warm_up_s[name] = found.warm_up_s
+        services = {
+            name: self.service_object(record, targets[name], slots.get(name, 1))
+            for name, record in records.items()
+        }
+        return Catalogue(services, configuration, warm_up_s)
+
+    def service_object(
+        self, record: ServiceRecord, targets: dict[str, TargetObject], slots: int
+    ) -> ServiceObject:
+        """Describe one service in the product's own terms."""
+        return ServiceObject(
+            service=record.name,
+            revision=1,
+            change_id="directory",
+            hosts=[],
+            policy=self.policy,
+            limits=LimitsObject(
+                slots_per_target=slots,
+                connections_per_target=record.max_connections,
+                retry_ratio=self.retry_ratio,
+                hedge_ratio=self.retry_ratio,
+            ),
+            targets=targets,
+            selectors=EVERYTHING,
+        )
+
+
+def target_name(found: InstanceRecord) -> str:
+    """Name a target so that a new process under an old identity is another target."""
+    return f"{found.instance}.{found.started_ms}" if found.started_ms else found.instance
+
+
+def target_object(found: InstanceRecord, record: ServiceRecord) -> TargetObject:
+    """Describe one target in the product's own terms."""
+    return TargetObject(
+        address=found.address,
+        port=found.port,
+        data_centre=found.data_centre,
+        labels={"version": found.version, "data-centre": found.data_centre},
+        instance=found.instance,
+        probe_path=record.probe_path,
+    )
--- a/poplarlane/decisions/entry_effects.py
+++ b/poplarlane/decisions/entry_effects.py
@@ -3,7 +3,7 @@
 from poplarlane.decisions.effects import Effect
 from poplarlane.messages import EntryHello, EntryReport
 from poplarlane.outcomes import Refusal, ResultCode
-from poplarlane.types import Target
+from poplarlane.types import CallerLimits, Target
 
 
 class SendRequest(Effect):
@@ -47,6 +47,25 @@
         self.attempt_id = attempt_id
 
 
+class ProbeTarget(Effect):
+    """Ask a target for its load on a pooled connection; CancelAttempt gives it up."""
+
+    __slots__ = ("probe_id", "target")
+
+    def __init__(self, probe_id: int, target: Target) -> None:
+        self.probe_id = probe_id
+        self.target = target
+
+
+class SetCallerLimits(Effect):
+    """Bound what callers may send and how long they may take."""
+
+    __slots__ = ("limits",)
+
+    def __init__(self, limits: CallerLimits) -> None:
+        self.limits = limits
+
+
 class DeliverAnswer(Effect):
     """Give a target's whole answer to the caller."""
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -2,6 +2,7 @@
 
 from enum import IntEnum
 
+from poplarlane.decisions.directory import Catalogue
 from poplarlane.decisions.events import Event
 from poplarlane.messages import ViewUpdate
 from poplarlane.outcomes import Refusal
@@ -121,9 +122,23 @@
 
 
 class AnswerNotes:
-    """Hold what the head of an answer says about its target; `in_flight` includes queued work."""
+    """Hold what the head of an answer says about its target; `in_flight` includes queued work.
 
-    __slots__ = ("status", "not_run", "retried", "in_flight", "leaving")
+    A detailed report also gives what runs and waits, and the pace of work as a multiple of the
+    usual time; `running` is None without one.
+    """
+
+    __slots__ = (
+        "status",
+        "not_run",
+        "retried",
+        "in_flight",
+        "leaving",
+        "running",
+        "waiting",
+        "pace",
+        "instance",
+    )
 
     def __init__(self) -> None:
         self.status = 0
@@ -131,6 +146,31 @@
         self.retried = False
         self.in_flight: float | None = None
         self.leaving = False
+        self.running: int | None = None
+        self.waiting = 0
+        self.pace = 1.0
+        self.instance = ""
+
+
+class ProbeAnswered(EntryEvent):
+    """Report the answer to a probe that was sent for a request."""
+
+    __slots__ = ("probe_id", "notes")
+
+    def __init__(self, now: float, draw: int, probe_id: int, notes: AnswerNotes) -> None:
+        super().__init__(now, draw)
+        self.probe_id = probe_id
+        self.notes = notes
+
+
+class ProbeFailed(EntryEvent):
+    """Report a probe without an answer."""
+
+    __slots__ = ("probe_id",)
+
+    def __init__(self, now: float, draw: int, probe_id: int) -> None:
+        super().__init__(now, draw)
+        self.probe_id = probe_id
 
 
 class AnswerStarted(EntryEvent):
@@ -192,3 +232,14 @@
     """Report a signal that asks the entry to stop."""
 
     __slots__ = ()
+
+
+class CatalogueChanged(EntryEvent):
+    """Report a changed catalogue, and how many entries the fleet has."""
+
+    __slots__ = ("catalogue", "fleet_entries")
+
+    def __init__(self, now: float, draw: int, catalogue: Catalogue, fleet_entries: int) -> None:
+        super().__init__(now, draw)
+        self.catalogue = catalogue
+        self.fleet_entries = fleet_entries
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -7,9 +7,12 @@
 from poplarlane.decisions.labels import InvalidLabels, parse_labels
 from poplarlane.decisions.limits import ServiceLimits
 from poplarlane.decisions.policies import Policy
+from poplarlane.decisions.probe_allowance import ProbeAllowance
 from poplarlane.decisions.retries import Budget
+from poplarlane.decisions.route_table import RouteTable
 from poplarlane.decisions.selectors import Access
 from poplarlane.decisions.subsets import TargetGroup
+from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import Refusal
 from poplarlane.types import Priority, RequestKind, TargetLoad
 
@@ -44,6 +47,10 @@
     ACCEPT_END = 3
     DRAIN_LIMIT = 4
     VIEW_LIMIT = 5
+    PROBE_END = 6
+    RECHECK = 7
+    # Belongs to a probe, not to a request.
+    PROBE_LIMIT = 8
 
 
 class ServiceState:
@@ -66,6 +73,7 @@
         "retry_budget",
         "hedge_budget",
         "waiting_hedges",
+        "work_s",
     )
 
     def __init__(self, name: str) -> None:
@@ -88,6 +96,8 @@
         self.hedge_budget: Budget
         # Reads whose hedge was due when no second target had room.
         self.waiting_hedges: list[Request] = []
+        # Estimated time of work of a request at the usual pace, by kind.
+        self.work_s: dict[str, float] = {}
 
 
 class Request:
@@ -112,6 +122,15 @@
         "tried",
         "streaming",
         "last_refusal",
+        "kind",
+        "aim",
+        "max_attempts",
+        "sends",
+        "work_s",
+        "in_round",
+        "rounds",
+        "probed",
+        "pending_probes",
     )
 
     def __init__(
@@ -146,12 +165,26 @@
         self.tried: list[TargetLoad] = []
         self.streaming: Attempt | None = None
         self.last_refusal: Refusal | None = None
+        self.kind = kind
+        # Instant until which an answer is worth its full value.
+        self.aim = deadline
+        # Bound on the targets that may run it, and how many may have.
+        self.max_attempts = 0
+        self.sends = 0
+        # Estimated time of its work at the usual pace.
+        self.work_s = 0.0
+        # Whether the choice of a target waits for probes, which round it is, who was asked in it,
+        # and what is not answered.
+        self.in_round = False
+        self.rounds = 0
+        self.probed: list[TargetLoad] = []
+        self.pending_probes: set[int] = set()
 
 
 class Attempt:
     """Hold one sending of a request to a target."""
 
-    __slots__ = ("attempt_id", "request", "load", "sent_at")
+    __slots__ = ("attempt_id", "request", "load", "sent_at", "pace")
 
     def __init__(self, attempt_id: int, request: Request, load: TargetLoad) -> None:
         self.attempt_id = attempt_id
@@ -159,6 +192,19 @@
         self.load = load
         # Instant at which the first byte was handed to a socket; 0 before that.
         self.sent_at = 0.0
+        # Pace of the target as known when it was chosen.
+        self.pace = load.pace
+
+
+class Probe:
+    """Hold one probe that was sent for a request."""
+
+    __slots__ = ("request", "load", "sent_at")
+
+    def __init__(self, request: Request, load: TargetLoad, sent_at: float) -> None:
+        self.request = request
+        self.load = load
+        self.sent_at = sent_at
 
 
 class EntryState:
@@ -195,6 +241,16 @@
         "agent_incarnation",
         "view_nonce",
         "unconfirmed_until",
+        "routes",
+        "catalogue",
+        "probes",
+        "probe_allowance",
+        "probes_per_target_s",
+        "data_centre",
+        "other_data_centre_s",
+        "transfer_s",
+        "extra_sends",
+        "extra_sends_window_s",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -231,6 +287,21 @@
         self.view_nonce = 0
         # Instant until which requests wait for that; 0 while the view is not in doubt.
         self.unconfirmed_until = 0.0
+        # None without a catalogue: then hosts lead to services.
+        self.routes: RouteTable | None = None
+        self.catalogue: dict[str, ServiceObject] = {}
+        self.probes: dict[int, Probe] = {}
+        # Probes per second that a target gets from the whole fleet at the most.
+        self.probes_per_target_s = 0.0
+        # The entry's own data centre; others without a known delay are this far away, one way.
+        self.data_centre = ""
+        self.other_data_centre_s = 0.0
+        # What a request to another data centre is charged beside the distance.
+        self.transfer_s = 0.0
+        # Repeats and second copies that the fleet may send per service and window beyond the ratio.
+        self.extra_sends = 0.0
+        self.extra_sends_window_s = 10.0
+        self.probe_allowance = ProbeAllowance()
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
@@ -247,6 +318,8 @@
     """Drop the earliest timers, up to a number, while they belong to requests that have ended."""
     timers = state.timers
     while timers and most and timers[0][3] and timers[0][3] not in state.requests:
+        if timers[0][2] is TimerKind.PROBE_LIMIT and timers[0][3] in state.probes:
+            return
         heapq.heappop(timers)
         most -= 1
 
--- a/poplarlane/decisions/policies.py
+++ b/poplarlane/decisions/policies.py
@@ -68,6 +68,19 @@
         self.trial_credit = 1.0
 
 
+class Measured(Policy):
+    """Choose the lowest expected completion time by load reports taken right before the choice.
+
+    `transfer_s` is what a request to another data centre is charged beside its distance.
+    """
+
+    __slots__ = ("transfer_s", "max_rounds")
+
+    def __init__(self) -> None:
+        self.transfer_s = 0.0
+        self.max_rounds = 2
+
+
 POLICIES: dict[str, type[Policy]] = {
     "random": Random,
     "round_robin": RoundRobin,
@@ -75,6 +88,7 @@
     "power_of_two": PowerOfTwo,
     "probe_pool": ProbePool,
     "adaptive": Adaptive,
+    "measured": Measured,
 }
 
 
--- /dev/null
+++ b/poplarlane/decisions/probe_events.py
@@ -0,0 +1,150 @@
+"""Handlers for probes that were sent right before a choice, and the choice after them."""
+
+from poplarlane.decisions import completion, health, limits, probe_rounds
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
+from poplarlane.decisions.entry_state import (
+    EntryState,
+    Request,
+    RequestState,
+    reachable_targets,
+)
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests import (
+    choose,
+    finish_refused,
+    hedge,
+    place,
+    plan_recheck,
+    send,
+    unreachable,
+    use_room,
+)
+from poplarlane.types import TargetLoad
+
+# Only the first requests of a queue ask for room; what they learn serves those behind them.
+ASKING_QUEUED = 2
+
+
+@reduce.register
+def probe_answered(event: ProbeAnswered, state: EntryState) -> list[Effect]:
+    """Record a report; choose once the round of the request is complete."""
+    probe = state.probes.pop(event.probe_id, None)
+    if probe is None:
+        return []
+    load, notes = probe.load, event.notes
+    load.probing -= 1
+    effects: list[Effect] = []
+    if notes.instance and notes.instance != load.target.instance:
+        # Another process has the address now.
+        health.observe_unreachable(load, event.now)
+    elif notes.running is not None:
+        at = event.now - load.distance_s / 2.0
+        completion.observe_details(load, notes.running, notes.waiting, notes.pace, at)
+    end_probe(state, probe.request, event.probe_id, event.now, event.draw, effects)
+    return effects
+
+
+@reduce.register
+def probe_failed(event: ProbeFailed, state: EntryState) -> list[Effect]:
+    """Count a target that does not answer a probe as failing."""
+    effects: list[Effect] = []
+    fail_probe(state, event.probe_id, event.now, event.draw, effects)
+    return effects
+
+
+def fail_probe(
+    state: EntryState, probe_id: int, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Record that a probe has no answer."""
+    probe = state.probes.pop(probe_id, None)
+    if probe is None:
+        return
+    probe.load.probing -= 1
+    health.observe_unreachable(probe.load, now)
+    end_probe(state, probe.request, probe_id, now, draw, effects)
+
+
+def end_probe(
+    state: EntryState,
+    request: Request,
+    probe_id: int,
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Take a probe from the round of its request."""
+    request.pending_probes.discard(probe_id)
+    live = request.request_id in state.requests
+    if live and request.in_round and not request.pending_probes:
+        finish_round(state, request, now, draw, effects)
+
+
+def finish_round(
+    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Choose a target by what the round has found, or ask others first."""
+    request.in_round = False
+    request.pending_probes.clear()
+    targets = reachable_targets(request.service, request.labels)
+    if request.attempts:
+        hedge(state, request, now, draw, effects)
+        return
+    if not targets:
+        if request.state is RequestState.QUEUED:
+            limits.remove_queued(request.service.limits, request)
+        finish_refused(state, request, unreachable(targets), effects)
+        return
+    load = choose(request, targets, now, draw)
+    if is_slow(request, load, targets, now):
+        request.rounds += 1
+        request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
+        if request.in_round:
+            return
+    if is_queued(request):
+        use_room(state, request.service, now, draw, effects)
+        if request.state is RequestState.QUEUED and request.request_id in state.requests:
+            plan_recheck(state, request, now, effects)
+    elif load is not None:
+        send(state, request, load, now, effects)
+    else:
+        place(state, request, targets, now, effects)
+
+
+def is_queued(request: Request) -> bool:
+    """Tell whether a request waits in the queue of its service."""
+    return request in request.service.limits.queues[request.priority]
+
+
+def is_slow(
+    request: Request, load: TargetLoad | None, targets: list[TargetLoad], now: float
+) -> bool:
+    """Tell whether others should be asked because the best target found is slow."""
+    service = request.service
+    if request.rounds >= service.policy.max_rounds:
+        return False
+    if len({id(found) for found in request.probed}) >= len(targets):
+        return False
+    if load is None:
+        return True
+    slots = service.limits.slots_per_target
+    found_s = completion.expected_s(load, request.work_s, slots, now)
+    return found_s > probe_rounds.SECOND_ROUND_RATIO * request.work_s
+
+
+def recheck(
+    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Ask targets again for a request that waits in the queue."""
+    if request.state is not RequestState.QUEUED or request.in_round:
+        return
+    targets = reachable_targets(request.service, request.labels)
+    asking = limits.queued_in_order(request.service.limits)[:ASKING_QUEUED]
+    if targets and request in asking:
+        request.rounds = request.service.policy.max_rounds
+        request.probed = []
+        request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
+    if not request.in_round:
+        use_room(state, request.service, now, draw, effects)
+        if request.state is RequestState.QUEUED and request.request_id in state.requests:
+            plan_recheck(state, request, now, effects)
--- /dev/null
+++ b/poplarlane/decisions/probe_rounds.py
@@ -0,0 +1,97 @@
+"""Ask a few targets for their load right before a request goes to the best of them.
+
+An entry of a large fleet sees so few answers that what it knows of a target is older than the
+target's load. A round of probes costs one round trip in the data centre; the choice waits for all
+of them or for a short limit. A bounded rate of probes per target holds over the whole fleet.
+"""
+
+from poplarlane.decisions import completion
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.entry_effects import ProbeTarget, SetTimer
+from poplarlane.decisions.entry_state import (
+    EntryState,
+    Probe,
+    Request,
+    ServiceState,
+    TimerKind,
+    add_timer,
+)
+from poplarlane.decisions.trials import usable_targets
+from poplarlane.types import TargetLoad
+
+PROBES_PER_ROUND = 3
+# The choice does not wait longer than this for probes; most answer within 3 ms.
+ROUND_LIMIT_S = 0.012
+# A probe that has no answer by then tells that the target hangs.
+PROBE_LIMIT_S = 0.25
+# A report of this age is as good as a new probe.
+FRESH_S = 0.01
+# Another round follows when the best target takes this multiple of the usual time.
+SECOND_ROUND_RATIO = 1.6
+
+
+def candidates_for(
+    service: ServiceState, targets: list[TargetLoad], tried: list[TargetLoad], now: float, draw: int
+) -> list[TargetLoad]:
+    """List the targets worth a probe, best guess first."""
+    usable = usable_targets(targets, now, draw) or targets
+    fresh = [load for load in usable if load not in tried] or usable
+    count = len(fresh)
+    start = draw % count if count else 0
+    turned = fresh[start:] + fresh[:start]
+    slots = service.limits.slots_per_target
+    turned.sort(key=lambda load: rough_cost(load, slots, now))
+    return turned
+
+
+def rough_cost(load: TargetLoad, slots: int, now: float) -> float:
+    """Order targets before a probe: near ones first, and those last seen full or failing last."""
+    cost = load.distance_s + load.penalty_s
+    if load.probing:
+        cost += load.probing * 0.01
+    if now - load.measured_at < 2.0 * completion.PACE_MEMORY_S:
+        cost += 0.02 * max(0.0, load.pace - 1.0)
+        cost += 0.02 * max(0, completion.requests_there(load) - slots + 2)
+    return cost
+
+
+def start_round(
+    state: EntryState,
+    request: Request,
+    targets: list[TargetLoad],
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> bool:
+    """Probe a few targets for a request; false when nothing needs to be waited for."""
+    service = request.service
+    excluded = request.tried + [attempt.load for attempt in request.attempts]
+    wanted = candidates_for(service, targets, excluded + request.probed, now, draw)
+    chosen = wanted[:PROBES_PER_ROUND]
+    stale = [load for load in chosen if now - load.measured_at > FRESH_S and not load.probing]
+    allowed = state.probe_allowance.take(len(stale), now)
+    request.probed += chosen
+    if not allowed:
+        return False
+    for load in stale[:allowed]:
+        if load.target.probe_path:
+            send_probe(state, request, load, now, effects)
+    if not request.pending_probes:
+        return False
+    if add_timer(state, now + ROUND_LIMIT_S, TimerKind.PROBE_END, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+    return True
+
+
+def send_probe(
+    state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
+) -> None:
+    """Probe one target for a request."""
+    probe_id = state.next_attempt_id
+    state.next_attempt_id = probe_id + 1
+    load.probing += 1
+    state.probes[probe_id] = Probe(request, load, now)
+    request.pending_probes.add(probe_id)
+    effects.append(ProbeTarget(probe_id, load.target))
+    if add_timer(state, now + PROBE_LIMIT_S, TimerKind.PROBE_LIMIT, probe_id):
+        effects.append(SetTimer(state.timer_at))
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -1,6 +1,8 @@
 """Handlers for the request life cycle: arrival, queue, sending, and the caller's answer."""
 
-from poplarlane.decisions import health, limits, retries
+import math
+
+from poplarlane.decisions import admission, completion, health, limits, probe_rounds, retries
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import (
     CancelAttempt,
@@ -31,11 +33,22 @@
     next_draw,
     reachable_targets,
 )
+from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.route_table import Route, choose_service
 from poplarlane.decisions.routing import choose_target
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
 from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
+# How soon a queued request looks for room again.
+RECHECK_S = 0.025
+# A second copy of a read is considered after this multiple of its usual work, but early enough
+# that the copy can be answered in time, and never before half of the work.
+HEDGE_WORK_RATIO = 1.3
+HEDGE_RESERVE_RATIO = 1.15
+MIN_HEDGE_WORK_RATIO = 0.5
+# Marks the round of probes of a second copy; a request is sent after two rounds at the most.
+HEDGE_ROUND = 10
 DEFAULT_DEADLINE_MS = 2_000
 # A caller's longer deadline would hold a connection and a slot that nobody waits for any more.
 MAX_DEADLINE_MS = 600_000
@@ -52,9 +65,16 @@
 @reduce.register
 def request_arrived(event: RequestArrived, state: EntryState) -> list[Effect]:
     """Admit, queue or refuse a request."""
-    service = state.hosts.get(event.host)
     if not state.ready:
         return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
+    route = None
+    if state.routes is not None:
+        route = state.routes.find(event.host, event.path)
+        if route is None:
+            return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+        service = state.services.get(choose_service(route, event.draw))
+    else:
+        service = state.hosts.get(event.host)
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
     targets = reachable_targets(service, event.labels)
@@ -62,8 +82,12 @@
         return refuse_arrival(event, state, ResultCode.NOT_ALLOWED, "no selector allows this")
     if not targets:
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
-    request = new_request(event, service)
-    decision = limits.admit(service.limits, request, event.now)
+    request = new_request(event, service, route)
+    measured = type(service.policy) is Measured
+    if measured:
+        decision = admission.admit(service, request, event.now)
+    else:
+        decision = limits.admit(service.limits, request, event.now)
     if isinstance(decision, NotRun):
         return [RefuseRequest(event.request_id, decision, False, state.draining)]
     state.requests[request.request_id] = request
@@ -72,7 +96,9 @@
     effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
-    if decision is limits.ADMIT:
+    if measured:
+        dispatch(state, request, targets, event.now, event.draw, effects)
+    elif decision is limits.ADMIT:
         load = choose(request, targets, event.now, event.draw)
         if load is not None:
             send(state, request, load, event.now, effects)
@@ -84,18 +110,23 @@
 
 
 def refuse_arrival(
-    event: RequestArrived, state: EntryState, code: ResultCode, detail: str
+    event: RequestArrived, state: EntryState, code: ResultCode, detail: str, status: int = 503
 ) -> list[Effect]:
     """Refuse a request that was never sent."""
-    return [RefuseRequest(event.request_id, NotRun(code, detail), False, state.draining)]
+    retry_after_s = admission.retry_after_s(event.draw) if status == 503 else 0.0
+    outcome = NotRun(code, detail, status, retry_after_s)
+    return [RefuseRequest(event.request_id, outcome, False, state.draining)]
 
 
-def new_request(event: RequestArrived, service: ServiceState) -> Request:
-    """Create a request from its arrival and the kind that applies to it."""
-    kind = kind_of(service, event.method, event.path)
+def new_request(event: RequestArrived, service: ServiceState, route: Route | None) -> Request:
+    """Create a request from its arrival and the route or the kind that applies to it."""
+    kind = route.kind if route is not None else kind_of(service, event.method, event.path)
     given_ms = event.deadline_ms
     allowed_ms = kind.deadline_ms if given_ms is None else min(given_ms, MAX_DEADLINE_MS)
-    return Request(
+    if route is not None:
+        # The route's own bound on the wait holds beside the caller's deadline.
+        allowed_ms = min(allowed_ms, kind.deadline_ms)
+    request = Request(
         event.request_id,
         service,
         event.labels,
@@ -105,6 +136,12 @@
         event.retried,
         event.hedged_above,
     )
+    if route is not None:
+        request.aim = event.now + route.aim_s
+        request.max_attempts = route.max_attempts
+        known_s = service.work_s.get(kind.name, 0.0)
+        request.work_s = known_s or route.aim_s * completion.INITIAL_WORK_SHARE
+    return request
 
 
 def kind_of(service: ServiceState, method: str, path: str) -> RequestKind:
@@ -119,6 +156,8 @@
     """Choose a target that has room, if possible one that was not tried yet."""
     service = request.service
     bounds = service.limits
+    if type(service.policy) is Measured:
+        return choose_measured(request, targets, now)
     open_targets = limits.targets_with_room(bounds, targets)
     if request.tried:
         tried = request.tried
@@ -128,6 +167,65 @@
     return choose_target(service.policy, open_targets, now, draw, trial)
 
 
+def choose_measured(request: Request, targets: list[TargetLoad], now: float) -> TargetLoad | None:
+    """Choose the target with the earliest expected completion among those with room."""
+    service = request.service
+    if service.limits.held:
+        return None
+    slots = service.limits.slots_per_target
+    best, best_s = None, math.inf
+    for load in targets:
+        if load.verdict is Verdict.AVOIDED or load.shed_until > now or load in request.tried:
+            continue
+        if not completion.has_room(load, slots):
+            continue
+        cost_s = completion.expected_s(load, request.work_s, slots, now)
+        if load.distance_s:
+            cost_s += service.policy.transfer_s
+        if cost_s < best_s:
+            best, best_s = load, cost_s
+    return best
+
+
+def dispatch(
+    state: EntryState,
+    request: Request,
+    targets: list[TargetLoad],
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Ask targets for their load and choose when they have answered, or choose at once."""
+    request.probed = []
+    request.rounds = 1
+    request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
+    if not request.in_round:
+        place(state, request, targets, now, effects)
+
+
+def place(
+    state: EntryState,
+    request: Request,
+    targets: list[TargetLoad],
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send a request to the best target by what is known, or queue it."""
+    load = choose(request, targets, now, 0)
+    if load is not None:
+        send(state, request, load, now, effects)
+        return
+    enqueue(state, request, effects)
+    if request.request_id in state.requests:
+        plan_recheck(state, request, now, effects)
+
+
+def plan_recheck(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+    """Look again soon whether a target has room for a queued request."""
+    if add_timer(state, now + RECHECK_S, TimerKind.RECHECK, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+
+
 def send(
     state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
 ) -> Attempt:
@@ -139,6 +237,7 @@
     request.attempts.append(attempt)
     request.state = RequestState.NOT_SENT
     health.observe_sent(load, attempt_id, now)
+    load.sent_since_measured += 1
     effects.append(
         SendRequest(
             request.request_id,
@@ -161,6 +260,9 @@
     attempt.sent_at = event.now
     request.state = RequestState.SENT
     request.uncertain += 1
+    request.sends += 1
+    if type(request.service.policy) is Measured:
+        return plan_measured_hedge(state, request, event.now)
     if request.hedge and state.hedged_reads and not request.hedged:
         return schedule_hedge(state, attempt, event.now)
     return []
@@ -180,6 +282,16 @@
     return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
 
 
+def plan_measured_hedge(state: EntryState, request: Request, now: float) -> list[Effect]:
+    """Set the time at which a second copy of a late read is considered."""
+    if not request.hedge or request.hedged or request.sends >= request.max_attempts:
+        return []
+    patience_s = HEDGE_WORK_RATIO * request.work_s
+    latest = request.aim - HEDGE_RESERVE_RATIO * request.work_s
+    at = max(now + request.work_s * MIN_HEDGE_WORK_RATIO, min(now + patience_s, latest))
+    return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
+
+
 def hedge(
     state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
 ) -> None:
@@ -187,9 +299,17 @@
     service = request.service
     if request.hedged or request.streaming or request.state is not RequestState.SENT:
         return
+    if not request.attempts:
+        return
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels) or []
     others = [load for load in targets if load is not first]
+    if type(service.policy) is Measured and request.rounds < HEDGE_ROUND:
+        request.rounds = HEDGE_ROUND
+        request.probed = []
+        request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
+        if request.in_round:
+            return
     load = choose(request, others, now, draw)
     if load is None:
         service.waiting_hedges.append(request)
@@ -300,6 +420,9 @@
     if certain and (request.uncertain or request.hedged):
         outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
         certain = False
+    if certain and not outcome.retry_after_s:
+        after_s = admission.retry_after_s(hash(request.request_id))
+        outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
     cancel_attempts(state, request, effects)
     request.state = RequestState.REFUSED if certain else RequestState.UNKNOWN
     if request.streaming is not None:
--- a/poplarlane/decisions/retries.py
+++ b/poplarlane/decisions/retries.py
@@ -39,14 +39,19 @@
 
 
 class Budget:
-    """Hold a budget that each first attempt fills by a ratio and each extra request uses."""
+    """Hold a budget that each first attempt fills by a ratio and each extra request uses.
 
-    __slots__ = ("ratio", "reserve", "tokens")
+    `per_s` also fills it over time, from the instant `filled_at` on.
+    """
+
+    __slots__ = ("ratio", "reserve", "tokens", "per_s", "filled_at")
 
     def __init__(self, ratio: float, reserve: float) -> None:
         self.ratio = ratio
         self.reserve = reserve
         self.tokens = reserve
+        self.per_s = 0.0
+        self.filled_at = 0.0
 
 
 def retry_budget(ratio: float) -> Budget:
@@ -59,6 +64,26 @@
     return Budget(ratio, HEDGE_RESERVE)
 
 
+def allow_over_time(budget: Budget, most: float, window_s: float, now: float) -> None:
+    """Allow `most` extra requests in any window beside the ratio.
+
+    Half of it may be saved up and half is filled in over the window, so no window exceeds it.
+    """
+    fill(budget, now)
+    if budget.per_s == 0.0:
+        budget.tokens = most / 2.0
+    budget.reserve = most / 2.0
+    budget.per_s = most / 2.0 / window_s
+
+
+def fill(budget: Budget, now: float) -> None:
+    """Add what the time since the last filling allows."""
+    if budget.per_s:
+        grown = budget.tokens + (now - budget.filled_at) * budget.per_s
+        budget.tokens = min(budget.reserve, grown)
+    budget.filled_at = now
+
+
 def observe_request(budget: Budget, attempt: int = 1) -> None:
     """Fill the budget for a request that arrived; later attempts of it do not count."""
     if attempt == 1:
@@ -80,6 +105,7 @@
         return RetryDecision.NO
     if request.retried_below or request.attempt >= MAX_ATTEMPTS or now >= request.deadline:
         return RetryDecision.NO
+    fill(budget, now)
     return RetryDecision.RETRY if take(budget) else RetryDecision.NO_BUDGET
 
 
@@ -103,4 +129,5 @@
         return False
     if p95_s <= 0.0 or now >= request.deadline:
         return False
+    fill(budget, now)
     return take(budget)
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -182,17 +182,30 @@
     """Create the loads of the configured targets, keeping those at the same address."""
     loads = {}
     for name, held in found.targets.items():
-        target = Target(name, held.address, held.port, held.data_centre, dict(held.labels))
+        target = Target(
+            name,
+            held.address,
+            held.port,
+            held.data_centre,
+            dict(held.labels),
+            held.instance,
+            held.probe_path,
+        )
         load = service.loads.get(name)
         if load is None or (load.target.address, load.target.port) != (held.address, held.port):
-            distance_s = 2.0 * state.delay_s_by_data_centre.get(held.data_centre, 0.0)
-            load = TargetLoad(target, distance_s)
+            load = TargetLoad(target, 2.0 * delay_s(state, held.data_centre))
         load.target = target
         load.leaving = name in state.leaving
         loads[name] = load
     return loads
 
 
+def delay_s(state: EntryState, data_centre: str) -> float:
+    """Give the one-way delay to a data centre."""
+    unknown_s = state.other_data_centre_s if data_centre != state.data_centre else 0.0
+    return state.delay_s_by_data_centre.get(data_centre, unknown_s)
+
+
 def set_limits(state: EntryState, service: ServiceState, found: LimitsObject, fresh: bool) -> None:
     """Set the limits of a service; queued requests and saved budgets are kept."""
     if fresh:
--- a/poplarlane/objects.py
+++ b/poplarlane/objects.py
@@ -49,6 +49,8 @@
     port: int
     data_centre: str
     labels: dict[str, str] = {}
+    instance: str = ""
+    probe_path: str = ""
 
 
 class SelectorObject(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- /dev/null
+++ b/poplarlane/objects_followed.py
@@ -0,0 +1,37 @@
+"""Objects of a store as a follower hands them on: content as decoded JSON, without a format."""
+
+
+class StoredObject:
+    """Hold one object; `spec` and `status` are decoded JSON of any shape."""
+
+    __slots__ = ("name", "revision", "spec", "status")
+
+    def __init__(self, name: str, revision: int, spec: object, status: object) -> None:
+        self.name = name
+        self.revision = revision
+        self.spec = spec
+        self.status = status
+
+
+class ObjectPage:
+    """Hold one page of a list; `unreadable` counts items that were left out."""
+
+    __slots__ = ("items", "unreadable", "more", "revision")
+
+    def __init__(
+        self, items: list[StoredObject], unreadable: int, more: bool, revision: int
+    ) -> None:
+        self.items = items
+        self.unreadable = unreadable
+        self.more = more
+        self.revision = revision
+
+
+class ObjectChange:
+    """Hold one change of an object."""
+
+    __slots__ = ("item", "deleted")
+
+    def __init__(self, item: StoredObject, deleted: bool) -> None:
+        self.item = item
+        self.deleted = deleted
--- a/poplarlane/outcomes.py
+++ b/poplarlane/outcomes.py
@@ -24,6 +24,8 @@
     REFUSED_BY_TARGET = 1207
     SHUTTING_DOWN = 1208
     DEADLINE_BEFORE_SEND = 1209
+    NO_ROUTE = 1210
+    OVERLOADED = 1211
     OUTCOME_UNKNOWN = 1300
     DEADLINE_AFTER_SEND = 1301
     ANSWER_TRUNCATED = 1302
@@ -48,11 +50,12 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """Refuse a request that no target can have started."""
+    """Refuse a request that no target can have started; `retry_after_s` 0 gives no time."""
 
     code: ResultCode
     detail: str
     status: int = 503
+    retry_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/poplarlane/platform/headers.py
@@ -0,0 +1,32 @@
+"""The platform's headers as the vocabulary of the entry's message heads."""
+
+from poplarlane.decisions.entry_events import AnswerNotes
+from poplarlane.plumbing.header_names import HeaderNames
+
+USUAL_PACE = 100.0
+
+
+def take_load(notes: AnswerNotes, value: bytes) -> None:
+    """Read running, waiting, slots and the time of work in percent of the usual."""
+    parts = value.split(b",")
+    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):
+        return
+    numbers = [int(part) for part in parts]
+    notes.running = numbers[0]
+    notes.waiting = numbers[1]
+    notes.in_flight = float(numbers[0] + numbers[1])
+    if len(numbers) > 3:
+        notes.pace = max(0.1, numbers[3] / USUAL_PACE)
+
+
+PLATFORM_HEADERS = HeaderNames(
+    request_id=b"x-attempt-id",
+    deadline=b"x-deadline-ms",
+    not_run=b"x-not-executed",
+    load=b"x-server-load",
+    take_load=take_load,
+    instance=b"x-instance-id",
+    expected_instance=b"x-expected-instance",
+    signature=b"x-server-signature",
+    is_marking=False,
+)
--- /dev/null
+++ b/poplarlane/platform/store.py
@@ -0,0 +1,93 @@
+"""The platform's store: paths of its calls and the documents of its answers."""
+
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from poplarlane.objects_followed import ObjectChange, ObjectPage, StoredObject
+
+OBJECTS_PATH = "/-/objects/"
+CONFIGURATION_KIND = "config"
+INSTANCES_KIND = "servers"
+GONE_STATUS = 410
+
+
+class ObjectMetadata(msgspec.Struct):
+    """Hold the name of an object and the revision of its last change."""
+
+    name: str
+    revision: int = 0
+
+
+class ObjectDocument(msgspec.Struct):
+    """Hold one object; `spec` and `status` belong to whoever wrote them."""
+
+    metadata: ObjectMetadata
+    spec: object = None
+    status: object = None
+
+
+class ListDocument(msgspec.Struct):
+    """Hold one page of a list; an item that cannot be read must not hide the others."""
+
+    current_rev: int
+    items: list[msgspec.Raw] = []
+    more_pages: bool = False
+
+
+class EventDocument(msgspec.Struct):
+    """Hold one change."""
+
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class EventsDocument(msgspec.Struct):
+    """Hold the answer to a watch."""
+
+    current_rev: int
+    events: list[EventDocument] = []
+
+
+LIST_DECODER = msgspec.json.Decoder(ListDocument)
+EVENTS_DECODER = msgspec.json.Decoder(EventsDocument)
+OBJECT_DECODER = msgspec.json.Decoder(ObjectDocument)
+
+
+def list_path(kind: str, after: str) -> str:
+    """Give the path that lists a kind, from the name `after` on."""
+    path = OBJECTS_PATH + quote(kind)
+    return f"{path}?{urlencode({'after': after})}" if after else path
+
+
+def watch_path(kind: str, revision: int, wait_ms: int) -> str:
+    """Give the path that waits for changes after a revision."""
+    return f"{OBJECTS_PATH}{quote(kind)}?watch={revision}&wait_ms={wait_ms}"
+
+
+def decode_page(body: bytes) -> ObjectPage:
+    """Decode a page of a list; raises msgspec.MsgspecError."""
+    found = LIST_DECODER.decode(body)
+    items = [stored_object(raw) for raw in found.items]
+    readable = [item for item in items if item is not None]
+    return ObjectPage(readable, len(items) - len(readable), found.more_pages, found.current_rev)
+
+
+def decode_changes(body: bytes) -> tuple[list[ObjectChange], int]:
+    """Decode changes and the revision to go on from; raises msgspec.MsgspecError."""
+    found = EVENTS_DECODER.decode(body)
+    changes = []
+    for event in found.events:
+        item = stored_object(event.object)
+        if item is not None:
+            changes.append(ObjectChange(item, event.deleted))
+    return changes, found.current_rev
+
+
+def stored_object(raw: msgspec.Raw) -> StoredObject | None:
+    """Decode one object; None when it cannot be read."""
+    try:
+        found = OBJECT_DECODER.decode(raw)
+    except msgspec.MsgspecError:
+        return None
+    return StoredObject(found.metadata.name, found.metadata.revision, found.spec, found.status)
--- /dev/null
+++ b/poplarlane/platform/translation.py
@@ -0,0 +1,195 @@
+"""The platform's configuration and its servers' entries in the product's own types."""
+
+import ipaddress
+
+import msgspec
+
+from poplarlane.decisions.directory import Configuration, InstanceRecord, ServiceRecord
+from poplarlane.decisions.route_table import Route, WeightedService, priority_of_rank
+from poplarlane.objects_followed import StoredObject
+from poplarlane.types import CallerLimits, RequestKind
+
+CONFIGURATION_NAME = "main"
+READY = "ready"
+DRAINING = "draining"
+SAFE = "safe"
+ROUTE_TYPES = (SAFE, "unsafe")
+# Without `timeout_s` a route does not bound the wait; the callers' deadlines do.
+NO_TIMEOUT_S = 600.0
+
+
+class SplitDocument(msgspec.Struct):
+    """Hold one part of a split route."""
+
+    service: str
+    weight: float
+
+
+class RouteDocument(msgspec.Struct):
+    """Hold a route; it names either one service or a split."""
+
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    service: str | None = None
+    traffic_split: list[SplitDocument] | None = None
+    timeout_s: float | None = None
+    target_latency_s: float | None = None
+    priority: int = 2
+    max_attempts: int = 1
+
+
+class ServiceDocument(msgspec.Struct):
+    """Hold a service; the health path answers with the load."""
+
+    name: str
+    health_path: str = ""
+    max_connections: int = 100
+
+
+class LimitsDocument(msgspec.Struct):
+    """Hold what a client may send and how long it may take."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class ConfigurationDocument(msgspec.Struct):
+    """Hold one version of the configuration."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument | None = None
+
+
+class InstanceInfo(msgspec.Struct):
+    """Hold what does not change while a backend runs; `version` is that of its software."""
+
+    service: str
+    zone: str
+    slots: int
+    version: str = ""
+
+
+class InstanceStatus(msgspec.Struct):
+    """Hold what changes; `cold_remaining_s` is how long the backend is still slow."""
+
+    state: str
+    cold_remaining_s: float = 0.0
+
+
+class InstanceDocument(msgspec.Struct):
+    """Hold a backend's entry; `born` is the Unix millisecond of its start."""
+
+    address: str
+    info: InstanceInfo
+    status: InstanceStatus
+    born: int = 0
+
+
+def configuration_of(item: StoredObject) -> Configuration | str:
+    """Translate the configuration; a text says why it cannot be used."""
+    try:
+        found = msgspec.convert(item.spec, ConfigurationDocument)
+    except msgspec.ValidationError as error:
+        return str(error)
+    routes = []
+    for route in found.routes:
+        translated = route_of(route)
+        if isinstance(translated, str):
+            return f"route {route.name!r}: {translated}"
+        routes.append(translated)
+    services = [
+        ServiceRecord(service.name, service.health_path, service.max_connections)
+        for service in found.services
+    ]
+    return Configuration(found.version, routes, services, limits_of(found.limits))
+
+
+def route_of(route: RouteDocument) -> Route | str:
+    """Translate one route; a text says why it cannot be used."""
+    if route.route_type not in ROUTE_TYPES:
+        return f"unknown route type {route.route_type!r}"
+    if route.traffic_split:
+        parts = [WeightedService(part.service, part.weight) for part in route.traffic_split]
+    elif route.service:
+        parts = [WeightedService(route.service, 1.0)]
+    else:
+        return "neither a service nor a split"
+    timeout_s = route.timeout_s or NO_TIMEOUT_S
+    idempotent = route.route_type == SAFE
+    kind = RequestKind(
+        route.name,
+        frozenset(),
+        route.path_prefix,
+        idempotent,
+        priority_of_rank(route.priority),
+        timeout_s * 1000.0,
+        idempotent,
+    )
+    aim_s = route.target_latency_s or timeout_s
+    return Route(
+        route.name, route.host, route.path_prefix, kind, aim_s, max(1, route.max_attempts), parts
+    )
+
+
+def limits_of(limits: LimitsDocument | None) -> CallerLimits | None:
+    """Translate the limits of clients."""
+    if limits is None:
+        return None
+    return CallerLimits(
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+    )
+
+
+def instance_of(item: StoredObject) -> InstanceRecord | None:
+    """Translate a backend's entry; None for one that names no backend to use."""
+    try:
+        found = msgspec.convert(entry_content(item), InstanceDocument)
+    except (msgspec.ValidationError, TypeError):
+        return None
+    if found.status.state not in (READY, DRAINING) or found.info.slots < 1:
+        return None
+    address, _, port = found.address.rpartition(":")
+    if not port.isdigit() or not 0 < int(port) < 65_536 or not is_ip(address):
+        return None
+    return InstanceRecord(
+        item.name,
+        found.info.service,
+        address,
+        int(port),
+        found.info.zone,
+        found.info.version,
+        found.info.slots,
+        found.status.state == DRAINING,
+        found.born,
+        max(0.0, found.status.cold_remaining_s),
+    )
+
+
+def entry_content(item: StoredObject) -> dict[str, object]:
+    """Join the parts of an entry; the store keeps a backend's status apart from the rest."""
+    content: dict[str, object] = {}
+    if isinstance(item.spec, dict):
+        content.update(item.spec)
+    if isinstance(item.status, dict):
+        content["status"] = item.status.get("status", item.status)
+        if "born" in item.status:
+            content.setdefault("born", item.status["born"])
+    return content
+
+
+def is_ip(text: str) -> bool:
+    """Tell whether a text is an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -140,7 +140,7 @@
 
     def start_parser(self, buffer: bytes) -> h11.Connection | None:
         """Check the head and start a parser for one request; None until the head is whole."""
-        limit = self.shell.settings.max_head_bytes
+        limit = self.shell.max_head_bytes
         end = buffer.find(HEAD_END)
         if end > limit or (end < 0 and len(buffer) > limit):
             return self.refuse(431, f"head larger than {limit} bytes")
@@ -181,11 +181,8 @@
         except h11.RemoteProtocolError as error:
             self.refuse(error.error_status_hint, str(error))
             return
-        settings = self.shell.settings
-        if (
-            self.raw_bytes
-            > settings.max_body_bytes + settings.max_head_bytes + CHUNK_OVERHEAD_BYTES
-        ):
+        shell = self.shell
+        if self.raw_bytes > shell.max_body_bytes + shell.max_head_bytes + CHUNK_OVERHEAD_BYTES:
             self.refuse(413, "body framing larger than accepted")
 
     def take_head(self, event: h11.Request, parser: h11.Connection) -> bool:
@@ -195,12 +192,16 @@
             self.refuse(501, "CONNECT is not supported")
             return False
         self.head = head = read_request_head(
-            event.method, event.target, event.headers.raw_items(), self.trusted
+            event.method,
+            event.target,
+            event.headers.raw_items(),
+            self.trusted,
+            self.shell.header_names,
         )
         if head.fault:
             self.refuse(400, head.fault)
             return False
-        limit = self.shell.settings.max_body_bytes
+        limit = self.shell.max_body_bytes
         if head.length > limit:
             self.refuse(413, f"body larger than {limit} bytes")
             return False
@@ -218,8 +219,8 @@
             detail = "too many bytes of request bodies are held"
             self.shell.malformed(self, NotRun(ResultCode.QUEUE_FULL, detail))
             return False
-        if self.body_bytes > self.shell.settings.max_body_bytes:
-            self.refuse(413, f"body larger than {self.shell.settings.max_body_bytes} bytes")
+        if self.body_bytes > self.shell.max_body_bytes:
+            self.refuse(413, f"body larger than {self.shell.max_body_bytes} bytes")
             return False
         self.parts.append(bytes(data))
         return True
--- /dev/null
+++ b/poplarlane/plumbing/directory_keeper.py
@@ -0,0 +1,139 @@
+"""Keep a directory up to date from a store and feed its catalogues to the entry of this process."""
+
+from collections.abc import Callable
+
+from poplarlane.decisions.directory import Configuration, Directory, InstanceRecord
+from poplarlane.decisions.entry_events import CatalogueChanged
+from poplarlane.logs import log
+from poplarlane.messages import EntryHello, EntryReport
+from poplarlane.objects_followed import ObjectChange, StoredObject
+from poplarlane.plumbing.entry_shell import EntryShell
+from poplarlane.plumbing.object_follower import ObjectFollower
+
+LAPSE_CHECK_S = 0.25
+
+
+class Translation:
+    """Hold how objects of the store become the product's own types."""
+
+    __slots__ = ("configuration_kind", "configuration_name", "configuration_of", "instance_of")
+
+    def __init__(
+        self,
+        configuration_kind: str,
+        configuration_name: str,
+        configuration_of: Callable[[StoredObject], Configuration | str],
+        instance_of: Callable[[StoredObject], InstanceRecord | None],
+    ) -> None:
+        self.configuration_kind = configuration_kind
+        self.configuration_name = configuration_name
+        self.configuration_of = configuration_of
+        self.instance_of = instance_of
+
+
+class DirectoryKeeper:
+    """Own the followers of a process; takes the place of an entry's link to an agent."""
+
+    __slots__ = (
+        "shell",
+        "directory",
+        "translation",
+        "followers",
+        "reached",
+        "listed_kinds",
+        "fleet_entries",
+    )
+
+    def __init__(
+        self, shell: EntryShell, directory: Directory, translation: Translation, fleet_entries: int
+    ) -> None:
+        self.shell = shell
+        self.directory = directory
+        self.translation = translation
+        self.followers: list[ObjectFollower] = []
+        # Whether the last call about each kind was answered.
+        self.reached: dict[str, bool] = {}
+        self.listed_kinds: set[str] = set()
+        self.fleet_entries = fleet_entries
+
+    def start(self) -> None:
+        """Start all followers."""
+        for follower in self.followers:
+            follower.start()
+        self.check_lapsed()
+
+    def close(self) -> None:
+        """End all followers."""
+        for follower in self.followers:
+            follower.close()
+
+    def send(self, message: EntryHello | EntryReport) -> None:
+        """Drop an entry's report: there is no agent beside this process."""
+
+    def listed(self, kind: str, items: list[StoredObject]) -> None:
+        """Take a whole list."""
+        self.listed_kinds.add(kind)
+        if kind == self.translation.configuration_kind:
+            for item in items:
+                self.take_configuration(item)
+        else:
+            found = [self.translation.instance_of(item) for item in items]
+            usable = [record for record in found if record is not None]
+            self.directory.take_listing(usable, self.shell.now())
+            log("targets_listed", listed=len(items), usable=len(usable))
+        self.publish()
+
+    def changed(self, kind: str, changes: list[ObjectChange]) -> None:
+        """Take changes."""
+        for change in changes:
+            if kind == self.translation.configuration_kind:
+                if not change.deleted:
+                    self.take_configuration(change.item)
+            else:
+                self.take_instance(change)
+        self.publish()
+
+    def take_configuration(self, item: StoredObject) -> None:
+        """Accept a newer configuration; one that cannot be used leaves the held one in force."""
+        if item.name != self.translation.configuration_name:
+            return
+        found = self.translation.configuration_of(item)
+        if isinstance(found, str):
+            log("bad_object", "error", name=item.name, revision=item.revision, reason=found)
+        elif not self.directory.take_configuration(found):
+            log("configuration_stale", "debug", version=found.version, revision=item.revision)
+
+    def take_instance(self, change: ObjectChange) -> None:
+        """Take a change of one instance; an unreadable entry names no target."""
+        item = change.item
+        found = None if change.deleted else self.translation.instance_of(item)
+        if found is None:
+            self.directory.drop_instance(item.name, self.shell.now())
+        else:
+            self.directory.take_instance(found)
+        state = "gone" if found is None else "leaving" if found.leaving else "ready"
+        log("instance_changed", instance=item.name, state=state, revision=item.revision)
+
+    def contact(self, kind: str, good: bool) -> None:
+        """Note whether the store answers; entries may have lapsed while it did not."""
+        before = self.reached.get(kind)
+        self.reached[kind] = good
+        if before is None or before == good:
+            return
+        log("store_reached" if good else "store_lost", "warning", kind=kind)
+        if good:
+            self.directory.contact_regained(self.shell.now())
+
+    def check_lapsed(self) -> None:
+        """Drop the targets that did not come back after an outage of the store."""
+        self.shell.loop.call_later(LAPSE_CHECK_S, self.check_lapsed)
+        if self.directory.expire_lapsed(self.shell.now()):
+            self.publish()
+
+    def publish(self) -> None:
+        """Feed the catalogue to the entry once both kinds are known."""
+        catalogue = self.directory.catalogue()
+        if catalogue is None or len(self.listed_kinds) < len(self.followers):
+            return
+        shell = self.shell
+        shell.feed(CatalogueChanged(shell.now(), shell.draw(), catalogue, self.fleet_entries))
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -11,10 +11,12 @@
     CutAnswer,
     DeliverAnswer,
     FinishStream,
+    ProbeTarget,
     RefuseCaller,
     RefuseRequest,
     SendRequest,
     SendToAgent,
+    SetCallerLimits,
     SetConnectionLimit,
     SetTimer,
     StartAccepting,
@@ -86,11 +88,17 @@
     left_ms = max(0, int((effect.deadline - shell.now()) * 1000.0))
     head = caller.head
     body = caller.body
-    parts = [head.forwarded, b"x-attempt: %d\r\nx-deadline-ms: %d\r\n" % (effect.number, left_ms)]
-    if effect.retried:
-        parts.append(b"x-poplar-retried: 1\r\n")
-    if effect.hedged_above:
-        parts.append(b"x-poplar-hedged: 1\r\n")
+    names = shell.header_names
+    parts = [head.forwarded, b"%b: %d\r\n" % (names.deadline, left_ms)]
+    if names.is_marking:
+        parts.append(b"x-attempt: %d\r\n" % effect.number)
+        if effect.retried:
+            parts.append(b"x-poplar-retried: 1\r\n")
+        if effect.hedged_above:
+            parts.append(b"x-poplar-hedged: 1\r\n")
+    if names.expected_instance and effect.target.instance:
+        instance = effect.target.instance.encode("ascii", "replace")
+        parts.append(b"%b: %b\r\n" % (names.expected_instance, instance))
     if caller.span is not None:
         traceparent = shell.tracer.traceparent(caller.span)
         parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
@@ -131,10 +139,31 @@
         detail = "connection closed before sending"
         shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
-    shell.feed(AttemptSent(shell.now(), 0, exchange.attempt_id))
+    if not exchange.is_probe:
+        shell.feed(AttemptSent(shell.now(), 0, exchange.attempt_id))
     connection.send(exchange)
 
 
+@execute.register(ProbeTarget)
+def execute_probe(effect: ProbeTarget, shell: "EntryShell") -> None:
+    """Ask a target for its load on an idle connection, or on a new one."""
+    target = effect.target
+    data = b"GET %b HTTP/1.1\r\nhost: %b\r\n\r\n" % (
+        target.probe_path.encode("ascii", "replace"),
+        target.address.encode("ascii"),
+    )
+    exchange = Exchange(effect.probe_id, 0, False, b"", data, is_probe=True)
+    shell.exchanges[effect.probe_id] = exchange
+    pool = shell.pool(target)
+    connection = pool.take()
+    if connection is not None:
+        connection.send(exchange)
+        return
+    exchange.task = shell.loop.create_task(connect_and_send(exchange, pool, shell))
+    shell.tasks.add(exchange.task)
+    exchange.task.add_done_callback(shell.tasks.discard)
+
+
 @execute.register(CancelAttempt)
 def execute_cancel(effect: CancelAttempt, shell: "EntryShell") -> None:
     """Close the connection of an attempt, so that its target can cancel the work."""
@@ -172,8 +201,11 @@
 
 def head_parts(effect: DeliverAnswer, head: AnswerHead, caller: CallerConnection) -> list[bytes]:
     """Write an answer's head up to its length."""
-    parts = [head.status_line, *head.lines, b"x-poplar-result: %d\r\n" % effect.code]
-    if effect.retried:
+    parts = [head.status_line, *head.lines]
+    is_marking = caller.shell.header_names.is_marking
+    if is_marking:
+        parts.append(b"x-poplar-result: %d\r\n" % effect.code)
+    if effect.retried and is_marking:
         parts.append(b"x-poplar-retried: 1\r\n")
     if effect.close or caller.close_after:
         caller.close_after = True
@@ -274,6 +306,16 @@
         shell.pools[key].set_limit(effect.limit)
 
 
+@execute.register(SetCallerLimits)
+def execute_caller_limits(effect: SetCallerLimits, shell: "EntryShell") -> None:
+    """Bound what callers may send from now on."""
+    bounds = effect.limits
+    shell.max_head_bytes = bounds.max_head_bytes
+    shell.max_body_bytes = bounds.max_body_bytes
+    shell.head_timeout_s = bounds.head_timeout_s
+    shell.idle_timeout_s = bounds.idle_timeout_s
+
+
 @execute.register(SendToAgent)
 def execute_message(effect: SendToAgent, shell: "EntryShell") -> None:
     """Send a message to the agent."""
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from poplarlane.decisions.entry_events import (
     AnswerCompleted,
@@ -14,6 +14,8 @@
     EntryEvent,
     EntryPaused,
     FailureCause,
+    ProbeAnswered,
+    ProbeFailed,
     ReportDue,
     RequestArrived,
     RequestMalformed,
@@ -24,29 +26,42 @@
 from poplarlane.decisions.entry_state import EntryState
 from poplarlane.decisions.reducer import reduce
 from poplarlane.logs import log
-from poplarlane.messages import ViewUpdate
+from poplarlane.messages import EntryHello, EntryReport, ViewUpdate
 from poplarlane.metrics import Metrics
 from poplarlane.outcomes import Malformed, NotRun
 from poplarlane.plumbing.acceptor import Acceptor, bind_listener
-from poplarlane.plumbing.agent_link import AgentLink
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, execute
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
 from poplarlane.plumbing.heads import service_host
 from poplarlane.plumbing.pauses import PauseWatch
 from poplarlane.plumbing.targets import Exchange, Pool
 from poplarlane.settings import EntrySettings, seeded_generator
-from poplarlane.traces import Tracer
 from poplarlane.types import Target
 
+if TYPE_CHECKING:
+    from poplarlane.traces import Tracer
+
 REPORT_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 0.1
-# Idle connections to a target are closed before a usual target would close them.
-TARGET_IDLE_S = 30.0
 FAULT_LOGS_PER_S = 20
 MAX_CACHED_SOURCES = 4_096
 DEFAULT_CONNECTION_LIMIT = 13
 
 
+class Link(Protocol):
+    """Say what an entry needs of its link to the control work."""
+
+    def start(self) -> None:
+        """Receive in the background."""
+
+    def send(self, message: EntryHello | EntryReport) -> None:
+        """Send a message, or drop it."""
+
+    def close(self) -> None:
+        """End the link."""
+
+
 # A plain dictionary beside singledispatch's own cache, whose weak references cost 0.5 us a call.
 HANDLERS: dict[type, Callable] = {}
 
@@ -92,6 +107,11 @@
         "logged",
         "logged_second",
         "pauses",
+        "header_names",
+        "max_head_bytes",
+        "max_body_bytes",
+        "target_idle_s",
+        "make_link",
     )
 
     def __init__(
@@ -99,8 +119,10 @@
         settings: EntrySettings,
         state: EntryState,
         metrics: Metrics,
-        tracer: Tracer | None,
+        tracer: "Tracer | None",
         networks: list,
+        make_link: Callable[["EntryShell"], Link],
+        header_names: HeaderNames = DEFAULT_HEADERS,
     ) -> None:
         self.settings = settings
         self.state = state
@@ -110,7 +132,9 @@
         self.random = seeded_generator(settings)
         self.now = time.monotonic
         self.loop: asyncio.AbstractEventLoop
-        self.link: AgentLink
+        self.link: Link
+        self.make_link = make_link
+        self.header_names = header_names
         self.acceptor: Acceptor
         self.callers: dict[int, CallerConnection] = {}
         self.by_request: dict[int, CallerConnection] = {}
@@ -125,6 +149,9 @@
         self.head_timeout_s = settings.head_timeout_ms / 1000.0
         self.body_timeout_s = settings.body_timeout_ms / 1000.0
         self.idle_timeout_s = settings.idle_timeout_ms / 1000.0
+        self.max_head_bytes = settings.max_head_bytes
+        self.max_body_bytes = settings.max_body_bytes
+        self.target_idle_s = settings.target_idle_ms / 1000.0
         # Earliest instant at which a drained entry ends; 0 while it accepts.
         self.stop_at = 0.0
         # Faults of targets logged in the current second.
@@ -143,7 +170,7 @@
         self.stopped = asyncio.Event()
         listener = bind_listener(settings.listen_address, settings.listen_port)
         self.acceptor = Acceptor(listener, lambda: CallerConnection(self))
-        self.link = AgentLink(settings.agent_address, settings.agent_port, self.view_received)
+        self.link = self.make_link(self)
         self.link.start()
         self.sweep()
         self.report()
@@ -285,14 +312,21 @@
     def answer_read(self, exchange: Exchange) -> None:
         """Report a whole answer; an attempt that was given up is ignored by the reducer."""
         notes = exchange.head.notes
+        if exchange.is_probe:
+            self.exchanges.pop(exchange.attempt_id, None)
+            self.feed(ProbeAnswered(self.now(), self.draw(), exchange.attempt_id, notes))
+            return
         self.feed(
             AnswerCompleted(self.now(), self.random.getrandbits(64), exchange.attempt_id, notes)
         )
         self.exchanges.pop(exchange.attempt_id, None)
 
     def exchange_failed(self, exchange: Exchange, cause: FailureCause, detail: str) -> None:
-        """Report an attempt that ended without a whole answer."""
+        """Report an attempt or a probe that ended without a whole answer."""
         self.exchanges.pop(exchange.attempt_id, None)
+        if exchange.is_probe:
+            self.feed(ProbeFailed(self.now(), self.draw(), exchange.attempt_id))
+            return
         if cause is FailureCause.ANSWER_INVALID:
             self.log_limited("answer_invalid", attempt=exchange.attempt_id, reason=detail)
         self.feed(AttemptFailed(self.now(), self.draw(), exchange.attempt_id, cause, detail))
@@ -345,7 +379,7 @@
         for caller in late:
             caller.expire()
         for pool in self.pools.values():
-            pool.close_idle_before(now - TARGET_IDLE_S)
+            pool.close_idle(now)
         quiet = not self.callers and not self.acceptor.tasks and not self.state.requests
         if quiet and 0.0 < self.stop_at <= now:
             self.stopped.set()
--- /dev/null
+++ b/poplarlane/plumbing/header_names.py
@@ -0,0 +1,89 @@
+"""Names of the headers that an entry reads and writes; a deployment may have its own."""
+
+from collections.abc import Callable
+
+from poplarlane.decisions.entry_events import AnswerNotes
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+MAX_REPORTED_IN_FLIGHT = 1_000_000.0
+
+
+class HeaderNames:
+    """Hold lower-case header names; an empty name is not used.
+
+    `signature` marks an answer as the target's own: one without it is not passed on. `is_marking`
+    tells whether the entry adds its own `x-poplar-*` and `x-attempt` headers.
+    """
+
+    __slots__ = (
+        "request_id",
+        "deadline",
+        "not_run",
+        "load",
+        "take_load",
+        "instance",
+        "expected_instance",
+        "signature",
+        "is_marking",
+        "request_dropped",
+        "answer_dropped",
+    )
+
+    def __init__(
+        self,
+        request_id: bytes = b"x-request-id",
+        deadline: bytes = b"x-deadline-ms",
+        not_run: bytes = b"x-not-run",
+        load: bytes = b"x-load",
+        take_load: Callable[[AnswerNotes, bytes], None] | None = None,
+        instance: bytes = b"",
+        expected_instance: bytes = b"",
+        signature: bytes = b"",
+        is_marking: bool = True,
+    ) -> None:
+        self.request_id = request_id
+        self.deadline = deadline
+        self.not_run = not_run
+        self.load = load
+        self.take_load = take_load or take_in_flight
+        self.instance = instance
+        self.expected_instance = expected_instance
+        self.signature = signature
+        self.is_marking = is_marking
+        # Written anew for each attempt, or meant for this entry alone.
+        dropped = {b"content-length", b"expect", b"x-attempt", b"x-caller-labels", deadline}
+        dropped.add(expected_instance or deadline)
+        self.request_dropped = HOP_BY_HOP | dropped
+        self.answer_dropped = HOP_BY_HOP | {b"content-length", not_run}
+
+
+def take_in_flight(notes: AnswerNotes, value: bytes) -> None:
+    """Read `in_flight=N;queued=N` as their sum; a malformed report is ignored."""
+    notes.in_flight = parse_load(value)
+
+
+def parse_load(value: bytes) -> float | None:
+    """Parse `in_flight=N;queued=N` to their sum; a malformed report is ignored."""
+    total = 0.0
+    for pair in value.split(b";"):
+        name, _, number = pair.strip().partition(b"=")
+        if name in (b"in_flight", b"queued"):
+            if not number.isdigit() or len(number) > 9:
+                return None
+            total += int(number)
+    return min(total, MAX_REPORTED_IN_FLIGHT)
+
+
+DEFAULT_HEADERS = HeaderNames()
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -8,38 +8,21 @@
 import re
 
 from poplarlane.decisions.entry_events import AnswerNotes
-from poplarlane.outcomes import Refusal, ResultCode
+from poplarlane.outcomes import NotRun, Refusal, ResultCode
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
 
 HEAD_END = b"\r\n\r\n"
 # The value is empty for a line without a colon.
 LENGTH_VALUE = re.compile(rb"\r\ncontent-length(?::([^\r]*)|(?=\r))")
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-# Written anew for each attempt, or meant for this entry alone.
-REQUEST_DROPPED = HOP_BY_HOP | {
-    b"content-length",
-    b"expect",
-    b"x-attempt",
-    b"x-caller-labels",
-    b"x-deadline-ms",
-}
-ANSWER_DROPPED = HOP_BY_HOP | {b"content-length", b"x-not-run"}
+# Statuses with which a target may say that it has not run a request.
+NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
+MISDIRECTED = 421
 POPLAR_PREFIX = b"x-poplar-"
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
@@ -48,7 +31,6 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
-MAX_REPORTED_IN_FLIGHT = 1_000_000.0
 
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -139,7 +121,11 @@
 
 
 def read_request_head(
-    method: bytes, target: bytes, headers: RawHeaders, trusted: bool
+    method: bytes,
+    target: bytes,
+    headers: RawHeaders,
+    trusted: bool,
+    names: HeaderNames = DEFAULT_HEADERS,
 ) -> RequestHead:
     """Read a request's headers; those that only trusted sources may set are else dropped."""
     head = RequestHead(method, target)
@@ -150,7 +136,7 @@
         lower = name.lower()
         if lower == b"host":
             head.host = value
-        elif lower in REQUEST_DROPPED or lower.startswith(POPLAR_PREFIX):
+        elif lower in names.request_dropped or lower.startswith(POPLAR_PREFIX):
             if lower == b"connection":
                 named |= connection_tokens(value)
             elif lower == b"content-length":
@@ -160,14 +146,14 @@
             elif lower == b"expect":
                 head.expects = True
             elif trusted:
-                read_trusted_header(head, lower, value)
+                read_trusted_header(head, lower, value, names)
                 if lower == b"x-caller-labels":
                     # A target that calls further services passes them on.
                     lines.append((name, value))
         elif lower == b"traceparent":
             head.traceparent = value
         else:
-            if lower == b"x-request-id":
+            if lower == names.request_id:
                 head.request_id = value
             lines.append((name, value))
     if not target.startswith(b"/"):
@@ -183,7 +169,7 @@
     return head
 
 
-def read_trusted_header(head: RequestHead, lower: bytes, value: bytes) -> None:
+def read_trusted_header(head: RequestHead, lower: bytes, value: bytes, names: HeaderNames) -> None:
     """Read a header that a trusted source may set; unreadable numbers are a fault."""
     if lower == b"x-caller-labels":
         head.labels = value.decode("latin-1")
@@ -191,7 +177,7 @@
         head.retried = value == b"1"
     elif lower == b"x-poplar-hedged":
         head.hedged_above = value == b"1"
-    elif lower in (b"x-deadline-ms", b"x-attempt"):
+    elif lower in (names.deadline, b"x-attempt"):
         if not value.isdigit() or len(value) > 9:
             head.fault = f"{lower.decode()} is not a number"
         elif lower == b"x-attempt":
@@ -224,7 +210,18 @@
 class AnswerHead:
     """Hold what the entry needs of an answer's head."""
 
-    __slots__ = ("notes", "status_line", "lines", "length", "chunked", "reusable", "request_id")
+    __slots__ = (
+        "notes",
+        "status_line",
+        "lines",
+        "length",
+        "chunked",
+        "reusable",
+        "request_id",
+        "signed",
+        "encoded",
+        "idle_limit_s",
+    )
 
     def __init__(self, status: int, reason: bytes) -> None:
         self.notes = AnswerNotes()
@@ -236,33 +233,50 @@
         self.chunked = False
         self.reusable = True
         self.request_id = b""
+        # Whether it bears the target's signature, and whether its body is encoded.
+        self.signed = False
+        self.encoded = False
+        # How long the target keeps the idle connection, as it says; 0 is unknown.
+        self.idle_limit_s = 0
 
 
-def read_answer_head(status: int, reason: bytes, headers: RawHeaders) -> AnswerHead:
+def read_answer_head(
+    status: int, reason: bytes, headers: RawHeaders, names: HeaderNames = DEFAULT_HEADERS
+) -> AnswerHead:
     """Read an answer's headers and keep those that go to the caller."""
     head = AnswerHead(status, reason)
     notes = head.notes
+    # An answer for another instance says by its status alone that nothing was run.
+    notes.not_run = status == MISDIRECTED and bool(names.expected_instance)
     named: frozenset[bytes] = frozenset()
     for name, value in headers:
         lower = name.lower()
-        if lower in ANSWER_DROPPED or lower.startswith(POPLAR_PREFIX):
+        if lower in names.answer_dropped or lower.startswith(POPLAR_PREFIX):
             if lower == b"content-length":
                 head.length = value
             elif lower == b"connection":
                 named |= connection_tokens(value)
             elif lower == b"transfer-encoding":
                 head.chunked = True
-            elif lower == b"x-not-run":
-                notes.not_run = status == 503 and value == b"1"
+            elif lower == names.not_run:
+                notes.not_run = status in NOT_RUN_STATUSES and value == b"1"
+            elif lower == b"keep-alive":
+                head.idle_limit_s = idle_limit_s(value)
             elif lower == b"x-poplar-retried":
                 notes.retried = value == b"1"
             continue
-        if lower == b"x-load":
-            notes.in_flight = parse_load(value)
+        if lower == names.load:
+            names.take_load(notes, value)
         elif lower == b"x-leaving":
             notes.leaving = value == b"1"
-        elif lower == b"x-request-id":
+        elif lower == names.request_id:
             head.request_id = value
+        elif lower == names.signature:
+            head.signed = True
+        elif lower == names.instance:
+            notes.instance = value.decode("latin-1")
+        elif lower == b"content-encoding":
+            head.encoded = value.strip().lower() not in (b"", b"identity")
         head.lines.append(b"%b: %b\r\n" % (name, value))
     if named:
         head.reusable = b"close" not in named
@@ -270,23 +284,20 @@
     return head
 
 
+def idle_limit_s(value: bytes) -> int:
+    """Read the timeout of a keep-alive header in seconds; 0 without a readable one."""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit() and len(number) < 6:
+            return int(number)
+    return 0
+
+
 def drop_named(head: AnswerHead, named: frozenset[bytes]) -> None:
     """Drop the headers that the connection header names."""
     head.lines = [line for line in head.lines if line.partition(b":")[0].lower() not in named]
 
 
-def parse_load(value: bytes) -> float | None:
-    """Parse `in_flight=N;queued=N` to their sum; a malformed report is ignored."""
-    total = 0.0
-    for pair in value.split(b";"):
-        name, _, number = pair.strip().partition(b"=")
-        if name in (b"in_flight", b"queued"):
-            if not number.isdigit() or len(number) > 9:
-                return None
-            total += int(number)
-    return min(total, MAX_REPORTED_IN_FLIGHT)
-
-
 def generated_answer(outcome: Refusal, retried: bool, close: bool, with_body: bool) -> bytes:
     """Format an answer of the entry itself."""
     code = ResultCode(outcome.code)
@@ -297,6 +308,8 @@
         b"HTTP/1.1 %d %b\r\ncontent-type: application/json\r\n" % (outcome.status, reason),
         b"content-length: %d\r\nx-poplar-result: %d\r\n" % (len(data), code),
     ]
+    if isinstance(outcome, NotRun) and outcome.retry_after_s:
+        parts.append(b"retry-after: %.3f\r\n" % outcome.retry_after_s)
     if retried:
         parts.append(b"x-poplar-retried: 1\r\n")
     if close:
--- /dev/null
+++ b/poplarlane/plumbing/object_follower.py
@@ -0,0 +1,179 @@
+"""Follow one kind of objects of a store: list it, then wait for changes.
+
+A call has a deadline, because a connection may go silent without a reset. After a failure the
+follower goes on from the last revision; only a store that has dropped its history is listed anew.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from poplarlane.logs import log
+from poplarlane.objects_followed import ObjectChange, ObjectPage, StoredObject
+from poplarlane.plumbing.platform_client import PlatformAnswer, PlatformClient
+
+T = TypeVar("T")
+OK = 200
+# Pause after a failed call, doubled with each further one; half of it is random.
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.8
+# A store that cannot answer in time may also be slow to answer the list of a whole kind.
+MAX_PAGES = 1_000
+
+
+class Dialect(Protocol):
+    """Say how a store spells its calls; the decoders raise msgspec.MsgspecError."""
+
+    GONE_STATUS: int
+
+    def list_path(self, kind: str, after: str) -> str:
+        """Give the path that lists a kind from a name on."""
+
+    def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
+        """Give the path that waits for changes after a revision."""
+
+    def decode_page(self, body: bytes) -> ObjectPage:
+        """Decode a page of a list."""
+
+    def decode_changes(self, body: bytes) -> tuple[list[ObjectChange], int]:
+        """Decode changes and the revision to go on from."""
+
+
+class Listener(Protocol):
+    """Say who hears of what a follower finds."""
+
+    def listed(self, kind: str, items: list[StoredObject]) -> None:
+        """Take a whole list."""
+
+    def changed(self, kind: str, changes: list[ObjectChange]) -> None:
+        """Take changes."""
+
+    def contact(self, kind: str, good: bool) -> None:
+        """Take note of a call that was or was not answered."""
+
+
+class ObjectFollower:
+    """Keep a listener up to date with one kind of objects."""
+
+    __slots__ = (
+        "client",
+        "dialect",
+        "kind",
+        "listener",
+        "wait_ms",
+        "generator",
+        "revision",
+        "failures",
+        "task",
+        "enabled",
+    )
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        dialect: Dialect,
+        kind: str,
+        listener: Listener,
+        wait_ms: int,
+        generator: random.Random,
+    ) -> None:
+        self.client = client
+        self.dialect = dialect
+        self.kind = kind
+        self.listener = listener
+        self.wait_ms = wait_ms
+        self.generator = generator
+        # Revision up to which changes are known; 0 before the first list.
+        self.revision = 0
+        self.failures = 0
+        self.task: asyncio.Task | None = None
+        self.enabled = asyncio.Event()
+
+    def start(self) -> None:
+        """Follow in the background."""
+        self.enabled.set()
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def close(self) -> None:
+        """End the follower."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        """List, then watch, for ever."""
+        while True:
+            await self.enabled.wait()
+            if self.revision:
+                good = await self.watch()
+            else:
+                good = await self.list_all()
+            await self.note(good)
+
+    async def note(self, good: bool) -> None:
+        """Count a call, and pause after a failed one."""
+        if good:
+            self.failures = 0
+            return
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.failures, 10))
+        self.failures += 1
+        await asyncio.sleep(pause_s * self.generator.uniform(0.5, 1.0))
+
+    async def list_all(self) -> bool:
+        """Read every page; the watch goes on from the revision of the first one."""
+        items: list[StoredObject] = []
+        after = ""
+        revision = 0
+        for _ in range(MAX_PAGES):
+            answer = await self.client.read("list", self.dialect.list_path(self.kind, after))
+            page = self.decoded(answer, self.dialect.decode_page)
+            if page is None:
+                return False
+            revision = revision or page.revision
+            items += page.items
+            if page.unreadable:
+                log("objects_unreadable", "warning", kind=self.kind, count=page.unreadable)
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].name
+        self.revision = revision
+        self.listener.listed(self.kind, items)
+        return True
+
+    async def watch(self) -> bool:
+        """Wait for changes once."""
+        path = self.dialect.watch_path(self.kind, self.revision, self.wait_ms)
+        answer = await self.client.read("watch", path, self.wait_ms / 1000.0)
+        if isinstance(answer, PlatformAnswer) and answer.status == self.dialect.GONE_STATUS:
+            log("history_gone", "warning", kind=self.kind, revision=self.revision)
+            self.revision = 0
+            return True
+        found = self.decoded(answer, self.dialect.decode_changes)
+        if found is None:
+            return False
+        changes, revision = found
+        self.revision = max(self.revision, revision)
+        if changes:
+            self.listener.changed(self.kind, changes)
+        return True
+
+    def decoded(self, answer: object, decode: Callable[[bytes], T]) -> T | None:
+        """Decode an answer and report whether the store was reached; None without a usable one."""
+        reason = ""
+        if not isinstance(answer, PlatformAnswer):
+            reason = answer.reason
+        elif answer.status != OK:
+            reason = f"status {answer.status}"
+        else:
+            try:
+                found = decode(answer.body)
+            except msgspec.MsgspecError as error:
+                reason = f"unreadable answer: {error}"
+            else:
+                self.listener.contact(self.kind, True)
+                return found
+        log("store_call_failed", "warning", kind=self.kind, reason=reason, row=self.failures + 1)
+        self.listener.contact(self.kind, False)
+        return None
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL = 8
+# Idle connections are closed well before the target closes them.
+IDLE_LIMIT_SHARE = 0.7
 PARSER_REQUESTS = {
     method: h11.Request(method=method, target="/", headers=[("host", "-")])
     for method in (b"GET", b"HEAD")
@@ -49,6 +51,7 @@
         "held_bytes",
         "streaming_to",
         "cancelled",
+        "is_probe",
     )
 
     def __init__(
@@ -58,6 +61,7 @@
         is_head: bool,
         request_header_id: bytes,
         data: bytes,
+        is_probe: bool = False,
     ) -> None:
         self.attempt_id = attempt_id
         self.request_id = request_id
@@ -71,6 +75,8 @@
         self.held_bytes = 0
         self.streaming_to = None
         self.cancelled = False
+        # A probe takes the number of an attempt but belongs to no request.
+        self.is_probe = is_probe
 
     def is_whole(self) -> bool:
         """Tell whether a held body has all the bytes that its head announced."""
@@ -94,6 +100,7 @@
         "before",
         "recent",
         "idle_since",
+        "idle_limit_s",
         "closed",
     )
 
@@ -112,6 +119,8 @@
         self.before = b""
         self.recent = b""
         self.idle_since = 0.0
+        # How long the connection may be idle before it is closed here.
+        self.idle_limit_s = shell.target_idle_s
         self.closed = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -210,19 +219,33 @@
     def take_head(self, exchange: Exchange, event: h11.Response) -> bool:
         """Check an answer's head; tell whether its body may be read."""
         self.in_body = True
-        head = read_answer_head(event.status_code, event.reason, event.headers.raw_items())
+        names = self.shell.header_names
+        headers = event.headers.raw_items()
+        head = read_answer_head(event.status_code, event.reason, headers, names)
         exchange.head = head
+        if head.idle_limit_s:
+            kept_s = head.idle_limit_s * IDLE_LIMIT_SHARE
+            self.idle_limit_s = min(self.shell.target_idle_s, kept_s)
         if event.http_version != b"1.1":
             head.reusable = False
         bodiless = exchange.is_head or event.status_code in (204, 304)
         if head.length is None and not head.chunked and not bodiless:
-            # Its end could not be told from a cut connection.
-            self.fail(FailureCause.ANSWER_INVALID, "answer without a length")
-            return False
+            if not names.signature:
+                # Its end could not be told from a cut connection.
+                self.fail(FailureCause.ANSWER_INVALID, "answer without a length")
+                return False
+            head.reusable = False
+        if exchange.is_probe:
+            return True
         sent_id = exchange.request_header_id
-        if sent_id and head.request_id and head.request_id != sent_id:
+        if sent_id and head.request_id != sent_id and (head.request_id or names.signature):
             self.fail(FailureCause.ANSWER_INVALID, "answer to another request")
             return False
+        if names.signature and not head.notes.not_run:
+            fault = unusable(head)
+            if fault:
+                self.fail(FailureCause.ANSWER_INVALID, fault)
+                return False
         return True
 
     def take_end(self, exchange: Exchange, parser: h11.Connection) -> None:
@@ -253,7 +276,13 @@
         self.shell.answer_read(exchange)
 
     def eof_received(self) -> bool:
-        """Let the transport close; connection_lost reports it."""
+        """Complete an answer that ends with its connection; connection_lost reports others."""
+        exchange = self.exchange
+        if exchange is not None and self.in_body and exchange.head is not None:
+            head = exchange.head
+            if head.length is None and not head.chunked:
+                self.parser.receive_data(b"")
+                self.read_events(exchange)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -296,6 +325,13 @@
             self.transport.abort()
 
 
+def unusable(head: AnswerHead) -> str:
+    """Say why an answer cannot be the target's own; empty when it can."""
+    if not head.signed:
+        return "answer without a signature"
+    return "answer with an encoded body" if head.encoded else ""
+
+
 def new_parser(data: bytes, is_head: bool) -> h11.Connection:
     """Create a parser for one answer, whose head is at the start of the data.
 
@@ -351,7 +387,8 @@
         while self.idle and self.open > limit:
             self.idle[0].abort()
 
-    def close_idle_before(self, instant: float) -> None:
-        """Close connections that have been idle since before an instant."""
-        while self.idle and self.idle[0].idle_since < instant:
-            self.idle[0].abort()
+    def close_idle(self, now: float) -> None:
+        """Close connections that have been idle for longer than their limit."""
+        late = [found for found in self.idle if now - found.idle_since > found.idle_limit_s]
+        for connection in late:
+            connection.abort()
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -4,21 +4,48 @@
 import secrets
 import time
 
-from poplarlane.decisions import answers, drain, reports, requests, views
+from poplarlane.decisions import (
+    answers,
+    catalogue,
+    drain,
+    probe_events,
+    reports,
+    requests,
+    views,
+)
 from poplarlane.decisions.agent_state import AgentState, Peer
+from poplarlane.decisions.directory import Directory
 from poplarlane.decisions.entry_state import EntryState
 from poplarlane.metrics import AdminAnswer, AdminRequest, AdminServer, Metrics, json_answer
+from poplarlane.platform import store
+from poplarlane.platform.headers import PLATFORM_HEADERS
+from poplarlane.platform.translation import CONFIGURATION_NAME, configuration_of, instance_of
+from poplarlane.plumbing.agent_link import AgentLink
 from poplarlane.plumbing.agent_shell import AgentShell
+from poplarlane.plumbing.directory_keeper import DirectoryKeeper, Translation
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.exchange_sockets import ExchangeSockets
+from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient
 from poplarlane.programs.agent_pages import agent_pages
-from poplarlane.settings import AgentSettings, EntrySettings, seeded_generator
-from poplarlane.traces import new_tracer
+from poplarlane.settings import (
+    AgentSettings,
+    EntrySettings,
+    NodeSettings,
+    seeded_generator,
+    split_address,
+)
 
 # Importing these modules registers their handlers with the reducer.
-ENTRY_HANDLERS = (answers, drain, reports, requests, views)
+ENTRY_HANDLERS = (answers, catalogue, drain, probe_events, reports, requests, views)
+# Part of the allowed repeats that is used: nodes that start anew begin with a budget of their own.
+EXTRA_SENDS_SHARE = 0.9
+# Part of the allowed probes that is used.
+PROBE_RATE_SHARE = 0.9
+# Calls to the store per second of one node; a storm of configurations needs a few.
+STORE_CALLS_PER_S = 20.0
+NODE_EXIT_RESERVE_S = 0.4
 # JSON integers beyond 53 bits are not exact everywhere.
 PROCESS_BITS = 52
 
@@ -47,12 +74,91 @@
     state.drain_accept_s = settings.drain_accept_ms / 1000.0
     state.drain_limit_s = settings.drain_limit_ms / 1000.0
     metrics = Metrics()
+    # The tracing libraries take 10 MB, and only an entry that traces needs them.
+    from poplarlane.traces import new_tracer
+
     tracer = new_tracer(settings.tracing, settings.name)
     networks = [Network(text) for text in settings.trusted_sources]
-    shell = EntryShell(settings, state, metrics, tracer, networks)
+
+    def make_link(shell: EntryShell) -> AgentLink:
+        return AgentLink(settings.agent_address, settings.agent_port, shell.view_received)
+
+    shell = EntryShell(settings, state, metrics, tracer, networks, make_link)
     return shell, AdminServer(metrics, entry_pages(shell))
 
 
+def build_node(settings: NodeSettings) -> tuple[EntryShell, AdminServer, AdminServer]:
+    """Build a node, its admin server and the server of its readiness."""
+    state = EntryState(settings.name, time.time_ns())
+    state.policy_name = settings.policy
+    # Time for the last answers to reach their callers before the platform ends the process.
+    state.drain_accept_s = settings.drain_accept_ms / 1000.0
+    state.drain_limit_s = settings.grace_s - NODE_EXIT_RESERVE_S
+    state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
+    state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
+    state.extra_sends_window_s = settings.extra_sends_window_s
+    state.transfer_s = settings.transfer_delay_ms.get(settings.region, 0.0) / 1000.0
+    state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
+    state.data_centre = settings.data_centre
+    metrics = Metrics()
+    networks = [Network(text) for text in settings.trusted_sources]
+    entry = entry_settings(settings)
+
+    def make_link(shell: EntryShell) -> DirectoryKeeper:
+        return make_keeper(settings, shell)
+
+    shell = EntryShell(entry, state, metrics, None, networks, make_link, PLATFORM_HEADERS)
+    pages = entry_pages(shell)
+    ready = AdminServer(metrics, {settings.ready_path: pages["/_ready"]})
+    return shell, AdminServer(metrics, pages), ready
+
+
+def entry_settings(settings: NodeSettings) -> EntrySettings:
+    """Give the settings of a node's entry."""
+    return EntrySettings(
+        name=settings.name,
+        log_level=settings.log_level,
+        data_centre=settings.data_centre,
+        listen_address=settings.listen_address,
+        listen_port=settings.listen_port,
+        admin_port=settings.admin_port,
+        agent_address=settings.listen_address,
+        agent_port=settings.admin_port,
+        seed=settings.seed,
+        trusted_sources=settings.trusted_sources,
+        target_idle_ms=settings.target_idle_ms,
+        max_caller_connections=settings.max_caller_connections,
+    )
+
+
+def make_keeper(settings: NodeSettings, shell: EntryShell) -> DirectoryKeeper:
+    """Build what follows the platform's store for a node."""
+    generator = seeded_generator(settings)
+    address, port = split_address(settings.store)
+    client = PlatformClient(
+        address,
+        port,
+        settings.listen_address,
+        settings.name,
+        settings.store_timeout_ms / 1000.0,
+        STORE_CALLS_PER_S,
+        clock,
+        generator,
+    )
+    translation = Translation(
+        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of
+    )
+    ratio = settings.extra_send_ratio * EXTRA_SENDS_SHARE
+    keeper = DirectoryKeeper(
+        shell, Directory(ratio, settings.policy), translation, settings.fleet_size
+    )
+    for kind in (store.CONFIGURATION_KIND, store.INSTANCES_KIND):
+        keeper.followers.append(
+            ObjectFollower(client, store, kind, keeper, settings.store_wait_ms, generator)
+        )
+    return keeper
+
+
 def entry_pages(shell: EntryShell) -> dict:
     """Give the pages of an entry's admin server."""
     state = shell.state
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -21,6 +21,7 @@
 PositiveCount = Annotated[int, Meta(ge=1, le=10_000_000)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+SocketAddress = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 Level = Literal["debug", "info", "warning", "error"]
 
 EXIT_BAD_SETTINGS = 2
@@ -63,12 +64,63 @@
     head_timeout_ms: Milliseconds = 5_000
     body_timeout_ms: Milliseconds = 15_000
     idle_timeout_ms: Milliseconds = 60_000
+    # Idle connections to a target are closed before a usual target would close them.
+    target_idle_ms: Milliseconds = 30_000
     max_caller_connections: PositiveCount = 2_000
     drain_accept_ms: Milliseconds = 2_000
     drain_limit_ms: Milliseconds = 30_000
     tracing: TracingSettings = msgspec.field(default_factory=TracingSettings)
 
 
+class NodeSettings(Settings, kw_only=True, forbid_unknown_fields=False):
+    """Hold the settings of a node; unknown keys are ignored, because the platform adds some.
+
+    `extra_sends` bounds the repeats and second copies of all nodes to one service in a window,
+    beside `extra_send_ratio` of its requests; `probes_per_target_s` bounds the probes of a target.
+    """
+
+    data_centre: Name
+    region: Name
+    front: SocketAddress
+    ready: SocketAddress
+    ready_path: str
+    admin_port: Port
+    store: SocketAddress
+    fleet_size: PositiveCount = 24
+    seed: int = 0
+    policy: str = "measured"
+    trusted_sources: list[str] = msgspec.field(default_factory=lambda: ["0.0.0.0/0"])
+    extra_send_ratio: Share = 0.0
+    extra_sends: Annotated[float, Meta(ge=0.0)] = 0.0
+    extra_sends_window_s: Annotated[float, Meta(gt=0.0)] = 10.0
+    probes_per_target_s: Annotated[float, Meta(ge=0.0)] = 0.0
+    other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
+    # What a request to another data centre is charged, as a delay, by region of the node.
+    transfer_delay_ms: dict[str, float] = {}
+    store_wait_ms: Milliseconds = 2_000
+    store_timeout_ms: Milliseconds = 800
+    target_idle_ms: Milliseconds = 7_000
+    max_caller_connections: PositiveCount = 2_000
+    drain_accept_ms: Milliseconds = 2_500
+    # Time from the signal to stop until the process is killed.
+    grace_s: Annotated[float, Meta(gt=0.0)] = 6.0
+
+    @property
+    def listen_address(self) -> str:
+        """Give the address that callers connect to."""
+        return split_address(self.front)[0]
+
+    @property
+    def listen_port(self) -> int:
+        """Give the port that callers connect to."""
+        return split_address(self.front)[1]
+
+    @property
+    def ready_port(self) -> int:
+        """Give the port of the readiness check."""
+        return split_address(self.ready)[1]
+
+
 class PeerSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Place one agent that a fresh agent may contact before it knows the fleet."""
 
@@ -242,6 +294,12 @@
     return settings
 
 
+def split_address(text: str) -> tuple[str, int]:
+    """Split a checked IP number and port."""
+    address, _, port = text.rpartition(":")
+    return address, int(port)
+
+
 def is_ip(text: str) -> bool:
     """Tell whether the text is an IP number."""
     try:
@@ -269,11 +327,11 @@
 def listen_keys(settings: Settings) -> list[tuple[str, str, int]]:
     """List the ports that the daemon listens on, with the settings key of each."""
     address = getattr(settings, "listen_address", None) or getattr(settings, "admin_address", None)
-    names = ("listen_port", "admin_port", "exchange_port", "entry_port")
+    names = ("listen_port", "ready_port", "admin_port", "exchange_port", "entry_port")
     return [(name, address, getattr(settings, name)) for name in names if hasattr(settings, name)]
 
 
-def seeded_generator(settings: EntrySettings | AgentSettings) -> random.Random:
+def seeded_generator(settings: EntrySettings | AgentSettings | NodeSettings) -> random.Random:
     """Create a daemon's random generator; daemons with one seed draw different numbers."""
     return random.Random(f"{settings.seed}/{settings.name}")
 
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -72,16 +72,27 @@
 class Target:
     """Describe one target of a service as configured."""
 
-    __slots__ = ("name", "address", "port", "data_centre", "labels")
+    __slots__ = ("name", "address", "port", "data_centre", "labels", "instance", "probe_path")
 
     def __init__(
-        self, name: str, address: str, port: int, data_centre: str, labels: dict[str, str]
+        self,
+        name: str,
+        address: str,
+        port: int,
+        data_centre: str,
+        labels: dict[str, str],
+        instance: str = "",
+        probe_path: str = "",
     ) -> None:
         self.name = name
         self.address = address
         self.port = port
         self.data_centre = data_centre
         self.labels = labels
+        # What the target calls itself; requests name it, so that no other process runs them.
+        self.instance = instance
+        # Path whose answer reports the load at once; empty without one.
+        self.probe_path = probe_path
 
 
 class TargetLoad:
@@ -129,6 +140,13 @@
         "leaving",
         "connection_share",
         "in_flight_share",
+        "running",
+        "waiting",
+        "pace",
+        "measured_at",
+        "sent_since_measured",
+        "cold_until",
+        "probing",
     )
 
     def __init__(self, target: Target, distance_s: float = 0.0) -> None:
@@ -180,6 +198,17 @@
         # What this entry may keep of the target's connections, and always have in flight there.
         self.connection_share = 0
         self.in_flight_share = 0
+        # The last detailed report: requests that run and wait there, time of work as a multiple of
+        # the usual, and when it was true.
+        self.running = 0
+        self.waiting = 0
+        self.pace = 1.0
+        self.measured_at = -math.inf
+        self.sent_since_measured = 0
+        # Instant until which the target still warms up after its start.
+        self.cold_until = 0.0
+        # Probes under way.
+        self.probing = 0
 
 
 class MemberFact:
@@ -205,3 +234,21 @@
         self.state = state
         self.observed_at = observed_at
         self.source = source
+
+
+class CallerLimits:
+    """Bound what a caller may send and how long it may take; sizes in bytes."""
+
+    __slots__ = ("max_head_bytes", "max_body_bytes", "head_timeout_s", "idle_timeout_s")
+
+    def __init__(
+        self,
+        max_head_bytes: int,
+        max_body_bytes: int,
+        head_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.head_timeout_s = head_timeout_s
+        self.idle_timeout_s = idle_timeout_s
