Limit concurrency by learned throughput, wait for calm targets, refuse early

Ruled out: an effect of the pace after the start (median 152 ms against 177 ms when it changes meanwhile). Change: crowding.py learns the time of work by occupancy and limits concurrency where throughput peaks; a slow target is not used while waiting still meets the aim; waiting.py orders newest first and refuses once the aim is lost; no second copies while requests wait; the shared budget is filled once.

--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from poplarlane.decisions import completion, health, limits, retries
+from poplarlane.decisions import completion, crowding, health, limits, retries
 from poplarlane.decisions.drain import accept_ended, drain_limit_passed, mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
@@ -33,7 +33,7 @@
 )
 from poplarlane.decisions.pauses import view_limit_passed
 from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.probe_events import fail_probe, finish_round, recheck
+from poplarlane.decisions.probe_events import fail_probe, finish_round, give_up, recheck
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import verdict_report
 from poplarlane.decisions.requests import (
@@ -104,7 +104,7 @@
         at = now - load.distance_s / 2.0
         completion.observe_details(load, notes.running, notes.waiting, notes.pace, at)
     if ok and attempt.request.work_s:
-        learn_work(attempt, latency_s, notes)
+        learn_work(attempt, latency_s)
     if ok:
         health.observe_latency(service.health, latency_s)
     if notes.in_flight is not None:
@@ -118,13 +118,18 @@
         effects.append(verdict_report(state, service, changed))
 
 
-def learn_work(attempt: Attempt, latency_s: float, notes: AnswerNotes) -> None:
-    """Update the estimate of the work of a kind of request from a successful answer."""
+def learn_work(attempt: Attempt, latency_s: float) -> None:
+    """Update from a successful answer what its kind of work takes, and what crowding adds."""
     request = attempt.request
-    pace = (attempt.pace + notes.pace) / 2.0
-    known_s = request.service.work_s.get(request.kind.name, request.work_s)
-    worked_s = max(0.0, latency_s - attempt.load.distance_s)
-    request.service.work_s[request.kind.name] = completion.observe_work(known_s, worked_s, pace)
+    service = request.service
+    known_s = service.work_s.get(request.kind.name, request.work_s)
+    usual_s = max(0.0, latency_s - attempt.load.distance_s) / max(1.0, attempt.pace)
+    slots = service.limits.slots_per_target
+    place = attempt.running + 1
+    if place * 2 <= slots:
+        service.work_s[request.kind.name] = completion.observe_work(known_s, usual_s)
+    if place <= slots:
+        crowding.observe(service.crowding, place, usual_s / known_s)
 
 
 def deliver(
@@ -335,6 +340,8 @@
             finish_round(state, request, now, draw, effects)
     elif kind is TimerKind.RECHECK:
         recheck(state, request, now, draw, effects)
+    elif kind is TimerKind.GIVE_UP:
+        give_up(state, request, now, effects)
     else:
         deadline_passed(state, request, now, draw, effects)
 
--- a/poplarlane/decisions/completion.py
+++ b/poplarlane/decisions/completion.py
@@ -8,6 +8,7 @@
 
 import math
 
+from poplarlane.decisions.crowding import Crowding, best_concurrency, factor
 from poplarlane.types import TargetLoad
 
 # A VM keeps its pace for about this long, so an older report says little about the pace now.
@@ -16,9 +17,6 @@
 UNKNOWN_PACE = 2.0
 # A target that has just started takes about twice the usual time.
 COLD_FACTOR = 2.0
-# Requests that may wait at a target for each of its slots; further ones wait in the entry, where
-# they can still go to another target or be refused as not run.
-WAITING_PER_SLOT = 0.5
 # Weight of one answer in the estimate of the work of a kind of request.
 WORK_GAIN = 0.1
 # An answer that took longer than this multiple of the estimate says more about the target.
@@ -39,19 +37,22 @@
     return max(load.running + load.waiting + load.sent_since_measured, load.outstanding)
 
 
-def expected_s(load: TargetLoad, work_s: float, slots: int, now: float) -> float:
+def expected_s(
+    load: TargetLoad, crowding: Crowding, work_s: float, slots: int, now: float
+) -> float:
     """Give the time until the answer of a request that needs `work_s` at the usual pace."""
     pace = expected_pace(load, now)
-    ahead = requests_there(load) - slots + 1
-    wait_s = max(0, ahead) * work_s * pace / slots
-    return work_s * pace + wait_s + load.distance_s + load.penalty_s
+    there = requests_there(load)
+    slowed = work_s * pace * factor(crowding, min(there + 1, slots))
+    wait_s = max(0, there - slots + 1) * slowed / slots
+    return slowed + wait_s + load.distance_s + load.penalty_s
 
 
-def has_room(load: TargetLoad, slots: int) -> bool:
-    """Tell whether a request sent now would start soon, by what is known of the target."""
+def has_room(load: TargetLoad, crowding: Crowding, slots: int) -> bool:
+    """Tell whether one more request at the target is worth it, by what is known of it."""
     if load.outstanding >= load.connection_share:
         return False
-    return requests_there(load) < slots + math.ceil(slots * WAITING_PER_SLOT)
+    return requests_there(load) < best_concurrency(crowding, slots)
 
 
 def observe_details(load: TargetLoad, running: int, waiting: int, pace: float, at: float) -> None:
@@ -65,8 +66,7 @@
     load.sent_since_measured = sum(1 for sent_at in load.sent_at.values() if sent_at > at)
 
 
-def observe_work(known_s: float, latency_s: float, pace: float) -> float:
+def observe_work(known_s: float, usual_s: float) -> float:
     """Fold an answer into the estimate of the work of its kind of request."""
-    sample_s = latency_s / max(1.0, pace)
-    sample_s = min(sample_s, known_s * MAX_WORK_RATIO)
+    sample_s = min(usual_s, known_s * MAX_WORK_RATIO)
     return known_s + WORK_GAIN * (sample_s - known_s)
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -3,6 +3,7 @@
 import heapq
 from enum import IntEnum
 
+from poplarlane.decisions.crowding import Crowding
 from poplarlane.decisions.health import ServiceHealth
 from poplarlane.decisions.labels import InvalidLabels, parse_labels
 from poplarlane.decisions.limits import ServiceLimits
@@ -49,6 +50,7 @@
     VIEW_LIMIT = 5
     PROBE_END = 6
     RECHECK = 7
+    GIVE_UP = 9
     # Belongs to a probe, not to a request.
     PROBE_LIMIT = 8
 
@@ -74,6 +76,7 @@
         "hedge_budget",
         "waiting_hedges",
         "work_s",
+        "crowding",
     )
 
     def __init__(self, name: str) -> None:
@@ -98,6 +101,7 @@
         self.waiting_hedges: list[Request] = []
         # Estimated time of work of a request at the usual pace, by kind.
         self.work_s: dict[str, float] = {}
+        self.crowding = Crowding()
 
 
 class Request:
@@ -124,6 +128,7 @@
         "last_refusal",
         "kind",
         "aim",
+        "arrived_at",
         "max_attempts",
         "sends",
         "work_s",
@@ -168,6 +173,7 @@
         self.kind = kind
         # Instant until which an answer is worth its full value.
         self.aim = deadline
+        self.arrived_at = 0.0
         # Bound on the targets that may run it, and how many may have.
         self.max_attempts = 0
         self.sends = 0
@@ -184,7 +190,7 @@
 class Attempt:
     """Hold one sending of a request to a target."""
 
-    __slots__ = ("attempt_id", "request", "load", "sent_at", "pace")
+    __slots__ = ("attempt_id", "request", "load", "sent_at", "pace", "running")
 
     def __init__(self, attempt_id: int, request: Request, load: TargetLoad) -> None:
         self.attempt_id = attempt_id
@@ -194,6 +200,8 @@
         self.sent_at = 0.0
         # Pace of the target as known when it was chosen.
         self.pace = load.pace
+        # Requests that ran and waited there before it.
+        self.running = load.running + load.waiting + load.sent_since_measured
 
 
 class Probe:
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -1,6 +1,6 @@
 """Handlers for probes that were sent right before a choice, and the choice after them."""
 
-from poplarlane.decisions import completion, health, limits, probe_rounds
+from poplarlane.decisions import completion, health, limits, probe_rounds, waiting
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
 from poplarlane.decisions.entry_state import (
@@ -20,6 +20,7 @@
     unreachable,
     use_room,
 )
+from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad
 
 # Only the first requests of a queue ask for room; what they learn serves those behind them.
@@ -111,6 +112,15 @@
         place(state, request, targets, now, effects)
 
 
+def give_up(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+    """Refuse a request that waited in vain, while its caller has time to come back."""
+    if request.state is not RequestState.QUEUED:
+        return
+    limits.remove_queued(request.service.limits, request)
+    outcome = NotRun(ResultCode.OVERLOADED, "no target had room in time")
+    finish_refused(state, request, outcome, effects)
+
+
 def is_queued(request: Request) -> bool:
     """Tell whether a request waits in the queue of its service."""
     return request in request.service.limits.queues[request.priority]
@@ -128,7 +138,7 @@
     if load is None:
         return True
     slots = service.limits.slots_per_target
-    found_s = completion.expected_s(load, request.work_s, slots, now)
+    found_s = completion.expected_s(load, service.crowding, request.work_s, slots, now)
     return found_s > probe_rounds.SECOND_ROUND_RATIO * request.work_s
 
 
@@ -139,7 +149,7 @@
     if request.state is not RequestState.QUEUED or request.in_round:
         return
     targets = reachable_targets(request.service, request.labels)
-    asking = limits.queued_in_order(request.service.limits)[:ASKING_QUEUED]
+    asking = waiting.in_order(request.service, now)[:ASKING_QUEUED]
     if targets and request in asking:
         request.rounds = request.service.policy.max_rounds
         request.probed = []
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -2,7 +2,15 @@
 
 import math
 
-from poplarlane.decisions import admission, completion, health, limits, probe_rounds, retries
+from poplarlane.decisions import (
+    admission,
+    completion,
+    health,
+    limits,
+    probe_rounds,
+    retries,
+    waiting,
+)
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import (
     CancelAttempt,
@@ -41,12 +49,18 @@
 from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
 # How soon a queued request looks for room again.
-RECHECK_S = 0.025
+RECHECK_S = 0.012
+# A target at which the work would take longer than this multiple of the usual is not used.
+MAX_WORK_RATIO = 3.0
+# Time that an answer needs to reach a caller in another place.
+CALLER_RESERVE_S = 0.008
 # A second copy of a read is considered after this multiple of its usual work, but early enough
 # that the copy can be answered in time, and never before half of the work.
 HEDGE_WORK_RATIO = 1.3
 HEDGE_RESERVE_RATIO = 1.15
 MIN_HEDGE_WORK_RATIO = 0.5
+# How soon a second copy is considered again when no other target is good.
+SECOND_LOOK_S = 0.04
 # Marks the round of probes of a second copy; a request is sent after two rounds at the most.
 HEDGE_ROUND = 10
 DEFAULT_DEADLINE_MS = 2_000
@@ -92,7 +106,8 @@
         return [RefuseRequest(event.request_id, decision, False, state.draining)]
     state.requests[request.request_id] = request
     retries.observe_request(service.retry_budget, request.attempt)
-    retries.observe_request(service.hedge_budget, request.attempt)
+    if service.hedge_budget is not service.retry_budget:
+        retries.observe_request(service.hedge_budget, request.attempt)
     effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
@@ -137,7 +152,12 @@
         event.hedged_above,
     )
     if route is not None:
-        request.aim = event.now + route.aim_s
+        request.arrived_at = event.now
+        request.aim = event.now + route.aim_s - CALLER_RESERVE_S
+        if given_ms is not None:
+            request.deadline = min(
+                request.deadline, event.now + given_ms / 1000.0 - CALLER_RESERVE_S
+            )
         request.max_attempts = route.max_attempts
         known_s = service.work_s.get(kind.name, 0.0)
         request.work_s = known_s or route.aim_s * completion.INITIAL_WORK_SHARE
@@ -168,18 +188,26 @@
 
 
 def choose_measured(request: Request, targets: list[TargetLoad], now: float) -> TargetLoad | None:
-    """Choose the target with the earliest expected completion among those with room."""
+    """Choose the target with the earliest expected completion among those with room.
+
+    A target that is slow at the moment would hold one of its slots for long; until the aim is lost
+    it is better to wait for one that is not.
+    """
     service = request.service
     if service.limits.held:
         return None
     slots = service.limits.slots_per_target
+    limit_s = request.aim - now if waiting.can_meet_aim(request, now) else math.inf
+    limit_s = min(limit_s, MAX_WORK_RATIO * request.work_s, request.deadline - now)
     best, best_s = None, math.inf
     for load in targets:
         if load.verdict is Verdict.AVOIDED or load.shed_until > now or load in request.tried:
             continue
-        if not completion.has_room(load, slots):
+        if not completion.has_room(load, service.crowding, slots):
+            continue
+        cost_s = completion.expected_s(load, service.crowding, request.work_s, slots, now)
+        if cost_s > limit_s:
             continue
-        cost_s = completion.expected_s(load, request.work_s, slots, now)
         if load.distance_s:
             cost_s += service.policy.transfer_s
         if cost_s < best_s:
@@ -218,6 +246,14 @@
     enqueue(state, request, effects)
     if request.request_id in state.requests:
         plan_recheck(state, request, now, effects)
+        plan_give_up(state, request, now, effects)
+
+
+def plan_give_up(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+    """Set the time at which a request that still waits is refused."""
+    at = max(now, waiting.give_up_at(request))
+    if add_timer(state, at, TimerKind.GIVE_UP, request.request_id):
+        effects.append(SetTimer(state.timer_at))
 
 
 def plan_recheck(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
@@ -310,10 +346,16 @@
         request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
         if request.in_round:
             return
-    load = choose(request, others, now, draw)
-    if load is None:
-        service.waiting_hedges.append(request)
-        return
+    if type(service.policy) is Measured:
+        load = None if service.limits.queued else choose_measured(request, others, now)
+        if load is None:
+            plan_second_look(state, request, now, effects)
+            return
+    else:
+        load = choose(request, others, now, draw)
+        if load is None:
+            service.waiting_hedges.append(request)
+            return
     if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
         return
     request.hedged = True
@@ -322,6 +364,16 @@
     send(state, request, load, now, effects)
 
 
+def plan_second_look(
+    state: EntryState, request: Request, now: float, effects: list[Effect]
+) -> None:
+    """Consider the second copy of a read again, because no other target is good at the moment."""
+    request.rounds = 0
+    at = now + SECOND_LOOK_S
+    if at < request.deadline and add_timer(state, at, TimerKind.HEDGE, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+
+
 def use_room(
     state: EntryState, service: ServiceState, now: float, draw: int, effects: list[Effect]
 ) -> None:
@@ -337,11 +389,11 @@
 ) -> None:
     """Hedge the reads whose hedge was due when no second target had room."""
     bounds = service.limits
-    waiting = [found for found in service.waiting_hedges if found.request_id in state.requests]
+    due = [found for found in service.waiting_hedges if found.request_id in state.requests]
     service.waiting_hedges = []
-    for index, request in enumerate(waiting):
+    for index, request in enumerate(due):
         if not limits.targets_with_room(bounds, bounds.loads):
-            service.waiting_hedges += waiting[index:]
+            service.waiting_hedges += due[index:]
             return
         hedge(state, request, now, draw, effects)
         draw = next_draw(draw)
@@ -364,8 +416,11 @@
     if not bounds.queued:
         return
     blocked: set[str] = set()
-    for request in limits.queued_in_order(bounds):
-        if request.labels in blocked:
+    measured = type(service.policy) is Measured
+    for request in waiting.in_order(service, now) if measured else limits.queued_in_order(bounds):
+        # A kind of request that finds no room may leave some that is enough for shorter ones.
+        group = request.labels + "/" + request.kind.name if measured else request.labels
+        if group in blocked:
             continue
         targets = reachable_targets(service, request.labels)
         load = choose(request, targets, now, draw) if targets else None
@@ -374,7 +429,7 @@
             send(state, request, load, now, effects)
             draw = next_draw(draw)
         elif targets:
-            blocked.add(request.labels)
+            blocked.add(group)
         else:
             limits.remove_queued(bounds, request)
             finish_refused(state, request, unreachable(targets), effects)
