Let one node of each data centre follow the store for the others

Change: relays.py chooses a follower per data centre by rendezvous hashing and says when the others may rely on it (beats with the age of the store's last answer); relay.py exchanges over pyzmq; a node without a fresh beat follows the store itself.

--- a/poplarlane/decisions/crowding.py
+++ b/poplarlane/decisions/crowding.py
@@ -16,7 +16,7 @@
 
 
 class Crowding:
-    """Hold the time of work by the number of requests at the target, as multiples of an empty one."""
+    """Hold the time of work by the number of requests at a target, as multiples of the usual."""
 
     __slots__ = ("factors", "samples", "limits")
 
--- a/poplarlane/plumbing/directory_keeper.py
+++ b/poplarlane/plumbing/directory_keeper.py
@@ -4,11 +4,13 @@
 
 from poplarlane.decisions.directory import Configuration, Directory, InstanceRecord
 from poplarlane.decisions.entry_events import CatalogueChanged
+from poplarlane.decisions.relays import fleet_size
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport
 from poplarlane.objects_followed import ObjectChange, StoredObject
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.relay import Relay
 
 LAPSE_CHECK_S = 0.25
 
@@ -42,6 +44,7 @@
         "reached",
         "listed_kinds",
         "fleet_entries",
+        "relay",
     )
 
     def __init__(
@@ -55,15 +58,22 @@
         self.reached: dict[str, bool] = {}
         self.listed_kinds: set[str] = set()
         self.fleet_entries = fleet_entries
+        # Exchange with other nodes; None where every node follows the store itself.
+        self.relay: Relay | None = None
 
     def start(self) -> None:
         """Start all followers."""
         for follower in self.followers:
             follower.start()
+            follower.set_enabled(self.relay is None)
+        if self.relay is not None:
+            self.relay.start()
         self.check_lapsed()
 
     def close(self) -> None:
-        """End all followers."""
+        """End the exchange and all followers."""
+        if self.relay is not None:
+            self.relay.close()
         for follower in self.followers:
             follower.close()
 
@@ -83,8 +93,14 @@
             log("targets_listed", listed=len(items), usable=len(usable))
         self.publish()
 
-    def changed(self, kind: str, changes: list[ObjectChange]) -> None:
-        """Take changes."""
+    def changed(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
+        """Take changes from the store and pass them on."""
+        if self.relay is not None:
+            self.relay.changed(kind, after, revision, changes)
+        self.take_changes(kind, changes)
+
+    def take_changes(self, kind: str, changes: list[ObjectChange]) -> None:
+        """Take changes, from the store or from another node."""
         for change in changes:
             if kind == self.translation.configuration_kind:
                 if not change.deleted:
@@ -116,6 +132,8 @@
 
     def contact(self, kind: str, good: bool) -> None:
         """Note whether the store answers; entries may have lapsed while it did not."""
+        if self.relay is not None:
+            self.relay.contact(kind, good)
         before = self.reached.get(kind)
         self.reached[kind] = good
         if before is None or before == good:
@@ -133,7 +151,11 @@
     def publish(self) -> None:
         """Feed the catalogue to the entry once both kinds are known."""
         catalogue = self.directory.catalogue()
+        if self.relay is not None:
+            fleet = fleet_size(self.relay.state, self.fleet_entries)
+        else:
+            fleet = self.fleet_entries
         if catalogue is None or len(self.listed_kinds) < len(self.followers):
             return
         shell = self.shell
-        shell.feed(CatalogueChanged(shell.now(), shell.draw(), catalogue, self.fleet_entries))
+        shell.feed(CatalogueChanged(shell.now(), shell.draw(), catalogue, fleet))
--- a/poplarlane/plumbing/exchange_sockets.py
+++ b/poplarlane/plumbing/exchange_sockets.py
@@ -43,11 +43,15 @@
         self, address: str, exchange_port: int, entry_port: int, peer: Deliver, entry: Deliver
     ) -> None:
         """Bind both ROUTERs; raises zmq.ZMQError when a port is taken."""
-        self.router = self.make_router(address, exchange_port)
+        self.bind_exchange(address, exchange_port, peer)
         self.entries = self.make_router(address, entry_port)
-        self.keep(asyncio.ensure_future(self.receive(self.router, peer, True)))
         self.keep(asyncio.ensure_future(self.receive(self.entries, entry, False)))
 
+    def bind_exchange(self, address: str, port: int, peer: Deliver) -> None:
+        """Bind the ROUTER for other VMs; raises zmq.ZMQError when the port is taken."""
+        self.router = self.make_router(address, port)
+        self.keep(asyncio.ensure_future(self.receive(self.router, peer, True)))
+
     def make_router(self, address: str, port: int) -> zmq.asyncio.Socket:
         """Bind one ROUTER."""
         router = self.context.socket(zmq.ROUTER)
@@ -85,14 +89,19 @@
                 # One message must not end the control work of a VM.
                 log("message_failed", level="error", reason=f"{type(error).__name__}: {error}")
 
-    def connect(self, name: str, address: str, port: int) -> None:
-        """Open or replace the DEALER to an agent."""
+    def connect(self, name: str, address: str, port: int, keep_unsent: bool = True) -> None:
+        """Open or replace the DEALER to an agent.
+
+        Without `keep_unsent`, messages are dropped while there is no connection: one that says how
+        fresh something is must not arrive after a peer's restart.
+        """
         self.disconnect(name)
         dealer = zmq.Socket(zmq.Context.shadow(self.context.underlying), zmq.DEALER)
         dealer.setsockopt(zmq.LINGER, LINGER_MS)
         dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        dealer.setsockopt(zmq.IMMEDIATE, 0 if keep_unsent else 1)
         dealer.connect(f"tcp://{self.source}:0;{address}:{port}")
         self.dealers[name] = dealer
 
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -22,6 +22,8 @@
 LONGEST_PAUSE_S = 0.8
 # A store that cannot answer in time may also be slow to answer the list of a whole kind.
 MAX_PAGES = 1_000
+POLL_WAIT_MS = 1
+GROUP_S = 0.1
 
 
 class Dialect(Protocol):
@@ -48,8 +50,8 @@
     def listed(self, kind: str, items: list[StoredObject]) -> None:
         """Take a whole list."""
 
-    def changed(self, kind: str, changes: list[ObjectChange]) -> None:
-        """Take changes."""
+    def changed(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
+        """Take all changes after one revision and up to another."""
 
     def contact(self, kind: str, good: bool) -> None:
         """Take note of a call that was or was not answered."""
@@ -66,9 +68,11 @@
         "wait_ms",
         "generator",
         "revision",
+        "changed_revision",
         "failures",
         "task",
         "enabled",
+        "following",
     )
 
     def __init__(
@@ -88,15 +92,35 @@
         self.generator = generator
         # Revision up to which changes are known; 0 before the first list.
         self.revision = 0
+        # Revision of the last list or of the last answer with changes.
+        self.changed_revision = 0
         self.failures = 0
         self.task: asyncio.Task | None = None
+        # Set while there is a call to make.
         self.enabled = asyncio.Event()
+        # Whether to wait for further changes after the list.
+        self.following = False
 
     def start(self) -> None:
-        """Follow in the background."""
+        """List in the background, and follow as `set_enabled` says."""
         self.enabled.set()
         self.task = asyncio.get_running_loop().create_task(self.run())
 
+    def set_enabled(self, following: bool) -> None:
+        """Begin or cease to wait for changes; a call under way is not broken off."""
+        self.following = following
+        if following:
+            self.enabled.set()
+
+    def poll_once(self) -> None:
+        """Ask once for the changes so far."""
+        self.enabled.set()
+
+    def advance(self, revision: int) -> None:
+        """Note that changes up to a revision came from elsewhere."""
+        self.revision = max(self.revision, revision)
+        self.changed_revision = self.revision
+
     def close(self) -> None:
         """End the follower."""
         if self.task is not None:
@@ -111,6 +135,8 @@
             else:
                 good = await self.list_all()
             await self.note(good)
+            if good and self.revision and not self.following:
+                self.enabled.clear()
 
     async def note(self, good: bool) -> None:
         """Count a call, and pause after a failed one."""
@@ -138,14 +164,15 @@
             if not page.more or not page.items:
                 break
             after = page.items[-1].name
-        self.revision = revision
+        self.advance(revision)
         self.listener.listed(self.kind, items)
         return True
 
     async def watch(self) -> bool:
         """Wait for changes once."""
-        path = self.dialect.watch_path(self.kind, self.revision, self.wait_ms)
-        answer = await self.client.read("watch", path, self.wait_ms / 1000.0)
+        wait_ms = self.wait_ms if self.following else POLL_WAIT_MS
+        path = self.dialect.watch_path(self.kind, self.revision, wait_ms)
+        answer = await self.client.read("watch", path, wait_ms / 1000.0)
         if isinstance(answer, PlatformAnswer) and answer.status == self.dialect.GONE_STATUS:
             log("history_gone", "warning", kind=self.kind, revision=self.revision)
             self.revision = 0
@@ -154,9 +181,14 @@
         if found is None:
             return False
         changes, revision = found
-        self.revision = max(self.revision, revision)
-        if changes:
-            self.listener.changed(self.kind, changes)
+        if not changes or revision <= self.revision:
+            self.revision = max(self.revision, revision)
+            return True
+        after = self.changed_revision
+        self.advance(revision)
+        self.listener.changed(self.kind, after, revision, changes)
+        # Changes come in groups; the next answer then holds several of them.
+        await asyncio.sleep(GROUP_S)
         return True
 
     def decoded(self, answer: object, decode: Callable[[bytes], T]) -> T | None:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,6 +1,7 @@
 """The one composition root: builds every program from its settings."""
 
 import ipaddress
+import random
 import secrets
 import time
 
@@ -16,6 +17,7 @@
 from poplarlane.decisions.agent_state import AgentState, Peer
 from poplarlane.decisions.directory import Directory
 from poplarlane.decisions.entry_state import EntryState
+from poplarlane.decisions.relays import Member, RelayState
 from poplarlane.metrics import AdminAnswer, AdminRequest, AdminServer, Metrics, json_answer
 from poplarlane.platform import store
 from poplarlane.platform.headers import PLATFORM_HEADERS
@@ -28,6 +30,7 @@
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient
+from poplarlane.plumbing.relay import Relay
 from poplarlane.programs.agent_pages import agent_pages
 from poplarlane.settings import (
     AgentSettings,
@@ -45,6 +48,8 @@
 PROBE_RATE_SHARE = 0.9
 # Calls to the store per second of one node; a storm of configurations needs a few.
 STORE_CALLS_PER_S = 20.0
+# The first port is the admin server's.
+EXCHANGE_PORT_OFFSET = 1
 NODE_EXIT_RESERVE_S = 0.4
 # JSON integers beyond 53 bits are not exact everywhere.
 PROCESS_BITS = 52
@@ -156,9 +161,23 @@
         keeper.followers.append(
             ObjectFollower(client, store, kind, keeper, settings.store_wait_ms, generator)
         )
+    if settings.exchange_ports:
+        keeper.relay = make_relay(settings, keeper, generator)
     return keeper
 
 
+def make_relay(settings: NodeSettings, keeper: DirectoryKeeper, generator: random.Random) -> Relay:
+    """Build the exchange with other nodes."""
+    me = Member(settings.name, settings.listen_address, settings.data_centre, 0.0)
+    port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
+    seeds = [split_address(seed)[0] for seed in settings.seeds]
+    state = RelayState(me, clock())
+    relay = Relay(state, port, seeds, keeper.take_changes, generator.random)
+    for follower in keeper.followers:
+        relay.followers[follower.kind] = follower
+    return relay
+
+
 def entry_pages(shell: EntryShell) -> dict:
     """Give the pages of an entry's admin server."""
     state = shell.state
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -86,6 +86,9 @@
     ready_path: str
     admin_port: Port
     store: SocketAddress
+    # First and last port for the exchange between nodes, and addresses of nodes to begin with.
+    exchange_ports: list[Port] = []
+    seeds: list[SocketAddress] = []
     fleet_size: PositiveCount = 24
     seed: int = 0
     policy: str = "measured"
@@ -97,7 +100,7 @@
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
     # What a request to another data centre is charged, as a delay, by region of the node.
     transfer_delay_ms: dict[str, float] = {}
-    store_wait_ms: Milliseconds = 2_000
+    store_wait_ms: Milliseconds = 900
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
