Skip late answers, repeat failed reads, look for room once per service, confirm the view after a pause

Change: a connection passes over an answer with another request's id; reads that failed at one target are repeated while there is time; one timer per service; the store is asked at once after a pause.

--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -50,7 +50,7 @@
     use_room,
 )
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
-from poplarlane.types import Verdict
+from poplarlane.types import TargetLoad, Verdict
 
 SERVER_ERROR = 500
 # A deadline that passes sooner than this many typical latencies says nothing about the target.
@@ -287,6 +287,8 @@
     request, load = attempt.request, attempt.load
     if notes.status < SERVER_ERROR or request.attempts:
         return False
+    if type(request.service.policy) is Measured:
+        return request.idempotent and repeat_failed(state, request, load, event, effects)
     found = health.verdict(load, request.service.limits.loads, event.now)
     if Verdict.AVOIDED not in (load.verdict, found):
         return False
@@ -295,6 +297,21 @@
     return send_again(state, request, outcome, event.now, event.draw, effects)
 
 
+def repeat_failed(
+    state: EntryState,
+    request: Request,
+    load: TargetLoad,
+    event: AnswerCompleted,
+    effects: list[Effect],
+) -> bool:
+    """Repeat a read that failed at one target while there is time for another."""
+    if event.now + request.work_s > request.deadline:
+        return False
+    request.tried.append(load)
+    outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, f"{load.target.name} failed")
+    return send_again(state, request, outcome, event.now, event.draw, effects)
+
+
 @reduce.register
 def timer_fired(event: TimerFired, state: EntryState) -> list[Effect]:
     """Handle every timer that is due and ask for the next one."""
@@ -313,6 +330,8 @@
             if request_id in state.probes:
                 effects.append(CancelAttempt(request_id))
                 fail_probe(state, request_id, event.now, draw, effects)
+        elif kind is TimerKind.RECHECK:
+            recheck(state, state.by_number[request_id], event.now, draw, effects)
         elif request_id in state.requests:
             request_timer(state, state.requests[request_id], kind, event.now, draw, effects)
             draw = next_draw(draw)
@@ -338,8 +357,6 @@
     elif kind is TimerKind.PROBE_END:
         if request.in_round:
             finish_round(state, request, now, draw, effects)
-    elif kind is TimerKind.RECHECK:
-        recheck(state, request, now, draw, effects)
     elif kind is TimerKind.GIVE_UP:
         give_up(state, request, now, effects)
     else:
--- a/poplarlane/decisions/catalogue.py
+++ b/poplarlane/decisions/catalogue.py
@@ -6,6 +6,7 @@
 from poplarlane.decisions.entry_effects import SetCallerLimits, StartAccepting
 from poplarlane.decisions.entry_events import CatalogueChanged
 from poplarlane.decisions.entry_state import EntryState, ServiceState, next_draw
+from poplarlane.decisions.pauses import confirm
 from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests import use_room
@@ -38,6 +39,9 @@
         effects.append(Log("ready", "info", {"services": len(state.services)}))
         if state.accepting:
             effects.append(StartAccepting())
+    if event.is_confirmed and state.unconfirmed_until:
+        confirm(state, event.now, effects)
+        changed = list(catalogue.services.values())
     draw = event.draw
     for found in changed:
         draw = next_draw(draw)
@@ -69,6 +73,9 @@
     before = dict(held.loads) if held is not None else {}
     apply_service(state, found, b"")
     service = state.services[found.service]
+    if held is None:
+        service.number = len(state.by_number) + 1
+        state.by_number[service.number] = service
     gone = [load.target for name, load in before.items() if service.loads.get(name) is not load]
     release_removed(state, gone, effects)
     joined = [load for name, load in service.loads.items() if before.get(name) is not load]
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -235,11 +235,22 @@
 
 
 class CatalogueChanged(EntryEvent):
-    """Report a changed catalogue, and how many entries the fleet has."""
+    """Report a catalogue, and how many entries the fleet has.
 
-    __slots__ = ("catalogue", "fleet_entries")
+    `is_confirmed` says that it holds what the store said after the last pause of this process.
+    """
+
+    __slots__ = ("catalogue", "fleet_entries", "is_confirmed")
 
-    def __init__(self, now: float, draw: int, catalogue: Catalogue, fleet_entries: int) -> None:
+    def __init__(
+        self,
+        now: float,
+        draw: int,
+        catalogue: Catalogue,
+        fleet_entries: int,
+        is_confirmed: bool = False,
+    ) -> None:
         super().__init__(now, draw)
+        self.is_confirmed = is_confirmed
         self.catalogue = catalogue
         self.fleet_entries = fleet_entries
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -49,12 +49,18 @@
     DRAIN_LIMIT = 4
     VIEW_LIMIT = 5
     PROBE_END = 6
+    # RECHECK belongs to a service and PROBE_LIMIT to a probe; the others to requests.
     RECHECK = 7
     GIVE_UP = 9
-    # Belongs to a probe, not to a request.
     PROBE_LIMIT = 8
 
 
+# Kinds of timers that belong to a request and end with it.
+REQUEST_TIMERS = frozenset(
+    {TimerKind.DEADLINE, TimerKind.HEDGE, TimerKind.PROBE_END, TimerKind.GIVE_UP}
+)
+
+
 class ServiceState:
     """Hold one service as configured and as observed."""
 
@@ -77,6 +83,8 @@
         "waiting_hedges",
         "work_s",
         "crowding",
+        "number",
+        "recheck_at",
     )
 
     def __init__(self, name: str) -> None:
@@ -102,6 +110,9 @@
         # Estimated time of work of a request at the usual pace, by kind.
         self.work_s: dict[str, float] = {}
         self.crowding = Crowding()
+        # Number of the service in its entry, and when its queue looks for room again (0: not).
+        self.number = 0
+        self.recheck_at = 0.0
 
 
 class Request:
@@ -251,6 +262,7 @@
         "unconfirmed_until",
         "routes",
         "catalogue",
+        "by_number",
         "probes",
         "probe_allowance",
         "probes_per_target_s",
@@ -298,6 +310,7 @@
         # None without a catalogue: then hosts lead to services.
         self.routes: RouteTable | None = None
         self.catalogue: dict[str, ServiceObject] = {}
+        self.by_number: dict[int, ServiceState] = {}
         self.probes: dict[int, Probe] = {}
         # Probes per second that a target gets from the whole fleet at the most.
         self.probes_per_target_s = 0.0
@@ -325,8 +338,8 @@
 def drop_ended_timers(state: EntryState, most: int) -> None:
     """Drop the earliest timers, up to a number, while they belong to requests that have ended."""
     timers = state.timers
-    while timers and most and timers[0][3] and timers[0][3] not in state.requests:
-        if timers[0][2] is TimerKind.PROBE_LIMIT and timers[0][3] in state.probes:
+    while timers and most and timers[0][2] in REQUEST_TIMERS:
+        if timers[0][3] in state.requests:
             return
         heapq.heappop(timers)
         most -= 1
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -7,6 +7,7 @@
     EntryState,
     Request,
     RequestState,
+    ServiceState,
     reachable_targets,
 )
 from poplarlane.decisions.reducer import reduce
@@ -104,8 +105,6 @@
             return
     if is_queued(request):
         use_room(state, request.service, now, draw, effects)
-        if request.state is RequestState.QUEUED and request.request_id in state.requests:
-            plan_recheck(state, request, now, effects)
     elif load is not None:
         send(state, request, load, now, effects)
     else:
@@ -143,18 +142,16 @@
 
 
 def recheck(
-    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+    state: EntryState, service: ServiceState, now: float, draw: int, effects: list[Effect]
 ) -> None:
-    """Ask targets again for a request that waits in the queue."""
-    if request.state is not RequestState.QUEUED or request.in_round:
-        return
-    targets = reachable_targets(request.service, request.labels)
-    asking = waiting.in_order(request.service, now)[:ASKING_QUEUED]
-    if targets and request in asking:
-        request.rounds = request.service.policy.max_rounds
-        request.probed = []
-        request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
-    if not request.in_round:
-        use_room(state, request.service, now, draw, effects)
-        if request.state is RequestState.QUEUED and request.request_id in state.requests:
-            plan_recheck(state, request, now, effects)
+    """Ask targets again for the first requests of a queue."""
+    service.recheck_at = 0.0
+    for request in waiting.in_order(service, now)[:ASKING_QUEUED]:
+        targets = reachable_targets(service, request.labels)
+        if targets and not request.in_round:
+            request.rounds = service.policy.max_rounds
+            request.probed = []
+            request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
+    use_room(state, service, now, draw, effects)
+    if service.limits.queued:
+        plan_recheck(state, service, now, effects)
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -245,7 +245,7 @@
         return
     enqueue(state, request, effects)
     if request.request_id in state.requests:
-        plan_recheck(state, request, now, effects)
+        plan_recheck(state, request.service, now, effects)
         plan_give_up(state, request, now, effects)
 
 
@@ -256,9 +256,14 @@
         effects.append(SetTimer(state.timer_at))
 
 
-def plan_recheck(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
-    """Look again soon whether a target has room for a queued request."""
-    if add_timer(state, now + RECHECK_S, TimerKind.RECHECK, request.request_id):
+def plan_recheck(
+    state: EntryState, service: ServiceState, now: float, effects: list[Effect]
+) -> None:
+    """Look again soon whether a target has room for what is queued."""
+    if service.recheck_at > now:
+        return
+    service.recheck_at = now + RECHECK_S
+    if add_timer(state, service.recheck_at, TimerKind.RECHECK, service.number):
         effects.append(SetTimer(state.timer_at))
 
 
--- a/poplarlane/plumbing/directory_keeper.py
+++ b/poplarlane/plumbing/directory_keeper.py
@@ -45,6 +45,7 @@
         "listed_kinds",
         "fleet_entries",
         "relay",
+        "doubted",
     )
 
     def __init__(
@@ -58,6 +59,8 @@
         self.reached: dict[str, bool] = {}
         self.listed_kinds: set[str] = set()
         self.fleet_entries = fleet_entries
+        # Kinds that were not read from the store since a pause of this process.
+        self.doubted: set[str] = set()
         # Exchange with other nodes; None where every node follows the store itself.
         self.relay: Relay | None = None
 
@@ -78,7 +81,11 @@
             follower.close()
 
     def send(self, message: EntryHello | EntryReport) -> None:
-        """Drop an entry's report: there is no agent beside this process."""
+        """Ask the store at once when the entry doubts its view after a pause; drop the rest."""
+        if isinstance(message, EntryHello) and self.shell.state.unconfirmed_until:
+            self.doubted = {follower.kind for follower in self.followers}
+            for follower in self.followers:
+                follower.poll_once()
 
     def listed(self, kind: str, items: list[StoredObject]) -> None:
         """Take a whole list."""
@@ -132,6 +139,11 @@
 
     def contact(self, kind: str, good: bool) -> None:
         """Note whether the store answers; entries may have lapsed while it did not."""
+        if good and kind in self.doubted:
+            self.doubted.discard(kind)
+            if not self.doubted:
+                # The changes of this very answer are published after it.
+                self.shell.loop.call_soon(self.publish, True)
         if self.relay is not None:
             self.relay.contact(kind, good)
         before = self.reached.get(kind)
@@ -148,7 +160,7 @@
         if self.directory.expire_lapsed(self.shell.now()):
             self.publish()
 
-    def publish(self) -> None:
+    def publish(self, is_confirmed: bool = False) -> None:
         """Feed the catalogue to the entry once both kinds are known."""
         catalogue = self.directory.catalogue()
         if self.relay is not None:
@@ -158,4 +170,5 @@
         if catalogue is None or len(self.listed_kinds) < len(self.followers):
             return
         shell = self.shell
-        shell.feed(CatalogueChanged(shell.now(), shell.draw(), catalogue, fleet))
+        now, draw = shell.now(), shell.draw()
+        shell.feed(CatalogueChanged(now, draw, catalogue, fleet, is_confirmed))
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL = 8
+# Late answers to earlier requests that are passed over before the expected one.
+MAX_SKIPPED = 2
 # Idle connections are closed well before the target closes them.
 IDLE_LIMIT_SHARE = 0.7
 PARSER_REQUESTS = {
@@ -101,6 +103,8 @@
         "recent",
         "idle_since",
         "idle_limit_s",
+        "skipped",
+        "is_skipping",
         "closed",
     )
 
@@ -121,6 +125,9 @@
         self.idle_since = 0.0
         # How long the connection may be idle before it is closed here.
         self.idle_limit_s = shell.target_idle_s
+        # Answers to earlier requests that came where the expected one was due.
+        self.skipped = 0
+        self.is_skipping = False
         self.closed = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -185,6 +192,8 @@
                     if not self.take_head(exchange, event):
                         return
                 elif kind is h11.Data:
+                    if self.is_skipping:
+                        continue
                     self.shell.take_answer_data(exchange, event.data)
                     if exchange.cancelled:
                         return
@@ -239,6 +248,11 @@
             return True
         sent_id = exchange.request_header_id
         if sent_id and head.request_id != sent_id and (head.request_id or names.signature):
+            if head.request_id and self.skipped < MAX_SKIPPED and not bodiless:
+                self.skipped += 1
+                self.is_skipping = True
+                self.reusable = False
+                return True
             self.fail(FailureCause.ANSWER_INVALID, "answer to another request")
             return False
         if names.signature and not head.notes.not_run:
@@ -250,6 +264,9 @@
 
     def take_end(self, exchange: Exchange, parser: h11.Connection) -> None:
         """Hand over a whole answer and keep the connection when it is clean."""
+        if self.is_skipping:
+            self.skip_answer(parser)
+            return
         head = exchange.head
         trailing = len(parser.trailing_data[0])
         chunked = head.chunked and not exchange.is_head
@@ -275,6 +292,17 @@
             self.abort()
         self.shell.answer_read(exchange)
 
+    def skip_answer(self, parser: h11.Connection) -> None:
+        """Go on with the bytes after an answer that belongs to an earlier request."""
+        self.is_skipping = False
+        self.in_body = False
+        self.parser = None
+        self.before = b""
+        self.recent = b""
+        rest = parser.trailing_data[0]
+        if rest:
+            self.data_received(rest)
+
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection; connection_lost reports others."""
         exchange = self.exchange
