--- /dev/null
+++ b/features/node_decisions.feature
@@ -0,0 +1,120 @@
+Feature: Decisions of a node about targets, waiting requests, repeats and the directory
+  Pure functions and reducers; no network, no clock, no process.
+
+  # Where work goes.
+
+  Scenario: A target slowed by its neighbours is not used while waiting still meets the aim
+    # Guards against reads that start at a target five times slower and miss their aim by far.
+    Given a service with one target at pace 5 and one at pace 1 that has 2 requests
+    When a read with 300 ms to its aim and 100 ms of work chooses
+    Then it goes to the target at pace 1
+    When the only target left is at pace 5
+    Then the read waits
+
+  Scenario: Concurrency stays where throughput is best
+    # Guards against filling the last slots of targets that work slower when nearly full.
+    Given answers that take 1.0 times the usual up to 4 requests at a target and 1.7 times above
+    Then the limit for 6 slots is 4
+    Given answers that take 1.0 times the usual at any number of requests
+    Then the limit for 6 slots is 6
+
+  Scenario: A few slow answers change no limit
+    Given 5 answers of the fifth request at a target that took 1.7 times the usual
+    Then the limit for 6 slots is 6
+
+  Scenario: A request goes out after its round of probes, to the best that was found
+    Given a node state with 4 targets and a read that waits for probes
+    When the probes tell of paces 5, 1 and 5
+    Then the read is sent to the target at pace 1
+
+  Scenario: A silent probe does not hold up the request
+    Given a node state with 4 targets and a read that waits for probes
+    When one probe tells of pace 1 and the round's limit passes
+    Then the read is sent to the target at pace 1
+
+  Scenario: Probes stay within the rate per target for all nodes together
+    # Guards the budget of probes: 200 nodes, each within its share in every window of a second.
+    Then 200 nodes that ask for 5 probes each 10 ms over 36 targets send at most 60 per target and second, with 1 second's worth saved
+
+  # Who waits and who is refused.
+
+  Scenario: Requests that can meet their aim go first, newer ones before older ones
+    # Guards against a queue in arrival order, in which every request misses its aim once it is long.
+    Given waiting reads that arrived 0, 50 and 200 ms ago with an aim of 300 ms and work of 120 ms
+    Then they are sent in the order 0, 50, 200
+
+  Scenario: A waiting request is refused while its caller has time to come back
+    Given a read with an aim of 300 ms, a deadline of 1200 ms and work of 120 ms
+    Then it gives up after 360 ms at the latest and before its deadline less its work
+
+  Scenario Outline: A request that cannot be answered in time is refused on arrival
+    Given a read with a deadline of <deadline> ms and work of 120 ms
+    Then it is <decision> on arrival
+
+    Examples:
+      | deadline | decision |
+      | 100      | refused  |
+      | 400      | admitted |
+
+  # What is sent twice.
+
+  Scenario: The fleet's repeats stay within the bound in every window
+    # Guards BUDGET: two fillings per request once allowed 663 extra requests where 653 were allowed.
+    Then for 40 drawn loads of 24 nodes, no window of 10 s holds more than 0.2 of its requests + 81 repeats
+
+  Scenario: A request never runs on more targets than its route allows
+    Given a node state with 4 targets and a read with at most 2 attempts that was sent twice
+    When both attempts fail
+    Then the read is not sent again
+
+  # Routes.
+
+  Scenario: The longest prefix of a host decides
+    Then "/a/b/c/" of "/a/", "/a/b/" and "/" leads to "/a/b/"
+
+  Scenario: A split follows its weights closely in any run of requests
+    # Guards the weights of split routes, also where each node sees few requests.
+    Then 24 nodes with 20 requests each split 90 to 10 within 0.05
+
+  # The directory.
+
+  Scenario: Instances that vanish during an outage stay until two seconds after it
+    # Guards against nodes without targets when entries lapse while the store is away.
+    Given a directory with 3 instances
+    When the store returns after an outage and lists 1 of them
+    Then all 3 are still targets
+    When 2.1 seconds have passed
+    Then 1 of them is a target
+
+  Scenario: An instance that drains leaves at once, also during an outage's grace
+    Given a directory with 3 instances
+    When the store returns after an outage and one instance drains
+    Then 2 of them are targets
+
+  Scenario: A new process under an old identity is another target
+    # Guards against counts and connections of a process that has ended.
+    Given a directory with 1 instances
+    When the instance starts again under its identity
+    Then the target has another name
+
+  Scenario: A configuration is never replaced by an older one
+    Then for 200 drawn orders of versions 1 to 8, a directory holds the highest that it was given
+
+  # The exchange between nodes.
+
+  Scenario: A node relies on another only while the store's answers are fresh
+    Given a node that hears of one that follows the store
+    When a beat says that the store answered 0.3 s ago
+    Then the node relies on it
+    When the beat is 1.0 s old
+    Then the node follows the store itself
+    When a beat says that the store answered 1.6 s ago
+    Then the node follows the store itself
+
+  Scenario: One node of each data centre follows the store, whoever computes it
+    Then 24 nodes in 3 data centres agree on 3 that follow the store
+    And without one of them the others of its data centre agree on another
+
+  Scenario: A change that a beat announces and that does not arrive is asked for once
+    Given a node at revision 40 that hears of revision 42
+    Then it asks the store after 0.25 s and only once
--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from poplarlane.plumbing.callers import CallerConnection
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS
 from poplarlane.plumbing.targets import Exchange, Pool, TargetConnection
 from poplarlane.settings import EntrySettings
 from poplarlane.types import Target
@@ -71,6 +72,10 @@
     def __init__(self):
         self.settings = SETTINGS
         self.head_timeout_s = self.body_timeout_s = self.idle_timeout_s = 1.0
+        self.target_idle_s = 1.0
+        self.max_head_bytes = SETTINGS.max_head_bytes
+        self.max_body_bytes = SETTINGS.max_body_bytes
+        self.header_names = DEFAULT_HEADERS
         self.requests = []
         self.refused = False
         self.answer = None
--- /dev/null
+++ b/features/steps/node_path_steps.py
@@ -0,0 +1,391 @@
+"""Steps with a real node and the stand-in for the platform's store and targets."""
+
+import json
+import socket
+import subprocess
+import time
+import urllib.request
+
+from behave import given, then, when
+
+from poplarlane.bench.processes import Launcher, binary_path
+
+HOST = "h.example"
+STORE_PORT = 24_000
+FRONT_PORT = 24_001
+READY_PORT = 24_002
+ADMIN_PORT = 24_003
+TARGET_PORT = 24_100
+ANSWER_LIMIT_S = 10.0
+POLL_S = 0.02
+SAFE_ROUTE = {"route_type": "safe", "timeout_s": 4.0, "target_latency_s": 0.5, "max_attempts": 2}
+UNSAFE_ROUTE = SAFE_ROUTE | {"route_type": "unsafe"}
+
+
+class NodeRig:
+    """Hold one node and its stand-in."""
+
+    def __init__(self, launcher):
+        self.launcher = launcher
+        self.node_address = launcher.new_host()
+        self.fleet_address = launcher.new_host()
+        self.names = {}
+        self.node = None
+
+    def configuration(self, version, routes):
+        """Build a configuration over both services."""
+        services = [
+            {"name": name, "health_path": "/healthz", "max_connections": 100}
+            for name in ("reads", "books")
+        ]
+        documents = [
+            {"name": f"r{index}", "host": HOST, "path_prefix": prefix, "service": service} | kind
+            for index, (prefix, service, kind) in enumerate(routes)
+        ]
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
+        return {"version": version, "routes": documents, "services": services, "limits": limits}
+
+    def usual_routes(self, views="reads"):
+        """List the routes of the scenarios."""
+        return [("/views/", views, SAFE_ROUTE), ("/bookings/", "books", UNSAFE_ROUTE)]
+
+    def start(self, counts):
+        """Start the stand-in and the node, and wait until the node serves all targets."""
+        targets = {}
+        for service, count in counts.items():
+            self.names[service] = [f"{service}-{number}" for number in range(count)]
+            for name in self.names[service]:
+                port = TARGET_PORT + len(targets)
+                targets[name] = {"service": service, "address": f"{self.fleet_address}:{port}"}
+        self.launcher.start(
+            "poplarlane-standin-signed-fleet",
+            {
+                "name": "fleet",
+                "listen_address": self.fleet_address,
+                "listen_port": STORE_PORT,
+                "targets": targets,
+                "configuration": self.configuration(5, self.usual_routes()),
+            },
+        )
+        self.node = self.launcher.start("poplarlane-node", self.node_settings())
+
+    def node_settings(self):
+        """Give the settings of the node."""
+        return {
+            "name": "node-1",
+            "log_level": "debug",
+            "data_centre": "zone-a",
+            "region": "region",
+            "front": f"{self.node_address}:{FRONT_PORT}",
+            "ready": f"{self.node_address}:{READY_PORT}",
+            "ready_path": "/ready",
+            "admin_port": ADMIN_PORT,
+            "store": f"{self.fleet_address}:{STORE_PORT}",
+            "store_wait_ms": 300,
+            "fleet_size": 1,
+            "extra_send_ratio": 0.2,
+            "extra_sends": 81,
+            "probes_per_target_s": 60,
+            "drain_accept_ms": 300,
+        }
+
+    def control(self, **switches):
+        """Change the stand-in."""
+        url = f"http://{self.fleet_address}:{STORE_PORT}/_control"
+        data = json.dumps(switches).encode()
+        with urllib.request.urlopen(urllib.request.Request(url, data), timeout=5):
+            return
+
+    def ledger(self):
+        """Read what ran where."""
+        url = f"http://{self.fleet_address}:{STORE_PORT}/_ledger"
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            return json.load(answer)
+
+    def connect(self):
+        """Open a connection to the node."""
+        address = (self.node_address, FRONT_PORT)
+        caller = socket.create_connection(address, timeout=ANSWER_LIMIT_S)
+        caller.settimeout(ANSWER_LIMIT_S)
+        return caller
+
+    def send(self, method, path, request_id, caller=None):
+        """Send one request and read its answer as (status, headers, body)."""
+        caller = caller or self.connect()
+        caller.sendall(request_bytes(method, path, request_id))
+        with caller:
+            return read_answer(caller)
+
+
+def request_bytes(method, path, request_id):
+    """Write a request; bookings have a body."""
+    body = b"x=1" if method == "POST" else b""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
+    return f"{head}X-Deadline-Ms: 3500\r\n{length}\r\n".encode() + body
+
+
+def read_answer(caller):
+    """Read one answer with a length."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = caller.recv(65_536)
+        assert more, f"connection closed after {data!r}"
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:])}
+    while len(body) < int(headers.get("content-length", "0")):
+        body += caller.recv(65_536)
+    return int(lines[0].split()[1]), headers, body
+
+
+def wait_until(check, what):
+    """Wait until a condition holds."""
+    deadline = time.monotonic() + ANSWER_LIMIT_S
+    while not check():
+        assert time.monotonic() < deadline, f"not in time: {what}"
+        time.sleep(POLL_S)
+
+
+@given('a node with {reads:d} targets of the service "reads" and {books:d} of "books"')
+def step_node(context, reads, books):
+    context.rig = NodeRig(context.resources.enter_context(Launcher()))
+    context.rig.start({"reads": reads, "books": books})
+
+
+@given("targets that work for {work_ms:d} ms")
+def step_work(context, work_ms):
+    names = [name for found in context.rig.names.values() for name in found]
+    context.rig.control(targets={name: {"work_ms": work_ms} for name in names})
+
+
+@when('a caller sends "{method}" "{path}" with id "{request_id}"')
+def step_send(context, method, path, request_id):
+    context.answer = context.rig.send(method, path, request_id)
+
+
+@when("a caller sends {count:d} reads one after the other")
+def step_reads(context, count):
+    context.read_ids = [f"read-{number}" for number in range(count)]
+    context.answers = [context.rig.send("GET", "/views/1", name) for name in context.read_ids]
+
+
+@when('every target of "{service}" is set to "{mode}"')
+def step_mode(context, service, mode):
+    names = context.rig.names[service]
+    context.rig.control(targets={name: {"mode": mode} for name in names})
+
+
+@when('the target "{name}" is set to "{mode}"')
+def step_target_mode(context, name, mode):
+    context.rig.control(targets={name: {"mode": mode}})
+
+
+@when('the configuration moves "{prefix}" to "{service}" in version {version:d}')
+def step_move(context, prefix, service, version):
+    routes = [*context.rig.usual_routes(), (prefix, service, SAFE_ROUTE)]
+    routes = list({found[0]: found for found in routes}.values())
+    context.rig.control(configuration=context.rig.configuration(version, routes))
+
+
+@when('the store forgets its history and the configuration moves "/views/" to "books" in version 9')
+def step_forget(context):
+    routes = context.rig.usual_routes("books")
+    configuration = context.rig.configuration(9, routes)
+    context.rig.control(forget_history=True, configuration=configuration)
+
+
+@when("the node has applied version {version:d}")
+@then("the node applies version {version:d}")
+def step_applied(context, version):
+    context.rig.node.wait_for("configuration_applied", version=str(version))
+
+
+@then("the node never applied version {version:d}")
+def step_never_applied(context, version):
+    found = [line.fields.get("version") for line in context.rig.node.lines]
+    assert str(version) not in [
+        line.fields.get("version")
+        for line in context.rig.node.lines
+        if line.fields.get("event") == "configuration_applied"
+    ], found
+
+
+@when('the target "{name}" drains and the node knows it')
+def step_drain(context, name):
+    context.rig.control(drain=[name])
+    context.rig.node.wait_for("instance_changed", instance=name, state="leaving")
+
+
+@when("the store is down")
+def step_down(context):
+    context.rig.control(down=True)
+
+
+@when("the node has noticed that")
+def step_noticed(context):
+    context.rig.node.wait_for("store_lost")
+
+
+@when("the store is up again")
+def step_up(context):
+    context.rig.control(down=False)
+
+
+@when("the store holds entries with missing fields, wrong types and unknown states")
+def step_bad_entries(context):
+    good = {"address": "127.0.0.1:9", "info": {"service": "reads", "zone": "a", "slots": 6}}
+    status = {"state": "ready", "sequence": 1, "cold_remaining_s": 0}
+    entries = {
+        "i-none": {"spec": None, "status": None},
+        "i-number": {"spec": 7, "status": [1]},
+        "i-no-address": {"spec": {"info": good["info"]}, "status": status},
+        "i-bad-port": {"spec": good | {"address": "127.0.0.1:http"}, "status": status},
+        "i-bad-host": {"spec": good | {"address": "a b:80"}, "status": status},
+        "i-slots": {"spec": good | {"info": good["info"] | {"slots": "6"}}, "status": status},
+        "i-state": {"spec": good, "status": status | {"state": "asleep"}},
+        "i-service": {"spec": good | {"info": good["info"] | {"service": "x"}}, "status": status},
+    }
+    context.rig.control(entries=entries)
+    context.rig.node.wait_for("instance_changed", instance="i-service")
+
+
+@when("a caller sends a booking and the node is asked to stop while it runs")
+def step_stop(context):
+    caller = context.resources.enter_context(context.rig.connect())
+    caller.sendall(request_bytes("POST", "/bookings/1", "s1"))
+    wait_until(lambda: "s1" in context.rig.ledger()["ran"], "the booking runs")
+    context.rig.node.terminate()
+    context.rig.node.wait_for("draining")
+    url = f"http://{context.rig.node_address}:{READY_PORT}/ready"
+    try:
+        with urllib.request.urlopen(url, timeout=5) as answer:
+            context.ready_status = answer.status
+    except urllib.error.HTTPError as error:
+        context.ready_status = error.code
+    context.answer = read_answer(caller)
+
+
+@when("a caller sends a read and leaves while it runs")
+def step_leave(context):
+    caller = context.rig.connect()
+    caller.sendall(request_bytes("GET", "/views/1", "l1"))
+    wait_until(lambda: "l1" in context.rig.ledger()["ran"], "the read runs")
+    caller.close()
+
+
+@when('a caller sends raw bytes "{text}"')
+def step_raw(context, text):
+    caller = context.resources.enter_context(context.rig.connect())
+    caller.sendall(text.encode().decode("unicode_escape").encode("latin-1"))
+    try:
+        context.raw = caller.recv(65_536)
+    except ConnectionResetError:
+        context.raw = b""
+
+
+@given('node settings whose "{key}" is {value}')
+def step_settings(context, key, value):
+    launcher = context.resources.enter_context(Launcher())
+    settings = NodeRig(launcher).node_settings() | {key: json.loads(value)}
+    context.path = launcher.settings_path("node", settings)
+
+
+@when("the node checks them")
+def step_check(context):
+    command = [binary_path("poplarlane-node"), "--settings", context.path, "--check"]
+    context.checked = subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+@then('it ends with status {status:d} and names "{key}"')
+def step_checked(context, status, key):
+    assert context.checked.returncode == status, context.checked
+    assert repr(key) in context.checked.stderr, context.checked.stderr
+
+
+@then(
+    'the answer has status {status:d}, the id "{request_id}" and the signature of a target of '
+    '"{service}"'
+)
+def step_signed(context, status, request_id, service):
+    found, headers, body = context.answer
+    assert found == status, context.answer
+    assert headers["x-attempt-id"] == request_id, headers
+    target = headers["x-server-signature"].split(".")[0]
+    assert target in context.rig.names[service], headers
+    assert json.loads(body)["target"] == target, body
+
+
+@then("the answer has status {status:d}")
+def step_status(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@then("the answer has status {status:d} and names when to come back")
+def step_retry_after(context, status):
+    assert context.answer[0] == status, context.answer
+    assert float(context.answer[1]["retry-after"]) > 0.0, context.answer
+
+
+@then("every one of them is answered with status {status:d}")
+def step_all(context, status):
+    assert [answer[0] for answer in context.answers] == [status] * len(context.answers)
+
+
+@then("every request ran at most once")
+def step_once(context):
+    ran = context.rig.ledger()["ran"]
+    assert ran and all(len(targets) == 1 for targets in ran.values()), ran
+
+
+@then('the request "{request_id}" ran on no target')
+def step_nowhere(context, request_id):
+    assert request_id not in context.rig.ledger()["ran"]
+
+
+@then('the request "{request_id}" ran {count:d} times')
+def step_ran(context, request_id, count):
+    assert len(context.rig.ledger()["ran"][request_id]) == count
+
+
+@then('none of them ran on "{name}"')
+def step_not_on(context, name):
+    ran = context.rig.ledger()["ran"]
+    assert all(name not in ran[found] for found in context.read_ids), ran
+
+
+@then('the booking is answered with status {status:d} and "connection: close"')
+def step_close(context, status):
+    assert context.answer[0] == status, context.answer
+    assert context.answer[1]["connection"] == "close", context.answer
+
+
+@then("the node is not ready any more")
+def step_unready(context):
+    assert context.ready_status == 503, context.ready_status
+
+
+@then("the node ends with status {status:d}")
+def step_ends(context, status):
+    assert context.rig.node.exit_status() == status
+
+
+@then("the target's work is cancelled")
+def step_cancelled(context):
+    wait_until(lambda: "l1" in context.rig.ledger()["cancelled"], "the work is cancelled")
+
+
+@then("the node answers with a 4xx or closes the connection")
+def step_refused(context):
+    assert context.raw == b"" or context.raw.startswith(b"HTTP/1.1 4"), context.raw
+
+
+@then("nothing ran on any target")
+def step_nothing(context):
+    assert not context.rig.ledger()["ran"]
--- a/poplarlane/decisions/catalogue.py
+++ b/poplarlane/decisions/catalogue.py
@@ -36,9 +36,9 @@
     take_routes(state, catalogue, effects)
     if not state.ready:
         state.ready = True
-        effects.append(Log("ready", "info", {"services": len(state.services)}))
         if state.accepting:
             effects.append(StartAccepting())
+        effects.append(Log("ready", "info", {"services": len(state.services)}))
     if event.is_confirmed and state.unconfirmed_until:
         confirm(state, event.now, effects)
         changed = list(catalogue.services.values())
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -6,6 +6,7 @@
 import h11
 
 from poplarlane.outcomes import Malformed, NotRun, ResultCode
+from poplarlane.plumbing.chunk_sizes import ChunkSizes
 from poplarlane.plumbing.heads import (
     CONTINUE,
     HEAD_END,
@@ -62,6 +63,7 @@
         "paused_target",
         "stream_chunked",
         "span",
+        "chunk_sizes",
     )
 
     def __init__(self, shell: "EntryShell") -> None:
@@ -89,6 +91,8 @@
         self.paused_target = None
         self.stream_chunked = False
         self.span = None
+        # Sizes that a chunked body has announced; None for other bodies.
+        self.chunk_sizes: ChunkSizes | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the caller, or close the connection when there are too many."""
@@ -135,9 +139,23 @@
         self.raw_bytes += len(data)
         self.before = (self.before + self.recent[-4:])[-4:]
         self.recent = data
+        if self.chunk_sizes is not None and not self.check_chunks(data):
+            return
         parser.receive_data(data)
         self.read_events(parser)
 
+    def check_chunks(self, data: bytes) -> bool:
+        """Refuse a body as soon as its chunks announce more than is accepted."""
+        sizes = self.chunk_sizes
+        sizes.feed(data)
+        if sizes.fault:
+            self.refuse(400, sizes.fault)
+            return False
+        if sizes.announced > self.shell.max_body_bytes:
+            self.refuse(413, f"body larger than {self.shell.max_body_bytes} bytes")
+            return False
+        return True
+
     def start_parser(self, buffer: bytes) -> h11.Connection | None:
         """Check the head and start a parser for one request; None until the head is whole."""
         limit = self.shell.max_head_bytes
@@ -207,6 +225,11 @@
             return False
         self.close_after = self.close_after or head.close or event.http_version < b"1.1"
         self.expires_at = self.shell.now() + self.shell.body_timeout_s
+        if head.chunked:
+            self.chunk_sizes = ChunkSizes()
+            end = self.recent.find(HEAD_END)
+            if not self.check_chunks(self.recent[end + len(HEAD_END) :]):
+                return False
         if head.expects and parser.they_are_waiting_for_100_continue:
             self.transport.write(CONTINUE)
         return True
@@ -273,6 +296,7 @@
             return
         self.parser = None
         self.event = None
+        self.chunk_sizes = None
         self.head = None
         self.body = b""
         if self.parts:
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -199,6 +199,27 @@
     ledger_file: str = ""
 
 
+class SignedTargetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Place one target of the signed fleet."""
+
+    service: str
+    address: SocketAddress
+
+
+class SignedFleetSettings(Settings, kw_only=True):
+    """Hold the settings of the stand-in for the platform's store and its targets."""
+
+    listen_address: str
+    listen_port: Port
+    targets: dict[str, SignedTargetSettings] = {}
+    configuration: dict[str, Any] = {}
+    probe_path: str = "/healthz"
+    zone: str = "zone-a"
+    slots: PositiveCount = 6
+    work_ms: float = 20.0
+    born_ms: int = 1_000
+
+
 class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Forward one listening address to one upstream address, as TCP bytes or pyzmq messages."""
 
--- /dev/null
+++ b/poplarlane/standins/signed_fleet.py
@@ -0,0 +1,290 @@
+"""Stand-in for the users' platform in one process: its store of objects and a few targets.
+
+It speaks the platform's form: objects listed and watched by kind, and targets that sign answers,
+name their instance and report running, waiting, slots and pace. On the store's port,
+`POST /_control` changes the configuration, drains or breaks targets and takes the store down, and
+`GET /_ledger` tells which requests ran where.
+"""
+
+import asyncio
+import json
+from typing import Any
+
+from poplarlane.settings import SignedFleetSettings, settings_from_arguments
+from poplarlane.standins.daemon import run_daemon
+from poplarlane.standins.http_server import Exchange, HttpServer
+
+OBJECTS_PREFIX = "/-/objects/"
+MAX_WAIT_MS = 30_000
+KEPT_EVENTS = 1_000
+
+
+class ObjectStore:
+    """Hold objects by kind and name, with one revision counter and a history of changes."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.first_revision = 1
+        self.is_down = False
+        self.calls: dict[str, int] = {}
+        self.waiting: list[tuple[Exchange, str, int, asyncio.TimerHandle]] = []
+
+    def put(self, kind: str, name: str, spec: Any, status: Any = None) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        item["status"] = status
+        self.objects.setdefault(kind, {})[name] = item
+        self.record(kind, item, False)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self.objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            self.record(kind, item, True)
+
+    def record(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
+        """Add a change to the history and answer the watches that wait for it."""
+        self.history.append((self.revision, kind, item, deleted))
+        del self.history[:-KEPT_EVENTS]
+        for entry in list(self.waiting):
+            exchange, watched, after, timer = entry
+            if watched == kind:
+                timer.cancel()
+                self.waiting.remove(entry)
+                self.answer_watch(exchange, kind, after)
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches from an older revision are refused."""
+        self.history.clear()
+        self.first_revision = self.revision + 1
+        self.revision += 1
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a list or a watch."""
+        kind = exchange.path.removeprefix(OBJECTS_PREFIX)
+        verb = "watch" if "watch" in exchange.query else "list"
+        self.calls[verb] = self.calls.get(verb, 0) + 1
+        if self.is_down:
+            exchange.reply_json(503, {"error": "down"})
+        elif verb == "list":
+            items = list(self.objects.get(kind, {}).values())
+            document = {"items": items, "more_pages": False, "current_rev": self.revision}
+            exchange.reply_json(200, document)
+        else:
+            self.watch(exchange, kind)
+
+    def watch(self, exchange: Exchange, kind: str) -> None:
+        """Answer a watch at once, or when something changes, or when its wait has passed."""
+        after = int(exchange.query["watch"])
+        if after < self.first_revision - 1:
+            exchange.reply_json(410, {"error": "history gone"})
+            return
+        if any(revision > after and kind == found for revision, found, _, _ in self.history):
+            self.answer_watch(exchange, kind, after)
+            return
+        wait_s = min(MAX_WAIT_MS, int(exchange.query.get("wait_ms", "0"))) / 1000.0
+        loop = asyncio.get_running_loop()
+        entry: list[Any] = []
+
+        def expire() -> None:
+            self.waiting = [found for found in self.waiting if found[0] is not exchange]
+            self.answer_watch(exchange, kind, after)
+
+        entry = [exchange, kind, after, loop.call_later(wait_s, expire)]
+        self.waiting.append(tuple(entry))
+
+    def answer_watch(self, exchange: Exchange, kind: str, after: int) -> None:
+        """Answer a watch with the changes since its revision."""
+        events = [
+            {"object": item, "deleted": deleted}
+            for revision, found, item, deleted in self.history
+            if revision > after and found == kind
+        ]
+        exchange.reply_json(200, {"events": events, "current_rev": self.revision})
+
+
+class SignedTarget:
+    """Serve requests as a target of the platform does; `mode` breaks it."""
+
+    def __init__(self, fleet: "SignedFleet", name: str, service: str, address: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.service = service
+        self.address = address
+        self.mode = ""
+        self.pace = 100
+        self.work_ms = fleet.settings.work_ms
+        self.running = 0
+        self.probes = 0
+        self.server = HttpServer(self.handle)
+
+    def load(self) -> str:
+        """Format the load report."""
+        slots = self.fleet.settings.slots
+        return f"{min(self.running, slots)},{max(0, self.running - slots)},{slots},{self.pace}"
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a probe, refuse a request for another instance, or work."""
+        headers = [("x-server-load", self.load()), ("x-instance-id", self.name)]
+        if exchange.path == self.fleet.settings.probe_path:
+            self.probes += 1
+            exchange.reply(200, headers, b"")
+            return
+        request_id = exchange.headers.get("x-attempt-id", "")
+        headers.append(("x-attempt-id", request_id))
+        if exchange.headers.get("x-expected-instance", self.name) != self.name:
+            exchange.reply(421, headers, b"")
+        elif self.mode == "shed":
+            exchange.reply(503, [*headers, ("x-not-executed", "1")], b"")
+        else:
+            self.work(exchange, headers, request_id)
+
+    def work(self, exchange: Exchange, headers: list, request_id: str) -> None:
+        """Run a request for the time of work at the present pace."""
+        self.fleet.ledger.setdefault(request_id, []).append(self.name)
+        self.running += 1
+        loop = asyncio.get_running_loop()
+
+        def done() -> None:
+            self.running -= 1
+            self.answer(exchange, headers, request_id)
+
+        def cancelled() -> None:
+            timer.cancel()
+            self.running -= 1
+            self.fleet.cancelled.append(request_id)
+
+        exchange.on_cancel = cancelled
+        timer = loop.call_later(self.work_ms * self.pace / 100_000.0, done)
+
+    def answer(self, exchange: Exchange, headers: list, request_id: str) -> None:
+        """Answer a request that has run, whole or as the mode says."""
+        body = json.dumps({"target": self.name, "path": exchange.path}).encode()
+        signed = [*headers, ("x-server-signature", f"{self.name}.{len(body)}")]
+        if self.mode == "lose":
+            exchange.drop()
+        elif self.mode == "unsigned":
+            exchange.reply(200, headers, body)
+        elif self.mode == "fail":
+            exchange.reply(500, signed, body)
+        elif self.mode == "unframed":
+            self.answer_unframed(exchange, signed, body)
+        elif self.mode == "late-extra":
+            self.answer_after_another(exchange, signed, body)
+        else:
+            exchange.reply(200, signed, body)
+
+    def answer_unframed(self, exchange: Exchange, headers: list, body: bytes) -> None:
+        """Answer without a length; the end of the connection ends the body."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        transport = exchange.connection.transport
+        exchange.finished = True
+        transport.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+        transport.close()
+
+    def answer_after_another(self, exchange: Exchange, headers: list, body: bytes) -> None:
+        """Send an answer to an earlier request first, as a faulty target does."""
+        late = b"HTTP/1.1 200 OK\r\nx-attempt-id: earlier\r\nx-server-signature: x\r\n"
+        late += b"content-length: 4\r\n\r\nlate"
+        exchange.connection.transport.write(late)
+        exchange.reply(200, headers, body)
+
+    def register(self, state: str = "ready") -> None:
+        """Write the target's entry into the store."""
+        host, port = self.address.rsplit(":", 1)
+        settings = self.fleet.settings
+        spec = {
+            "address": f"{host}:{port}",
+            "info": {"service": self.service, "zone": settings.zone, "slots": settings.slots},
+            "born": settings.born_ms,
+        }
+        self.fleet.store.put(
+            "servers", self.name, spec, {"state": state, "sequence": 1, "cold_remaining_s": 0}
+        )
+
+
+class SignedFleet:
+    """Own the store, the targets and the ledger."""
+
+    def __init__(self, settings: SignedFleetSettings) -> None:
+        self.settings = settings
+        self.store = ObjectStore()
+        self.ledger: dict[str, list[str]] = {}
+        self.cancelled: list[str] = []
+        self.targets: dict[str, SignedTarget] = {}
+        for name, placed in settings.targets.items():
+            self.targets[name] = SignedTarget(self, name, placed.service, placed.address)
+        self.server = HttpServer(self.handle)
+
+    async def start(self) -> Any:
+        """Listen everywhere and fill the store."""
+        for target in self.targets.values():
+            host, port = target.address.rsplit(":", 1)
+            await target.server.listen(host, int(port))
+            target.register()
+        if self.settings.configuration:
+            self.store.put("config", "main", self.settings.configuration)
+        await self.server.listen(self.settings.listen_address, self.settings.listen_port)
+
+        async def stop() -> None:
+            self.server.close()
+            for target in self.targets.values():
+                target.server.close()
+
+        return stop
+
+    def handle(self, exchange: Exchange) -> None:
+        """Route a call of a test or of a node."""
+        if exchange.path == "/_ledger":
+            document = {
+                "ran": self.ledger,
+                "cancelled": self.cancelled,
+                "probes": {name: target.probes for name, target in self.targets.items()},
+                "calls": self.store.calls,
+            }
+            exchange.reply_json(200, document)
+        elif exchange.path == "/_control":
+            self.control(json.loads(exchange.body))
+            exchange.reply_json(200, {})
+        else:
+            self.store.handle(exchange)
+
+    def control(self, switches: dict[str, Any]) -> None:
+        """Change the configuration, targets or the store."""
+        if "configuration" in switches:
+            self.store.put("config", "main", switches["configuration"])
+        if "down" in switches:
+            self.store.is_down = switches["down"]
+        if switches.get("forget_history"):
+            self.store.forget_history()
+        for name, entry in switches.get("entries", {}).items():
+            self.store.put("servers", name, entry.get("spec"), entry.get("status"))
+        for name in switches.get("delete", []):
+            self.store.delete("servers", name)
+        for name in switches.get("drain", []):
+            self.targets[name].register("draining")
+        for name in switches.get("register", []):
+            self.targets[name].register()
+        for name, changes in switches.get("targets", {}).items():
+            for key, value in changes.items():
+                setattr(self.targets[name], key, value)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    settings = settings_from_arguments(
+        SignedFleetSettings, "Stand in for the platform's store and some of its targets."
+    )
+
+    async def start() -> Any:
+        return await SignedFleet(settings).start()
+
+    run_daemon(settings, start)
+
+
+if __name__ == "__main__":
+    main()
