Log each refused, repeated, second, late or failed request with its id and what decided it

Cause: a failed request could not be explained from the logs. Change: request_log.py, bounded to 30 lines per node and second with the rest counted; a sample of 1 in 100 of the others.

--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from poplarlane.decisions import completion, crowding, health, limits, retries
+from poplarlane.decisions import completion, crowding, health, limits, request_log, retries
 from poplarlane.decisions.drain import accept_ended, drain_limit_passed, mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
@@ -68,6 +68,7 @@
     attempt = state.attempts.get(event.attempt_id)
     if attempt is None:
         return []
+    state.now = event.now
     request = attempt.request
     notes = event.notes
     effects: list[Effect] = []
@@ -141,6 +142,8 @@
 ) -> None:
     """Give the first whole answer to the caller and cancel every other attempt."""
     request.state = RequestState.ANSWERED
+    if type(request.service.policy) is Measured:
+        request_log.request_answered(state, request, attempt, notes.status, effects)
     if request.attempts:
         cancel_attempts(state, request, effects)
     effects.append(
@@ -190,6 +193,7 @@
     attempt = state.attempts.get(event.attempt_id)
     if attempt is None:
         return []
+    state.now = event.now
     request = attempt.request
     effects: list[Effect] = []
     if event.cause is FailureCause.CONNECT_FAILED:
@@ -257,11 +261,14 @@
     if decision is not retries.RetryDecision.RETRY:
         # A retry that the budget denied must not be made by a level above either.
         request.retried = request.retried or decision is retries.RetryDecision.NO_BUDGET
+        if decision is retries.RetryDecision.NO_BUDGET and type(service.policy) is Measured:
+            request_log.repeat_denied(state, request, outcome, effects)
         return False
     request.retried = True
     request.attempt += 1
     effects.append(Count("retry_total", 1.0, {"service": service.name}))
     if type(service.policy) is Measured:
+        request_log.request_repeated(state, request, outcome, effects)
         request.state = RequestState.QUEUED
         dispatch(state, request, targets, now, draw, effects)
         return True
@@ -315,6 +322,7 @@
 @reduce.register
 def timer_fired(event: TimerFired, state: EntryState) -> list[Effect]:
     """Handle every timer that is due and ask for the next one."""
+    state.now = event.now
     effects: list[Effect] = []
     draw = event.draw
     timers = state.timers
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -21,7 +21,8 @@
 class RequestArrived(EntryEvent):
     """Report a whole request; `labels` is empty and `deadline_ms` None from untrusted sources.
 
-    `hedged_above` says that a process higher in the call chain hedges this read.
+    `hedged_above` says that a process higher in the call chain hedges this read; `trace_id` is the
+    id by which the caller knows the request.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "attempt",
         "retried",
         "hedged_above",
+        "trace_id",
     )
 
     def __init__(
@@ -49,6 +51,7 @@
         attempt: int,
         retried: bool,
         hedged_above: bool = False,
+        trace_id: str = "",
     ) -> None:
         self.now = now
         self.draw = draw
@@ -61,6 +64,7 @@
         self.attempt = attempt
         self.retried = retried
         self.hedged_above = hedged_above
+        self.trace_id = trace_id
 
 
 class RequestMalformed(EntryEvent):
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -138,6 +138,7 @@
         "streaming",
         "last_refusal",
         "kind",
+        "trace_id",
         "aim",
         "arrived_at",
         "max_attempts",
@@ -182,6 +183,8 @@
         self.streaming: Attempt | None = None
         self.last_refusal: Refusal | None = None
         self.kind = kind
+        # The id by which the caller knows it.
+        self.trace_id = ""
         # Instant until which an answer is worth its full value.
         self.aim = deadline
         self.arrived_at = 0.0
@@ -201,7 +204,16 @@
 class Attempt:
     """Hold one sending of a request to a target."""
 
-    __slots__ = ("attempt_id", "request", "load", "sent_at", "pace", "running")
+    __slots__ = (
+        "attempt_id",
+        "request",
+        "load",
+        "sent_at",
+        "pace",
+        "running",
+        "known_at",
+        "chosen_at",
+    )
 
     def __init__(self, attempt_id: int, request: Request, load: TargetLoad) -> None:
         self.attempt_id = attempt_id
@@ -213,6 +225,9 @@
         self.pace = load.pace
         # Requests that ran and waited there before it.
         self.running = load.running + load.waiting + load.sent_since_measured
+        # When that was true, and when the target was chosen.
+        self.known_at = load.measured_at
+        self.chosen_at = 0.0
 
 
 class Probe:
@@ -263,6 +278,10 @@
         "routes",
         "catalogue",
         "by_number",
+        "now",
+        "log_second",
+        "log_lines",
+        "log_dropped",
         "probes",
         "probe_allowance",
         "probes_per_target_s",
@@ -311,6 +330,12 @@
         self.routes: RouteTable | None = None
         self.catalogue: dict[str, ServiceObject] = {}
         self.by_number: dict[int, ServiceState] = {}
+        # Time of the event that is handled.
+        self.now = 0.0
+        # Lines about single requests in the current second, and those that were left out.
+        self.log_second = 0
+        self.log_lines = 0
+        self.log_dropped = 0
         self.probes: dict[int, Probe] = {}
         # Probes per second that a target gets from the whole fleet at the most.
         self.probes_per_target_s = 0.0
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -34,6 +34,7 @@
     probe = state.probes.pop(event.probe_id, None)
     if probe is None:
         return []
+    state.now = event.now
     load, notes = probe.load, event.notes
     load.probing -= 1
     effects: list[Effect] = []
@@ -50,6 +51,7 @@
 @reduce.register
 def probe_failed(event: ProbeFailed, state: EntryState) -> list[Effect]:
     """Count a target that does not answer a probe as failing."""
+    state.now = event.now
     effects: list[Effect] = []
     fail_probe(state, event.probe_id, event.now, event.draw, effects)
     return effects
--- /dev/null
+++ b/poplarlane/decisions/request_log.py
@@ -0,0 +1,133 @@
+"""Log lines about single requests, each with the id that the caller knows.
+
+Every request that is refused, repeated, sent a second time, late or failed takes a line with what
+decided it; of those that went well, one in a hundred. The lines of a second are bounded, and what
+is left out is counted, so that overload does not become a flood of lines.
+"""
+
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.entry_state import Attempt, EntryState, Request
+from poplarlane.outcomes import NotRun, Refusal
+from poplarlane.types import TargetLoad
+
+# Lines of a node and second; 24 nodes write at most 720.
+LINES_PER_S = 30
+SAMPLE_EVERY = 100
+
+
+def request_refused(
+    state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Log an answer that this entry gives in place of a target's."""
+    fields = common(state, request)
+    fields["code"] = int(outcome.code)
+    fields["result"] = outcome.code.name.lower()
+    fields["status"] = outcome.status
+    fields["detail"] = outcome.detail
+    if isinstance(outcome, NotRun):
+        fields["retry_after_s"] = outcome.retry_after_s
+    fields["in_flight"] = names([attempt.load for attempt in request.attempts])
+    write(state, "request_refused", "warning", fields, effects)
+
+
+def request_repeated(
+    state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Log why a request is sent to another target."""
+    fields = common(state, request)
+    fields["result"] = outcome.code.name.lower()
+    fields["detail"] = outcome.detail
+    write(state, "request_repeated", "info", fields, effects)
+
+
+def repeat_denied(
+    state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Log that the budget allows no repeat."""
+    fields = common(state, request)
+    fields["result"] = outcome.code.name.lower()
+    fields["detail"] = outcome.detail
+    write(state, "repeat_denied", "info", fields, effects)
+
+
+def request_hedged(
+    state: EntryState, request: Request, load: TargetLoad, effects: list[Effect]
+) -> None:
+    """Log a second copy of a read that is not answered yet."""
+    fields = common(state, request)
+    fields["first"] = names([attempt.load for attempt in request.attempts])
+    fields |= known(load, state.now)
+    write(state, "request_hedged", "info", fields, effects)
+
+
+def request_answered(
+    state: EntryState, request: Request, attempt: Attempt, status: int, effects: list[Effect]
+) -> None:
+    """Log an answer that is late or a failure, and a sample of the others."""
+    late = request.aim < state.now
+    event = "request_answered"
+    if status >= 500:
+        event = "request_failed"
+    elif late:
+        event = "request_late"
+    elif request.request_id % SAMPLE_EVERY:
+        return
+    fields = common(state, request)
+    fields["status"] = status
+    fields["target"] = attempt.load.target.name
+    fields["sent_ms"] = round((state.now - attempt.sent_at) * 1000)
+    fields["pace"] = attempt.pace
+    fields["there"] = attempt.running
+    fields["report_ms"] = round((attempt.chosen_at - attempt.known_at) * 1000)
+    write(state, event, "info", fields, effects)
+
+
+def common(state: EntryState, request: Request) -> dict[str, object]:
+    """Give what every line about a request holds."""
+    service = request.service
+    return {
+        "id": request.trace_id,
+        "route": request.kind.name,
+        "service": service.name,
+        "version": state.routes.version if state.routes is not None else 0,
+        "age_ms": round((state.now - request.arrived_at) * 1000),
+        "left_ms": round((request.deadline - state.now) * 1000),
+        "sends": request.sends,
+        "tried": names(request.tried),
+        "queued": service.limits.queued,
+        "budget": round(service.retry_budget.tokens, 1),
+    }
+
+
+def known(load: TargetLoad, now: float) -> dict[str, object]:
+    """Give what is known of a target, and how old that is."""
+    return {
+        "target": load.target.name,
+        "pace": load.pace,
+        "there": load.running + load.waiting + load.sent_since_measured,
+        "report_ms": round(min(1e6, now - load.measured_at) * 1000),
+    }
+
+
+def names(loads: list[TargetLoad]) -> str:
+    """Join the names of targets."""
+    return ",".join(load.target.name for load in loads)
+
+
+def write(
+    state: EntryState, event: str, level: str, fields: dict[str, object], effects: list[Effect]
+) -> None:
+    """Add a line unless the second has had enough; tell how many were left out."""
+    second = int(state.now)
+    if second != state.log_second:
+        if state.log_dropped:
+            effects.append(Log("lines_dropped", "warning", {"count": state.log_dropped}))
+        state.log_second = second
+        state.log_lines = 0
+        state.log_dropped = 0
+    if state.log_lines >= LINES_PER_S:
+        state.log_dropped += 1
+        effects.append(Count("log_lines_dropped_total", 1.0, {}))
+        return
+    state.log_lines += 1
+    effects.append(Log(event, level, fields))
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -8,6 +8,7 @@
     health,
     limits,
     probe_rounds,
+    request_log,
     retries,
     waiting,
 )
@@ -79,6 +80,7 @@
 @reduce.register
 def request_arrived(event: RequestArrived, state: EntryState) -> list[Effect]:
     """Admit, queue or refuse a request."""
+    state.now = event.now
     if not state.ready:
         return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
     route = None
@@ -103,7 +105,10 @@
     else:
         decision = limits.admit(service.limits, request, event.now)
     if isinstance(decision, NotRun):
-        return [RefuseRequest(event.request_id, decision, False, state.draining)]
+        refused: list[Effect] = [RefuseRequest(event.request_id, decision, False, state.draining)]
+        if measured:
+            request_log.request_refused(state, request, decision, refused)
+        return refused
     state.requests[request.request_id] = request
     retries.observe_request(service.retry_budget, request.attempt)
     if service.hedge_budget is not service.retry_budget:
@@ -130,7 +135,20 @@
     """Refuse a request that was never sent."""
     retry_after_s = admission.retry_after_s(event.draw) if status == 503 else 0.0
     outcome = NotRun(code, detail, status, retry_after_s)
-    return [RefuseRequest(event.request_id, outcome, False, state.draining)]
+    effects: list[Effect] = [RefuseRequest(event.request_id, outcome, False, state.draining)]
+    if event.trace_id:
+        fields = {
+            "id": event.trace_id,
+            "code": int(code),
+            "result": code.name.lower(),
+            "status": status,
+            "detail": detail,
+            "host": event.host,
+            "path": event.path,
+            "version": state.routes.version if state.routes is not None else 0,
+        }
+        request_log.write(state, "request_refused", "warning", fields, effects)
+    return effects
 
 
 def new_request(event: RequestArrived, service: ServiceState, route: Route | None) -> Request:
@@ -151,6 +169,7 @@
         event.retried,
         event.hedged_above,
     )
+    request.trace_id = event.trace_id
     if route is not None:
         request.arrived_at = event.now
         request.aim = event.now + route.aim_s - CALLER_RESERVE_S
@@ -274,6 +293,7 @@
     attempt_id = state.next_attempt_id
     state.next_attempt_id = attempt_id + 1
     attempt = Attempt(attempt_id, request, load)
+    attempt.chosen_at = now
     state.attempts[attempt_id] = attempt
     request.attempts.append(attempt)
     request.state = RequestState.NOT_SENT
@@ -364,6 +384,8 @@
     if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
         return
     request.hedged = True
+    if type(service.policy) is Measured:
+        request_log.request_hedged(state, request, load, effects)
     request.attempt += 1
     effects.append(Count("hedge_total", 1.0, {"service": service.name}))
     send(state, request, load, now, effects)
@@ -483,6 +505,8 @@
     if certain and not outcome.retry_after_s:
         after_s = admission.retry_after_s(hash(request.request_id))
         outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
+    if type(request.service.policy) is Measured:
+        request_log.request_refused(state, request, outcome, effects)
     cancel_attempts(state, request, effects)
     request.state = RequestState.REFUSED if certain else RequestState.UNKNOWN
     if request.streaming is not None:
@@ -508,6 +532,7 @@
     if request is None:
         return []
     effects: list[Effect] = []
+    state.now = event.now
     service = request.service
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -261,6 +261,7 @@
                 head.attempt,
                 head.retried,
                 head.hedged_above,
+                head.request_id.decode("latin-1"),
             )
         )
 
