Take changed settings files, trace requests, two probes a round; operators' page for the node

Cause: SIGHUP was ignored; a failed request could be traced by hand only; a third probe bought nothing. Change: settings_watch.py takes or refuses a changed file; poplarctl trace; PROBES_PER_ROUND 2; the page is docs/OPERATIONS.md now and lists the node's settings, events and three ways from an id to its cause.

--- a/features/ctl_commands.feature
+++ b/features/ctl_commands.feature
@@ -68,5 +68,5 @@
     And explain says that "role must be 'serving', but is 'resting'"
 
   Scenario: The operators' page lists every settings key with its default, and every command
-    Then docs/operations.md names every key of the daemons' settings with its default
-    And docs/operations.md names every command, exit status and result code of poplarctl
+    Then docs/OPERATIONS.md names every key of the daemons' settings with its default
+    And docs/OPERATIONS.md names every command, exit status and result code of poplarctl
--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -24,7 +24,7 @@
 
   Scenario: A request goes out after its round of probes, to the best that was found
     Given a node state with 4 targets and a read that waits for probes
-    When the probes tell of paces 5, 1 and 5
+    When the probes tell of paces 5 and 1
     Then the read is sent to the target at pace 1
 
   Scenario: A silent probe does not hold up the request
--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -109,6 +109,22 @@
     When a caller sends a read and leaves while it runs
     Then the target's work is cancelled
 
+  Scenario: A changed settings file is taken, a wrong one refused, and no request is cut
+    Given a node with 1 targets of the service "reads" and 1 of "books"
+    And targets that work for 800 ms
+    When the settings file changes to "extra_sends" 40 and the node is told while a booking runs
+    Then the node takes "extra_sends" and the booking is answered with status 200
+    When the settings file becomes wrong without a signal
+    Then the node refuses it and goes on serving
+
+  Scenario: A failed request is explained from its id
+    # Guards issue 12: code, targets, configuration and budget stand in one line.
+    Given a node with 1 targets of the service "reads" and 2 of "books"
+    When every target of "books" is set to "lose"
+    And a caller sends "POST" "/bookings/1" with id "t1"
+    Then poplarctl trace tells from the node's log that "t1" ended as "outcome_unknown"
+    And poplarctl trace of an unknown id fails with one line
+
   Scenario: Entries that cannot be read name no target and hide no other
     Given a node with 1 targets of the service "reads" and 1 of "books"
     When the store holds entries with missing fields, wrong types and unknown states
--- a/features/steps/ctl_command_steps.py
+++ b/features/steps/ctl_command_steps.py
@@ -10,10 +10,10 @@
 from features.ctl_world import SERVICE
 from poplarlane.programs.ctl.main import COMMANDS
 from poplarlane.programs.ctl.reports import EXIT_STATUSES
-from poplarlane.settings import AgentSettings, CtlSettings, EntrySettings
+from poplarlane.settings import AgentSettings, CtlSettings, EntrySettings, NodeSettings
 
 UNUSED_PORT = 21399
-OPERATIONS_PAGE = Path(__file__).resolve().parents[2] / "docs" / "operations.md"
+OPERATIONS_PAGE = Path(__file__).resolve().parents[2] / "docs" / "OPERATIONS.md"
 
 
 @when('an operator runs poplarctl "{command}"')
@@ -126,16 +126,16 @@
             yield key, f"`{shown}`"
 
 
-@then("docs/operations.md names every key of the daemons' settings with its default")
+@then("docs/OPERATIONS.md names every key of the daemons' settings with its default")
 def step_documented_settings(context):
     page = OPERATIONS_PAGE.read_text()
-    for kind in (EntrySettings, AgentSettings, CtlSettings):
+    for kind in (EntrySettings, AgentSettings, NodeSettings, CtlSettings):
         for key, default in documented_keys(kind):
             rows = [line for line in page.splitlines() if line.startswith(f"| `{key}` |")]
             assert rows and any(f"| {default} |" in row for row in rows), (kind, key, default)
 
 
-@then("docs/operations.md names every command, exit status and result code of poplarctl")
+@then("docs/OPERATIONS.md names every command, exit status and result code of poplarctl")
 def step_documented_commands(context):
     page = OPERATIONS_PAGE.read_text()
     assert all(f"| `{command.name}" in page for command in COMMANDS)
--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -1,10 +1,12 @@
 """Steps with a real node and the stand-in for the platform's store and targets."""
 
 import json
+import signal
 import socket
 import subprocess
 import time
 import urllib.request
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -389,3 +391,55 @@
 @then("nothing ran on any target")
 def step_nothing(context):
     assert not context.rig.ledger()["ran"]
+
+
+@when('the settings file changes to "{key}" {value:d} and the node is told while a booking runs')
+def step_reload(context, key, value):
+    rig = context.rig
+    caller = context.resources.enter_context(rig.connect())
+    caller.sendall(request_bytes("POST", "/bookings/1", "h1"))
+    wait_until(lambda: "h1" in rig.ledger()["ran"], "the booking runs")
+    rig.launcher.settings_path("node-1", rig.node_settings() | {key: value})
+    rig.node.signal(signal.SIGHUP)
+    context.caller = caller
+
+
+@then('the node takes "{key}" and the booking is answered with status {status:d}')
+def step_taken(context, key, status):
+    context.rig.node.wait_for("settings_reloaded", taken=key)
+    assert read_answer(context.caller)[0] == status
+
+
+@when("the settings file becomes wrong without a signal")
+def step_wrong_file(context):
+    context.rig.launcher.settings_path("node-1", context.rig.node_settings() | {"front": 7})
+
+
+@then("the node refuses it and goes on serving")
+def step_refuses(context):
+    context.rig.node.wait_for("settings_refused")
+    assert context.rig.send("GET", "/views/1", "h2")[0] == 200
+
+
+def run_trace(context, request_id):
+    """Run poplarctl trace on the node's log."""
+    path = Path(context.rig.launcher.directory.name) / "node.log"
+    path.write_text("\n".join(line.text for line in context.rig.node.lines))
+    command = [binary_path("poplarctl"), "trace", request_id, str(path), "--output", "json"]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+@then('poplarctl trace tells from the node\'s log that "{request_id}" ended as "{result}"')
+def step_trace(context, request_id, result):
+    context.rig.node.wait_for("request_refused", id=request_id)
+    done = run_trace(context, request_id)
+    assert done.returncode == 0, done
+    cause = json.loads(done.stdout)["cause"]
+    assert cause["result"] == result and cause["event"] == "request_refused", cause
+    assert {"version", "tried", "budget", "age_ms", "detail"} <= cause.keys(), cause
+
+
+@then("poplarctl trace of an unknown id fails with one line")
+def step_trace_unknown(context):
+    done = run_trace(context, "nobody")
+    assert done.returncode == 1 and "no line about request nobody" in done.stdout + done.stderr
--- a/poplarlane/decisions/probe_rounds.py
+++ b/poplarlane/decisions/probe_rounds.py
@@ -19,7 +19,7 @@
 from poplarlane.decisions.trials import usable_targets
 from poplarlane.types import TargetLoad
 
-PROBES_PER_ROUND = 3
+PROBES_PER_ROUND = 2
 # The choice does not wait longer than this for probes; most answer within 3 ms.
 ROUND_LIMIT_S = 0.012
 # A probe that has no answer by then tells that the target hangs.
--- /dev/null
+++ b/poplarlane/plumbing/settings_watch.py
@@ -0,0 +1,64 @@
+"""Notice changes of the settings file, with and without a signal, and take what may change."""
+
+import asyncio
+import os
+from collections.abc import Callable
+
+import msgspec
+
+from poplarlane.logs import log
+from poplarlane.settings import NodeSettings, SettingsFault, load
+
+CHECK_INTERVAL_S = 2.0
+
+
+class SettingsWatch:
+    """Compare the settings file with the settings in force; `apply` names what it took."""
+
+    __slots__ = ("path", "settings", "apply", "modified_at", "loop")
+
+    def __init__(
+        self,
+        path: str,
+        settings: NodeSettings,
+        apply: Callable[[NodeSettings], frozenset[str]],
+    ) -> None:
+        self.path = path
+        self.settings = settings
+        self.apply = apply
+        self.modified_at = self.modified()
+        self.loop = asyncio.get_running_loop()
+
+    def start(self) -> None:
+        """Look at the file now and then."""
+        self.loop.call_later(CHECK_INTERVAL_S, self.check)
+
+    def modified(self) -> int:
+        """Give when the file changed last, in nanoseconds; 0 when it is not there."""
+        try:
+            return os.stat(self.path).st_mtime_ns
+        except OSError:
+            return 0
+
+    def check(self) -> None:
+        """Reload the file if it has changed."""
+        self.start()
+        if self.modified() != self.modified_at:
+            self.reload()
+
+    def reload(self) -> None:
+        """Take a changed file, or refuse it and keep the settings in force."""
+        self.modified_at = self.modified()
+        found = load(self.path, NodeSettings)
+        if isinstance(found, SettingsFault):
+            log("settings_refused", "error", reason=found.text)
+            return
+        changed = {
+            field.name
+            for field in msgspec.structs.fields(found)
+            if getattr(found, field.name) != getattr(self.settings, field.name)
+        }
+        taken = self.apply(found) & changed
+        self.settings = found
+        fields = {"taken": ",".join(sorted(taken)), "at_restart": ",".join(sorted(changed - taken))}
+        log("settings_reloaded", **fields)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -31,6 +31,7 @@
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient
 from poplarlane.plumbing.relay import Relay
+from poplarlane.plumbing.settings_watch import SettingsWatch
 from poplarlane.programs.agent_pages import agent_pages
 from poplarlane.settings import (
     AgentSettings,
@@ -50,6 +51,18 @@
 STORE_CALLS_PER_S = 20.0
 # The first port is the admin server's.
 EXCHANGE_PORT_OFFSET = 1
+# What a node takes from a changed settings file without a restart.
+RELOADED_KEYS = frozenset(
+    {
+        "drain_accept_ms",
+        "grace_s",
+        "probes_per_target_s",
+        "extra_sends",
+        "extra_sends_window_s",
+        "transfer_delay_ms",
+    }
+)
+# Time for the last answers to reach their callers before the platform ends the process.
 NODE_EXIT_RESERVE_S = 0.4
 # JSON integers beyond 53 bits are not exact everywhere.
 PROCESS_BITS = 52
@@ -96,13 +109,7 @@
     """Build a node, its admin server and the server of its readiness."""
     state = EntryState(settings.name, time.time_ns())
     state.policy_name = settings.policy
-    # Time for the last answers to reach their callers before the platform ends the process.
-    state.drain_accept_s = settings.drain_accept_ms / 1000.0
-    state.drain_limit_s = settings.grace_s - NODE_EXIT_RESERVE_S
-    state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
-    state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
-    state.extra_sends_window_s = settings.extra_sends_window_s
-    state.transfer_s = settings.transfer_delay_ms.get(settings.region, 0.0) / 1000.0
+    apply_node_settings(state, settings)
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
     metrics = Metrics()
@@ -118,6 +125,26 @@
     return shell, AdminServer(metrics, pages), ready
 
 
+def apply_node_settings(state: EntryState, settings: NodeSettings) -> None:
+    """Put the settings in force that may change while a node runs."""
+    state.drain_accept_s = settings.drain_accept_ms / 1000.0
+    state.drain_limit_s = settings.grace_s - NODE_EXIT_RESERVE_S
+    state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
+    state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
+    state.extra_sends_window_s = settings.extra_sends_window_s
+    state.transfer_s = settings.transfer_delay_ms.get(settings.region, 0.0) / 1000.0
+
+
+def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
+    """Build what takes changes of the settings file."""
+
+    def apply(found: NodeSettings) -> frozenset[str]:
+        apply_node_settings(shell.state, found)
+        return RELOADED_KEYS
+
+    return SettingsWatch(path, settings, apply)
+
+
 def entry_settings(settings: NodeSettings) -> EntrySettings:
     """Give the settings of a node's entry."""
     return EntrySettings(
--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -21,6 +21,7 @@
     HistoryCommand,
 )
 from poplarlane.programs.ctl.reports import problem, show, usage
+from poplarlane.programs.ctl.trace_command import TraceCommand
 
 VERSION = "0.1.0"
 COMMANDS = (
@@ -35,6 +36,7 @@
     ExplainCommand,
     StatusCommand,
     WaitCommand,
+    TraceCommand,
 )
 
 
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -100,7 +100,7 @@
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
     # What a request to another data centre is charged, as a delay, by region of the node.
     transfer_delay_ms: dict[str, float] = {}
-    store_wait_ms: Milliseconds = 900
+    store_wait_ms: Milliseconds = 1_000
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
@@ -362,6 +362,11 @@
 
 def settings_from_arguments(kind: type[S], description: str) -> S:
     """Load settings for a daemon; exit with status 2 on a fault, 0 on a passed `--check`."""
+    return checked_settings(kind, description)[0]
+
+
+def checked_settings(kind: type[S], description: str) -> tuple[S, str]:
+    """Load settings as `settings_from_arguments` does; gives the path of their file too."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--settings", required=True, metavar="FILE", help="JSON settings file")
     parser.add_argument("--check", action="store_true", help="check the settings and exit")
@@ -375,4 +380,4 @@
         sys.exit(EXIT_BAD_SETTINGS)
     if arguments.check:
         sys.exit(0)
-    return result
+    return result, arguments.settings
