Let the stand-ins' server finish accepting before it closes its listener

Ruled out: the entry (the target logged no second control call). Change: the listener is closed after four rounds of the loop without a waiting connection. Conclusion: a fault of the stand-in.

--- a/poplarlane/standins/http_server.py
+++ b/poplarlane/standins/http_server.py
@@ -12,6 +12,9 @@
 import h11
 
 MAX_ACCEPT_ROUNDS = 1_000
+# asyncio drops an accepted connection without closing it when its listener is closed before the
+# connection's transport is made, which takes up to two rounds of the loop.
+QUIET_ROUNDS = 4
 # A linger time of zero makes close() send a reset in place of an orderly end.
 RESET_LINGER = struct.pack("ii", 1, 0)
 Headers = list[tuple[str, str]]
@@ -213,8 +216,10 @@
         """
         poll = select.poll()
         poll.register(self.listener.sockets[0], select.POLLIN)
+        quiet_rounds = 0
         for _ in range(MAX_ACCEPT_ROUNDS):
-            if not poll.poll(0):
+            quiet_rounds = 0 if poll.poll(0) else quiet_rounds + 1
+            if quiet_rounds == QUIET_ROUNDS:
                 break
             await asyncio.sleep(0)
         self.listener.close()
