--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -103,6 +103,16 @@
     And the node is not ready any more
     And the node ends with status 0
 
+  Scenario: The route's timeout ends the wait, and its rest is handed on
+    # Guards against callers that wait longer than the operator wants, and work beyond that time.
+    Given a node with 1 targets of the service "reads" and 1 of "books"
+    And targets that work for 3000 ms
+    And the route "/bookings/" has a timeout of 0.6 s
+    When a caller sends "POST" "/bookings/1" with id "w1"
+    Then the answer has status 504
+    And it came between 0.5 and 1.1 s after the request
+    And the target was told that "w1" has at most 600 ms
+
   Scenario: A caller that leaves cancels the work of its read
     Given a node with 1 targets of the service "reads" and 1 of "books"
     And targets that work for 3000 ms
--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -169,7 +169,30 @@
 
 @when('a caller sends "{method}" "{path}" with id "{request_id}"')
 def step_send(context, method, path, request_id):
+    sent_at = time.monotonic()
     context.answer = context.rig.send(method, path, request_id)
+    context.took_s = time.monotonic() - sent_at
+
+
+@given('the route "{prefix}" has a timeout of {timeout_s:f} s')
+def step_timeout(context, prefix, timeout_s):
+    routes = [
+        (found, service, kind | {"timeout_s": timeout_s} if found == prefix else kind)
+        for found, service, kind in context.rig.usual_routes()
+    ]
+    context.rig.control(configuration=context.rig.configuration(7, routes))
+    context.rig.node.wait_for("configuration_applied", version="7")
+
+
+@then("it came between {least:f} and {most:f} s after the request")
+def step_took(context, least, most):
+    assert least <= context.took_s <= most, context.took_s
+
+
+@then('the target was told that "{request_id}" has at most {most:d} ms')
+def step_told(context, request_id, most):
+    told = context.rig.ledger()["deadlines_ms"][request_id]
+    assert 0 < int(told) <= most, told
 
 
 @when("a caller sends {count:d} reads one after the other")
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -146,6 +146,7 @@
     def work(self, exchange: Exchange, headers: list, request_id: str) -> None:
         """Run a request for the time of work at the present pace."""
         self.fleet.ledger.setdefault(request_id, []).append(self.name)
+        self.fleet.deadlines_ms[request_id] = exchange.headers.get("x-deadline-ms", "")
         self.running += 1
         loop = asyncio.get_running_loop()
 
@@ -215,6 +216,8 @@
         self.store = ObjectStore()
         self.ledger: dict[str, list[str]] = {}
         self.cancelled: list[str] = []
+        # What each request was told of the time that it has.
+        self.deadlines_ms: dict[str, str] = {}
         self.targets: dict[str, SignedTarget] = {}
         for name, placed in settings.targets.items():
             self.targets[name] = SignedTarget(self, name, placed.service, placed.address)
@@ -243,6 +246,7 @@
             document = {
                 "ran": self.ledger,
                 "cancelled": self.cancelled,
+                "deadlines_ms": self.deadlines_ms,
                 "probes": {name: target.probes for name, target in self.targets.items()},
                 "calls": self.store.calls,
             }
