Model one service in virtual time; fix the age of a report that never came

The model's first full run ended in OverflowError: a late answer of a target that never told its load was logged with an infinite age, which would have ended the handler of that answer in a node. Change: poplarlane-bench model plays nine load patterns with the real reducers; request_log gives -1 for a report that there was none of; a scenario that fails without the fix.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -36,6 +36,12 @@
     # Guards the budget of probes: 200 nodes, each within its share in every window of a second.
     Then 200 nodes that ask for 5 probes each 10 ms over 36 targets send at most 60 per target and second, with 1 second's worth saved
 
+  Scenario: A late answer of a target that never told its load is logged and delivered
+    # Guards against an infinite age of the report, which once ended the handler of the answer.
+    Given a node state with 4 targets and a read that was sent without an answer to any probe
+    When its answer comes after the aim
+    Then the answer is delivered and logged as late
+
   # Who waits and who is refused.
 
   Scenario: Requests that can meet their aim go first, newer ones before older ones
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -27,8 +27,15 @@
     InstanceRecord,
     ServiceRecord,
 )
-from poplarlane.decisions.entry_effects import ProbeTarget, RefuseRequest, SendRequest
+from poplarlane.decisions.effects import Log
+from poplarlane.decisions.entry_effects import (
+    DeliverAnswer,
+    ProbeTarget,
+    RefuseRequest,
+    SendRequest,
+)
 from poplarlane.decisions.entry_events import (
+    AnswerCompleted,
     AnswerNotes,
     AttemptFailed,
     AttemptSent,
@@ -507,3 +514,28 @@
     asked = [relays.is_behind(context.relay, "kind", 40, NOW + step * 0.1) for step in range(8)]
     assert asked.count(True) == 1 and asked.index(True) == 3, asked
     assert not relays.is_behind(context.relay, "kind", 42, NOW + 0.9)
+
+
+@given("a node state with 4 targets and a read that was sent without an answer to any probe")
+def step_unmeasured(context):
+    context.state = make_state(4)
+    arrive(context.state)
+    context.now = NOW
+    sending = next_sending(context)
+    reduce(AttemptSent(context.now, 0, sending.attempt_id), context.state)
+    context.sending = sending
+
+
+@when("its answer comes after the aim")
+def step_late_answer(context):
+    found = AnswerNotes()
+    found.status = 200
+    event = AnswerCompleted(NOW + 0.9, 3, context.sending.attempt_id, found)
+    context.effects = reduce(event, context.state)
+
+
+@then("the answer is delivered and logged as late")
+def step_logged_late(context):
+    assert any(isinstance(effect, DeliverAnswer) for effect in context.effects)
+    events = [effect.event for effect in context.effects if isinstance(effect, Log)]
+    assert "request_late" in events, events
--- a/poplarlane/bench/main.py
+++ b/poplarlane/bench/main.py
@@ -1,6 +1,7 @@
 """Command line of poplarlane-bench."""
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -111,9 +112,51 @@
         return 0
 
 
+class ModelCommand(Command):
+    """Compare policies in the model."""
+
+    name = "model"
+    description = "Compare policies under load patterns in virtual time, without processes."
+    options = [
+        option("out", None, "directory for table and plot", flag=False, default="out"),
+        option("seed", None, "seed of the load", flag=False, default="1"),
+        option("nodes", None, "number of nodes", flag=False, default="24"),
+        option("targets", None, "number of targets", flag=False, default="17"),
+        option("pattern", None, "only this pattern", flag=False),
+        option("policy", None, "only this policy", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Play, print the table, and write it with a plot."""
+        from poplarlane.bench import model_report
+
+        patterns = chosen(self.option("pattern"), model_report.PATTERNS, lambda item: item.name)
+        policies = chosen(self.option("policy"), model_report.POLICIES, str)
+        if not patterns or not policies:
+            known = ", ".join(pattern.name for pattern in model_report.PATTERNS)
+            self.line_error(f"patterns: {known}; policies: {', '.join(model_report.POLICIES)}")
+            return EXIT_INVALID
+        numbers = [int(self.option(name)) for name in ("nodes", "targets", "seed")]
+        found = model_report.compare(patterns, policies, *numbers)
+        lines = model_report.table(found)
+        out = Path(self.option("out"))
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "model.md").write_text("\n".join(lines) + "\n")
+        model_report.plot(found, out / "model.png")
+        for line in lines:
+            self.line(line)
+        return 0
+
+
+def chosen(wanted: str | None, known: tuple, name_of: Callable) -> tuple:
+    """Choose by name, or all without one."""
+    return tuple(item for item in known if wanted is None or name_of(item) == wanted)
+
+
 def main() -> None:
     """Run the command line."""
     application = Application("poplarlane-bench")
     application.add(RunCommand())
     application.add(CapacityCommand())
+    application.add(ModelCommand())
     sys.exit(application.run())
--- a/poplarlane/decisions/request_log.py
+++ b/poplarlane/decisions/request_log.py
@@ -5,6 +5,8 @@
 is left out is counted, so that overload does not become a flood of lines.
 """
 
+import math
+
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_state import Attempt, EntryState, Request
 from poplarlane.outcomes import NotRun, Refusal
@@ -78,7 +80,7 @@
     fields["sent_ms"] = round((state.now - attempt.sent_at) * 1000)
     fields["pace"] = attempt.pace
     fields["there"] = attempt.running
-    fields["report_ms"] = round((attempt.chosen_at - attempt.known_at) * 1000)
+    fields["report_ms"] = age_ms(attempt.known_at, attempt.chosen_at)
     write(state, event, "info", fields, effects)
 
 
@@ -105,10 +107,15 @@
         "target": load.target.name,
         "pace": load.pace,
         "there": load.running + load.waiting + load.sent_since_measured,
-        "report_ms": round(min(1e6, now - load.measured_at) * 1000),
+        "report_ms": age_ms(load.measured_at, now),
     }
 
 
+def age_ms(at: float, now: float) -> int:
+    """Give the age of a report; -1 when there was none."""
+    return round((now - at) * 1000) if at > -math.inf else -1
+
+
 def names(loads: list[TargetLoad]) -> str:
     """Join the names of targets."""
     return ",".join(load.target.name for load in loads)
