--- a/poplarlane/bench/model_targets.py
+++ b/poplarlane/bench/model_targets.py
@@ -24,13 +24,15 @@
 
 
 class Work:
-    """Hold one attempt at a target; `done` is called with its status."""
+    """Hold one attempt at a target; `begin` is called when it starts, `done` with its status."""
 
-    __slots__ = ("attempt_id", "work_s", "done", "started", "cancelled")
+    __slots__ = ("work_s", "begin", "done", "started", "cancelled")
 
-    def __init__(self, attempt_id: int, work_s: float, done: Callable[[int], None]) -> None:
-        self.attempt_id = attempt_id
+    def __init__(
+        self, work_s: float, begin: Callable[[], None], done: Callable[[int], None]
+    ) -> None:
         self.work_s = work_s
+        self.begin = begin
         self.done = done
         self.started = False
         self.cancelled = False
@@ -51,7 +53,6 @@
         "factor",
         "sheds",
         "started_at",
-        "runs",
     )
 
     def __init__(
@@ -74,7 +75,6 @@
         self.factor = 1.0
         self.sheds = False
         self.started_at = -COLD_S
-        self.runs = 0
 
     def change_pace(self, now: float) -> None:
         """Draw the pace that the neighbours leave for the next interval."""
@@ -94,7 +94,7 @@
     def start(self, work: Work, now: float) -> None:
         """Begin the work; its time is decided by what holds now."""
         self.running += 1
-        self.runs += 1
+        work.begin()
         work.started = True
         time_s = work.work_s * self.draws.lognormvariate(0.0, WORK_SPREAD) * self.pace * self.factor
         if self.running >= self.shape.crowded_from:
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -7,6 +7,7 @@
 import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -42,6 +43,7 @@
 from poplarlane.decisions.entry_state import EntryState
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.route_table import Route, WeightedService
+from poplarlane.outcomes import NotRun
 from poplarlane.types import Priority, RequestKind
 
 # Importing these modules registers their handlers.
@@ -178,7 +180,12 @@
 
             model.schedule(model.now + delay_s, deliver)
 
-        work = Work(effect.attempt_id, model.pattern.work_s, done)
+        run = (self.state.name, effect.request_id)
+
+        def begin() -> None:
+            model.runs[run] += 1
+
+        work = Work(model.pattern.work_s, begin, done)
         self.works[effect.attempt_id] = (target, work)
         model.outcome.sends += now >= WARM_UP_S
         model.schedule(now + delay_s, lambda at: target.arrive(work, at))
@@ -225,6 +232,8 @@
 
     @execute.register
     def _(self, effect: RefuseRequest) -> None:
+        if isinstance(effect.outcome, NotRun):
+            self.model.said_not_run.add((self.state.name, effect.request_id))
         after_s = getattr(effect.outcome, "retry_after_s", 0.0)
         self.model.refused(self.asked.pop(effect.request_id), effect.outcome.status, after_s)
 
@@ -236,6 +245,10 @@
         self.pattern = pattern
         self.draws = random.Random(f"{pattern.name}/{seed}")
         self.outcome = Outcome()
+        # How often each request was begun by a target, by node and request; and what was refused
+        # as not run.
+        self.runs: Counter[tuple[str, int]] = Counter()
+        self.said_not_run: set[tuple[str, int]] = set()
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.sequence = 0
