Split the steps about a node's decisions

Change: node_world.py holds the states, node_directory_steps.py the steps about routes, directory and exchange; addresses of drawn nodes no longer depend on the hash seed.

--- /dev/null
+++ b/features/steps/node_directory_steps.py
@@ -0,0 +1,187 @@
+"""Steps about routes, the directory of a node, and the exchange between nodes."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.node_world import (
+    NOW,
+    READ,
+    make_configuration,
+    make_directory,
+    make_instance,
+)
+from poplarlane.decisions import (
+    relays,
+)
+from poplarlane.decisions.directory import (
+    Directory,
+)
+from poplarlane.decisions.route_table import Route, RouteTable, WeightedService, choose_service
+
+
+@then('"/a/b/c/" of "/a/", "/a/b/" and "/" leads to "/a/b/"')
+def step_longest(context):
+    routes = [
+        Route(prefix, "h", prefix, READ, 0.5, 2, [WeightedService("s", 1.0)])
+        for prefix in ("/a/", "/a/b/", "/")
+    ]
+    assert RouteTable(1, routes).find("h", "/a/b/c/").name == "/a/b/"
+
+
+@then("24 nodes with 20 requests each split 90 to 10 within 0.05")
+def step_split(context):
+    draws = random.Random(9)
+    chosen = []
+    for _ in range(24):
+        parts = [WeightedService("a", 90.0), WeightedService("b", 10.0)]
+        route = Route("r", "h", "/", READ, 0.5, 2, parts)
+        chosen += [choose_service(route, draws.getrandbits(64)) for _ in range(20)]
+    share = chosen.count("b") / len(chosen)
+    assert abs(share - 0.1) <= 0.05, share
+
+
+@given("a directory with {count:d} instances")
+def step_directory(context, count):
+    context.directory = make_directory(count)
+    context.now = NOW
+
+
+def target_count(context):
+    """Count the targets of the directory's catalogue."""
+    return len(context.directory.catalogue().services["reads"].targets)
+
+
+@when("the store returns after an outage and lists 1 of them")
+def step_outage(context):
+    context.directory.contact_regained(context.now)
+    context.directory.take_listing([make_instance("i-0")], context.now)
+
+
+@then("all {count:d} are still targets")
+@then("{count:d} of them is a target")
+@then("{count:d} of them are targets")
+def step_targets(context, count):
+    assert target_count(context) == count, target_count(context)
+
+
+@when("2.1 seconds have passed")
+def step_passed(context):
+    assert context.directory.expire_lapsed(context.now + 2.1)
+
+
+@when("the store returns after an outage and one instance drains")
+def step_drains(context):
+    context.directory.contact_regained(context.now)
+    context.directory.take_instance(make_instance("i-1", leaving=True))
+
+
+@when("the instance starts again under its identity")
+def step_restarts(context):
+    context.before = set(context.directory.catalogue().services["reads"].targets)
+    context.directory.take_instance(make_instance("i-0", started_ms=2))
+
+
+@then("the target has another name")
+def step_renamed(context):
+    after = set(context.directory.catalogue().services["reads"].targets)
+    assert len(after) == 1 and not after & context.before, after
+
+
+@then(
+    "for {cases:d} drawn orders of versions 1 to 8, a directory holds the highest that it was given"
+)
+def step_versions(context, cases):
+    @settings(max_examples=cases)
+    @for_all(st.permutations(range(1, 9)))
+    def rule(versions):
+        directory = Directory(0.2, "measured")
+        highest = 0
+        for version in versions:
+            directory.take_configuration(make_configuration(version))
+            highest = max(highest, version)
+            assert directory.configuration.version == highest
+
+    rule()
+
+
+def member(name, data_centre="dc", heard_at=NOW):
+    """Create a node as heard of."""
+    return relays.Member(name, f"10.0.{data_centre[-1:]}.{name[5:]}", data_centre, heard_at)
+
+
+@given("a node that hears of one that follows the store")
+def step_relay(context):
+    context.relay = relays.RelayState(member("node-1"), NOW - 10.0)
+    names = (f"node-{number}" for number in range(2, 20))
+    found = (member(name) for name in names)
+    for other in found:
+        relays.hear_of(context.relay, other)
+        if context.relay.me.name not in relays.followers(context.relay):
+            break
+    assert context.relay.me.name not in relays.followers(context.relay)
+    context.sender = next(iter(relays.followers(context.relay)))
+
+
+@when("a beat says that the store answered {age:f} s ago")
+def step_beat(context, age):
+    relays.take_beat(context.relay, context.sender, age, {}, NOW)
+    context.now = NOW
+
+
+@when("the beat is {age:f} s old")
+def step_old_beat(context, age):
+    context.now = NOW + age
+
+
+@then("the node relies on it")
+def step_relies(context):
+    assert not relays.must_follow(context.relay, context.now)
+
+
+@then("the node follows the store itself")
+def step_follows(context):
+    assert relays.must_follow(context.relay, context.now)
+
+
+def relay_states():
+    """Create 24 nodes in 3 data centres that have all heard of each other."""
+    members = [member(f"node-{number}", f"dc-{number % 3}") for number in range(24)]
+    states = [relays.RelayState(found, NOW) for found in members]
+    for state in states:
+        for found in members:
+            relays.hear_of(state, found)
+    return states
+
+
+@then("24 nodes in 3 data centres agree on 3 that follow the store")
+def step_agree(context):
+    context.states = relay_states()
+    chosen = {frozenset(relays.followers(state)) for state in context.states}
+    assert len(chosen) == 1 and len(next(iter(chosen))) == 3, chosen
+
+
+@then("without one of them the others of its data centre agree on another")
+def step_replaced(context):
+    lost = sorted(relays.followers(context.states[0]))[0]
+    left = [state for state in context.states if state.me.name != lost]
+    for state in left:
+        del state.members[lost]
+    chosen = {frozenset(relays.followers(state)) for state in left}
+    assert len(chosen) == 1 and lost not in next(iter(chosen)), chosen
+
+
+@given("a node at revision 40 that hears of revision 42")
+def step_behind(context):
+    context.relay = relays.RelayState(member("node-1"), NOW - 10.0)
+    relays.take_beat(context.relay, "node-2", 0.1, {"kind": 42}, NOW)
+
+
+@then("it asks the store after 0.25 s and only once")
+def step_asks(context):
+    asked = [relays.is_behind(context.relay, "kind", 40, NOW + step * 0.1) for step in range(8)]
+    assert asked.count(True) == 1 and asked.index(True) == 3, asked
+    assert not relays.is_behind(context.relay, "kind", 42, NOW + 0.9)
