Let every node that follows the store pass changes on, and say at once when the store does not answer

The store had turned away the chosen node and others of its data centre; those that it served followed it, but only the chosen node passed changes on, so the nodes that were turned away learned nothing. Ruled out: the time until the others follow (at most 1.5 s); here they had the change. Change: whoever follows passes on; a failed call is told at once with a beat, so the others follow within 0.1 s in place of up to 1.5 s.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -124,3 +124,11 @@
   Scenario: A change that a beat announces and that does not arrive is asked for once
     Given a node at revision 40 that hears of revision 42
     Then it asks the store after 0.25 s and only once
+
+  Scenario: Nodes that the store turns away learn of changes from any that it serves
+    # Guards CONFIG: the chosen node and others were turned away, and those kept an old version for 2.9 s.
+    Given three nodes of a data centre of which the store turns away the chosen one and another
+    When the store does not answer the chosen one
+    Then the others know at once that they cannot rely on it
+    When the third one follows the store and hears of a change
+    Then the node that is turned away has the change
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -21,6 +21,10 @@
     Directory,
 )
 from poplarlane.decisions.route_table import Route, RouteTable, WeightedService, choose_service
+from poplarlane.objects_followed import ObjectChange, StoredObject
+from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.pauses import clock
+from poplarlane.plumbing.relay import Relay
 
 
 @then('"/a/b/c/" of "/a/", "/a/b/" and "/" leads to "/a/b/"')
@@ -185,3 +189,68 @@
     asked = [relays.is_behind(context.relay, "kind", 40, NOW + step * 0.1) for step in range(8)]
     assert asked.count(True) == 1 and asked.index(True) == 3, asked
     assert not relays.is_behind(context.relay, "kind", 42, NOW + 0.9)
+
+
+class LocalSockets:
+    """Hand messages to the other relays of a test at once."""
+
+    def __init__(self, relays_by_name):
+        self.relays_by_name = relays_by_name
+        self.dealers = relays_by_name
+
+    def send(self, name, payload):
+        """Deliver a message."""
+        self.relays_by_name[name].received(b"", payload)
+
+
+def make_relay(name, relays_by_name):
+    """Create a relay that knows one kind of objects at revision 40."""
+    heard = []
+    state = relays.RelayState(member(name), clock() - 10.0)
+    relay = Relay(state, 1, [], lambda _kind, changes: heard.extend(changes), lambda: 0.5)
+    relay.sockets = LocalSockets(relays_by_name)
+    relay.followers["kind"] = ObjectFollower(None, None, "kind", None, 100, None)
+    relay.followers["kind"].advance(40)
+    relays_by_name[name] = relay
+    return heard
+
+
+@given("three nodes of a data centre of which the store turns away the chosen one and another")
+def step_three(context):
+    found = {}
+    heard = {name: make_relay(name, found) for name in ("node-1", "node-2", "node-3")}
+    for relay in found.values():
+        for other in found:
+            relays.hear_of(relay.state, member(other, heard_at=clock()))
+    chosen = next(iter(relays.followers(found["node-1"].state)))
+    others = [relay for name, relay in found.items() if name != chosen]
+    context.chosen, context.denied, context.served = found[chosen], *others
+    context.heard = heard[context.denied.state.me.name]
+    context.chosen.following = True
+    context.chosen.contact("kind", True)
+    context.chosen.beat(clock())
+    assert not relays.must_follow(context.served.state, clock())
+
+
+@when("the store does not answer the chosen one")
+def step_not_answered(context):
+    context.chosen.contact("kind", False)
+
+
+@then("the others know at once that they cannot rely on it")
+def step_know(context):
+    for relay in (context.denied, context.served):
+        assert relays.must_follow(relay.state, clock())
+
+
+@when("the third one follows the store and hears of a change")
+def step_third(context):
+    context.served.following = True
+    change = ObjectChange(StoredObject("main", 41, {"version": 9}, None), False)
+    context.served.changed("kind", 40, 41, [change])
+
+
+@then("the node that is turned away has the change")
+def step_has(context):
+    assert [change.item.spec for change in context.heard] == [{"version": 9}]
+    assert context.denied.followers["kind"].revision == 41
--- a/poplarlane/decisions/relays.py
+++ b/poplarlane/decisions/relays.py
@@ -3,7 +3,8 @@
 One node of each data centre follows the store, chosen by rendezvous hashing over the nodes that
 were heard of. It passes changes on to the others there and says several times a second which
 revision it has and how long ago the store answered. A node that hears of no recent answer follows
-the store itself, so wrong or old lists of nodes cost calls and never freshness. Nothing of this
+the store itself and passes on what it learns, because the store may turn the chosen node and others
+away and still serve it. Wrong or old lists of nodes cost calls and never freshness. Nothing of this
 crosses data centres but a rare greeting, by which new nodes find each other.
 """
 
@@ -22,6 +23,8 @@
 # With this bound on the age of the store's last answer a change is noticed well within the 2 s in
 # which it has to be in force.
 CONTACT_LIMIT_S = 1.5
+# Age that a beat gives when the store did not answer its sender.
+NO_CONTACT_S = 1e9
 # A new node waits this long for beats before it follows the store itself.
 START_GRACE_S = 0.7
 # A change that a beat announces may take this long to arrive before the node asks the store.
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -166,13 +166,19 @@
                 follower.poll_once()
 
     def contact(self, kind: str, good: bool) -> None:
-        """Note an answer of the store."""
+        """Note whether the store answered; when it did not, the others need not wait to hear it."""
         if good:
             self.contact_at[kind] = clock()
+        elif self.following and self.contact_at.get(kind, 0.0) > 0.0:
+            self.contact_at[kind] = 0.0
+            self.send_near(Beat(self.note(), relays.NO_CONTACT_S, {}))
 
     def changed(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
-        """Pass on changes that the store has told this node, if it follows for others."""
-        if self.state.me.name in relays.followers(self.state):
+        """Pass on changes that the store has told this node while it follows.
+
+        Nodes that the store turns away depend on any that it serves, not only on the chosen one.
+        """
+        if self.following:
             notes = [
                 ChangeNote(
                     change.item.name,
