Ask a store that did not answer with short calls

Change: no added patience for a node's calls; after a failure calls wait 1 ms until one is answered.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -132,3 +132,9 @@
     Then the others know at once that they cannot rely on it
     When the third one follows the store and hears of a change
     Then the node that is turned away has the change
+
+  Scenario: After a failed call a node asks the store with short calls until it answers
+    # Guards CONFIG: a watch that began while the store was silent hid its return for 4.3 s.
+    Given a node that follows the store with waits of 900 ms
+    When its call fails and it asks again
+    Then the first call waited 900 ms and the second one at most 1 ms
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -1,6 +1,8 @@
 """Steps about routes, the directory of a node, and the exchange between nodes."""
 
+import asyncio
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -22,8 +24,10 @@
 )
 from poplarlane.decisions.route_table import Route, RouteTable, WeightedService, choose_service
 from poplarlane.objects_followed import ObjectChange, StoredObject
+from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
+from poplarlane.plumbing.platform_client import PlatformFailure
 from poplarlane.plumbing.relay import Relay
 
 
@@ -254,3 +258,41 @@
 def step_has(context):
     assert [change.item.spec for change in context.heard] == [{"version": 9}]
     assert context.denied.followers["kind"].revision == 41
+
+
+class FailingClient:
+    """Record how long each call lets the store wait, and answer none."""
+
+    def __init__(self):
+        self.waits_s = []
+
+    async def read(self, _operation, _path, wait_s=0.0):
+        """Fail a call."""
+        self.waits_s.append(wait_s)
+        return PlatformFailure("no answer in time", True)
+
+
+@given("a node that follows the store with waits of {wait_ms:d} ms")
+def step_waits(context, wait_ms):
+    listener = SimpleNamespace(contact=lambda _kind, _good: None)
+    context.client = FailingClient()
+    context.follower = ObjectFollower(
+        context.client, store, "kind", listener, wait_ms, random.Random(1)
+    )
+    context.follower.advance(40)
+    context.follower.following = True
+
+
+@when("its call fails and it asks again")
+def step_fails(context):
+    async def twice():
+        await context.follower.note(await context.follower.watch())
+        await context.follower.watch()
+
+    asyncio.run(twice())
+
+
+@then("the first call waited {first:d} ms and the second one at most {second:d} ms")
+def step_waited(context, first, second):
+    found = [round(wait_s * 1000) for wait_s in context.client.waits_s]
+    assert found[0] == first and found[1] <= second, found
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -170,7 +170,9 @@
 
     async def watch(self) -> bool:
         """Wait for changes once."""
-        wait_ms = self.wait_ms if self.following else POLL_WAIT_MS
+        # After a failure a short call shows soonest that the store is back.
+        patient = self.following and not self.failures
+        wait_ms = self.wait_ms if patient else POLL_WAIT_MS
         path = self.dialect.watch_path(self.kind, self.revision, wait_ms)
         answer = await self.client.read("watch", path, wait_ms / 1000.0)
         if isinstance(answer, PlatformAnswer) and answer.status == self.dialect.GONE_STATUS:
--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -83,6 +83,7 @@
         "generator",
         "rate",
         "retries",
+        "max_patience",
         "idle",
         "counts",
         "timeouts",
@@ -100,7 +101,9 @@
         calls_per_s: float,
         clock: Callable[[], float],
         generator: random.Random,
+        max_patience: float = MAX_PATIENCE_FACTOR,
     ) -> None:
+        self.max_patience = max_patience
         self.address = address
         self.port = port
         self.source = source
@@ -160,7 +163,7 @@
         if delay_s > 0:
             await asyncio.sleep(delay_s)
         self.counts[operation] += 1
-        patience = min(MAX_PATIENCE_FACTOR, 1.0 + self.timeouts)
+        patience = min(self.max_patience, 1.0 + self.timeouts)
         sent: list[bool] = []
         try:
             async with asyncio.timeout(self.timeout_s * patience + wait_s):
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -47,6 +47,8 @@
 EXTRA_SENDS_SHARE = 0.9
 # Part of the allowed probes that is used.
 PROBE_RATE_SHARE = 0.9
+# A call that began while the store was silent must not outlast the bound on configurations.
+STORE_PATIENCE = 1.0
 # Calls to the store per second of one node; a storm of configurations needs a few.
 STORE_CALLS_PER_S = 20.0
 # The first port is the admin server's.
@@ -176,6 +178,7 @@
         STORE_CALLS_PER_S,
         clock,
         generator,
+        STORE_PATIENCE,
     )
     translation = Translation(
         store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of
