Write the two lines about a repeat in one place

Cause: request_repeated and repeat_denied built the same fields. Change: both call write_reason; events and fields stay. Ruled out: sharing with request_refused, whose line holds code, status and the time to come back as well. Conclusion: behaviour stays.

--- a/poplarlane/decisions/request_log.py
+++ b/poplarlane/decisions/request_log.py
@@ -36,20 +36,24 @@
     state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
 ) -> None:
     """Log why a request is sent to another target."""
-    fields = common(state, request)
-    fields["result"] = outcome.code.name.lower()
-    fields["detail"] = outcome.detail
-    write(state, "request_repeated", "info", fields, effects)
+    write_reason(state, "request_repeated", request, outcome, effects)
 
 
 def repeat_denied(
     state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
 ) -> None:
     """Log that the budget allows no repeat."""
+    write_reason(state, "repeat_denied", request, outcome, effects)
+
+
+def write_reason(
+    state: EntryState, event: str, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Log what became of the last sending of a request."""
     fields = common(state, request)
     fields["result"] = outcome.code.name.lower()
     fields["detail"] = outcome.detail
-    write(state, "repeat_denied", "info", fields, effects)
+    write(state, event, "info", fields, effects)
 
 
 def request_hedged(
