Let a node take what it misses from another node

A node that the store turned away therefore kept an old version until the store answered it, and a new node that the store turned away served nobody. Ruled out: keeping unsent messages in the queue of the connection; one that says how fresh something is must not arrive after a restart. A missed change is asked for each 0.25 s at the node that announced it, and from the second time at the store too. A new node asks after 0.6 s. A late list of the store no longer replaces newer objects. While the store does not answer a node, targets whose removal others tell stay for 2 s. Conclusion: the scenario about asking once is replaced by one that is as strict about the new rule.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -121,9 +121,39 @@
     Then 24 nodes in 3 data centres agree on 3 that follow the store
     And without one of them the others of its data centre agree on another
 
-  Scenario: A change that a beat announces and that does not arrive is asked for once
+  Scenario: A change that a beat announces and that does not arrive is asked for until it is there
     Given a node at revision 40 that hears of revision 42
-    Then it asks the store after 0.25 s and only once
+    Then it asks the node that announced it after 0.25 s, again each 0.25 s, and no more at 42
+
+  Scenario: A node that the store turns away takes a change that it missed from another node
+    # Guards CONFIG: an update was lost, the store did not answer, and the node kept the old version.
+    Given three nodes of a data centre of which the store turns away the chosen one and another
+    When the store does not answer the chosen one
+    And the third one hears of a change that does not reach the one that is turned away
+    And the node that is turned away looks for gaps for 0.3 s
+    Then the node that is turned away has the change
+
+  Scenario: A new node that the store does not answer starts with what another node knows
+    # Guards recovery: a node that started while the store turned it away served nobody until it ended.
+    Given a new node that the store does not answer, and one that has followed it
+    When the new node looks for gaps for 0.5 s
+    Then it has not asked
+    When the new node looks for gaps for 0.9 s
+    Then the node that is turned away has the change
+
+  Scenario: A late list of the store does not replace newer objects
+    # Guards against a return to an older state when the store's answer was on its way for long.
+    Given a follower that has objects of revision 42 from another node
+    When the store's list of revision 41 arrives late
+    Then the list is left out and the follower stays at revision 42
+
+  Scenario: Instances that vanish while the store answers only other nodes stay for two seconds
+    # Guards against nodes without targets when entries lapse before the node itself is answered again.
+    Given a directory with 3 instances
+    When the store does not answer the node and another node tells of an instance that is gone
+    Then all 3 are still targets
+    When 2.1 seconds have passed
+    Then 2 of them are targets
 
   Scenario: Nodes that the store turns away learn of changes from any that it serves
     # Guards CONFIG: the chosen node and others were turned away, and those kept an old version for 2.9 s.
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -1,6 +1,7 @@
 """Steps about routes, the directory of a node, and the exchange between nodes."""
 
 import asyncio
+import json
 import random
 from types import SimpleNamespace
 
@@ -16,9 +17,8 @@
     make_directory,
     make_instance,
 )
-from poplarlane.decisions import (
-    relays,
-)
+from poplarlane import relay_messages
+from poplarlane.decisions import relays
 from poplarlane.decisions.directory import (
     Directory,
 )
@@ -27,7 +27,7 @@
 from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
-from poplarlane.plumbing.platform_client import PlatformFailure
+from poplarlane.plumbing.platform_client import PlatformAnswer, PlatformFailure
 from poplarlane.plumbing.relay import Relay
 
 
@@ -188,11 +188,19 @@
     relays.take_beat(context.relay, "node-2", 0.1, {"kind": 42}, NOW)
 
 
-@then("it asks the store after 0.25 s and only once")
-def step_asks(context):
-    asked = [relays.is_behind(context.relay, "kind", 40, NOW + step * 0.1) for step in range(8)]
-    assert asked.count(True) == 1 and asked.index(True) == 3, asked
-    assert not relays.is_behind(context.relay, "kind", 42, NOW + 0.9)
+@then("it asks the node that announced it after 0.25 s, again each 0.25 s, and no more at {held:d}")
+def step_asks(context, held):
+    asked = [missing_source(context, 40, NOW + step * 0.05) for step in range(17)]
+    expected = ["node-2" if step and step % 5 == 0 else None for step in range(17)]
+    assert asked == expected, asked
+    assert relays.was_asked_before(context.relay, "kind")
+    assert missing_source(context, held, NOW + 0.85) is None
+    assert not relays.was_asked_before(context.relay, "kind")
+
+
+def missing_source(context, revision, now):
+    """Name the node that the node under test asks for objects."""
+    return relays.missing_source(context.relay, "kind", revision, 0.5, now)
 
 
 class LocalSockets:
@@ -203,18 +211,30 @@
         self.dealers = relays_by_name
 
     def send(self, name, payload):
-        """Deliver a message."""
-        self.relays_by_name[name].received(b"", payload)
+        """Deliver a message unless it is one of those that are lost."""
+        if not isinstance(relay_messages.DECODER.decode(payload), LocalSockets.lost):
+            self.relays_by_name[name].received(b"", payload)
+
+    # Types of the messages that are lost.
+    lost: tuple[type, ...] = ()
 
 
 def make_relay(name, relays_by_name):
     """Create a relay that knows one kind of objects at revision 40."""
     heard = []
+    LocalSockets.lost = ()
     state = relays.RelayState(member(name), clock() - 10.0)
-    relay = Relay(state, 1, [], lambda _kind, changes: heard.extend(changes), lambda: 0.5)
+    relay = Relay(
+        state,
+        1,
+        [],
+        lambda _kind, changes: heard.extend(changes),
+        lambda _kind, items: heard.extend(ObjectChange(item, False) for item in items),
+        lambda: 0.5,
+    )
     relay.sockets = LocalSockets(relays_by_name)
     relay.followers["kind"] = ObjectFollower(None, None, "kind", None, 100, None)
-    relay.followers["kind"].advance(40)
+    relay.followers["kind"].take_changes(40, [])
     relays_by_name[name] = relay
     return heard
 
@@ -251,9 +271,89 @@
 def step_third(context):
     context.served.following = True
     change = ObjectChange(StoredObject("main", 41, {"version": 9}, None), False)
+    context.served.followers["kind"].take_changes(41, [change])
     context.served.changed("kind", 40, 41, [change])
 
 
+@when("the third one hears of a change that does not reach the one that is turned away")
+def step_lost(context):
+    LocalSockets.lost = (relay_messages.Update,)
+    context.execute_steps("When the third one follows the store and hears of a change")
+    assert not context.heard
+    context.served.contact("kind", True)
+    context.served.beat(clock())
+
+
+@when("the node that is turned away looks for gaps for {time_s:f} s")
+def step_gaps(context, time_s):
+    start = clock()
+    for step in range(round(time_s / 0.05) + 1):
+        context.denied.fill_gaps(start + step * 0.05)
+
+
+@given("a new node that the store does not answer, and one that has followed it")
+def step_new_node(context):
+    found = {}
+    context.heard = make_relay("node-1", found)
+    make_relay("node-2", found)
+    context.denied, other = found["node-1"], found["node-2"]
+    context.denied.followers["kind"] = ObjectFollower(None, None, "kind", None, 100, None)
+    context.denied.state.started_at = clock()
+    relays.hear_of(context.denied.state, member("node-2", heard_at=clock()))
+    change = ObjectChange(StoredObject("main", 41, {"version": 9}, None), False)
+    other.followers["kind"].take_changes(41, [change])
+
+
+@when("the new node looks for gaps for {time_s:f} s")
+def step_new_gaps(context, time_s):
+    context.execute_steps(f"When the node that is turned away looks for gaps for {time_s} s")
+
+
+@then("it has not asked")
+def step_not_asked(context):
+    assert not context.heard
+
+
+@given("a follower that has objects of revision {revision:d} from another node")
+def step_newer(context, revision):
+    context.listed = []
+    listener = SimpleNamespace(
+        contact=lambda _kind, _good: None, listed=lambda _kind, items: context.listed.append(items)
+    )
+    context.follower = ObjectFollower(None, store, "kind", listener, 100, random.Random(1))
+    context.follower.take_all(revision, [StoredObject("main", revision, {}, None)])
+
+
+@when("the store's list of revision {revision:d} arrives late")
+def step_late_list(context, revision):
+    context.client = ListClient(revision)
+    context.follower.client = context.client
+    assert asyncio.run(context.follower.list_all())
+
+
+@then("the list is left out and the follower stays at revision {revision:d}")
+def step_left_out(context, revision):
+    assert not context.listed and context.follower.revision == revision
+    assert context.follower.objects["main"].revision == revision
+
+
+class ListClient:
+    """Answer a list with no objects as of a revision."""
+
+    def __init__(self, revision):
+        self.body = json.dumps({"items": [], "current_rev": revision}).encode()
+
+    async def read(self, _operation, _path, wait_s=0.0):
+        """Answer a call."""
+        return PlatformAnswer(200, self.body)
+
+
+@when("the store does not answer the node and another node tells of an instance that is gone")
+def step_told_gone(context):
+    context.directory.contact_lost()
+    context.directory.drop_instance("i-0", context.now)
+
+
 @then("the node that is turned away has the change")
 def step_has(context):
     assert [change.item.spec for change in context.heard] == [{"version": 9}]
@@ -279,7 +379,7 @@
     context.follower = ObjectFollower(
         context.client, store, "kind", listener, wait_ms, random.Random(1)
     )
-    context.follower.advance(40)
+    context.follower.take_changes(40, [])
     context.follower.following = True
 
 
--- a/poplarlane/decisions/directory.py
+++ b/poplarlane/decisions/directory.py
@@ -110,14 +110,25 @@
 class Directory:
     """Hold the newest configuration and the instances; pure, times are given."""
 
-    __slots__ = ("configuration", "instances", "lapsed", "grace_until", "retry_ratio", "policy")
+    __slots__ = (
+        "configuration",
+        "instances",
+        "lapsed",
+        "grace_until",
+        "away",
+        "retry_ratio",
+        "policy",
+    )
 
     def __init__(self, retry_ratio: float, policy: str) -> None:
         self.configuration: Configuration | None = None
         self.instances: dict[str, InstanceRecord] = {}
-        # Instances that vanished from the list while the platform was away or just after.
-        self.lapsed: dict[str, InstanceRecord] = {}
+        # Instances that vanished from the list while the platform was away or just after, and
+        # until when they may come back.
+        self.lapsed: dict[str, tuple[InstanceRecord, float]] = {}
         self.grace_until = -math.inf
+        # Whether the platform does not answer this process; others may still hear of changes.
+        self.away = False
         self.retry_ratio = retry_ratio
         self.policy = policy
 
@@ -136,8 +147,9 @@
     def drop_instance(self, instance: str, now: float) -> None:
         """Forget an instance whose entry is gone, after a grace if entries may have lapsed."""
         found = self.instances.pop(instance, None)
-        if found is not None and now < self.grace_until and not found.leaving:
-            self.lapsed[instance] = found
+        until = now + LAPSE_GRACE_S if self.away else self.grace_until
+        if found is not None and now < until and not found.leaving:
+            self.lapsed[instance] = (found, until)
 
     def take_listing(self, found: list[InstanceRecord], now: float) -> None:
         """Replace all instances by a whole list."""
@@ -148,16 +160,21 @@
         for record in found:
             self.take_instance(record)
 
+    def contact_lost(self) -> None:
+        """Note that the platform does not answer."""
+        self.away = True
+
     def contact_regained(self, now: float) -> None:
         """Start the grace for entries that lapsed while the platform was away."""
+        self.away = False
         self.grace_until = now + LAPSE_GRACE_S
 
     def expire_lapsed(self, now: float) -> bool:
         """Drop the instances that did not come back in time; tell whether there were any."""
-        if not self.lapsed or now < self.grace_until:
-            return False
-        self.lapsed.clear()
-        return True
+        ended = [name for name, (_, until) in self.lapsed.items() if now >= until]
+        for name in ended:
+            del self.lapsed[name]
+        return bool(ended)
 
     def catalogue(self) -> Catalogue | None:
         """Build what the entry serves by; None before the first configuration."""
@@ -168,7 +185,8 @@
         targets: dict[str, dict[str, TargetObject]] = {name: {} for name in records}
         slots: dict[str, int] = {}
         warm_up_s = {}
-        for found in [*self.lapsed.values(), *self.instances.values()]:
+        lapsed = [found for found, _ in self.lapsed.values()]
+        for found in [*lapsed, *self.instances.values()]:
             if found.leaving or found.service not in records:
                 continue
             name = target_name(found)
--- a/poplarlane/decisions/relays.py
+++ b/poplarlane/decisions/relays.py
@@ -4,12 +4,12 @@
 were heard of. It passes changes on to the others there and says several times a second which
 revision it has and how long ago the store answered. A node that hears of no recent answer follows
 the store itself and passes on what it learns, because the store may turn the chosen node and others
-away and still serve it. Wrong or old lists of nodes cost calls and never freshness. Nothing of this
-crosses data centres but a rare greeting, by which new nodes find each other.
+away and still serve it. A node that misses an announced change, or that knows nothing yet while the
+store does not answer it, asks another node for all objects of the kind. Wrong or old lists of nodes
+cost calls and never freshness. Nothing of this crosses data centres but a rare greeting, by which
+new nodes find each other, and the question of a new node that knows no other in its own.
 """
 
-import math
-
 import xxhash
 
 # A node that was not heard of for this long is left out; nodes elsewhere are greeted rarely.
@@ -27,8 +27,10 @@
 NO_CONTACT_S = 1e9
 # A new node waits this long for beats before it follows the store itself.
 START_GRACE_S = 0.7
-# A change that a beat announces may take this long to arrive before the node asks the store.
+# A change that a beat announces may take this long to arrive before the node asks for it.
 GAP_LIMIT_S = 0.25
+# A new node that the store has not answered by then asks another node for what it knows.
+FIRST_FETCH_S = 0.6
 
 
 class Member:
@@ -57,15 +59,16 @@
 class RelayState:
     """Hold what a node knows of the others; pure, times are given."""
 
-    __slots__ = ("me", "members", "beats", "started_at", "behind_since")
+    __slots__ = ("me", "members", "beats", "started_at", "missing_since", "asked")
 
     def __init__(self, me: Member, now: float) -> None:
         self.me = me
         self.members: dict[str, Member] = {}
         self.beats: dict[str, BeatState] = {}
         self.started_at = now
-        # Since when a beat announces a revision that has not arrived, by kind.
-        self.behind_since: dict[str, float] = {}
+        # Since when something is missing or was last asked for, and how often it was, by kind.
+        self.missing_since: dict[str, float] = {}
+        self.asked: dict[str, int] = {}
 
 
 def hear_of(state: RelayState, found: Member) -> bool:
@@ -145,24 +148,47 @@
     return not is_covered(state, now) and now - state.started_at > START_GRACE_S
 
 
-def is_behind(state: RelayState, kind: str, revision: int, now: float) -> bool:
-    """Tell whether a change that a beat announced did not arrive in time."""
-    announced = max(
-        (
-            beat.revisions.get(kind, 0)
-            for beat in state.beats.values()
-            if now - beat.received_at <= BEAT_LIMIT_S
-        ),
-        default=0,
-    )
-    if announced <= revision:
-        state.behind_since.pop(kind, None)
-        return False
-    since = state.behind_since.setdefault(kind, now)
+def missing_source(
+    state: RelayState, kind: str, revision: int, draw: float, now: float
+) -> str | None:
+    """Name the node to ask for all objects of a kind; None while nothing is missing.
+
+    `draw` is a random number from 0 to 1.
+    """
+    source = newest_source(state, kind, revision, now)
+    if source is None and not revision and now - state.started_at >= FIRST_FETCH_S:
+        source = any_source(state, draw)
+    if source is None:
+        state.missing_since.pop(kind, None)
+        state.asked.pop(kind, None)
+        return None
+    since = state.missing_since.setdefault(kind, now)
     if now - since < GAP_LIMIT_S:
-        return False
-    state.behind_since[kind] = math.inf
-    return True
+        return None
+    state.missing_since[kind] = now
+    state.asked[kind] = state.asked.get(kind, 0) + 1
+    return source
+
+
+def newest_source(state: RelayState, kind: str, revision: int, now: float) -> str | None:
+    """Name the node that announced the newest revision beyond the one held."""
+    source = None
+    for sender, beat in state.beats.items():
+        announced = beat.revisions.get(kind, 0)
+        if now - beat.received_at <= BEAT_LIMIT_S and announced > revision:
+            source, revision = sender, announced
+    return source
+
+
+def any_source(state: RelayState, draw: float) -> str | None:
+    """Pick a node at random, of this data centre if there is one."""
+    members = near_members(state) or list(state.members.values())
+    return members[int(draw * len(members)) % len(members)].name if members else None
+
+
+def was_asked_before(state: RelayState, kind: str) -> bool:
+    """Tell whether the last question about a kind was not the first one."""
+    return state.asked.get(kind, 0) > 1
 
 
 def fleet_size(state: RelayState, expected: int) -> int:
--- a/poplarlane/plumbing/directory_keeper.py
+++ b/poplarlane/plumbing/directory_keeper.py
@@ -153,6 +153,8 @@
         log("store_reached" if good else "store_lost", "warning", kind=kind)
         if good:
             self.directory.contact_regained(self.shell.now())
+        else:
+            self.directory.contact_lost()
 
     def check_lapsed(self) -> None:
         """Drop the targets that did not come back after an outage of the store."""
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -69,6 +69,7 @@
         "generator",
         "revision",
         "changed_revision",
+        "objects",
         "failures",
         "task",
         "enabled",
@@ -94,6 +95,8 @@
         self.revision = 0
         # Revision of the last list or of the last answer with changes.
         self.changed_revision = 0
+        # All objects of the kind as of `revision`, by name.
+        self.objects: dict[str, StoredObject] = {}
         self.failures = 0
         self.task: asyncio.Task | None = None
         # Set while there is a call to make.
@@ -116,11 +119,24 @@
         """Ask once for the changes so far."""
         self.enabled.set()
 
-    def advance(self, revision: int) -> None:
-        """Note that changes up to a revision came from elsewhere."""
+    def take_changes(self, revision: int, changes: list[ObjectChange]) -> None:
+        """Apply all changes up to a revision."""
+        for change in changes:
+            if change.deleted:
+                self.objects.pop(change.item.name, None)
+            else:
+                self.objects[change.item.name] = change.item
         self.revision = max(self.revision, revision)
         self.changed_revision = self.revision
 
+    def take_all(self, revision: int, items: list[StoredObject]) -> bool:
+        """Replace all objects by those of a revision, unless they are older than what is held."""
+        if revision < self.revision:
+            return False
+        self.objects = {item.name: item for item in items}
+        self.revision = self.changed_revision = revision
+        return True
+
     def close(self) -> None:
         """End the follower."""
         if self.task is not None:
@@ -164,8 +180,9 @@
             if not page.more or not page.items:
                 break
             after = page.items[-1].name
-        self.advance(revision)
-        self.listener.listed(self.kind, items)
+        # Another node may have sent newer objects while the store was asked.
+        if self.take_all(revision, items):
+            self.listener.listed(self.kind, items)
         return True
 
     async def watch(self) -> bool:
@@ -187,7 +204,7 @@
             self.revision = max(self.revision, revision)
             return True
         after = self.changed_revision
-        self.advance(revision)
+        self.take_changes(revision, changes)
         self.listener.changed(self.kind, after, revision, changes)
         # Changes come in groups; the next answer then holds several of them.
         await asyncio.sleep(GROUP_S)
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -13,7 +13,16 @@
 from poplarlane.plumbing.exchange_sockets import ExchangeSockets
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
-from poplarlane.relay_messages import Beat, ChangeNote, Hello, MemberNote, Roster, Update
+from poplarlane.relay_messages import (
+    Beat,
+    ChangeNote,
+    Fetch,
+    Hello,
+    MemberNote,
+    Roster,
+    Snapshot,
+    Update,
+)
 
 TICK_S = 0.1
 # A node that knows no other repeats its greeting sooner, because connections take a moment.
@@ -30,6 +39,7 @@
         "seeds",
         "followers",
         "deliver",
+        "deliver_all",
         "hello_due",
         "far_hello_due",
         "beat_due",
@@ -45,6 +55,7 @@
         port: int,
         seeds: list[str],
         deliver: Callable[[str, list[ObjectChange]], None],
+        deliver_all: Callable[[str, list[StoredObject]], None],
         draw: Callable[[], float],
     ) -> None:
         self.sockets: ExchangeSockets
@@ -54,6 +65,7 @@
         self.seeds = seeds
         self.followers: dict[str, ObjectFollower] = {}
         self.deliver = deliver
+        self.deliver_all = deliver_all
         self.hello_due = 0.0
         self.far_hello_due = 0.0
         self.beat_due = 0.0
@@ -157,12 +169,14 @@
             follower.set_enabled(following)
 
     def fill_gaps(self, now: float) -> None:
-        """Ask the store once for what was announced and did not arrive."""
-        if self.following:
-            return
+        """Ask another node for what it announced and did not arrive, and then the store as well."""
         for kind, follower in self.followers.items():
-            if follower.revision and relays.is_behind(self.state, kind, follower.revision, now):
-                log("update_missed", "warning", kind=kind, revision=follower.revision)
+            source = relays.missing_source(self.state, kind, follower.revision, self.draw(), now)
+            if source is None:
+                continue
+            log("update_missed", "warning", kind=kind, revision=follower.revision, source=source)
+            self.send(source, relay_messages.ENCODER.encode(Fetch(self.note(), kind)))
+            if not self.following and relays.was_asked_before(self.state, kind):
                 follower.poll_once()
 
     def contact(self, kind: str, good: bool) -> None:
@@ -179,16 +193,7 @@
         Nodes that the store turns away depend on any that it serves, not only on the chosen one.
         """
         if self.following:
-            notes = [
-                ChangeNote(
-                    change.item.name,
-                    change.item.revision,
-                    change.item.spec,
-                    change.item.status,
-                    change.deleted,
-                )
-                for change in changes
-            ]
+            notes = [change_note(change.item, change.deleted) for change in changes]
             self.send_near(Update(kind, after, revision, notes))
 
     def received(self, _identity: bytes, payload: bytes) -> None:
@@ -237,15 +242,30 @@
             return
         if message.revision <= follower.revision or message.after > follower.revision:
             return
-        follower.advance(message.revision)
-        changes = [
-            ObjectChange(
-                StoredObject(note.name, note.revision, note.spec, note.status), note.deleted
-            )
-            for note in message.changes
-        ]
+        changes = [ObjectChange(stored_object(note), note.deleted) for note in message.changes]
+        follower.take_changes(message.revision, changes)
         self.deliver(message.kind, changes)
 
+    @handle.register
+    def _(self, message: Fetch) -> None:
+        self.hear(message.sender, clock())
+        follower = self.followers.get(message.kind)
+        if follower is None or not follower.revision:
+            return
+        notes = [change_note(item, False) for item in follower.objects.values()]
+        snapshot = Snapshot(message.kind, follower.revision, notes)
+        self.send(message.sender.name, relay_messages.ENCODER.encode(snapshot))
+
+    @handle.register
+    def _(self, message: Snapshot) -> None:
+        follower = self.followers.get(message.kind)
+        if follower is None or message.revision <= follower.revision:
+            return
+        items = [stored_object(note) for note in message.objects]
+        follower.take_all(message.revision, items)
+        log("snapshot_taken", kind=message.kind, revision=message.revision, objects=len(items))
+        self.deliver_all(message.kind, items)
+
     def hear(self, found: MemberNote, now: float) -> None:
         """Record a node."""
         member = relays.Member(found.name, found.address, found.data_centre, now - found.age_s)
@@ -254,3 +274,13 @@
             self.sockets.disconnect(found.name)
         if relays.hear_of(self.state, member):
             log("member_found", "debug", member=found.name, members=len(self.state.members))
+
+
+def change_note(item: StoredObject, deleted: bool) -> ChangeNote:
+    """Spell an object for another node."""
+    return ChangeNote(item.name, item.revision, item.spec, item.status, deleted)
+
+
+def stored_object(note: ChangeNote) -> StoredObject:
+    """Read an object that another node sent."""
+    return StoredObject(note.name, note.revision, note.spec, note.status)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -202,7 +202,7 @@
     port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
     seeds = [split_address(seed)[0] for seed in settings.seeds]
     state = RelayState(me, clock())
-    relay = Relay(state, port, seeds, keeper.take_changes, generator.random)
+    relay = Relay(state, port, seeds, keeper.take_changes, keeper.listed, generator.random)
     for follower in keeper.followers:
         relay.followers[follower.kind] = follower
     return relay
--- a/poplarlane/relay_messages.py
+++ b/poplarlane/relay_messages.py
@@ -54,5 +54,20 @@
     changes: list[ChangeNote]
 
 
+class Fetch(msgspec.Struct, tag=5, array_like=True):
+    """Ask another node for all objects of a kind."""
+
+    sender: MemberNote
+    kind: str
+
+
+class Snapshot(msgspec.Struct, tag=6, array_like=True):
+    """Carry all objects of a kind as of a revision."""
+
+    kind: str
+    revision: int
+    objects: list[ChangeNote]
+
+
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Hello | Roster | Beat | Update)
+DECODER = msgspec.msgpack.Decoder(Hello | Roster | Beat | Update | Fetch | Snapshot)
