Give avoided targets trials under the measured policy

Ruled out: verdicts that end with the age of the doubt (18 s from the highest doubt); trials at the share of the adaptive policy (0.002), which give a node of 24 one trial in 100 s; the doubled wait of up to 8 s between trials. Change: 5% of a service's requests at a node may be trials, at most one a second and target, at once after a passed one; a read that serves as a trial gets its second copy after half of its work. The model knows targets that fail and faults that end.

--- a/features/service_model.feature
+++ b/features/service_model.feature
@@ -25,6 +25,17 @@
     When reads are played with the policy "measured" under "burst" with seeds 1 to 2
     Then each request was answered, refused or failed, once
 
+  Scenario Outline: A target that was avoided during a fault gets its share of requests again
+    # Guards capacity after a fault: targets that a node avoided were never tried again by it.
+    When reads are played whole with the policy "measured" under "<pattern>" with seeds 1 to 3
+    Then from 5 s after the fault each of its targets begins at least half of an even share
+    And during the fault these targets begin at most half of an even share on average
+
+    Examples:
+      | pattern           |
+      | failing-then-well |
+      | slow-then-well    |
+
   Scenario: One seed gives one result
     Then two runs of "neighbours" with seed 5 give the same counts
 
--- a/features/steps/service_model_steps.py
+++ b/features/steps/service_model_steps.py
@@ -12,10 +12,11 @@
 LENGTH_S = 6.0
 
 
-def play(policy, name, seed, idempotent):
-    """Play a shortened pattern."""
+def play(policy, name, seed, idempotent, length_s=LENGTH_S):
+    """Play a pattern, shortened unless told otherwise."""
     pattern = next(pattern for pattern in PATTERNS if pattern.name == name)
-    pattern = dataclasses.replace(pattern, idempotent=idempotent, length_s=LENGTH_S)
+    length_s = length_s or pattern.length_s
+    pattern = dataclasses.replace(pattern, idempotent=idempotent, length_s=length_s)
     model = ServiceModel(pattern, policy, NODES, TARGETS, seed)
     model.run()
     return model
@@ -44,6 +45,39 @@
     play_all(context, policy, pattern, first, last, True)
 
 
+@when(
+    'reads are played whole with the policy "{policy}" under "{pattern}" with seeds {first:d} to '
+    "{last:d}"
+)
+def step_whole(context, policy, pattern, first, last):
+    context.models = [play(policy, pattern, seed, True, None) for seed in range(first, last + 1)]
+
+
+def shares_of_faulty(model, begin, end):
+    """Give what targets that had a fault began between two times, over an even share."""
+    begun = [sum(begin <= at < end for at in target.begun_at) for target in model.targets.values()]
+    pattern = model.pattern
+    even = sum(begun) / len(begun)
+    return [count / even for count in begun[: pattern.failing_targets + pattern.slow_targets]]
+
+
+@then("from {after:d} s after the fault each of its targets begins at least half of an even share")
+def step_restored(context, after):
+    for model in context.models:
+        begin = model.pattern.fault_ends_at + after
+        found = shares_of_faulty(model, begin, model.pattern.length_s)
+        assert min(found) >= 0.5, found
+
+
+@then("during the fault these targets begin at most half of an even share on average")
+def step_avoided(context):
+    for model in context.models:
+        pattern = model.pattern
+        # The first second shows the fault.
+        found = shares_of_faulty(model, pattern.length_s / 3.0 + 1.0, pattern.fault_ends_at)
+        assert sum(found) / len(found) <= 0.5, found
+
+
 @then("no booking ran more than once")
 def step_once(context):
     for model in context.models:
--- a/poplarlane/bench/model_report.py
+++ b/poplarlane/bench/model_report.py
@@ -19,6 +19,8 @@
     Pattern("burst", burst=(4.0, 8.0, 2.2)),
     Pattern("hidden-slow", slow_targets=5),
     Pattern("shedding", shedding_targets=5),
+    Pattern("failing-then-well", length_s=18.0, failing_targets=4, fault_ends_at=9.0),
+    Pattern("slow-then-well", length_s=18.0, slow_targets=4, fault_ends_at=9.0),
     Pattern("third-lost", per_s=260.0, lost_targets=5),
     Pattern("cold-join", cold_targets=6),
     Pattern("bookings", per_s=54.0, work_s=0.16, aim_s=0.4, idempotent=False),
--- a/poplarlane/bench/model_targets.py
+++ b/poplarlane/bench/model_targets.py
@@ -52,6 +52,8 @@
         "pace",
         "factor",
         "sheds",
+        "fails",
+        "begun_at",
         "started_at",
     )
 
@@ -71,9 +73,13 @@
         self.running = 0
         self.waiting: deque[Work] = deque()
         self.pace = 1.0
-        # A fault that the load report does not show, and one that refuses everything.
+        # A fault that the load report does not show, one that refuses everything, and one that
+        # answers everything with a failure.
         self.factor = 1.0
         self.sheds = False
+        self.fails = False
+        # When attempts were begun.
+        self.begun_at: list[float] = []
         self.started_at = -COLD_S
 
     def change_pace(self, now: float) -> None:
@@ -96,6 +102,7 @@
         self.running += 1
         work.begin()
         work.started = True
+        self.begun_at.append(now)
         time_s = work.work_s * self.draws.lognormvariate(0.0, WORK_SPREAD) * self.pace * self.factor
         if self.running >= self.shape.crowded_from:
             time_s *= self.shape.crowded_factor
@@ -107,7 +114,7 @@
         """End the work unless it was cancelled, and start the next."""
         if work.cancelled:
             return
-        work.done(200)
+        work.done(500 if self.fails else 200)
         self.leave(now)
 
     def cancel(self, work: Work, now: float) -> None:
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -70,6 +70,8 @@
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     slow_targets: int = 0
     shedding_targets: int = 0
+    failing_targets: int = 0
+    fault_ends_at: float = math.inf
     lost_targets: int = 0
     cold_targets: int = 0
     idempotent: bool = True
@@ -317,6 +319,7 @@
         self.publish()
         self.schedule(0.0, self.next_arrival)
         self.schedule(self.pattern.length_s / 3.0, self.go_wrong)
+        self.schedule(self.pattern.fault_ends_at, self.recover)
         end = self.pattern.length_s + 2.0 * self.pattern.deadline_s
         while self.events and self.events[0][0] <= end:
             at, _, action = heapq.heappop(self.events)
@@ -339,6 +342,8 @@
             self.targets[name].factor = 5.0
         for name in names[: pattern.shedding_targets]:
             self.targets[name].sheds = True
+        for name in names[: pattern.failing_targets]:
+            self.targets[name].fails = True
         for name in names[: pattern.lost_targets]:
             self.directory.drop_instance(name.split(".")[0], now)
         for number in range(pattern.cold_targets):
@@ -346,6 +351,12 @@
         if pattern.lost_targets or pattern.cold_targets:
             self.publish()
 
+    def recover(self, _now: float) -> None:
+        """End the faults of the targets that are still there."""
+        for target in self.targets.values():
+            target.factor = 1.0
+            target.sheds = target.fails = False
+
     def counts(self, asked: Asked) -> bool:
         """Tell whether a request came after the start, in which nothing is known."""
         return asked.began_at >= WARM_UP_S
--- a/poplarlane/decisions/policies.py
+++ b/poplarlane/decisions/policies.py
@@ -74,10 +74,11 @@
     `transfer_s` is what a request to another data centre is charged beside its distance.
     """
 
-    __slots__ = ("transfer_s", "max_rounds")
+    __slots__ = ("transfer_s", "max_rounds", "trial_credit")
 
     def __init__(self) -> None:
         self.transfer_s = 0.0
+        self.trial_credit = 0.0
         self.max_rounds = 2
 
 
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -46,6 +46,7 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.route_table import Route, choose_service
 from poplarlane.decisions.routing import choose_target
+from poplarlane.decisions.trials import take_due_trial
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
 from poplarlane.types import Priority, RequestKind, TargetLoad, Verdict
 
@@ -242,7 +243,16 @@
     draw: int,
     effects: list[Effect],
 ) -> None:
-    """Ask targets for their load and choose when they have answered, or choose at once."""
+    """Ask targets for their load and choose when they have answered, or choose at once.
+
+    A first sending may serve as the trial of an avoided target, which is not asked.
+    """
+    if not request.tried and not request.service.limits.held:
+        policy = request.service.policy
+        trial = take_due_trial(policy, targets, now, draw, request.idempotent)
+        if trial is not None:
+            send(state, request, trial, now, effects)
+            return
     request.probed = []
     request.rounds = 1
     request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
@@ -323,7 +333,7 @@
     request.uncertain += 1
     request.sends += 1
     if type(request.service.policy) is Measured:
-        return plan_measured_hedge(state, request, event.now)
+        return plan_measured_hedge(state, attempt, event.now)
     if request.hedge and state.hedged_reads and not request.hedged:
         return schedule_hedge(state, attempt, event.now)
     return []
@@ -343,11 +353,17 @@
     return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
 
 
-def plan_measured_hedge(state: EntryState, request: Request, now: float) -> list[Effect]:
-    """Set the time at which a second copy of a late read is considered."""
+def plan_measured_hedge(state: EntryState, attempt: Attempt, now: float) -> list[Effect]:
+    """Set the time at which a second copy of a late read is considered.
+
+    A trial of an avoided target gets it as early as possible, so that it costs its caller little.
+    """
+    request = attempt.request
     if not request.hedge or request.hedged or request.sends >= request.max_attempts:
         return []
     patience_s = HEDGE_WORK_RATIO * request.work_s
+    if attempt.load.verdict is Verdict.AVOIDED:
+        patience_s = 0.0
     latest = request.aim - HEDGE_RESERVE_RATIO * request.work_s
     at = max(now + request.work_s * MIN_HEDGE_WORK_RATIO, min(now + patience_s, latest))
     return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
