--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -165,3 +165,10 @@
       | front     | "10.0.0.1"    |
       | store     | 7             |
       | extra_sends | -1          |
+
+  Scenario: The metrics tell how long each route and target took, and what is left to repeat with
+    # Guards the way from an alarm to a target: counts without times do not show a slow one.
+    Given a node with 2 targets of the service "reads" and 1 of "books"
+    When a caller sends 8 reads one after the other
+    Then the metrics count 8 answers of the route "r0" and 8 of the targets of "reads"
+    And they show the budgets, the avoided targets and the configuration's version
--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -466,3 +466,39 @@
 def step_trace_unknown(context):
     done = run_trace(context, "nobody")
     assert done.returncode == 1 and "no line about request nobody" in done.stdout + done.stderr
+
+
+def read_metrics(context):
+    """Read the node's metrics as lines."""
+    url = f"http://{context.rig.node_address}:{ADMIN_PORT}/metrics"
+    with urllib.request.urlopen(url, timeout=ANSWER_LIMIT_S) as answer:
+        return answer.read().decode().splitlines()
+
+
+def metric_sum(lines, name, label):
+    """Add up the series of a metric whose labels hold a text."""
+    return sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in lines
+        if line.startswith(name + "{") and label in line
+    )
+
+
+@then(
+    'the metrics count {answers:d} answers of the route "{route}" and {sent:d} of the targets of '
+    '"{service}"'
+)
+def step_histograms(context, answers, route, sent, service):
+    lines = read_metrics(context)
+    assert metric_sum(lines, "answer_seconds_count", f'route="{route}"') == answers, lines
+    assert metric_sum(lines, "target_seconds_count", f'target="{service}-') == sent, lines
+    assert metric_sum(lines, "answer_seconds_bucket", 'le="+Inf"') == answers, lines
+
+
+@then("they show the budgets, the avoided targets and the configuration's version")
+def step_gauges(context):
+    lines = read_metrics(context)
+    assert metric_sum(lines, "repeat_budget", 'service="reads"') >= 1.0, lines
+    assert metric_sum(lines, "avoided_targets", "service=") == 0.0, lines
+    assert any(line.startswith("configuration_version") for line in lines), lines
+    assert any(line.startswith("probe_budget") for line in lines), lines
--- a/poplarlane/decisions/effects.py
+++ b/poplarlane/decisions/effects.py
@@ -27,3 +27,14 @@
         self.metric = metric
         self.amount = amount
         self.labels = labels
+
+
+class Observe(Effect):
+    """Add a time in seconds to a histogram metric."""
+
+    __slots__ = ("metric", "time_s", "labels")
+
+    def __init__(self, metric: str, time_s: float, labels: dict[str, str]) -> None:
+        self.metric = metric
+        self.time_s = time_s
+        self.labels = labels
--- a/poplarlane/decisions/request_log.py
+++ b/poplarlane/decisions/request_log.py
@@ -1,13 +1,14 @@
-"""Log lines about single requests, each with the id that the caller knows.
+"""Log lines and times of single requests; each line has the id that the caller knows.
 
 Every request that is refused, repeated, sent a second time, late or failed takes a line with what
 decided it; of those that went well, one in a hundred. The lines of a second are bounded, and what
-is left out is counted, so that overload does not become a flood of lines.
+is left out is counted, so that overload does not become a flood of lines. The histograms hold the
+times of all.
 """
 
 import math
 
-from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.effects import Count, Effect, Log, Observe
 from poplarlane.decisions.entry_state import Attempt, EntryState, Request
 from poplarlane.outcomes import NotRun, Refusal
 from poplarlane.types import TargetLoad
@@ -21,9 +22,12 @@
     state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
 ) -> None:
     """Log an answer that this entry gives in place of a target's."""
+    result = outcome.code.name.lower()
+    labels = {"route": request.kind.name, "result": result}
+    effects.append(Observe("refusal_seconds", state.now - request.arrived_at, labels))
     fields = common(state, request)
     fields["code"] = int(outcome.code)
-    fields["result"] = outcome.code.name.lower()
+    fields["result"] = result
     fields["status"] = outcome.status
     fields["detail"] = outcome.detail
     if isinstance(outcome, NotRun):
@@ -70,6 +74,9 @@
     state: EntryState, request: Request, attempt: Attempt, status: int, effects: list[Effect]
 ) -> None:
     """Log an answer that is late or a failure, and a sample of the others."""
+    route, target = request.kind.name, attempt.load.target.name
+    effects.append(Observe("answer_seconds", state.now - request.arrived_at, {"route": route}))
+    effects.append(Observe("target_seconds", state.now - attempt.sent_at, {"target": target}))
     late = request.aim < state.now
     event = "request_answered"
     if status >= 500:
@@ -80,7 +87,7 @@
         return
     fields = common(state, request)
     fields["status"] = status
-    fields["target"] = attempt.load.target.name
+    fields["target"] = target
     fields["sent_ms"] = round((state.now - attempt.sent_at) * 1000)
     fields["pace"] = attempt.pace
     fields["there"] = attempt.running
--- a/poplarlane/logs.py
+++ b/poplarlane/logs.py
@@ -10,6 +10,8 @@
 
 LEVELS = ("debug", "info", "warning", "error")
 PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.,:/@%+*()\[\]{}<>=-]+\Z")
+# Lowest level that any destination writes; a message below it is not built.
+lowest_level = 0
 ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 
 
@@ -52,10 +54,14 @@
 
 def start_logging(level: str, stream: TextIO = sys.stderr, **fields: str) -> None:
     """Send eliot messages to a stream; `fields` are added to every line."""
+    global lowest_level
+    lowest_level = LEVELS.index(level)
     eliot.add_global_fields(**fields)
     eliot.add_destinations(KeyValueDestination(stream, level))
 
 
 def log(event: str, level: str = "info", **fields: Any) -> None:
     """Log one event."""
+    if LEVELS.index(level) < lowest_level:
+        return
     eliot.log_message(message_type=event, level=level, **fields)
--- a/poplarlane/metrics.py
+++ b/poplarlane/metrics.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 
 import h11
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 ADMIN_READ_BYTES = 65_536
 ADMIN_MAX_BODY_BYTES = 1_048_576
 ADMIN_TIMEOUT_S = 10.0
+# Seconds; the callers' aims and deadlines lie between 0.15 and 5.
+TIME_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0, math.inf)
+# Series of one histogram, 2 KB each; further label values are counted together.
+MAX_HISTOGRAM_SERIES = 256
+OTHER = "other"
 
 Labels = dict[str, str]
 
@@ -18,11 +24,13 @@
 class Metrics:
     """Hold a registry and create counters and gauges on first use."""
 
-    __slots__ = ("registry", "collectors")
+    __slots__ = ("registry", "collectors", "series")
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.collectors: dict[str, Counter | Gauge] = {}
+        self.collectors: dict[str, Counter | Gauge | Histogram] = {}
+        # Label values in use of each histogram.
+        self.series: dict[str, set[tuple[str, ...]]] = {}
 
     def counter(self, name: str, doc: str) -> Counter:
         """Give the counter with this name."""
@@ -46,6 +54,23 @@
         """Set a gauge that needs no longer description than its name."""
         self.gauge(name, name.replace("_", " ")).set(labels, value)
 
+    def observe(self, name: str, labels: Labels, value: float) -> None:
+        """Add a value to a histogram with a bounded number of series."""
+        if name not in self.collectors:
+            doc = name.replace("_", " ")
+            self.collectors[name] = Histogram(
+                name, doc, registry=self.registry, buckets=TIME_BUCKETS_S
+            )
+            self.series[name] = set()
+        series = self.series[name]
+        values = tuple(labels.values())
+        if values not in series:
+            if len(series) >= MAX_HISTOGRAM_SERIES:
+                labels = dict.fromkeys(labels, OTHER)
+            else:
+                series.add(values)
+        self.collectors[name].observe(labels, value)
+
     def render(self) -> bytes:
         """Render all metrics in the Prometheus text format."""
         body, _ = render(self.registry, ["text/plain"])
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -5,7 +5,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
-from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.effects import Count, Effect, Log, Observe
 from poplarlane.decisions.entry_effects import (
     CancelAttempt,
     CutAnswer,
@@ -62,6 +62,12 @@
     shell.metrics.count(effect.metric, effect.labels, effect.amount)
 
 
+@execute.register(Observe)
+def execute_observe(effect: Observe, shell: "EntryShell") -> None:
+    """Add to a histogram."""
+    shell.metrics.observe(effect.metric, effect.labels, effect.time_s)
+
+
 @execute.register(SendRequest)
 def execute_send(effect: SendRequest, shell: "EntryShell") -> None:
     """Send a request on an idle connection, or on a new one."""
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -40,6 +40,7 @@
     seeded_generator,
     split_address,
 )
+from poplarlane.types import Verdict
 
 # Importing these modules registers their handlers with the reducer.
 ENTRY_HANDLERS = (answers, catalogue, drain, probe_events, reports, requests, views)
@@ -263,6 +264,13 @@
     for name, service in shell.state.services.items():
         metrics.set("applied_revision", {"service": name}, service.revision)
         metrics.set("queued_requests", {"service": name}, service.limits.queued)
+        avoided = sum(load.verdict is Verdict.AVOIDED for load in service.loads.values())
+        metrics.set("avoided_targets", {"service": name}, avoided)
+        metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    routes = shell.state.routes
+    if routes is not None:
+        metrics.set("configuration_version", {}, routes.version)
+        metrics.set("probe_budget", {}, shell.state.probe_allowance.tokens)
 
 
 def build_agent(settings: AgentSettings) -> tuple[AgentShell, AdminServer]:
