--- /dev/null
+++ b/features/node_interleaving.feature
@@ -0,0 +1,21 @@
+Feature: Promises of a node under any interleaving of events
+  The reducer alone, with drawn orders of arrivals, answers, losses, timers, drains, configurations and
+  deaths.
+
+  Scenario: No drawn interleaving breaks a promise
+    # Guards at-most-once, true refusals, one answer per request, the bound on targets, the end of work
+    # for leaving targets, and the order of versions.
+    Then 600 drawn interleavings with the weakening "none" break no promise
+
+  Scenario Outline: The check finds each rule that is broken by hand
+    # Shows that each promise is really checked.
+    Then 200 drawn interleavings with the weakening "<weakening>" break a promise with "<words>"
+
+    Examples:
+      | weakening                   | words                       |
+      | sendings are forgotten      | was refused as not run      |
+      | writes are repeated         | the write                   |
+      | attempts are not bounded    | ran on 3 targets            |
+      | older versions are accepted | goes to ['                  |
+      | leaving targets are kept    | which is leaving            |
+      | timers are lost             | has 0 answers               |
