Split the request handlers by what they do

Change: attempts.py (sending, waiting, ending), placing.py (the choice of a target), hedging.py (second copies); requests.py keeps arrival, queue and leaving callers. Only imports and one test's import change. Ruled out: singledispatch on the policy in the same step, to keep the move free of changes.

--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -21,7 +21,7 @@
     admission,
     crowding,
     limits,
-    requests,
+    placing,
     retries,
     waiting,
 )
@@ -55,7 +55,7 @@
 @when("a read with 300 ms to its aim and 100 ms of work chooses")
 def step_choose(context):
     context.request = make_request(loads=context.loads)
-    context.chosen = requests.choose_measured(context.request, context.loads, NOW)
+    context.chosen = placing.choose_measured(context.request, context.loads, NOW)
 
 
 @then("it goes to the target at pace 1")
@@ -65,7 +65,7 @@
 
 @when("the only target left is at pace 5")
 def step_only_slow(context):
-    context.chosen = requests.choose_measured(context.request, [context.slow], NOW)
+    context.chosen = placing.choose_measured(context.request, [context.slow], NOW)
 
 
 @then("the read waits")
--- a/poplarlane/decisions/answers.py
+++ b/poplarlane/decisions/answers.py
@@ -3,6 +3,15 @@
 import heapq
 
 from poplarlane.decisions import completion, crowding, health, limits, request_log, retries
+from poplarlane.decisions.attempts import (
+    cancel_attempts,
+    end_attempt,
+    enqueue,
+    finish_refused,
+    forget,
+    observe_abandoned,
+    send,
+)
 from poplarlane.decisions.drain import accept_ended, drain_limit_passed, mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
@@ -31,24 +40,14 @@
     next_draw,
     reachable_targets,
 )
+from poplarlane.decisions.hedging import hedge
 from poplarlane.decisions.pauses import view_limit_passed
+from poplarlane.decisions.placing import choose, dispatch
 from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.probe_events import fail_probe, finish_round, give_up, recheck
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import verdict_report
-from poplarlane.decisions.requests import (
-    cancel_attempts,
-    choose,
-    dispatch,
-    end_attempt,
-    enqueue,
-    finish_refused,
-    forget,
-    hedge,
-    observe_abandoned,
-    send,
-    use_room,
-)
+from poplarlane.decisions.requests import use_room
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
 from poplarlane.types import TargetLoad, Verdict
 
--- /dev/null
+++ b/poplarlane/decisions/attempts.py
@@ -0,0 +1,121 @@
+"""What a request goes through between its arrival and its answer: sending, waiting, ending."""
+
+from poplarlane.decisions import admission, health, limits, request_log
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.entry_effects import (
+    CancelAttempt,
+    CutAnswer,
+    RefuseRequest,
+    SendRequest,
+    Stop,
+)
+from poplarlane.decisions.entry_state import (
+    DROPPED_TIMERS_PER_REQUEST,
+    Attempt,
+    EntryState,
+    Request,
+    RequestState,
+    drop_ended_timers,
+)
+from poplarlane.decisions.policies import Measured
+from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
+from poplarlane.types import TargetLoad
+
+
+def send(
+    state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
+) -> Attempt:
+    """Send a request to a target as a new attempt."""
+    attempt_id = state.next_attempt_id
+    state.next_attempt_id = attempt_id + 1
+    attempt = Attempt(attempt_id, request, load)
+    attempt.chosen_at = now
+    state.attempts[attempt_id] = attempt
+    request.attempts.append(attempt)
+    request.state = RequestState.NOT_SENT
+    health.observe_sent(load, attempt_id, now)
+    load.sent_since_measured += 1
+    effects.append(
+        SendRequest(
+            request.request_id,
+            attempt_id,
+            load.target,
+            request.attempt,
+            request.retried,
+            request.hedged_above or (request.hedge and state.hedged_reads),
+            request.deadline,
+        )
+    )
+    return attempt
+
+
+def enqueue(state: EntryState, request: Request, effects: list[Effect]) -> None:
+    """Keep a request until a target that it may reach has room."""
+    refusal = limits.enqueue(request.service.limits, request)
+    if refusal is not None:
+        finish_refused(state, request, refusal, effects)
+        return
+    request.state = RequestState.QUEUED
+
+
+def unreachable(targets: list[TargetLoad] | None) -> NotRun:
+    """Say why a queued request can no longer be sent."""
+    if targets is None:
+        return NotRun(ResultCode.NOT_ALLOWED, "no selector allows this")
+    return NotRun(ResultCode.NO_TARGET, "every target is leaving")
+
+
+def end_attempt(state: EntryState, attempt: Attempt) -> None:
+    """Stop counting an attempt, whatever its outcome."""
+    state.attempts.pop(attempt.attempt_id, None)
+    health.observe_end(attempt.load, attempt.attempt_id)
+    if attempt in attempt.request.attempts:
+        attempt.request.attempts.remove(attempt)
+
+
+def observe_abandoned(request: Request, kept: Attempt | None, now: float) -> None:
+    """Learn from the age of the attempts that are about to be cancelled."""
+    for attempt in request.attempts:
+        if attempt is not kept:
+            health.observe_abandoned(request.service.health, attempt.load, attempt.attempt_id, now)
+
+
+def cancel_attempts(
+    state: EntryState, request: Request, effects: list[Effect], kept: Attempt | None = None
+) -> None:
+    """Give up all attempts of a request but one."""
+    for attempt in list(request.attempts):
+        if attempt is not kept:
+            end_attempt(state, attempt)
+            effects.append(CancelAttempt(attempt.attempt_id))
+
+
+def finish_refused(
+    state: EntryState, request: Request, outcome: Refusal, effects: list[Effect]
+) -> None:
+    """Answer the caller with an outcome of this entry; never a false `not run`."""
+    certain = isinstance(outcome, NotRun)
+    if certain and (request.uncertain or request.hedged):
+        outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
+        certain = False
+    if certain and not outcome.retry_after_s:
+        after_s = admission.retry_after_s(hash(request.request_id))
+        outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
+    if type(request.service.policy) is Measured:
+        request_log.request_refused(state, request, outcome, effects)
+    cancel_attempts(state, request, effects)
+    request.state = RequestState.REFUSED if certain else RequestState.UNKNOWN
+    if request.streaming is not None:
+        effects.append(CutAnswer(request.request_id))
+    else:
+        retried = request.retried or request.retried_below
+        effects.append(RefuseRequest(request.request_id, outcome, retried, state.draining))
+    forget(state, request, effects)
+
+
+def forget(state: EntryState, request: Request, effects: list[Effect]) -> None:
+    """Drop a request whose caller was answered or is gone."""
+    del state.requests[request.request_id]
+    drop_ended_timers(state, DROPPED_TIMERS_PER_REQUEST)
+    if state.draining and not state.accepting and not state.requests:
+        effects.append(Stop(False))
--- /dev/null
+++ b/poplarlane/decisions/hedging.py
@@ -0,0 +1,141 @@
+"""Second copies of reads that are not answered in time."""
+
+from poplarlane.decisions import limits, probe_rounds, request_log, retries
+from poplarlane.decisions.attempts import send
+from poplarlane.decisions.effects import Count, Effect
+from poplarlane.decisions.entry_effects import SetTimer
+from poplarlane.decisions.entry_events import AttemptSent
+from poplarlane.decisions.entry_state import (
+    Attempt,
+    EntryState,
+    Request,
+    RequestState,
+    ServiceState,
+    TimerKind,
+    add_timer,
+    next_draw,
+    reachable_targets,
+)
+from poplarlane.decisions.placing import choose, choose_measured
+from poplarlane.decisions.policies import Measured
+from poplarlane.decisions.reducer import reduce
+from poplarlane.types import Verdict
+
+# A second copy of a read is considered after this multiple of its usual work, but early enough
+# that the copy can be answered in time, and never before half of the work.
+HEDGE_WORK_RATIO = 1.3
+HEDGE_RESERVE_RATIO = 1.15
+MIN_HEDGE_WORK_RATIO = 0.5
+# How soon a second copy is considered again when no other target is good.
+SECOND_LOOK_S = 0.04
+# Marks the round of probes of a second copy; a request is sent after two rounds at the most.
+HEDGE_ROUND = 10
+
+
+@reduce.register
+def attempt_sent(event: AttemptSent, state: EntryState) -> list[Effect]:
+    """Record that a target may start the request from now on."""
+    attempt = state.attempts[event.attempt_id]
+    request = attempt.request
+    attempt.sent_at = event.now
+    request.state = RequestState.SENT
+    request.uncertain += 1
+    request.sends += 1
+    if type(request.service.policy) is Measured:
+        return plan_measured_hedge(state, attempt, event.now)
+    if request.hedge and state.hedged_reads and not request.hedged:
+        return schedule_hedge(state, attempt, event.now)
+    return []
+
+
+def schedule_hedge(state: EntryState, attempt: Attempt, now: float) -> list[Effect]:
+    """Set the time at which an unanswered read may be sent a second time.
+
+    The delay counts from the sending. Counted from the choice of the target, it could pass while
+    the connection was still being opened, and the read then went without a hedge.
+    """
+    request = attempt.request
+    p95_s = request.service.health.p95_s
+    if p95_s <= 0.0:
+        return []
+    at = now + retries.hedge_delay_s(p95_s, attempt.load.verdict is Verdict.AVOIDED)
+    return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
+
+
+def plan_measured_hedge(state: EntryState, attempt: Attempt, now: float) -> list[Effect]:
+    """Set the time at which a second copy of a late read is considered.
+
+    A trial of an avoided target gets it as early as possible, so that it costs its caller little.
+    """
+    request = attempt.request
+    if not request.hedge or request.hedged or request.sends >= request.max_attempts:
+        return []
+    patience_s = HEDGE_WORK_RATIO * request.work_s
+    if attempt.load.verdict is Verdict.AVOIDED:
+        patience_s = 0.0
+    latest = request.aim - HEDGE_RESERVE_RATIO * request.work_s
+    at = max(now + request.work_s * MIN_HEDGE_WORK_RATIO, min(now + patience_s, latest))
+    return [SetTimer(at)] if add_timer(state, at, TimerKind.HEDGE, request.request_id) else []
+
+
+def hedge(
+    state: EntryState, request: Request, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Send a slow read to a second target within the budget, now or once a target has room."""
+    service = request.service
+    if request.hedged or request.streaming or request.state is not RequestState.SENT:
+        return
+    if not request.attempts:
+        return
+    first = request.attempts[0].load
+    targets = reachable_targets(service, request.labels) or []
+    others = [load for load in targets if load is not first]
+    if type(service.policy) is Measured and request.rounds < HEDGE_ROUND:
+        request.rounds = HEDGE_ROUND
+        request.probed = []
+        request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
+        if request.in_round:
+            return
+    if type(service.policy) is Measured:
+        load = None if service.limits.queued else choose_measured(request, others, now)
+        if load is None:
+            plan_second_look(state, request, now, effects)
+            return
+    else:
+        load = choose(request, others, now, draw)
+        if load is None:
+            service.waiting_hedges.append(request)
+            return
+    if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
+        return
+    request.hedged = True
+    if type(service.policy) is Measured:
+        request_log.request_hedged(state, request, load, effects)
+    request.attempt += 1
+    effects.append(Count("hedge_total", 1.0, {"service": service.name}))
+    send(state, request, load, now, effects)
+
+
+def plan_second_look(
+    state: EntryState, request: Request, now: float, effects: list[Effect]
+) -> None:
+    """Consider the second copy of a read again, because no other target is good at the moment."""
+    request.rounds = 0
+    at = now + SECOND_LOOK_S
+    if at < request.deadline and add_timer(state, at, TimerKind.HEDGE, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+
+
+def send_waiting_hedges(
+    state: EntryState, service: ServiceState, now: float, draw: int, effects: list[Effect]
+) -> None:
+    """Hedge the reads whose hedge was due when no second target had room."""
+    bounds = service.limits
+    due = [found for found in service.waiting_hedges if found.request_id in state.requests]
+    service.waiting_hedges = []
+    for index, request in enumerate(due):
+        if not limits.targets_with_room(bounds, bounds.loads):
+            service.waiting_hedges += due[index:]
+            return
+        hedge(state, request, now, draw, effects)
+        draw = next_draw(draw)
--- a/poplarlane/decisions/pauses.py
+++ b/poplarlane/decisions/pauses.py
@@ -1,5 +1,6 @@
 """What an entry does after a pause: nothing is sent by the old view until the agent confirms it."""
 
+from poplarlane.decisions.attempts import end_attempt, enqueue
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.entry_effects import CancelAttempt, SendToAgent, SetTimer
 from poplarlane.decisions.entry_events import EntryPaused
@@ -12,7 +13,7 @@
 )
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import hello
-from poplarlane.decisions.requests import end_attempt, enqueue, use_room
+from poplarlane.decisions.requests import use_room
 
 # An agent that was paused with its entry compares its view with peers in this time, also with 20%
 # loss. After it the entry serves by the view that it has, as it does without an agent.
--- /dev/null
+++ b/poplarlane/decisions/placing.py
@@ -0,0 +1,122 @@
+"""Which target a request goes to, now or once one has room."""
+
+import math
+
+from poplarlane.decisions import completion, limits, probe_rounds, waiting
+from poplarlane.decisions.attempts import enqueue, send
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.entry_effects import SetTimer
+from poplarlane.decisions.entry_state import EntryState, Request, ServiceState, TimerKind, add_timer
+from poplarlane.decisions.policies import Measured
+from poplarlane.decisions.routing import choose_target
+from poplarlane.decisions.trials import take_due_trial
+from poplarlane.types import TargetLoad, Verdict
+
+# A target at which the work would take longer than this multiple of the usual is not used.
+MAX_WORK_RATIO = 3.0
+# How soon a queued request looks for room again.
+RECHECK_S = 0.012
+
+
+def choose(request: Request, targets: list[TargetLoad], now: float, draw: int) -> TargetLoad | None:
+    """Choose a target that has room, if possible one that was not tried yet."""
+    service = request.service
+    bounds = service.limits
+    if type(service.policy) is Measured:
+        return choose_measured(request, targets, now)
+    open_targets = limits.targets_with_room(bounds, targets)
+    if request.tried:
+        tried = request.tried
+        open_targets = [load for load in open_targets if load not in tried] or open_targets
+    # Only a request that may be repeated serves as a trial of an avoided target.
+    trial = request.idempotent and not request.attempts
+    return choose_target(service.policy, open_targets, now, draw, trial)
+
+
+def choose_measured(request: Request, targets: list[TargetLoad], now: float) -> TargetLoad | None:
+    """Choose the target with the earliest expected completion among those with room.
+
+    A target that is slow at the moment would hold one of its slots for long; until the aim is lost
+    it is better to wait for one that is not.
+    """
+    service = request.service
+    if service.limits.held:
+        return None
+    slots = service.limits.slots_per_target
+    limit_s = request.aim - now if waiting.can_meet_aim(request, now) else math.inf
+    limit_s = min(limit_s, MAX_WORK_RATIO * request.work_s, request.deadline - now)
+    best, best_s = None, math.inf
+    for load in targets:
+        if load.verdict is Verdict.AVOIDED or load.shed_until > now or load in request.tried:
+            continue
+        if not completion.has_room(load, service.crowding, slots):
+            continue
+        cost_s = completion.expected_s(load, service.crowding, request.work_s, slots, now)
+        if cost_s > limit_s:
+            continue
+        if load.distance_s:
+            cost_s += service.policy.transfer_s
+        if cost_s < best_s:
+            best, best_s = load, cost_s
+    return best
+
+
+def dispatch(
+    state: EntryState,
+    request: Request,
+    targets: list[TargetLoad],
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Ask targets for their load and choose when they have answered, or choose at once.
+
+    A first sending may serve as the trial of an avoided target, which is not asked.
+    """
+    if not request.tried and not request.service.limits.held:
+        policy = request.service.policy
+        trial = take_due_trial(policy, targets, now, draw, request.idempotent)
+        if trial is not None:
+            send(state, request, trial, now, effects)
+            return
+    request.probed = []
+    request.rounds = 1
+    request.in_round = probe_rounds.start_round(state, request, targets, now, draw, effects)
+    if not request.in_round:
+        place(state, request, targets, now, effects)
+
+
+def place(
+    state: EntryState,
+    request: Request,
+    targets: list[TargetLoad],
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send a request to the best target by what is known, or queue it."""
+    load = choose(request, targets, now, 0)
+    if load is not None:
+        send(state, request, load, now, effects)
+        return
+    enqueue(state, request, effects)
+    if request.request_id in state.requests:
+        plan_recheck(state, request.service, now, effects)
+        plan_give_up(state, request, now, effects)
+
+
+def plan_give_up(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
+    """Set the time at which a request that still waits is refused."""
+    at = max(now, waiting.give_up_at(request))
+    if add_timer(state, at, TimerKind.GIVE_UP, request.request_id):
+        effects.append(SetTimer(state.timer_at))
+
+
+def plan_recheck(
+    state: EntryState, service: ServiceState, now: float, effects: list[Effect]
+) -> None:
+    """Look again soon whether a target has room for what is queued."""
+    if service.recheck_at > now:
+        return
+    service.recheck_at = now + RECHECK_S
+    if add_timer(state, service.recheck_at, TimerKind.RECHECK, service.number):
+        effects.append(SetTimer(state.timer_at))
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -1,6 +1,7 @@
 """Handlers for probes that were sent right before a choice, and the choice after them."""
 
 from poplarlane.decisions import completion, health, limits, probe_rounds, waiting
+from poplarlane.decisions.attempts import finish_refused, send, unreachable
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
 from poplarlane.decisions.entry_state import (
@@ -10,17 +11,10 @@
     ServiceState,
     reachable_targets,
 )
+from poplarlane.decisions.hedging import hedge
+from poplarlane.decisions.placing import choose, place, plan_recheck
 from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import (
-    choose,
-    finish_refused,
-    hedge,
-    place,
-    plan_recheck,
-    send,
-    unreachable,
-    use_room,
-)
+from poplarlane.decisions.requests import use_room
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad
 
