Find targets that have fallen silent, and send their reads elsewhere under load too

Ruled out: second copies of all overdue reads under load, which take the room that waiting requests need. Change: when a read is overdue its target is asked for its load as well, unless it was heard of in the last 0.1 s; if it does not answer within 0.25 s the read's second copy no longer yields to what waits.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -73,6 +73,23 @@
     When both attempts fail
     Then the read is not sent again
 
+  Scenario: A read at a target that has fallen silent is sent elsewhere although others wait
+    # Guards reads at a VM that is gone: under load they waited for their caller's deadline (incident 2fdc).
+    Given a node state with 4 targets and a read that was sent to one of them
+    And another read waits for room
+    When the read is overdue and the other targets tell of pace 1
+    Then its target is asked as well and the read is not sent again
+    When its target does not answer for 0.25 s and the read is looked at again
+    Then the read is sent to another target
+
+  Scenario: A read at a target that answers its probe waits while others wait for room
+    # Guards capacity: second copies of slow reads would take the room that waiting requests need.
+    Given a node state with 4 targets and a read that was sent to one of them
+    And another read waits for room
+    When the read is overdue and the other targets tell of pace 1
+    And its target answers its probe and the read is looked at again after 0.25 s
+    Then no second copy is sent
+
   # Routes.
 
   Scenario: The longest prefix of a host decides
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -22,6 +22,7 @@
     crowding,
     limits,
     placing,
+    requests,
     retries,
     waiting,
 )
@@ -39,6 +40,7 @@
     AttemptSent,
     FailureCause,
     ProbeAnswered,
+    RequestArrived,
     TimerFired,
 )
 from poplarlane.decisions.probe_allowance import ProbeAllowance
@@ -284,3 +286,87 @@
     assert any(isinstance(effect, DeliverAnswer) for effect in context.effects)
     events = [effect.event for effect in context.effects if isinstance(effect, Log)]
     assert "request_late" in events, events
+
+
+@given("a node state with 4 targets and a read that was sent to one of them")
+def step_sent(context):
+    context.state = make_state(4)
+    effects = arrive(context.state)
+    answer_probes(context, effects, NOW + 0.001)
+    (request,) = context.state.requests.values()
+    (attempt,) = request.attempts
+    context.first = attempt.load.target.name
+    # Second copies need to know how long answers usually take.
+    request.service.health.p95_s = 0.2
+    reduce(AttemptSent(NOW + 0.001, 3, attempt.attempt_id), context.state)
+    context.request = request
+
+
+def answer_probes(context, effects, at, left_out=""):
+    """Let targets but one answer their probes, at pace 1; gives what follows."""
+    following = []
+    for effect in effects:
+        if isinstance(effect, ProbeTarget) and effect.target.name != left_out:
+            following += reduce(ProbeAnswered(at, 3, effect.probe_id, notes(1.0)), context.state)
+    return following
+
+
+@given("another read waits for room")
+def step_other_waits(context):
+    other = RequestArrived(NOW, 5, 99, "h.example", "GET", "/x", "", 3_000.0, 1, False)
+    service = context.request.service
+    waiting_request = requests.new_request(
+        other, service, context.state.routes.find("h.example", "/x")
+    )
+    limits.enqueue(service.limits, waiting_request)
+
+
+@when("the read is overdue and the other targets tell of pace 1")
+def step_overdue(context):
+    context.effects = []
+    at = NOW + 0.001
+    while not any(isinstance(effect, ProbeTarget) for effect in context.effects):
+        at += 0.02
+        context.effects += reduce(TimerFired(at, 3), context.state)
+    context.now = at
+    context.effects += answer_probes(context, context.effects, at + 0.001, context.first)
+    context.effects += reduce(TimerFired(at + 0.02, 3), context.state)
+
+
+@then("its target is asked as well and the read is not sent again")
+def step_asked(context):
+    asked = [effect.target.name for effect in context.effects if isinstance(effect, ProbeTarget)]
+    assert context.first in asked, asked
+    assert not sent(context.effects), sent(context.effects)
+
+
+@when("its target does not answer for 0.25 s and the read is looked at again")
+def step_silent(context):
+    context.effects = look_again(context, context.first)
+
+
+@when("its target answers its probe and the read is looked at again after 0.25 s")
+def step_answers(context):
+    context.effects += answer_probes(context, context.effects, context.now + 0.02)
+    context.effects = look_again(context, "")
+
+
+def look_again(context, left_out):
+    """Let 0.35 s pass in which targets but one answer their probes."""
+    effects = []
+    for step in range(18):
+        at = context.now + 0.02 + step * 0.02
+        found = reduce(TimerFired(at, 3), context.state)
+        effects += found + answer_probes(context, found, at + 0.001, left_out)
+    return effects
+
+
+@then("the read is sent to another target")
+def step_elsewhere(context):
+    found = sent(context.effects)
+    assert len(found) == 1 and found[0] != context.first, found
+
+
+@then("no second copy is sent")
+def step_no_copy(context):
+    assert not sent(context.effects), sent(context.effects)
--- a/poplarlane/decisions/hedging.py
+++ b/poplarlane/decisions/hedging.py
@@ -93,11 +93,14 @@
     if type(service.policy) is Measured and request.rounds < HEDGE_ROUND:
         request.rounds = HEDGE_ROUND
         request.probed = []
+        probe_rounds.ask_silent(state, request, first, now, effects)
         request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
         if request.in_round:
             return
     if type(service.policy) is Measured:
-        load = None if service.limits.queued else choose_measured(request, others, now)
+        # A second copy does not take the room that others wait for, unless the first is lost.
+        yields = service.limits.queued and not probe_rounds.is_lost(first, now)
+        load = None if yields else choose_measured(request, others, now)
         if load is None:
             plan_second_look(state, request, now, effects)
             return
--- a/poplarlane/decisions/probe_rounds.py
+++ b/poplarlane/decisions/probe_rounds.py
@@ -26,6 +26,8 @@
 PROBE_LIMIT_S = 0.25
 # A report of this age is as good as a new probe.
 FRESH_S = 0.01
+# A target that holds an overdue request and told nothing for this long is asked if it is there.
+SILENT_S = 0.1
 # Another round follows when the best target takes this multiple of the usual time.
 SECOND_ROUND_RATIO = 1.6
 
@@ -83,6 +85,25 @@
     return True
 
 
+def ask_silent(
+    state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
+) -> None:
+    """Probe the target that holds an overdue request unless it was heard of lately.
+
+    A target that works answers at once; one whose VM is gone does not, and shows it so well before
+    the caller's deadline.
+    """
+    if load.probing or now - load.measured_at < SILENT_S or not load.target.probe_path:
+        return
+    if state.probe_allowance.take(1, now):
+        send_probe(state, request, load, now, effects)
+
+
+def is_lost(load: TargetLoad, now: float) -> bool:
+    """Tell whether the last thing heard of a target is that it does not answer."""
+    return load.consecutive_failures > 0 and load.shed_until > now
+
+
 def send_probe(
     state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
 ) -> None:
