Count a target's failures in the choice, and leave the budget to repeats while targets fail

Change: the expected cost of a failure is added when targets are ordered for probes and chosen, faded over 1.5 s. While 3% of a service's requests need a repeat, second copies take only what a nearly full budget would lose. In a fleet where half of a node's part is below one repeat, one may be saved up; before, none was ever allowed there. Three scenarios in node_decisions fail without the change. node_decisions 33, service_model 12 passed.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -42,6 +42,14 @@
     When its answer comes after the aim
     Then the answer is delivered and logged as late
 
+  Scenario: A target that fails half of its requests at once is not the best for being idle
+    # Guards incident 2fdc: more than half of a service failed at once, so that no target stood out.
+    Given a service with one idle target that failed 4 of 8 requests and one with 2 requests
+    When a read with 300 ms to its aim and 100 ms of work chooses
+    Then it goes to the target with 2 requests
+    When 30 s have passed since the failures and the other one has become slower
+    Then the read goes to the idle target
+
   # Who waits and who is refused.
 
   Scenario: Requests that can meet their aim go first, newer ones before older ones
@@ -68,6 +76,20 @@
     # Guards BUDGET: two fillings per request once allowed 663 extra requests where 653 were allowed.
     Then for 40 drawn loads of 24 nodes, no window of 10 s holds more than 0.2 of its requests + 81 repeats
 
+  Scenario: Second copies leave the budget to repeats while targets fail
+    # Guards incident 2fdc: second copies used up the budget, and reads that had failed were not repeated.
+    Given a budget of 1.5 saved repeats of which 1.2 are left
+    Then a second copy is allowed
+    When 2 of the last 10 requests needed a repeat and 1.2 are left
+    Then a second copy is not allowed and a repeat is
+    When the budget is full again
+    Then a second copy is allowed
+
+  Scenario: A node of a large fleet can repeat, and the fleet stays within the bound
+    # Guards fleets in which half of a node's part is less than one repeat, so that none was allowed.
+    Given 190 nodes that share 300 repeats in a window of 10 s
+    Then each can repeat at once, and all together at most 300 in any window without requests
+
   Scenario: A request never runs on more targets than its route allows
     Given a node state with 4 targets and a read with at most 2 attempts that was sent twice
     When both attempts fail
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -1,6 +1,7 @@
 """Steps about targets, waiting requests and repeats of a node."""
 
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -19,7 +20,9 @@
 )
 from poplarlane.decisions import (
     admission,
+    completion,
     crowding,
+    health,
     limits,
     placing,
     requests,
@@ -45,7 +48,9 @@
 )
 from poplarlane.decisions.probe_allowance import ProbeAllowance
 from poplarlane.decisions.reducer import reduce
-from poplarlane.outcomes import NotRun
+from poplarlane.outcomes import NotRun, ResultCode, Unknown
+
+UNKNOWN = Unknown(ResultCode.OUTCOME_UNKNOWN, "connection reset")
 
 
 @given("a service with one target at pace 5 and one at pace 1 that has 2 requests")
@@ -370,3 +375,95 @@
 @then("no second copy is sent")
 def step_no_copy(context):
     assert not sent(context.effects), sent(context.effects)
+
+
+@given("a service with one idle target that failed 4 of 8 requests and one with 2 requests")
+def step_failing(context):
+    context.failing, context.busy = make_load("failing"), make_load("busy", running=2)
+    for number in range(8):
+        health.observe_answer(context.failing, 0.1, number % 2 == 0, NOW)
+    context.loads = [context.failing, context.busy]
+    context.request = make_request(work_s=0.1, loads=context.loads)
+
+
+@then("it goes to the target with 2 requests")
+def step_goes_busy(context):
+    assert context.chosen is context.busy
+
+
+@when("30 s have passed since the failures and the other one has become slower")
+def step_much_later(context):
+    now = NOW + 30.0
+    request = make_request(now, work_s=0.1, loads=context.loads)
+    for load, running, pace in ((context.failing, 0, 1.0), (context.busy, 2, 1.2)):
+        completion.observe_details(load, running, 0, pace, now)
+    context.chosen = placing.choose_measured(request, context.loads, now)
+
+
+@then("the read goes to the idle target")
+def step_goes_idle(context):
+    assert context.chosen is context.failing
+
+
+@given("a budget of {saved:f} saved repeats of which {left:f} are left")
+def step_saved(context, saved, left):
+    context.budget = retries.retry_budget(0.2)
+    retries.allow_over_time(context.budget, 2.0 * saved, 10.0, NOW)
+    context.budget.tokens = left
+
+
+@then("a second copy is allowed")
+def step_copy_allowed(context):
+    assert may_copy(context.budget)
+
+
+def may_copy(budget):
+    """Ask for a second copy of a read that has time."""
+    read = SimpleNamespace(idempotent=True, attempt=1, deadline=NOW + 1.0)
+    return retries.may_hedge(budget, read, 0.1, NOW)
+
+
+@when("{failed:d} of the last {count:d} requests needed a repeat and {left:f} are left")
+def step_needed(context, failed, count, left):
+    for number in range(count):
+        retries.observe_request(context.budget)
+        if number < failed:
+            retries.decide_retry(context.budget, failed_read(), UNKNOWN, NOW)
+    context.budget.tokens = left
+
+
+def failed_read():
+    """Create a read that may be repeated."""
+    return SimpleNamespace(idempotent=True, attempt=1, retried_below=False, deadline=NOW + 1.0)
+
+
+@then("a second copy is not allowed and a repeat is")
+def step_repeat_only(context):
+    assert not may_copy(context.budget)
+    decision = retries.decide_retry(context.budget, failed_read(), UNKNOWN, NOW)
+    assert decision is retries.RetryDecision.RETRY
+
+
+@when("the budget is full again")
+def step_full(context):
+    context.budget.tokens = context.budget.reserve
+
+
+@given("{nodes:d} nodes that share {most:d} repeats in a window of {window_s:d} s")
+def step_large(context, nodes, most, window_s):
+    context.budgets = [retries.retry_budget(0.2) for _ in range(nodes)]
+    for budget in context.budgets:
+        retries.allow_over_time(budget, most / nodes, window_s, NOW)
+
+
+@then("each can repeat at once, and all together at most {most:d} in any window without requests")
+def step_large_bound(context, most):
+    taken = []
+    for step in range(400):
+        for budget in context.budgets:
+            retries.fill(budget, NOW + step * 0.1)
+            taken.append(retries.take(budget))
+        assert step or all(taken)
+    nodes = len(context.budgets)
+    windows = [sum(taken[begin * nodes : (begin + 100) * nodes]) for begin in range(300)]
+    assert max(windows) <= most, max(windows)
--- a/poplarlane/bench/model_report.py
+++ b/poplarlane/bench/model_report.py
@@ -20,6 +20,7 @@
     Pattern("hidden-slow", slow_targets=5),
     Pattern("shedding", shedding_targets=5),
     Pattern("failing-then-well", length_s=18.0, failing_targets=4, fault_ends_at=9.0),
+    Pattern("half-grey", grey_targets=9),
     Pattern("slow-then-well", length_s=18.0, slow_targets=4, fault_ends_at=9.0),
     Pattern("third-lost", per_s=260.0, lost_targets=5),
     Pattern("cold-join", cold_targets=6),
--- a/poplarlane/bench/model_targets.py
+++ b/poplarlane/bench/model_targets.py
@@ -53,6 +53,7 @@
         "factor",
         "sheds",
         "fails",
+        "grey_share",
         "begun_at",
         "started_at",
     )
@@ -78,6 +79,8 @@
         self.factor = 1.0
         self.sheds = False
         self.fails = False
+        # Share of attempts that fail at once, whatever the load report says.
+        self.grey_share = 0.0
         # When attempts were begun.
         self.begun_at: list[float] = []
         self.started_at = -COLD_S
@@ -92,6 +95,9 @@
         """Start, queue or refuse an attempt."""
         if self.sheds or len(self.waiting) >= self.shape.queue:
             work.done(503)
+        elif self.grey_share and self.draws.random() < self.grey_share:
+            work.begin()
+            work.done(500)
         elif self.running < self.shape.slots:
             self.start(work, now)
         else:
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -55,6 +55,8 @@
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 WARM_UP_S = 2.0
 CALLER_RETRIES = 2
+# Share of its attempts that a grey target fails at once.
+GREY_SHARE = 0.45
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,7 @@
     slow_targets: int = 0
     shedding_targets: int = 0
     failing_targets: int = 0
+    grey_targets: int = 0
     fault_ends_at: float = math.inf
     lost_targets: int = 0
     cold_targets: int = 0
@@ -344,6 +347,8 @@
             self.targets[name].sheds = True
         for name in names[: pattern.failing_targets]:
             self.targets[name].fails = True
+        for name in names[: pattern.grey_targets]:
+            self.targets[name].grey_share = GREY_SHARE
         for name in names[: pattern.lost_targets]:
             self.directory.drop_instance(name.split(".")[0], now)
         for number in range(pattern.cold_targets):
@@ -355,6 +360,7 @@
         """End the faults of the targets that are still there."""
         for target in self.targets.values():
             target.factor = 1.0
+            target.grey_share = 0.0
             target.sheds = target.fails = False
 
     def counts(self, asked: Asked) -> bool:
--- a/poplarlane/decisions/completion.py
+++ b/poplarlane/decisions/completion.py
@@ -17,6 +17,13 @@
 UNKNOWN_PACE = 2.0
 # A target that has just started takes about twice the usual time.
 COLD_FACTOR = 2.0
+# A failed sending costs a read another start and a part of the budget of repeats, and a booking
+# everything; as a multiple of the work.
+FAILURE_COST = 4.0
+# A target that failed is tried again by a request now and then, as its failures fade in this time.
+FAILURE_MEMORY_S = 1.5
+# Lower error rates count as none; otherwise a faded one would still order the targets to be asked.
+LEAST_ERROR_RATE = 0.05
 # Weight of one answer in the estimate of the work of a kind of request.
 WORK_GAIN = 0.1
 # An answer that took longer than this multiple of the estimate says more about the target.
@@ -48,6 +55,18 @@
     return slowed + wait_s + load.distance_s + load.penalty_s
 
 
+def failure_s(load: TargetLoad, work_s: float, now: float) -> float:
+    """Give what the failures of a target cost a request on average, as a time.
+
+    Targets that fail at once look idle in every load report. The comparison with the other targets
+    in the verdicts finds none of them when more than half of a service fails.
+    """
+    if load.error_rate < LEAST_ERROR_RATE:
+        return 0.0
+    rate = load.error_rate * math.exp((load.error_at - now) / FAILURE_MEMORY_S)
+    return FAILURE_COST * work_s * rate if rate >= LEAST_ERROR_RATE else 0.0
+
+
 def has_room(load: TargetLoad, crowding: Crowding, slots: int) -> bool:
     """Tell whether one more request at the target is worth it, by what is known of it."""
     if load.outstanding >= load.connection_share:
--- a/poplarlane/decisions/placing.py
+++ b/poplarlane/decisions/placing.py
@@ -54,6 +54,7 @@
         cost_s = completion.expected_s(load, service.crowding, request.work_s, slots, now)
         if cost_s > limit_s:
             continue
+        cost_s += completion.failure_s(load, request.work_s, now)
         if load.distance_s:
             cost_s += service.policy.transfer_s
         if cost_s < best_s:
--- a/poplarlane/decisions/probe_rounds.py
+++ b/poplarlane/decisions/probe_rounds.py
@@ -33,7 +33,12 @@
 
 
 def candidates_for(
-    service: ServiceState, targets: list[TargetLoad], tried: list[TargetLoad], now: float, draw: int
+    service: ServiceState,
+    targets: list[TargetLoad],
+    tried: list[TargetLoad],
+    work_s: float,
+    now: float,
+    draw: int,
 ) -> list[TargetLoad]:
     """List the targets worth a probe, best guess first."""
     usable = usable_targets(targets, now, draw) or targets
@@ -42,13 +47,13 @@
     start = draw % count if count else 0
     turned = fresh[start:] + fresh[:start]
     slots = service.limits.slots_per_target
-    turned.sort(key=lambda load: rough_cost(load, slots, now))
+    turned.sort(key=lambda load: rough_cost(load, slots, work_s, now))
     return turned
 
 
-def rough_cost(load: TargetLoad, slots: int, now: float) -> float:
+def rough_cost(load: TargetLoad, slots: int, work_s: float, now: float) -> float:
     """Order targets before a probe: near ones first, and those last seen full or failing last."""
-    cost = load.distance_s + load.penalty_s
+    cost = load.distance_s + load.penalty_s + completion.failure_s(load, work_s, now)
     if load.probing:
         cost += load.probing * 0.01
     if now - load.measured_at < 2.0 * completion.PACE_MEMORY_S:
@@ -68,7 +73,8 @@
     """Probe a few targets for a request; false when nothing needs to be waited for."""
     service = request.service
     excluded = request.tried + [attempt.load for attempt in request.attempts]
-    wanted = candidates_for(service, targets, excluded + request.probed, now, draw)
+    excluded += request.probed
+    wanted = candidates_for(service, targets, excluded, request.work_s, now, draw)
     chosen = wanted[:PROBES_PER_ROUND]
     stale = [load for load in chosen if now - load.measured_at > FRESH_S and not load.probing]
     allowed = state.probe_allowance.take(len(stale), now)
--- a/poplarlane/decisions/retries.py
+++ b/poplarlane/decisions/retries.py
@@ -16,6 +16,11 @@
 RETRY_RESERVE = 10.0
 HEDGE_RESERVE = 4.0
 MIN_HEDGE_DELAY_S = 0.001
+# Weight of one request in the share of requests that need a repeat.
+NEED_GAIN = 0.05
+# From this share on, second copies leave the budget to repeats unless it is nearly full.
+NEED_LIMIT = 0.03
+NEARLY_FULL = 0.95
 
 
 class RetryDecision(IntEnum):
@@ -41,10 +46,11 @@
 class Budget:
     """Hold a budget that each first attempt fills by a ratio and each extra request uses.
 
-    `per_s` also fills it over time, from the instant `filled_at` on.
+    `per_s` also fills it over time, from the instant `filled_at` on. `need` is the share of recent
+    requests that needed a repeat, whether the budget allowed it or not.
     """
 
-    __slots__ = ("ratio", "reserve", "tokens", "per_s", "filled_at")
+    __slots__ = ("ratio", "reserve", "tokens", "per_s", "filled_at", "is_timed", "need")
 
     def __init__(self, ratio: float, reserve: float) -> None:
         self.ratio = ratio
@@ -52,6 +58,8 @@
         self.tokens = reserve
         self.per_s = 0.0
         self.filled_at = 0.0
+        self.is_timed = False
+        self.need = 0.0
 
 
 def retry_budget(ratio: float) -> Budget:
@@ -67,13 +75,16 @@
 def allow_over_time(budget: Budget, most: float, window_s: float, now: float) -> None:
     """Allow `most` extra requests in any window beside the ratio.
 
-    Half of it may be saved up and half is filled in over the window, so no window exceeds it.
+    Half of it may be saved up and half is filled in over the window, so no window exceeds it. In a
+    large fleet half of an entry's part is less than one request, and one is saved up instead.
     """
     fill(budget, now)
-    if budget.per_s == 0.0:
-        budget.tokens = most / 2.0
-    budget.reserve = most / 2.0
-    budget.per_s = most / 2.0 / window_s
+    reserve = max(most / 2.0, min(1.0, most))
+    if not budget.is_timed:
+        budget.is_timed = True
+        budget.tokens = reserve
+    budget.reserve = reserve
+    budget.per_s = (most - reserve) / window_s
 
 
 def fill(budget: Budget, now: float) -> None:
@@ -88,6 +99,7 @@
     """Fill the budget for a request that arrived; later attempts of it do not count."""
     if attempt == 1:
         budget.tokens = min(budget.reserve, budget.tokens + budget.ratio)
+        budget.need *= 1.0 - NEED_GAIN
 
 
 def take(budget: Budget) -> bool:
@@ -106,6 +118,7 @@
     if request.retried_below or request.attempt >= MAX_ATTEMPTS or now >= request.deadline:
         return RetryDecision.NO
     fill(budget, now)
+    budget.need = min(1.0, budget.need + NEED_GAIN)
     return RetryDecision.RETRY if take(budget) else RetryDecision.NO_BUDGET
 
 
@@ -124,10 +137,15 @@
 
 
 def may_hedge(budget: Budget, request: Retriable, p95_s: float, now: float) -> bool:
-    """Decide whether to hedge an outstanding read, and use the budget if so."""
+    """Decide whether to hedge an outstanding read, and use the budget if so.
+
+    A repeat turns a failure into an answer, a second copy only a late answer into a timely one.
+    """
     if not request.idempotent or request.attempt > 1:
         return False
     if p95_s <= 0.0 or now >= request.deadline:
         return False
     fill(budget, now)
+    if budget.need >= NEED_LIMIT and budget.tokens < NEARLY_FULL * budget.reserve:
+        return False
     return take(budget)
