Spread the times at which refused callers come back

The spread takes bits 16 to 27 of a draw, and the hash of a small request number has none there. Requests refused on arrival because their time was too short were told nothing. Ruled out: a random source in the reducer; the draw follows from the request's number. Conclusion: the 503 of a node that is not ready yet was spread before and stays.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -61,6 +61,12 @@
     Given a read with an aim of 300 ms, a deadline of 1200 ms and work of 120 ms
     Then it gives up after 360 ms at the latest and before its deadline less its work
 
+  Scenario: Callers that were refused after a wait are told different times to come back
+    # Guards against a wave of returning callers: all were told 0.15 s (found while incident e6ed was read).
+    Given a node state with 4 targets of which none has room
+    When 40 reads arrive and wait in vain
+    Then the times at which they may come back are spread over at least 0.2 s
+
   Scenario Outline: A request that cannot be answered in time is refused on arrival
     Given a read with a deadline of <deadline> ms and work of 120 ms
     Then it is <decision> on arrival
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -194,6 +194,8 @@
 def step_decided(context, decision):
     found = admission.admit(context.request.service, context.request, NOW)
     assert isinstance(found, NotRun) == (decision == "refused"), found
+    # A refusal as not run names when to come back.
+    assert decision == "admitted" or found.retry_after_s > 0.0
 
 
 @then(
@@ -467,3 +469,31 @@
     nodes = len(context.budgets)
     windows = [sum(taken[begin * nodes : (begin + 100) * nodes]) for begin in range(300)]
     assert max(windows) <= most, max(windows)
+
+
+@given("a node state with 4 targets of which none has room")
+def step_no_room(context):
+    context.state = make_state(4)
+    for load in next(iter(context.state.services.values())).loads.values():
+        load.connection_share = 0
+
+
+@when("{count:d} reads arrive and wait in vain")
+def step_in_vain(context, count):
+    context.effects = []
+    for number in range(1, count + 1):
+        asked = ("h.example", "GET", "/x", "", 3_000.0, 1, False)
+        context.effects += reduce(RequestArrived(NOW, 5, number, *asked), context.state)
+    for step in range(1, 200):
+        context.effects += reduce(TimerFired(NOW + step * 0.02, 3), context.state)
+
+
+@then("the times at which they may come back are spread over at least {spread_s:f} s")
+def step_spread(context, spread_s):
+    found = [
+        effect.outcome.retry_after_s
+        for effect in context.effects
+        if isinstance(effect, RefuseRequest)
+    ]
+    assert len(found) == 40, len(found)
+    assert max(found) - min(found) >= spread_s, sorted(found)
--- a/poplarlane/decisions/admission.py
+++ b/poplarlane/decisions/admission.py
@@ -1,7 +1,7 @@
 """Admission by what can still be answered in time, and when a refused caller should return."""
 
 from poplarlane.decisions import limits
-from poplarlane.decisions.entry_state import Request, ServiceState
+from poplarlane.decisions.entry_state import Request, ServiceState, next_draw
 from poplarlane.outcomes import NotRun, ResultCode
 
 # Callers that were refused together come back spread over this range.
@@ -17,5 +17,6 @@
 def admit(service: ServiceState, request: Request, now: float) -> limits.Admit | NotRun:
     """Refuse a request whose work does not fit into the time that it has."""
     if now + request.work_s > request.deadline:
-        return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the deadline cannot be met")
+        after_s = retry_after_s(next_draw(request.request_id))
+        return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the deadline cannot be met", 503, after_s)
     return limits.ADMIT
