Give reads that would fail a second copy later, and leave the budget to those that can be in time

Change: after a denial a read is looked at again when its target may be known as lost (0.3 s), and 2.5 times its work before its deadline; a lost target or the last chance does not yield to repeats. Targets are asked whether they are there before the budget is. 2% in place of 5% of requests serve as trials.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -91,6 +91,15 @@
     When the budget is full again
     Then a second copy is allowed
 
+  Scenario: A read whose second copy the budget denied gets it before it would fail
+    # Guards incident 2fdc: one look at an empty budget ended the chance of a read at a lost target.
+    Given a node state with 4 targets and a read that was sent to one of them
+    And its service has 0.2 repeats left
+    When the read is overdue and is looked at for 0.3 s
+    Then no second copy is sent
+    When its service has 1.2 repeats left and the read's deadline comes near
+    Then the read is sent to another target
+
   Scenario: A node of a large fleet can repeat, and the fleet stays within the bound
     # Guards fleets in which half of a node's part is less than one repeat, so that none was allowed.
     Given 190 nodes that share 300 repeats in a window of 10 s
--- a/features/service_model.feature
+++ b/features/service_model.feature
@@ -27,7 +27,7 @@
 
   Scenario Outline: A target that was avoided during a fault gets its share of requests again
     # Guards capacity after a fault: targets that a node avoided were never tried again by it.
-    When reads are played whole with the policy "measured" under "<pattern>" with seeds 1 to 3
+    When reads are played whole with the policy "measured" under "<pattern>" with seeds 1 to 5
     Then from 5 s after the fault each of its targets begins at least half of an even share
     And during the fault these targets begin at most half of an even share on average
 
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -497,3 +497,23 @@
     ]
     assert len(found) == 40, len(found)
     assert max(found) - min(found) >= spread_s, sorted(found)
+
+
+@given("its service has {left:f} repeats left")
+def step_repeats_left(context, left):
+    context.request.service.retry_budget.tokens = left
+    context.now = NOW + 0.001
+
+
+@when("the read is overdue and is looked at for 0.3 s")
+def step_look(context):
+    context.now += 0.3
+    context.effects = look_again(context, "")
+    context.now += 0.35
+
+
+@when("its service has {left:f} repeats left and the read's deadline comes near")
+def step_last_chance(context, left):
+    context.request.service.retry_budget.tokens = left
+    context.now = context.request.deadline - 3.0 * context.request.work_s
+    context.effects = look_again(context, "")
--- a/features/steps/service_model_steps.py
+++ b/features/steps/service_model_steps.py
@@ -71,11 +71,13 @@
 
 @then("during the fault these targets begin at most half of an even share on average")
 def step_avoided(context):
+    # One seed begins about 25 requests at each target in that time; all are taken together.
+    found = []
     for model in context.models:
         pattern = model.pattern
         # The first second shows the fault.
-        found = shares_of_faulty(model, pattern.length_s / 3.0 + 1.0, pattern.fault_ends_at)
-        assert sum(found) / len(found) <= 0.5, found
+        found += shares_of_faulty(model, pattern.length_s / 3.0 + 1.0, pattern.fault_ends_at)
+    assert sum(found) / len(found) <= 0.5, found
 
 
 @then("no booking ran more than once")
--- a/poplarlane/decisions/hedging.py
+++ b/poplarlane/decisions/hedging.py
@@ -26,8 +26,13 @@
 HEDGE_WORK_RATIO = 1.3
 HEDGE_RESERVE_RATIO = 1.15
 MIN_HEDGE_WORK_RATIO = 0.5
-# How soon a second copy is considered again when no other target is good.
+# How soon a second copy is considered again when no other target is good, or the budget is used up.
 SECOND_LOOK_S = 0.04
+BUDGET_LOOK_S = 0.1
+# A silent target is known as lost by then.
+LOST_LOOK_S = probe_rounds.PROBE_LIMIT_S + 0.05
+# A read without an answer so many times its work before its deadline is about to fail.
+LAST_CHANCE_WORK = 2.5
 # Marks the round of probes of a second copy; a request is sent after two rounds at the most.
 HEDGE_ROUND = 10
 
@@ -90,26 +95,32 @@
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels) or []
     others = [load for load in targets if load is not first]
+    is_lost = probe_rounds.is_lost(first, now)
+    is_urgent = is_lost or now >= last_chance_at(request)
+    if type(service.policy) is Measured:
+        probe_rounds.ask_silent(state, request, first, now, effects)
+        if not retries.allows_hedge(service.hedge_budget, now, is_urgent):
+            plan_after_denial(state, request, is_urgent, now, effects)
+            return
     if type(service.policy) is Measured and request.rounds < HEDGE_ROUND:
         request.rounds = HEDGE_ROUND
         request.probed = []
-        probe_rounds.ask_silent(state, request, first, now, effects)
         request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
         if request.in_round:
             return
     if type(service.policy) is Measured:
         # A second copy does not take the room that others wait for, unless the first is lost.
-        yields = service.limits.queued and not probe_rounds.is_lost(first, now)
+        yields = service.limits.queued and not is_lost
         load = None if yields else choose_measured(request, others, now)
         if load is None:
-            plan_second_look(state, request, now, effects)
+            plan_second_look(state, request, now + SECOND_LOOK_S, effects)
             return
     else:
         load = choose(request, others, now, draw)
         if load is None:
             service.waiting_hedges.append(request)
             return
-    if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
+    if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now, is_urgent):
         return
     request.hedged = True
     if type(service.policy) is Measured:
@@ -119,12 +130,31 @@
     send(state, request, load, now, effects)
 
 
-def plan_second_look(
-    state: EntryState, request: Request, now: float, effects: list[Effect]
+def last_chance_at(request: Request) -> float:
+    """Give the instant from which a read without an answer is about to fail."""
+    return request.deadline - LAST_CHANCE_WORK * request.work_s
+
+
+def plan_after_denial(
+    state: EntryState, request: Request, is_urgent: bool, now: float, effects: list[Effect]
 ) -> None:
-    """Consider the second copy of a read again, because no other target is good at the moment."""
+    """Look again at a read for which the budget has no second copy now.
+
+    Between its first look and its last chance it leaves the budget to reads that can still be
+    answered in time, unless its target turns out to be lost.
+    """
+    if is_urgent:
+        at = now + BUDGET_LOOK_S
+    elif now < request.aim:
+        at = now + LOST_LOOK_S
+    else:
+        at = last_chance_at(request)
+    plan_second_look(state, request, at, effects)
+
+
+def plan_second_look(state: EntryState, request: Request, at: float, effects: list[Effect]) -> None:
+    """Consider the second copy of a read again at a later instant."""
     request.rounds = 0
-    at = now + SECOND_LOOK_S
     if at < request.deadline and add_timer(state, at, TimerKind.HEDGE, request.request_id):
         effects.append(SetTimer(state.timer_at))
 
--- a/poplarlane/decisions/retries.py
+++ b/poplarlane/decisions/retries.py
@@ -136,16 +136,23 @@
     return MIN_HEDGE_DELAY_S if trial else max(MIN_HEDGE_DELAY_S, p95_s)
 
 
-def may_hedge(budget: Budget, request: Retriable, p95_s: float, now: float) -> bool:
-    """Decide whether to hedge an outstanding read, and use the budget if so.
-
-    A repeat turns a failure into an answer, a second copy only a late answer into a timely one.
-    """
+def may_hedge(
+    budget: Budget, request: Retriable, p95_s: float, now: float, is_urgent: bool = False
+) -> bool:
+    """Decide whether to hedge an outstanding read, and use the budget if so."""
     if not request.idempotent or request.attempt > 1:
         return False
     if p95_s <= 0.0 or now >= request.deadline:
         return False
+    return allows_hedge(budget, now, is_urgent) and take(budget)
+
+
+def allows_hedge(budget: Budget, now: float, is_urgent: bool) -> bool:
+    """Tell whether the budget has something for a second copy now.
+
+    A repeat turns a failure into an answer, a second copy only a late answer into a timely one,
+    unless it is urgent.
+    """
     fill(budget, now)
-    if budget.need >= NEED_LIMIT and budget.tokens < NEARLY_FULL * budget.reserve:
-        return False
-    return take(budget)
+    yields = budget.need >= NEED_LIMIT and not is_urgent
+    return budget.tokens >= max(1.0, NEARLY_FULL * budget.reserve if yields else 0.0)
--- a/poplarlane/decisions/trials.py
+++ b/poplarlane/decisions/trials.py
@@ -10,7 +10,7 @@
 TRIAL_SHARE = 0.002
 # A read that serves as a trial of `Measured` gets its second copy early and still meets its aim. An
 # entry of a large fleet has a few requests per second for a service, and three trials must pass.
-MEASURED_TRIAL_SHARE = 0.05
+MEASURED_TRIAL_SHARE = 0.02
 # Faults of targets often end within seconds, and such a trial is cheap.
 MEASURED_TRIAL_WAIT_S = 1.0
 # Trials go on at this interval when there are too few requests for the share.
