Take nothing older from another node after the store has dropped its history; split hedge by policy

Cause: reading the change: a node whose history is gone counts from revision 0 until the store's list arrives. If that took 0.6 s it asked any node, and one that is cut off would have sent targets that have left. Ruled out: asking nobody from then on; a node that announces something newer may still be asked. Change: the revision known before counts. hedge() is split into the measured policy's part and the others'.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -201,6 +201,13 @@
     When the store's list of revision 41 arrives late
     Then the list is left out and the follower stays at revision 42
 
+  Scenario: After the store has dropped its history a node takes nothing older from another node
+    # Guards against targets that had left: such a node lists anew and may ask a node that is cut off.
+    Given a node at revision 50 whose history is gone, and another one at revision 40
+    When the other one sends all it has
+    Then nothing is taken
+    And the node asks nobody while it waits for the store's list
+
   Scenario: Instances that vanish while the store answers only other nodes stay for two seconds
     # Guards against nodes without targets when entries lapse before the node itself is answered again.
     Given a directory with 3 instances
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -396,3 +396,36 @@
 def step_waited(context, first, second):
     found = [round(wait_s * 1000) for wait_s in context.client.waits_s]
     assert found[0] == first and found[1] <= second, found
+
+
+@given("a node at revision {held:d} whose history is gone, and another one at revision {old:d}")
+def step_history_gone(context, held, old):
+    found = {}
+    context.heard = make_relay("node-1", found)
+    make_relay("node-2", found)
+    context.denied, context.served = found["node-1"], found["node-2"]
+    relays.hear_of(context.denied.state, member("node-2", heard_at=clock()))
+    follower = context.denied.followers["kind"]
+    follower.take_changes(held, [])
+    follower.revision = 0
+    assert found["node-2"].followers["kind"].revision == old
+
+
+@when("the other one sends all it has")
+def step_sends_all(context):
+    note = relay_messages.ChangeNote("main", 40, {"version": 1}, None, False)
+    context.denied.handle(relay_messages.Snapshot("kind", 40, [note]))
+
+
+@then("nothing is taken")
+def step_nothing_taken(context):
+    assert not context.heard and context.denied.followers["kind"].revision == 0
+
+
+@then("the node asks nobody while it waits for the store's list")
+def step_asks_nobody(context):
+    start = clock()
+    for step in range(40):
+        context.denied.fill_gaps(start + step * 0.05)
+    assert not context.heard and context.denied.followers["kind"].revision == 0
+    assert not context.denied.state.asked, context.denied.state.asked
--- a/poplarlane/decisions/hedging.py
+++ b/poplarlane/decisions/hedging.py
@@ -19,7 +19,7 @@
 from poplarlane.decisions.placing import choose, choose_measured
 from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.reducer import reduce
-from poplarlane.types import Verdict
+from poplarlane.types import TargetLoad, Verdict
 
 # A second copy of a read is considered after this multiple of its usual work, but early enough
 # that the copy can be answered in time, and never before half of the work.
@@ -95,38 +95,56 @@
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels) or []
     others = [load for load in targets if load is not first]
+    if type(service.policy) is Measured:
+        hedge_measured(state, request, others, now, draw, effects)
+        return
+    load = choose(request, others, now, draw)
+    if load is None:
+        service.waiting_hedges.append(request)
+    elif retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now):
+        send_copy(state, request, load, now, effects)
+
+
+def hedge_measured(
+    state: EntryState,
+    request: Request,
+    others: list[TargetLoad],
+    now: float,
+    draw: int,
+    effects: list[Effect],
+) -> None:
+    """Send a slow read to a second target once the budget, probes and others that wait allow it."""
+    service = request.service
+    first = request.attempts[0].load
     is_lost = probe_rounds.is_lost(first, now)
     is_urgent = is_lost or now >= last_chance_at(request)
-    if type(service.policy) is Measured:
-        probe_rounds.ask_silent(state, request, first, now, effects)
-        if not retries.allows_hedge(service.hedge_budget, now, is_urgent):
-            plan_after_denial(state, request, is_urgent, now, effects)
-            return
-    if type(service.policy) is Measured and request.rounds < HEDGE_ROUND:
+    probe_rounds.ask_silent(state, request, first, now, effects)
+    if not retries.allows_hedge(service.hedge_budget, now, is_urgent):
+        plan_after_denial(state, request, is_urgent, now, effects)
+        return
+    if request.rounds < HEDGE_ROUND:
         request.rounds = HEDGE_ROUND
         request.probed = []
         request.in_round = probe_rounds.start_round(state, request, others, now, draw, effects)
         if request.in_round:
             return
-    if type(service.policy) is Measured:
-        # A second copy does not take the room that others wait for, unless the first is lost.
-        yields = service.limits.queued and not is_lost
-        load = None if yields else choose_measured(request, others, now)
-        if load is None:
-            plan_second_look(state, request, now + SECOND_LOOK_S, effects)
-            return
-    else:
-        load = choose(request, others, now, draw)
-        if load is None:
-            service.waiting_hedges.append(request)
-            return
-    if not retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now, is_urgent):
-        return
-    request.hedged = True
-    if type(service.policy) is Measured:
+    # A second copy does not take the room that others wait for, unless the first is lost.
+    yields = service.limits.queued and not is_lost
+    load = None if yields else choose_measured(request, others, now)
+    if load is None:
+        plan_second_look(state, request, now + SECOND_LOOK_S, effects)
+    elif retries.may_hedge(service.hedge_budget, request, service.health.p95_s, now, is_urgent):
         request_log.request_hedged(state, request, load, effects)
+        send_copy(state, request, load, now, effects)
+
+
+def send_copy(
+    state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
+) -> None:
+    """Send a read a second time."""
+    request.hedged = True
     request.attempt += 1
-    effects.append(Count("hedge_total", 1.0, {"service": service.name}))
+    effects.append(Count("hedge_total", 1.0, {"service": request.service.name}))
     send(state, request, load, now, effects)
 
 
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -119,6 +119,10 @@
         """Ask once for the changes so far."""
         self.enabled.set()
 
+    def known_revision(self) -> int:
+        """Give the newest revision known, also after the store has dropped its history."""
+        return max(self.revision, self.changed_revision)
+
     def take_changes(self, revision: int, changes: list[ObjectChange]) -> None:
         """Apply all changes up to a revision."""
         for change in changes:
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -171,7 +171,8 @@
     def fill_gaps(self, now: float) -> None:
         """Ask another node for what it announced and did not arrive, and then the store as well."""
         for kind, follower in self.followers.items():
-            source = relays.missing_source(self.state, kind, follower.revision, self.draw(), now)
+            known = follower.known_revision()
+            source = relays.missing_source(self.state, kind, known, self.draw(), now)
             if source is None:
                 continue
             log("update_missed", "warning", kind=kind, revision=follower.revision, source=source)
@@ -259,7 +260,7 @@
     @handle.register
     def _(self, message: Snapshot) -> None:
         follower = self.followers.get(message.kind)
-        if follower is None or message.revision <= follower.revision:
+        if follower is None or message.revision <= follower.known_revision():
             return
         items = [stored_object(note) for note in message.objects]
         follower.take_all(message.revision, items)
