Compute the time to come back of a refused request in one place

Cause: admission and the end of a request both mixed the request's number into a draw. Change: admission.return_after_s serves both. Behaviour stays. Ruled out: sharing with refuse_arrival, which has random bits of its own event. Conclusion: none.

--- a/poplarlane/decisions/attempts.py
+++ b/poplarlane/decisions/attempts.py
@@ -16,7 +16,6 @@
     Request,
     RequestState,
     drop_ended_timers,
-    next_draw,
 )
 from poplarlane.decisions.policies import Measured
 from poplarlane.outcomes import NotRun, Refusal, ResultCode, Unknown
@@ -100,8 +99,7 @@
         outcome = Unknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
         certain = False
     if certain and not outcome.retry_after_s:
-        # Request numbers are small; the draw that follows from one has all its bits mixed.
-        after_s = admission.retry_after_s(next_draw(request.request_id))
+        after_s = admission.return_after_s(request)
         outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
     if type(request.service.policy) is Measured:
         request_log.request_refused(state, request, outcome, effects)
