Let requests that can only be late leave a place free, and tell returning callers by their time left

In bursts a late request took the last place of a target that a fresh request at another node needed: 24 queues of 0 to 3 requests order little. Change: the time that first attempts have left is learned per kind (longest seen, and a low quantile of what came), and a request with less counts as under way for the difference; a request that can only be late uses a target only while two places are free there.

--- a/features/load_patterns.feature
+++ b/features/load_patterns.feature
@@ -47,3 +47,24 @@
     When one target has room and the read is sent to it
     And its probes are answered and 0.9 s pass
     Then the read was sent once
+
+  Scenario: Callers that were refused or cut come back beside fresh ones
+    # Guards the seconds after a loss of all nodes: a returning caller's latency objective counts
+    # from its first attempt, but its request was taken for a fresh one and went ahead of those.
+    Given a node whose callers have 2 s left at first
+    When a read with 0.7 s left and one with 2 s left arrive
+    Then the first counts as late, and the other has its whole latency objective
+
+  Scenario: Callers whose deadlines differ by nature
+    # Guards callers with short deadlines from being taken for returning ones for long.
+    Given a node whose callers have between 0.5 s and 2 s left at first
+    When 400 reads of them arrive
+    Then at most 1 in 10 of the last 100 counts as under way
+
+  Scenario: A fleet that is full holds requests that can only be late
+    # Guards fresh requests of other nodes: a late one took the last place of a target from them.
+    Given a target with 1 of 2 usable places taken
+    When a read that can only be late and a fresh one choose
+    Then the late one waits and the fresh one goes there
+    When the target is idle
+    Then the late one goes there
--- a/features/steps/load_pattern_steps.py
+++ b/features/steps/load_pattern_steps.py
@@ -1,5 +1,7 @@
 """Steps for the decisions under the load patterns of heavy days."""
 
+import random
+
 from behave import given, then, when
 
 from features.node_world import (
@@ -11,11 +13,12 @@
     metadata,
     sent,
 )
-from poplarlane.decisions import completion, contention, dispatching
+from poplarlane.decisions import completion, contention, dispatching, queueing, requests
 from poplarlane.decisions.entry_effects import ProbeTarget, SendRequest
 from poplarlane.decisions.entry_events import (
     AttemptSent,
     ProbeAnswered,
+    RequestArrived,
     TimerFired,
 )
 from poplarlane.decisions.reducer import reduce
@@ -198,3 +201,84 @@
 @then("the read was sent once")
 def step_sent_once(context):
     assert len(context.sent) == 1, context.sent
+
+
+def read_with(state, left_s, now=NOW, request_id=1):
+    """Create the request of a read that arrives with a time left."""
+    left_ms = left_s * 1000.0
+    event = RequestArrived(now, 5, request_id, "h.example", "GET", "/x", "", left_ms, 1, False)
+    route = state.routes.find("h.example", "/x")
+    return requests.new_request(event, state.services["reads"], route)
+
+
+@given("a node whose callers have 2 s left at first")
+def step_patient(context):
+    context.state = make_state(2)
+    for number in range(20):
+        read_with(context.state, 2.0, NOW + 0.01 * number)
+
+
+@when("a read with 0.7 s left and one with 2 s left arrive")
+def step_returning(context):
+    context.returning = read_with(context.state, 0.7, NOW + 1.0)
+    context.fresh = read_with(context.state, 2.0, NOW + 1.0)
+
+
+@then("the first counts as late, and the other has its whole latency objective")
+def step_told_apart(context):
+    assert not queueing.can_meet_soft_deadline(context.returning, NOW + 1.0)
+    # The route's objective is 0.5 s, less the time to reach the caller.
+    assert context.fresh.soft_deadline > NOW + 1.0 + 0.48, context.fresh.soft_deadline
+
+
+@given("a node whose callers have between 0.5 s and 2 s left at first")
+def step_varied(context):
+    context.state = make_state(2)
+    context.generator = random.Random(11)
+
+
+@when("{count:d} reads of them arrive")
+def step_many(context, count):
+    context.reads = [
+        (
+            NOW + 0.1 * number,
+            read_with(context.state, context.generator.uniform(0.5, 2.0), NOW + 0.1 * number),
+        )
+        for number in range(count)
+    ]
+
+
+@then("at most 1 in 10 of the last 100 counts as under way")
+def step_few_under_way(context):
+    under_way = [read for now, read in context.reads[-100:] if read.soft_deadline < now + 0.48]
+    assert len(under_way) <= 10, len(under_way)
+
+
+@given("a target with 1 of 2 usable places taken")
+def step_half_full(context):
+    context.load = make_load("half", running=1)
+    context.late = make_request(arrived_at=NOW - 0.4, loads=[context.load])
+    context.fresh = make_request(loads=[context.load])
+    for request in (context.late, context.fresh):
+        request.service.limits.slots_per_target = 2
+
+
+@when("a read that can only be late and a fresh one choose")
+def step_late_and_fresh(context):
+    context.late_choice = dispatching.choose_measured(context.late, [context.load], NOW)
+    context.fresh_choice = dispatching.choose_measured(context.fresh, [context.load], NOW)
+
+
+@then("the late one waits and the fresh one goes there")
+def step_late_waits(context):
+    assert context.late_choice is None and context.fresh_choice is context.load
+
+
+@when("the target is idle")
+def step_idle(context):
+    completion.observe_load_report(context.load, 0, 0, 1.0, NOW)
+
+
+@then("the late one goes there")
+def step_late_goes(context):
+    assert dispatching.choose_measured(context.late, [context.load], NOW) is context.load
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/dispatching.py
@@ -20,6 +20,9 @@
 CROSS_DATA_CENTRE_SHARE = 0.3
 # Interval at which queued requests are checked against the capacity of the targets.
 RECHECK_S = 0.012
+# A request that can only be late leaves this many places of a target to requests in time: their
+# queues are at other nodes, where its own place in the queue says nothing.
+PLACES_KEPT_FREE = 1
 # A load report older than this does not tell whether a target is slow now.
 MAX_REPORT_AGE_S = 0.03
 
@@ -56,15 +59,15 @@
         targets = recent or targets
     slots = service.limits.slots_per_target
     contention.age(service.contention, now)
-    limit_s = (
-        request.soft_deadline - now if queueing.can_meet_soft_deadline(request, now) else math.inf
-    )
+    is_timely = queueing.can_meet_soft_deadline(request, now)
+    limit_s = request.soft_deadline - now if is_timely else math.inf
+    kept_free = 0 if is_timely else PLACES_KEPT_FREE
     limit_s = min(limit_s, MAX_COMPLETION_RATIO * request.service_time_s, request.deadline - now)
     best, best_s = None, math.inf
     for load in targets:
         if load.verdict is Verdict.AVOIDED or load.shed_until > now or load in request.tried:
             continue
-        if not completion.has_capacity(load, service.contention, slots):
+        if not completion.has_capacity(load, service.contention, slots, kept_free):
             continue
         cost_s = completion.expected_completion_s(
             load, service.contention, request.service_time_s, slots, now
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -3,6 +3,7 @@
 import heapq
 from enum import IntEnum
 
+from poplarlane.decisions.caller_patience import CallerPatience
 from poplarlane.decisions.contention import Contention
 from poplarlane.decisions.health import ServiceHealth
 from poplarlane.decisions.labels import InvalidLabels, parse_labels
@@ -83,6 +84,7 @@
         "hedge_budget",
         "pending_hedges",
         "service_time_s",
+        "caller_patience",
         "contention",
         "number",
         "recheck_at",
@@ -110,6 +112,8 @@
         self.pending_hedges: list[Request] = []
         # Estimated service time of a request at normal speed, by kind.
         self.service_time_s: dict[str, float] = {}
+        # How long the callers of each kind wait in total.
+        self.caller_patience: dict[str, CallerPatience] = {}
         self.contention = Contention()
         # Number of the service within this entry, and when its queue is checked for capacity again
         # (0: not scheduled).
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -1,6 +1,14 @@
 """Handlers for request arrival and for callers, and the dispatch of queued requests."""
 
-from poplarlane.decisions import admission, completion, limits, queueing, request_log, retries
+from poplarlane.decisions import (
+    admission,
+    caller_patience,
+    completion,
+    limits,
+    queueing,
+    request_log,
+    retries,
+)
 from poplarlane.decisions.attempts import (
     cancel_attempts,
     enqueue,
@@ -10,6 +18,7 @@
     send,
     unreachable_refusal,
 )
+from poplarlane.decisions.caller_patience import CallerPatience
 from poplarlane.decisions.dispatching import choose, dispatch
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import RefuseCaller, RefuseRequest, SetTimer
@@ -142,7 +151,12 @@
     request.trace_id = event.trace_id
     if route is not None:
         request.arrived_at = event.now
-        request.soft_deadline = event.now + route.latency_objective_s - CALLER_RESERVE_S
+        elapsed_s = 0.0
+        if given_ms is not None:
+            patience = service.caller_patience.setdefault(kind.name, CallerPatience())
+            elapsed_s = caller_patience.elapsed_s(patience, given_ms / 1000.0, event.now)
+        began_at = event.now - elapsed_s
+        request.soft_deadline = began_at + route.latency_objective_s - CALLER_RESERVE_S
         if given_ms is not None:
             request.deadline = min(
                 request.deadline, event.now + given_ms / 1000.0 - CALLER_RESERVE_S
