Listen before a node loads anything else, and let callers wait for its start

Ruled out: the calls to the store (15 ms of a start) and the choice of targets (requests served 20 ms after readiness). Change: the port listens right after the settings are read; the backlog is accepted once the node is ready. A node that is not ready within 0.5 s resets who waits and refuses the next, as before, so that a caller does not wait for a node whose store is away.

--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -172,3 +172,13 @@
     When a caller sends 8 reads one after the other
     Then the metrics count 8 answers of the route "r0" and 8 of the targets of "reads"
     And they show the budgets, the avoided targets and the configuration's version
+
+  Scenario: A caller that connects while a node starts is served
+    # Guards the seconds after a loss of all VMs: connections were reset until the node was ready.
+    When a caller connects to a node that is just starting and sends a read
+    Then the read is answered with status 200, and the connection was older than the node's readiness
+
+  Scenario: A caller does not wait for a node that cannot become ready
+    # Guards callers of a restarted node whose store is away: another node can serve them.
+    When a caller connects to a node that is just starting and cannot reach its store
+    Then its connection is reset, and later ones are refused at once
--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -20,6 +20,8 @@
 TARGET_PORT = 24_100
 ANSWER_LIMIT_S = 10.0
 POLL_S = 0.02
+# A start takes about 0.2 s, of which a poll may miss little.
+CONNECT_POLL_S = 0.001
 SAFE_ROUTE = {"route_type": "safe", "timeout_s": 4.0, "target_latency_s": 0.5, "max_attempts": 2}
 UNSAFE_ROUTE = SAFE_ROUTE | {"route_type": "unsafe"}
 
@@ -56,8 +58,8 @@
         """List the routes of the scenarios."""
         return [("/views/", views, SAFE_ROUTE), ("/bookings/", "books", UNSAFE_ROUTE)]
 
-    def start(self, counts):
-        """Start the stand-in and the node, and wait until the node serves all targets."""
+    def start(self, counts, ready_event="ready"):
+        """Start the stand-in and the node; with None, do not wait for the node."""
         targets = {}
         for service, count in counts.items():
             self.names[service] = [f"{service}-{number}" for number in range(count)]
@@ -74,7 +76,7 @@
                 "configuration": self.configuration(5, self.usual_routes()),
             },
         )
-        self.node = self.launcher.start("poplarlane-node", self.node_settings())
+        self.node = self.launcher.start("poplarlane-node", self.node_settings(), ready_event)
 
     def node_settings(self):
         """Give the settings of the node."""
@@ -161,6 +163,56 @@
     context.rig.start({"reads": reads, "books": books})
 
 
+def connect_early(rig):
+    """Connect to a node that is starting, as soon as its port accepts connections."""
+    until = time.monotonic() + ANSWER_LIMIT_S
+    while time.monotonic() < until:
+        try:
+            return rig.connect()
+        except ConnectionRefusedError:
+            time.sleep(CONNECT_POLL_S)
+    raise AssertionError("no connection was accepted")
+
+
+@when("a caller connects to a node that is just starting and sends a read")
+def step_early_caller(context):
+    context.rig = NodeRig(context.resources.enter_context(Launcher()))
+    context.rig.start({"reads": 1, "books": 1}, ready_event=None)
+    caller = connect_early(context.rig)
+    context.connected_at = time.time()
+    context.answer = context.rig.send("GET", "/views/a", "e1", caller)
+
+
+@then(
+    "the read is answered with status 200, and the connection was older than the node's readiness"
+)
+def step_early_answer(context):
+    assert context.answer[0] == 200, context.answer
+    ready_at = context.rig.node.wait_for("ready").logged_at()
+    assert context.connected_at < ready_at, (context.connected_at, ready_at)
+
+
+@when("a caller connects to a node that is just starting and cannot reach its store")
+def step_early_without_store(context):
+    context.rig = NodeRig(context.resources.enter_context(Launcher()))
+    settings = context.rig.node_settings()
+    context.rig.node = context.rig.launcher.start("poplarlane-node", settings, None)
+    context.caller = connect_early(context.rig)
+
+
+@then("its connection is reset, and later ones are refused at once")
+def step_reset(context):
+    try:
+        assert context.caller.recv(1) == b""
+    except ConnectionResetError:
+        pass
+    try:
+        context.rig.connect()
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the node still accepts connections")
+
+
 @given("targets that work for {work_ms:d} ms")
 def step_work(context, work_ms):
     names = [name for found in context.rig.names.values() for name in found]
--- a/poplarlane/plumbing/acceptor.py
+++ b/poplarlane/plumbing/acceptor.py
@@ -18,7 +18,7 @@
 class Acceptor:
     """Accept connections on a bound, non-blocking socket; `factory` creates their protocols."""
 
-    __slots__ = ("listener", "factory", "loop", "tasks", "listening")
+    __slots__ = ("listener", "factory", "loop", "tasks", "listening", "is_stopped")
 
     def __init__(self, listener: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
         self.listener = listener
@@ -26,6 +26,15 @@
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task] = set()
         self.listening = False
+        self.is_stopped = False
+
+    def drop_waiting(self) -> None:
+        """Reset the connections that wait in the backlog, unless they are already accepted."""
+        if self.listening or self.is_stopped:
+            return
+        address, port = self.listener.getsockname()[:2]
+        self.listener.close()
+        self.listener = bind_listener(address, port)
 
     def start(self) -> None:
         """Start listening and accepting."""
@@ -64,6 +73,7 @@
 
     def stop(self) -> None:
         """Accept all pending connections, then close the listener."""
+        self.is_stopped = True
         if self.listening:
             self.listening = False
             self.loop.remove_reader(self.listener)
@@ -80,3 +90,14 @@
     listener.bind((address, port))
     listener.setblocking(False)
     return listener
+
+
+def listen_early(address: str, port: int) -> socket.socket:
+    """Listen before anything else is loaded; raises OSError.
+
+    Callers that connect while the process starts then wait in the backlog. Without a listener
+    their connections are reset, and after a loss of all VMs they have no other to go to.
+    """
+    listener = bind_listener(address, port)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -1,6 +1,7 @@
 """I/O shell of the entry: turns socket and timer activity into events for the reducer."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
@@ -46,6 +47,9 @@
 if TYPE_CHECKING:
     from poplarlane.traces import Tracer
 
+# Callers may wait this long for a node that is starting; with its store away it takes longer, and
+# they are better off at another node.
+HOLD_CALLERS_S = 0.5
 REPORT_INTERVAL_S = 0.5
 SWEEP_INTERVAL_S = 0.1
 TIMER_RETRY_S = 0.1
@@ -172,18 +176,27 @@
         # Number of responses by result code.
         self.results: dict[int, int] = {}
 
-    async def start(self) -> None:
-        """Bind the port, connect to the agent and start the periodic work."""
+    async def start(self, listener: socket.socket | None = None) -> None:
+        """Bind the port unless it is already, connect to the agent, start the periodic work."""
         settings = self.settings
         self.loop = asyncio.get_running_loop()
         self.stopped = asyncio.Event()
-        listener = bind_listener(settings.listen_address, settings.listen_port)
+        if listener is None:
+            listener = bind_listener(settings.listen_address, settings.listen_port)
+        else:
+            self.loop.call_later(HOLD_CALLERS_S, self.drop_waiting_callers)
         self.acceptor = Acceptor(listener, lambda: CallerConnection(self))
         self.link = self.make_link(self)
         self.link.start()
         self.sweep()
         self.report()
 
+    def drop_waiting_callers(self) -> None:
+        """Reset the callers that wait for an entry that is still not ready."""
+        if not self.state.ready:
+            log("waiting_callers_dropped", "warning")
+        self.acceptor.drop_waiting()
+
     def feed(self, event: EntryEvent) -> None:
         """Process one event, after reporting a pause of this process if there was one."""
         # An attempt that is being sent can no longer be cancelled because of a pause.
--- a/poplarlane/programs/node.py
+++ b/poplarlane/programs/node.py
@@ -7,9 +7,11 @@
 import asyncio
 import gc
 import signal
+import socket
 import sys
 
 from poplarlane.logs import load_eliot, log, start_logging_early
+from poplarlane.plumbing.acceptor import listen_early
 from poplarlane.settings import NodeSettings, checked_settings
 
 # Delays that let the first returning callers be served before the remaining modules are loaded.
@@ -22,10 +24,11 @@
     gc.disable()
     settings, path = checked_settings(NodeSettings, "Run a proxy that watches the store.")
     start_logging_early(settings.log_level, sys.stdout, process=settings.name)
-    asyncio.run(run(settings, path))
+    listener = listen_early(settings.listen_address, settings.listen_port)
+    asyncio.run(run(settings, path, listener))
 
 
-async def run(settings: NodeSettings, path: str) -> None:
+async def run(settings: NodeSettings, path: str, listener: socket.socket) -> None:
     """Serve until the drain is complete."""
     from poplarlane.programs.composition import build_node, make_settings_watch
 
@@ -35,7 +38,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, shell.stop_signalled)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
-    await shell.start()
+    await shell.start(listener)
     watch.start()
     await ready.start(settings.listen_address, settings.ready_port)
     await admin.start(settings.listen_address, settings.admin_port)
