--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -14,6 +14,7 @@
 )
 from poplarlane.programs.ctl.explain_command import ExplainCommand
 from poplarlane.programs.ctl.fleet_commands import StatusCommand, WaitCommand
+from poplarlane.programs.ctl.losses_command import LossesCommand
 from poplarlane.programs.ctl.object_commands import (
     ApplyCommand,
     DiffCommand,
@@ -37,6 +38,7 @@
     StatusCommand,
     WaitCommand,
     TraceCommand,
+    LossesCommand,
 )
 
 
