Learn callers' deadlines from the first requests, then from a quantile; name the parts plainly

Cause: the longest time left that was seen decided; one caller that states 600 s would have made the requests of all others count as under way for a minute, so that they waited for a second free place. Change: the longest time of the first 20 requests after a start, then a 5% quantile that moves by 1% a request. Renamed caller_patience to caller_deadlines and the free place to a reserved slot. Ruled out: a decaying maximum with a cap, which still lets callers with long deadlines decide.

--- a/features/load_patterns.feature
+++ b/features/load_patterns.feature
@@ -61,6 +61,12 @@
     When 400 reads of them arrive
     Then at most 1 in 10 of the last 100 counts as under way
 
+  Scenario: One caller states a very long deadline
+    # Guards the others: their requests would all have counted as under way, and waited.
+    Given a node whose callers have 2 s left at first
+    When one of them states 600 s
+    Then a read with 2 s left has its whole latency objective
+
   Scenario: A fleet that is full holds requests that can only be late
     # Guards fresh requests of other nodes: a late one took the last place of a target from them.
     Given a target with 1 of 2 usable places taken
--- a/features/steps/load_pattern_steps.py
+++ b/features/steps/load_pattern_steps.py
@@ -224,7 +224,7 @@
 @given("a node whose callers have 2 s left at first")
 def step_patient(context):
     context.state = make_state(2)
-    for number in range(20):
+    for number in range(40):
         read_with(context.state, 2.0, NOW + 0.01 * number)
 
 
@@ -241,6 +241,17 @@
     assert context.fresh.soft_deadline > NOW + 1.0 + 0.48, context.fresh.soft_deadline
 
 
+@when("one of them states 600 s")
+def step_very_patient(context):
+    read_with(context.state, 600.0, NOW + 1.0)
+
+
+@then("a read with 2 s left has its whole latency objective")
+def step_whole_objective(context):
+    read = read_with(context.state, 2.0, NOW + 1.1)
+    assert read.soft_deadline > NOW + 1.1 + 0.48, read.soft_deadline
+
+
 @given("a node whose callers have between 0.5 s and 2 s left at first")
 def step_varied(context):
     context.state = make_state(2)
--- a/poplarlane/bench/ablation.py
+++ b/poplarlane/bench/ablation.py
@@ -16,7 +16,7 @@
 from poplarlane.bench.service_model import Pattern, ServiceModel
 from poplarlane.decisions import (
     admission,
-    caller_patience,
+    caller_deadlines,
     completion,
     contention,
     dispatching,
@@ -79,8 +79,8 @@
     Switch("spread of that time", admission, "RETRY_AFTER_SPREAD_S", 0.0),
     Switch("cost of another data centre", dispatching, "CROSS_DATA_CENTRE_SHARE", 0.0),
     Switch("preference of kept connections", probe_rounds, "NEW_CONNECTION_S", 0.0),
-    Switch("late requests leave a place", dispatching, "PLACES_KEPT_FREE", 0),
-    Switch("returning callers told apart", caller_patience, "elapsed_s", lambda *_: 0.0),
+    Switch("late requests leave a place", dispatching, "RESERVED_SLOTS", 0),
+    Switch("returning callers told apart", caller_deadlines, "elapsed_s", lambda *_: 0.0),
     Switch("longer cold starts", completion, "COLD_FACTOR", 1.0),
 )
 
--- a/poplarlane/decisions/completion.py
+++ b/poplarlane/decisions/completion.py
@@ -70,15 +70,15 @@
     return FAILURE_COST * service_time_s * rate if rate >= LEAST_ERROR_RATE else 0.0
 
 
-def has_capacity(load: TargetLoad, contention: Contention, slots: int, kept_free: int = 0) -> bool:
+def has_capacity(load: TargetLoad, contention: Contention, slots: int, reserved: int = 0) -> bool:
     """Return whether the connection share and the best concurrency allow one more request.
 
-    `kept_free` places stay free for requests that are worth more; a single place is never kept.
+    `reserved` places stay free for requests that are worth more; a single place is never kept.
     """
     if load.outstanding >= load.connection_share:
         return False
     usable = best_concurrency(contention, slots)
-    return requests_at_target(load) < max(1, usable - kept_free)
+    return requests_at_target(load) < max(1, usable - reserved)
 
 
 def record_load_report(
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/dispatching.py
@@ -22,7 +22,7 @@
 RECHECK_S = 0.012
 # A request that can only be late leaves this many places of a target to requests in time: their
 # queues are at other nodes, where its own place in the queue says nothing.
-PLACES_KEPT_FREE = 1
+RESERVED_SLOTS = 1
 
 
 def choose(
@@ -60,13 +60,13 @@
     contention.age(service.contention, now)
     is_timely = queueing.can_meet_soft_deadline(request, now)
     limit_s = request.soft_deadline - now if is_timely else math.inf
-    kept_free = 0 if is_timely else PLACES_KEPT_FREE
+    reserved = 0 if is_timely else RESERVED_SLOTS
     limit_s = min(limit_s, MAX_COMPLETION_RATIO * request.service_time_s, request.deadline - now)
     best, best_s = None, math.inf
     for load in targets:
         if load.verdict is Verdict.AVOIDED or load.shed_until > now or load in request.tried:
             continue
-        if not completion.has_capacity(load, service.contention, slots, kept_free):
+        if not completion.has_capacity(load, service.contention, slots, reserved):
             continue
         cost_s = completion.expected_completion_s(
             load, service.contention, service.slowdowns, request.service_time_s, slots, now
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -3,7 +3,7 @@
 import heapq
 from enum import IntEnum
 
-from poplarlane.decisions.caller_patience import CallerPatience
+from poplarlane.decisions.caller_deadlines import CallerDeadlines
 from poplarlane.decisions.contention import Contention
 from poplarlane.decisions.health import ServiceHealth
 from poplarlane.decisions.labels import InvalidLabels, parse_labels
@@ -85,7 +85,7 @@
         "hedge_budget",
         "pending_hedges",
         "service_time_s",
-        "caller_patience",
+        "caller_deadlines",
         "contention",
         "slowdowns",
         "number",
@@ -114,8 +114,8 @@
         self.pending_hedges: list[Request] = []
         # Estimated service time of a request at normal speed, by kind.
         self.service_time_s: dict[str, float] = {}
-        # How long the callers of each kind wait in total.
-        self.caller_patience: dict[str, CallerPatience] = {}
+        # Time that callers give a request at first, by kind.
+        self.caller_deadlines: dict[str, CallerDeadlines] = {}
         self.contention = Contention()
         self.slowdowns = Slowdowns()
         # Number of the service within this entry, and when its queue is checked for capacity again
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -2,7 +2,7 @@
 
 from poplarlane.decisions import (
     admission,
-    caller_patience,
+    caller_deadlines,
     completion,
     limits,
     queueing,
@@ -18,7 +18,7 @@
     send,
     unreachable_refusal,
 )
-from poplarlane.decisions.caller_patience import CallerPatience
+from poplarlane.decisions.caller_deadlines import CallerDeadlines
 from poplarlane.decisions.dispatching import choose, dispatch
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import RefuseCaller, RefuseRequest, SetTimer
@@ -153,8 +153,9 @@
         request.arrived_at = event.now
         elapsed_s = 0.0
         if given_ms is not None:
-            patience = service.caller_patience.setdefault(kind.name, CallerPatience())
-            elapsed_s = caller_patience.elapsed_s(patience, given_ms / 1000.0, event.now)
+            known = service.caller_deadlines.setdefault(kind.name, CallerDeadlines())
+            left_s = min(given_ms, MAX_DEADLINE_MS) / 1000.0
+            elapsed_s = caller_deadlines.elapsed_s(known, left_s)
         began_at = event.now - elapsed_s
         request.soft_deadline = began_at + route.latency_objective_s - CALLER_RESERVE_S
         if given_ms is not None:
