--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -46,6 +46,7 @@
     ResponseMetadata,
     TimerFired,
 )
+from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.probe_allowance import ProbeTokenBucket
 from poplarlane.decisions.reducer import reduce
 from poplarlane.outcomes import NotRun, OutcomeUnknown, ResultCode
@@ -194,7 +195,7 @@
 
 @then("it is {decision} on arrival")
 def step_decided(context, decision):
-    found = admission.admit(context.request.service, context.request, NOW)
+    found = admission.admit(Measured(), context.request.service, context.request, NOW)
     assert isinstance(found, NotRun) == (decision == "refused"), found
     # A refusal as not run names when to come back.
     assert decision == "admitted" or found.retry_after_s > 0.0
--- a/poplarlane/decisions/admission.py
+++ b/poplarlane/decisions/admission.py
@@ -1,7 +1,10 @@
 """Admission control by deadline, and the retry-after time of refused requests."""
 
+from functools import singledispatch
+
 from poplarlane.decisions import limits
 from poplarlane.decisions.entry_state import Request, ServiceState, next_random_value
+from poplarlane.decisions.policies import Measured, Policy
 from poplarlane.outcomes import NotRun, ResultCode
 
 # Retry-after times lie between RETRY_AFTER_S and RETRY_AFTER_S + RETRY_AFTER_SPREAD_S, so that
@@ -23,8 +26,19 @@
     return retry_after_s(next_random_value(request.request_id))
 
 
-def admit(service: ServiceState, request: Request, now: float) -> limits.Admit | NotRun:
-    """Refuse a request whose expected service time exceeds the time to its deadline."""
+@singledispatch
+def admit(
+    policy: Policy, service: ServiceState, request: Request, now: float
+) -> limits.Admit | limits.Queue | NotRun:
+    """Decide whether to send, queue or refuse a request that arrived."""
+    return limits.admit(service.limits, request, now)
+
+
+@admit.register
+def _(
+    policy: Measured, service: ServiceState, request: Request, now: float
+) -> limits.Admit | limits.Queue | NotRun:
+    # Whether a target has capacity is known only after its probe.
     if now + request.service_time_s > request.deadline:
         after_s = request_retry_after_s(request)
         return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the deadline cannot be met", 503, after_s)
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -79,10 +79,7 @@
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
     measured = type(service.policy) is Measured
-    if measured:
-        decision = admission.admit(service, request, event.now)
-    else:
-        decision = limits.admit(service.limits, request, event.now)
+    decision = admission.admit(service.policy, service, request, event.now)
     if isinstance(decision, NotRun):
         refused: list[Effect] = [RefuseRequest(event.request_id, decision, False, state.draining)]
         if measured:
