--- a/features/load_patterns.feature
+++ b/features/load_patterns.feature
@@ -93,6 +93,12 @@
       | 1000     | 80    | 375  |
       | 10000    | 150   | 375  |
 
+  Scenario: A target reports an absurd slowdown once
+    # Guards the mean of all targets of the service, which one malformed report would have set.
+    Given targets at their usual speed that sent 100 reports
+    When one of them reports a slowdown of 1e300
+    Then the slowdown expected of a target without a report stays below 3
+
   Scenario: An avoided target whose trial meets a slow moment of its VM
     # Guards targets that have recovered: three trials in a row fail by chance where a neighbour
     # slows a quarter of them, and each failure doubled the wait for the next.
--- a/features/steps/load_pattern_steps.py
+++ b/features/steps/load_pattern_steps.py
@@ -1,5 +1,6 @@
 """Steps for the decisions under the load patterns of heavy days."""
 
+import math
 import random
 
 from behave import given, then, when
@@ -368,3 +369,20 @@
 @then("the trial has failed")
 def step_failed(context):
     assert (context.load.trials_passed, context.load.trials_failed) == (0, 1)
+
+
+@given("targets at their usual speed that sent 100 reports")
+def step_usual_speed(context):
+    context.slowdowns = slowdowns.Slowdowns()
+    for _ in range(100):
+        slowdowns.observe(context.slowdowns, 1.0, 1.0, 0.1)
+
+
+@when("one of them reports a slowdown of 1e300")
+def step_absurd(context):
+    slowdowns.observe(context.slowdowns, 1.0, 1e300, 0.1)
+
+
+@then("the slowdown expected of a target without a report stays below 3")
+def step_mean_bounded(context):
+    assert slowdowns.expected(context.slowdowns, 1.0, math.inf) < 3.0, context.slowdowns.mean
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -2,11 +2,7 @@
 
 from poplarlane.decisions import completion, health, limits, probe_rounds, queueing, slowdowns
 from poplarlane.decisions.attempts import finish_refused, send, unreachable_refusal
-from poplarlane.decisions.dispatching import (
-    choose,
-    schedule_recheck,
-    send_or_queue,
-)
+from poplarlane.decisions.dispatching import choose, schedule_recheck, send_or_queue
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
 from poplarlane.decisions.entry_state import (
--- a/poplarlane/decisions/slowdowns.py
+++ b/poplarlane/decisions/slowdowns.py
@@ -23,6 +23,8 @@
 MAX_GAP_DURATIONS = 0.5
 # Slowdowns whose ratio is below this count as unchanged.
 CHANGE_RATIO = 1.25
+# A target that reports more counts as this slow; one absurd report must not decide the mean.
+MAX_SLOWDOWN = 20.0
 # Old evidence fades by this factor with each pair of reports.
 KEPT_SHARE = 0.995
 MEAN_GAIN = 0.02
@@ -57,7 +59,7 @@
 
 def observe(slowdowns: Slowdowns, before: float, after: float, gap_s: float) -> None:
     """Learn from two reports of one target, `gap_s` apart."""
-    slowdowns.mean += MEAN_GAIN * (after - slowdowns.mean)
+    slowdowns.mean += MEAN_GAIN * (min(after, MAX_SLOWDOWN) - slowdowns.mean)
     if gap_s <= 0.0 or gap_s > MAX_GAP_DURATIONS * duration_s(slowdowns):
         return
     ratio = max(before, after) / max(min(before, after), 1e-6)
--- a/poplarlane/decisions/trials.py
+++ b/poplarlane/decisions/trials.py
@@ -10,7 +10,7 @@
 TRIAL_SHARE = 0.002
 # Under `Measured`, a read that serves as a trial is hedged early and still meets its latency
 # objective. An entry of a large fleet has only a few requests per second for a service, and three
-# trials must pass.
+# trials must pass; when several targets recover together, each of them needs its own.
 MEASURED_TRIAL_SHARE = 0.1
 # Target faults often end within seconds, and trials under `Measured` are cheap.
 MEASURED_TRIAL_WAIT_S = 1.0
--- a/poplarlane/plumbing/acceptor.py
+++ b/poplarlane/plumbing/acceptor.py
@@ -32,9 +32,10 @@
         """Reset the connections that wait in the backlog, unless they are already accepted."""
         if self.listening or self.is_stopped:
             return
-        address, port = self.listener.getsockname()[:2]
-        self.listener.close()
-        self.listener = bind_listener(address, port)
+        waiting = self.listener
+        # Bound first, so that the port stays this process's even if closing fails.
+        self.listener = bind_listener(*waiting.getsockname()[:2])
+        waiting.close()
 
     def start(self) -> None:
         """Start listening and accepting."""
