Log when a target starts and ends to name a rate limit, and on which kind of response

Nodes wrote nothing about limits, so the logs could not tell whether a node had seen one. The header is decoded into a typed field, kept per target process, logged on start and end, and counted in the gauge rate_limited_targets. Malformed and repeated headers change nothing and are counted. No decision depends on it yet.

--- a/poplarlane/decisions/catalogue.py
+++ b/poplarlane/decisions/catalogue.py
@@ -1,6 +1,6 @@
 """Handler that applies a catalogue of routes, services and targets to an entry."""
 
-from poplarlane.decisions import health
+from poplarlane.decisions import health, statements
 from poplarlane.decisions.directory import Catalogue
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.entry_effects import SetCallerLimits, StartAccepting
@@ -32,6 +32,7 @@
     for service_object in changed:
         apply_service_change(state, service_object, catalogue, event.now, effects)
     state.catalogue.update(catalogue.services)
+    statements.forget_absent(state, event.now)
     set_probe_rate(state, event.now)
     apply_routes(state, catalogue, effects)
     if not state.ready:
--- a/poplarlane/decisions/drain.py
+++ b/poplarlane/decisions/drain.py
@@ -36,6 +36,7 @@
         if load is not None:
             # Observations of the old process do not apply to the new one.
             service.loads[name] = TargetLoad(load.target, load.rtt_s)
+            state.statements[name] = service.loads[name].statements
             update_shares(service, effects)
 
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -129,7 +129,9 @@
     """What the response header fields say about the target; `in_flight` includes queued requests.
 
     A detailed load report also gives the running and queued requests, and the slowdown as a
-    multiple of the normal service time; without one, `running` is None.
+    multiple of the normal service time; without one, `running` is None. `rate_limit_per_s` is the
+    rate that the target takes from all entries together, None if the response names none;
+    `malformed_statements` lists the headers of that kind that could not be parsed.
     """
 
     __slots__ = (
@@ -142,6 +144,8 @@
         "waiting",
         "slowdown",
         "instance",
+        "rate_limit_per_s",
+        "malformed_statements",
     )
 
     def __init__(self) -> None:
@@ -154,6 +158,8 @@
         self.waiting = 0
         self.slowdown = 1.0
         self.instance = ""
+        self.rate_limit_per_s: float | None = None
+        self.malformed_statements: tuple[str, ...] = ()
 
 
 class ProbeAnswered(EntryEvent):
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/entry_state.py
@@ -17,7 +17,7 @@
 from poplarlane.decisions.subsets import TargetGroup
 from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import RequestFailure
-from poplarlane.types import Priority, RequestKind, TargetLoad
+from poplarlane.types import Priority, RequestKind, TargetLoad, TargetStatements
 
 MAX_CACHED_ACCESSES = 1_024
 # Limits the log lines about malformed input, so that a flood of it does not slow other callers.
@@ -301,6 +301,7 @@
         "other_data_centre_s",
         "extra_sends",
         "extra_sends_window_s",
+        "statements",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -358,6 +359,8 @@
         self.extra_sends = 0.0
         self.extra_sends_window_s = 10.0
         self.probe_allowance = ProbeTokenBucket()
+        # What targets said about themselves, by target name.
+        self.statements: dict[str, TargetStatements] = {}
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -1,6 +1,14 @@
 """Handlers for the results of probe rounds, and the choice of a target after a round."""
 
-from poplarlane.decisions import completion, health, limits, probe_rounds, queueing, slowdowns
+from poplarlane.decisions import (
+    completion,
+    health,
+    limits,
+    probe_rounds,
+    queueing,
+    slowdowns,
+    statements,
+)
 from poplarlane.decisions.attempts import finish_refused, send, unreachable_refusal
 from poplarlane.decisions.dispatching import choose, schedule_recheck, send_or_queue
 from poplarlane.decisions.effects import Effect
@@ -15,6 +23,7 @@
 from poplarlane.decisions.hedging import hedge
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests import dispatch_waiting
+from poplarlane.decisions.statements import Source
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad
 
@@ -37,6 +46,7 @@
         health.observe_unreachable(load, event.now)
     else:
         completion.record_load_report(load, probe.request.service.slowdowns, metadata, event.now)
+        statements.observe(state, load, metadata, Source.PROBE, effects)
     end_probe(state, probe.request, event.probe_id, event.now, event.random_value, effects)
     return effects
 
--- a/poplarlane/decisions/responses.py
+++ b/poplarlane/decisions/responses.py
@@ -8,6 +8,7 @@
     request_log,
     retries,
     slowdowns,
+    statements,
 )
 from poplarlane.decisions.attempts import (
     cancel_attempts,
@@ -45,10 +46,12 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.reports import verdict_report
 from poplarlane.decisions.requests import dispatch_waiting
+from poplarlane.decisions.statements import Source
 from poplarlane.outcomes import NotRun, OutcomeUnknown, RequestFailure, ResultCode
 from poplarlane.types import TargetLoad, Verdict
 
 SERVER_ERROR = 500
+MISDIRECTED_REQUEST = 421
 FAILURE_CODES = {
     FailureCause.CLOSED_BEFORE_ANSWER: ResultCode.OUTCOME_UNKNOWN,
     FailureCause.ANSWER_TRUNCATED: ResultCode.ANSWER_TRUNCATED,
@@ -103,6 +106,8 @@
         slowdown = max(attempt.slowdown, metadata.slowdown)
         health.observe_answer(load, latency_s, ok, now, slowdown)
     completion.record_load_report(load, service.slowdowns, metadata, now)
+    if not is_misdirected(metadata):
+        statements.observe(state, load, metadata, Source.RESPONSE, effects)
     if ok and attempt.request.service_time_s:
         update_service_time(attempt, latency_s)
     if ok:
@@ -118,6 +123,11 @@
         effects.append(verdict_report(state, service, changed))
 
 
+def is_misdirected(metadata: ResponseMetadata) -> bool:
+    """Return whether another process than the target sent the response."""
+    return metadata.not_run and metadata.status == MISDIRECTED_REQUEST
+
+
 def update_service_time(attempt: Attempt, latency_s: float) -> None:
     """Update the service time of the request kind, and the contention, from a success."""
     request = attempt.request
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -206,6 +206,7 @@
         ):
             load = TargetLoad(target, 2.0 * delay_s(state, placement.data_centre))
         load.target = target
+        load.statements = state.statements.setdefault(name, load.statements)
         load.leaving = name in state.leaving
         loads[name] = load
     return loads
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -28,5 +28,6 @@
     instance=b"x-instance-id",
     expected_instance=b"x-expected-instance",
     signature=b"x-server-signature",
+    rate_limit=b"server-limit",
     adds_own_headers=False,
 )
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -1,5 +1,6 @@
 """Names of the headers that an entry reads and writes; they differ between deployments."""
 
+import re
 from collections.abc import Callable
 
 from poplarlane.decisions.entry_events import ResponseMetadata
@@ -18,6 +19,8 @@
     }
 )
 MAX_REPORTED_IN_FLIGHT = 1_000_000.0
+# Longer numbers, signs and exponents are not what a target sends.
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class HeaderNames:
@@ -36,6 +39,7 @@
         "instance",
         "expected_instance",
         "signature",
+        "rate_limit",
         "adds_own_headers",
         "request_dropped",
         "response_dropped",
@@ -51,6 +55,7 @@
         instance: bytes = b"",
         expected_instance: bytes = b"",
         signature: bytes = b"",
+        rate_limit: bytes = b"x-rate-limit",
         adds_own_headers: bool = True,
     ) -> None:
         self.request_id = request_id
@@ -61,6 +66,7 @@
         self.instance = instance
         self.expected_instance = expected_instance
         self.signature = signature
+        self.rate_limit = rate_limit
         self.adds_own_headers = adds_own_headers
         # Set by the entry for each attempt, or meant for the entry only.
         dropped = {b"content-length", b"expect", b"x-attempt", b"x-caller-labels", deadline}
@@ -69,6 +75,16 @@
         self.response_dropped = HOP_BY_HOP | {b"content-length", not_run}
 
 
+def read_rate_limit(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
+    """Set the rate limit from a decimal number; a second header line makes the first one void."""
+    is_repeated = metadata.rate_limit_per_s is not None or metadata.malformed_statements
+    if is_repeated or not DECIMAL.fullmatch(value.strip(b" \t")):
+        metadata.rate_limit_per_s = None
+        metadata.malformed_statements = (name.decode("latin-1"),)
+        return
+    metadata.rate_limit_per_s = float(value)
+
+
 def read_in_flight(metadata: ResponseMetadata, value: bytes) -> None:
     """Set `notes.in_flight` from `in_flight=N;queued=N`; a malformed report is ignored."""
     metadata.in_flight = parse_load(value)
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -9,7 +9,7 @@
 
 from poplarlane.decisions.entry_events import ResponseMetadata
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
-from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames, read_rate_limit
 
 HEAD_END = b"\r\n\r\n"
 # The captured value is empty for a line without a colon.
@@ -267,6 +267,8 @@
             continue
         if lower == names.load:
             names.read_load(metadata, value)
+        elif lower == names.rate_limit:
+            read_rate_limit(metadata, lower, value)
         elif lower == b"x-leaving":
             metadata.leaving = value == b"1"
         elif lower == names.request_id:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -283,6 +283,10 @@
         metrics.set("queued_requests", {"service": name}, service.limits.queued)
         avoided = sum(load.verdict is Verdict.AVOIDED for load in service.loads.values())
         metrics.set("avoided_targets", {"service": name}, avoided)
+        limited = sum(
+            load.statements.rate_limit_per_s is not None for load in service.loads.values()
+        )
+        metrics.set("rate_limited_targets", {"service": name}, limited)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
     routes = shell.state.routes
     if routes is not None:
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -95,6 +95,23 @@
         self.probe_path = probe_path
 
 
+class TargetStatements:
+    """What a target process says about itself in its responses, in force until it is withdrawn.
+
+    A statement binds a node without the store, so it outlives changes of the catalogue.
+    """
+
+    __slots__ = ("rate_limit_per_s", "is_limit_on_probes", "heard_at")
+
+    def __init__(self) -> None:
+        # Requests per second that the target takes from all nodes together; None without a limit.
+        self.rate_limit_per_s: float | None = None
+        # Whether responses to probes carry the limit too; only then does one without it end it.
+        self.is_limit_on_probes = False
+        # Instant of the last response that made a statement.
+        self.heard_at = -math.inf
+
+
 class TargetLoad:
     """Load and health of one target as seen by one entry.
 
@@ -147,6 +164,7 @@
         "sent_since_measured",
         "cold_until",
         "probes_in_flight",
+        "statements",
     )
 
     def __init__(self, target: Target, rtt_s: float = 0.0) -> None:
@@ -209,6 +227,7 @@
         # End of the target's warm-up after its start.
         self.cold_until = 0.0
         self.probes_in_flight = 0
+        self.statements = TargetStatements()
 
 
 class MemberFact:
