--- a/poplarlane/bench/model_targets.py
+++ b/poplarlane/bench/model_targets.py
@@ -54,6 +54,7 @@
         "sheds",
         "fails",
         "grey_share",
+        "rate_limit_per_s",
         "begun_at",
         "started_at",
     )
@@ -81,6 +82,8 @@
         self.fails = False
         # Share of attempts that fail at once, whatever the load report says.
         self.grey_share = 0.0
+        # Rate that it names in its answers, for all nodes together; None while it names none.
+        self.rate_limit_per_s: float | None = None
         # When attempts were begun.
         self.begun_at: list[float] = []
         self.started_at = -COLD_S
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
+from poplarlane.bench.arrival_record import ArrivalRecord
 from poplarlane.bench.model_targets import ModelTarget, TargetShape, Work
 from poplarlane.decisions.directory import (
     Configuration,
@@ -77,6 +78,8 @@
     fault_ends_at: float = math.inf
     lost_targets: int = 0
     cold_targets: int = 0
+    limited_targets: int = 0
+    rate_limit_per_s: float = 0.0
     idempotent: bool = True
     shape: TargetShape = field(default_factory=TargetShape)
 
@@ -161,6 +164,7 @@
         found.waiting = len(target.waiting)
         found.in_flight = float(target.running + len(target.waiting))
         found.slowdown = target.slowdown
+        found.rate_limit_per_s = target.rate_limit_per_s
         return found
 
     @singledispatchmethod
@@ -179,6 +183,8 @@
             found = self.metadata(target, status)
 
             def deliver(at: float) -> None:
+                if found.rate_limit_per_s is not None:
+                    model.arrivals.record_statement(target.name, self.state.name, at)
                 self.works.pop(effect.attempt_id, None)
                 random_value = model.generator.getrandbits(64)
                 self.feed(ResponseCompleted(at, random_value, effect.attempt_id, found))
@@ -193,6 +199,7 @@
         work = Work(model.pattern.service_time_s, begin, done)
         self.works[effect.attempt_id] = (target, work)
         model.outcome.sends += now >= WARM_UP_S
+        model.arrivals.record(target.name, self.state.name, now + delay_s)
         model.schedule(now + delay_s, lambda at: target.arrive(work, at))
 
     @execute.register
@@ -254,6 +261,7 @@
         # as not run.
         self.runs: Counter[tuple[str, int]] = Counter()
         self.said_not_run: set[tuple[str, int]] = set()
+        self.arrivals = ArrivalRecord()
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.sequence = 0
@@ -349,6 +357,8 @@
             self.targets[name].fails = True
         for name in names[: pattern.grey_targets]:
             self.targets[name].grey_share = GREY_SHARE
+        for name in names[: pattern.limited_targets]:
+            self.targets[name].rate_limit_per_s = pattern.rate_limit_per_s
         for name in names[: pattern.lost_targets]:
             self.directory.remove_instance(name.split(".")[0], now)
         for number in range(pattern.cold_targets):
@@ -362,6 +372,7 @@
             target.factor = 1.0
             target.grey_share = 0.0
             target.sheds = target.fails = False
+            target.rate_limit_per_s = None
 
     def counts(self, asked: Asked) -> bool:
         """Tell whether a request came after the start, in which nothing is known."""
