Keep to the rates that targets name: each node takes an equal part, by permits that lapse

What callers saw: little; targets in need got up to one and a half times what they allow (LIMIT). Cause: no part of a node read the header, and a node that had kept to a rate by itself would have been one of 24 or 218 that each do. Class of fault: a limit for the whole fleet applied per node or not at all. Change: a node may send a limited target one request at even intervals of nodes / (0.7 x rate), with a random start; a permit lapses after 1 s, so idle nodes save up nothing. A node also adapts its parts when it hears of more nodes than it began with.

--- a/poplarlane/decisions/attempts.py
+++ b/poplarlane/decisions/attempts.py
@@ -1,6 +1,6 @@
 """Sending, queueing, cancelling and finishing requests."""
 
-from poplarlane.decisions import admission, health, limits, request_log
+from poplarlane.decisions import admission, health, limits, rate_limits, request_log
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_effects import (
     CancelAttempt,
@@ -38,6 +38,7 @@
     request.pending_probes.clear()
     health.observe_sent(load, attempt_id, now)
     load.sent_since_measured += 1
+    rate_limits.take_permit(load, now)
     effects.append(
         SendRequest(
             request.request_id,
--- a/poplarlane/decisions/catalogue.py
+++ b/poplarlane/decisions/catalogue.py
@@ -80,9 +80,6 @@
     previous = dict(current.loads) if current is not None else {}
     apply_service(state, service_object, b"")
     service = state.services[service_object.service]
-    if current is None:
-        service.number = len(state.services_by_number) + 1
-        state.services_by_number[service.number] = service
     removed = [
         load.target for name, load in previous.items() if service.loads.get(name) is not load
     ]
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/dispatching.py
@@ -2,14 +2,24 @@
 
 import math
 
-from poplarlane.decisions import completion, contention, limits, probe_rounds, queueing, slowdowns
-from poplarlane.decisions.attempts import enqueue, send
+from poplarlane.decisions import (
+    admission,
+    completion,
+    contention,
+    limits,
+    probe_rounds,
+    queueing,
+    rate_limits,
+    slowdowns,
+)
+from poplarlane.decisions.attempts import enqueue, finish_refused, send
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_effects import SetTimer
 from poplarlane.decisions.entry_state import EntryState, Request, ServiceState, TimerKind, add_timer
 from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.routing import choose_target
 from poplarlane.decisions.trials import take_due_trial
+from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad, Verdict
 
 # A target is not used if the expected completion time there exceeds this multiple of the service
@@ -33,7 +43,8 @@
     bounds = service.limits
     if type(service.policy) is Measured:
         return choose_measured(request, targets, now)
-    available = limits.targets_with_capacity(bounds, targets)
+    permitted = [load for load in targets if rate_limits.has_permit(load, now)]
+    available = limits.targets_with_capacity(bounds, permitted)
     if request.tried:
         tried = request.tried
         available = [load for load in available if load not in tried] or available
@@ -68,6 +79,8 @@
             continue
         if not completion.has_capacity(load, service.contention, slots, reserved):
             continue
+        if not rate_limits.has_permit(load, now):
+            continue
         cost_s = completion.expected_completion_s(
             load, service.contention, service.slowdowns, request.service_time_s, slots, now
         )
@@ -91,8 +104,13 @@
 ) -> None:
     """Probe targets and choose once they have answered, or choose immediately.
 
-    A first attempt may serve as the trial of an avoided target, which is then not probed.
+    A first attempt may serve as the trial of an avoided target, which is then not probed. A request
+    for which no target may be sent anything in time is refused at once.
     """
+    refusal = rate_refusal(request, targets, now)
+    if refusal is not None:
+        finish_refused(state, request, refusal, effects)
+        return
     if not request.tried and not request.service.limits.held:
         policy = request.service.policy
         trial = take_due_trial(policy, targets, now, random_value, request.idempotent)
@@ -108,6 +126,15 @@
         send_or_queue(state, request, targets, now, effects)
 
 
+def rate_refusal(request: Request, targets: list[TargetLoad], now: float) -> NotRun | None:
+    """Return the refusal of a request that the rates of its targets leave no room for in time."""
+    permit_at = rate_limits.first_permit_at(targets, now)
+    if permit_at <= max(now, queueing.give_up_at(request)):
+        return None
+    after_s = permit_at - now + admission.request_retry_after_s(request)
+    return NotRun(ResultCode.RATE_LIMITED, "the targets' rates are used up", 503, after_s)
+
+
 def send_or_queue(
     state: EntryState,
     request: Request,
@@ -139,8 +166,28 @@
     state: EntryState, service: ServiceState, now: float, effects: list[Effect]
 ) -> None:
     """Schedule the next check whether a target has capacity for queued requests."""
+    recheck_at(state, service, now + RECHECK_S, now, effects)
+
+
+def await_permits(
+    state: EntryState, service: ServiceState, now: float, effects: list[Effect]
+) -> None:
+    """Schedule a check of the queue for when the rate of a target next leaves room.
+
+    Under policies without probes nothing else would wake requests that wait while no target works.
+    """
+    permits = [rate_limits.next_permit_at(load, now) for load in service.limits.loads]
+    later = [at for at in permits if at > now]
+    if later and service.limits.queued:
+        recheck_at(state, service, min(later), now, effects)
+
+
+def recheck_at(
+    state: EntryState, service: ServiceState, at: float, now: float, effects: list[Effect]
+) -> None:
+    """Set the time of the next check of the queue unless one is scheduled."""
     if service.recheck_at > now:
         return
-    service.recheck_at = now + RECHECK_S
+    service.recheck_at = at
     if add_timer(state, service.recheck_at, TimerKind.RECHECK, service.number):
         effects.append(SetTimer(state.timer_at))
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -10,7 +10,7 @@
     statements,
 )
 from poplarlane.decisions.attempts import finish_refused, send, unreachable_refusal
-from poplarlane.decisions.dispatching import choose, schedule_recheck, send_or_queue
+from poplarlane.decisions.dispatching import await_permits, choose, schedule_recheck, send_or_queue
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
 from poplarlane.decisions.entry_state import (
@@ -21,6 +21,8 @@
     reachable_targets,
 )
 from poplarlane.decisions.hedging import hedge
+from poplarlane.decisions.policies import Measured
+from poplarlane.decisions.rate_limits import first_permit_at
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests import dispatch_waiting
 from poplarlane.decisions.statements import Source
@@ -46,7 +48,7 @@
         health.observe_unreachable(load, event.now)
     else:
         completion.record_load_report(load, probe.request.service.slowdowns, metadata, event.now)
-        statements.observe(state, load, metadata, Source.PROBE, effects)
+        statements.observe(state, load, metadata, Source.PROBE, event.random_value, effects)
     end_probe(state, probe.request, event.probe_id, event.now, event.random_value, effects)
     return effects
 
@@ -155,8 +157,11 @@
 ) -> None:
     """Probe targets again for the first requests of a queue."""
     service.recheck_at = 0.0
-    for request in queueing.dispatch_order(service, now)[:MAX_QUEUED_PROBING]:
+    measured = type(service.policy) is Measured
+    for request in queueing.dispatch_order(service, now)[:MAX_QUEUED_PROBING] if measured else []:
         targets = reachable_targets(service, request.labels)
+        if targets and first_permit_at(targets, now) > now:
+            continue
         if targets and not request.awaiting_probes:
             request.probe_round = service.policy.max_probe_rounds
             request.probed = []
@@ -164,5 +169,7 @@
                 state, request, targets, now, random_value, effects
             )
     dispatch_waiting(state, service, now, random_value, effects)
-    if service.limits.queued:
+    if service.limits.queued and measured:
         schedule_recheck(state, service, now, effects)
+    else:
+        await_permits(state, service, now, effects)
--- /dev/null
+++ b/poplarlane/decisions/rate_limits.py
@@ -0,0 +1,70 @@
+"""This node's part of the request rates that targets name for all nodes together.
+
+A node knows only its own requests, so each takes an equal part of a target's rate, as it does of
+connections and probes. A part may be one request in a minute. The right to send one request (a
+permit) therefore comes at even intervals with a random start and lapses soon: permits that idle
+nodes saved up would allow the fleet a request per node at once, many times the rate.
+"""
+
+import math
+from collections.abc import Iterable
+
+from poplarlane.types import TargetLoad, TargetStatements
+
+# Share of a rate that the nodes use. The rest covers the variation of a sum over many nodes whose
+# permits come at random times, and targets' own counting.
+USED_SHARE = 0.7
+# A permit that was not used by then lapses.
+PERMIT_VALID_S = 1.0
+# Lower rates count as this, so that a target that names 0 is tried again by some node.
+MIN_RATE_PER_S = 0.05
+RANDOM_RANGE = 1 << 32
+
+
+def set_rate(found: TargetStatements, rate_per_s: float, nodes: int, random_value: int) -> None:
+    """Take a rate into force, or change it; the wait for the next permit is adapted."""
+    interval_s = nodes / (USED_SHARE * max(MIN_RATE_PER_S, rate_per_s))
+    if found.rate_limit_per_s is None:
+        # A random start spreads the permits of nodes that hear of the rate at the same time.
+        found.next_permit_at = found.heard_at + interval_s * random_share(random_value)
+    elif interval_s != found.permit_interval_s:
+        wait_s = max(0.0, found.next_permit_at - found.heard_at)
+        found.next_permit_at = found.heard_at + wait_s * interval_s / found.permit_interval_s
+    found.rate_limit_per_s = rate_per_s
+    found.permit_interval_s = interval_s
+
+
+def random_share(random_value: int) -> float:
+    """Return a number from 0 to 1 from 64 random bits."""
+    return (random_value >> 16) % RANDOM_RANGE / RANDOM_RANGE
+
+
+def next_permit_at(load: TargetLoad, now: float) -> float:
+    """Return the instant of the first permit that has not lapsed; past instants mean now."""
+    found = load.statements
+    if found.rate_limit_per_s is None:
+        return now
+    lapsed_s = now - PERMIT_VALID_S - found.next_permit_at
+    if lapsed_s > 0.0:
+        found.next_permit_at += found.permit_interval_s * math.ceil(
+            lapsed_s / found.permit_interval_s
+        )
+    return found.next_permit_at
+
+
+def has_permit(load: TargetLoad, now: float) -> bool:
+    """Return whether this node may send the target a request now."""
+    return load.statements.rate_limit_per_s is None or next_permit_at(load, now) <= now
+
+
+def take_permit(load: TargetLoad, now: float) -> None:
+    """Use a permit for a request that is being sent."""
+    if load.statements.rate_limit_per_s is not None:
+        load.statements.next_permit_at = (
+            next_permit_at(load, now) + load.statements.permit_interval_s
+        )
+
+
+def first_permit_at(loads: Iterable[TargetLoad], now: float) -> float:
+    """Return the earliest instant at which one of the targets may be sent a request."""
+    return min((next_permit_at(load, now) for load in loads), default=now)
--- a/poplarlane/decisions/relays.py
+++ b/poplarlane/decisions/relays.py
@@ -54,6 +54,9 @@
 # Pause between calls of a non-candidate to a store that does not answer, per node of its data
 # centre. This gives about 12 calls/s per kind and data centre, whatever the number of nodes.
 FALLBACK_PAUSE_PER_NODE_S = 0.08
+# Shares of connections, probes, repeats and rates are adapted when the number of nodes changes by
+# more than this; each time costs a pass over all services.
+RESIZE_SHARE = 0.1
 
 
 class Member:
@@ -372,3 +375,8 @@
 def fleet_size(state: RelayState, expected: int) -> int:
     """Return the number of nodes, at least `expected`, because lists may be incomplete."""
     return max(expected, len(state.members) + 1, state.reported_fleet_size)
+
+
+def is_fleet_resized(applied: int, known: int) -> bool:
+    """Return whether the known number of nodes differs so much that shares have to be adapted."""
+    return abs(known - applied) > RESIZE_SHARE * applied
--- a/poplarlane/decisions/responses.py
+++ b/poplarlane/decisions/responses.py
@@ -19,7 +19,7 @@
     remove_request,
     send,
 )
-from poplarlane.decisions.dispatching import choose, dispatch
+from poplarlane.decisions.dispatching import await_permits, choose, dispatch, rate_refusal
 from poplarlane.decisions.drain import mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
@@ -69,7 +69,7 @@
     request = attempt.request
     metadata = event.metadata
     effects: list[Effect] = []
-    observe_response(state, attempt, metadata, event.now, effects)
+    observe_response(state, attempt, metadata, event.now, event.random_value, effects)
     end_attempt(state, attempt)
     if request.streaming is attempt:
         effects.append(FinishStream(request.request_id, attempt.attempt_id))
@@ -94,6 +94,7 @@
     attempt: Attempt,
     metadata: ResponseMetadata,
     now: float,
+    random_value: int,
     effects: list[Effect],
 ) -> None:
     """Update the health and load estimates of the target and its service from a response."""
@@ -107,7 +108,7 @@
         health.observe_answer(load, latency_s, ok, now, slowdown)
     completion.record_load_report(load, service.slowdowns, metadata, now)
     if not is_misdirected(metadata):
-        statements.observe(state, load, metadata, Source.RESPONSE, effects)
+        statements.observe(state, load, metadata, Source.RESPONSE, random_value, effects)
     if ok and attempt.request.service_time_s:
         update_service_time(attempt, latency_s)
     if ok:
@@ -271,7 +272,7 @@
     service = request.service
     targets = reachable_targets(service, request.labels)
     decision = retries.RetryDecision.NO
-    if targets:
+    if targets and rate_refusal(request, targets, now) is None:
         decision = retries.decide_retry(service.retry_budget, request, outcome, now)
     if request.max_attempts and request.sends >= request.max_attempts:
         decision = retries.RetryDecision.NO
@@ -294,6 +295,7 @@
         send(state, request, load, now, effects)
     else:
         enqueue(state, request, effects)
+        await_permits(state, service, now, effects)
     return True
 
 
--- a/poplarlane/decisions/statements.py
+++ b/poplarlane/decisions/statements.py
@@ -7,6 +7,7 @@
 
 from enum import StrEnum
 
+from poplarlane.decisions import rate_limits
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_events import ResponseMetadata
 from poplarlane.decisions.entry_state import EntryState
@@ -30,6 +31,7 @@
     load: TargetLoad,
     metadata: ResponseMetadata,
     source: Source,
+    random_value: int,
     effects: list[Effect],
 ) -> None:
     """Record what a response says about its target; malformed statements change nothing."""
@@ -38,7 +40,8 @@
         fields = {"target": load.target.name, "header": name, "source": source.value}
         append_line(state, "malformed_statement", "warning", fields, effects)
     if not metadata.malformed_statements:
-        observe_rate_limit(state, load, metadata.rate_limit_per_s, source, effects)
+        limit_per_s = metadata.rate_limit_per_s
+        observe_rate_limit(state, load, limit_per_s, source, random_value, effects)
 
 
 def observe_rate_limit(
@@ -46,6 +49,7 @@
     load: TargetLoad,
     limit_per_s: float | None,
     source: Source,
+    random_value: int,
     effects: list[Effect],
 ) -> None:
     """Start, change or end the target's rate limit."""
@@ -59,11 +63,17 @@
         fields = {"target": load.target.name, "source": source.value}
         append_line(state, "rate_limit_ended", "info", fields, effects)
         return
-    found.rate_limit_per_s = limit_per_s
     found.is_limit_on_probes = found.is_limit_on_probes or source is Source.PROBE
     found.heard_at = state.now
+    rate_limits.set_rate(found, limit_per_s, state.fleet_entries, random_value)
     if before is None:
-        fields = {"target": load.target.name, "source": source.value, "limit_per_s": limit_per_s}
+        fields = {
+            "target": load.target.name,
+            "source": source.value,
+            "limit_per_s": limit_per_s,
+            "nodes": state.fleet_entries,
+            "interval_s": round(found.permit_interval_s, 3),
+        }
         append_line(state, "rate_limit_started", "info", fields, effects)
 
 
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/views.py
@@ -140,6 +140,9 @@
     service = state.services.get(service_object.service) or ServiceState(service_object.service)
     is_new = service.revision == 0
     state.services[service_object.service] = service
+    if is_new and not service.number:
+        service.number = len(state.services_by_number) + 1
+        state.services_by_number[service.number] = service
     service.revision = service_object.revision
     service.body = body
     service.deleted = service_object.deleted
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -5,7 +5,7 @@
 
 from poplarlane.decisions.directory import Configuration, Directory, InstanceRecord
 from poplarlane.decisions.entry_events import CatalogueChanged
-from poplarlane.decisions.relays import CONFIRMATION_TIMEOUT_S, fleet_size
+from poplarlane.decisions.relays import CONFIRMATION_TIMEOUT_S, fleet_size, is_fleet_resized
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport
@@ -207,9 +207,18 @@
         """Drop targets that did not return after an outage of the store."""
         self.shell.loop.call_later(EXPIRY_CHECK_INTERVAL_S, self.check_expired_targets)
         has_expired = self.directory.purge_expired(self.shell.now())
-        if has_expired or (self.listed_at and not self.shell.state.ready):
+        is_waiting = self.listed_at and not self.shell.state.ready
+        # A new node hears of the others after it began to serve with the least number of nodes.
+        is_resized = is_fleet_resized(self.shell.state.fleet_entries, self.known_fleet())
+        if has_expired or is_waiting or is_resized:
             self.publish()
 
+    def known_fleet(self) -> int:
+        """Return the number of nodes, as far as this node knows."""
+        if self.relay is None:
+            return self.fleet_entries
+        return fleet_size(self.relay.state, self.fleet_entries)
+
     def may_serve(self) -> bool:
         """Return whether all kinds are known to be current, or confirming that timed out."""
         if not self.listed_at:
@@ -221,10 +230,7 @@
     def publish(self, is_confirmed: bool = False) -> None:
         """Pass the catalogue to the entry once both kinds may be served."""
         catalogue = self.directory.catalogue()
-        if self.relay is not None:
-            fleet = fleet_size(self.relay.state, self.fleet_entries)
-        else:
-            fleet = self.fleet_entries
+        fleet = self.known_fleet()
         if catalogue is None or not self.may_serve():
             return
         shell = self.shell
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -101,11 +101,20 @@
     A statement binds a node without the store, so it outlives changes of the catalogue.
     """
 
-    __slots__ = ("rate_limit_per_s", "is_limit_on_probes", "heard_at")
+    __slots__ = (
+        "rate_limit_per_s",
+        "permit_interval_s",
+        "next_permit_at",
+        "is_limit_on_probes",
+        "heard_at",
+    )
 
     def __init__(self) -> None:
         # Requests per second that the target takes from all nodes together; None without a limit.
         self.rate_limit_per_s: float | None = None
+        # Under a limit, this node may send one request at a time, at instants this far apart.
+        self.permit_interval_s = 0.0
+        self.next_permit_at = -math.inf
         # Whether responses to probes carry the limit too; only then does one without it end it.
         self.is_limit_on_probes = False
         # Instant of the last response that made a statement.
