--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -207,9 +207,10 @@
         """Drop targets that did not return after an outage of the store."""
         self.shell.loop.call_later(EXPIRY_CHECK_INTERVAL_S, self.check_expired_targets)
         has_expired = self.directory.purge_expired(self.shell.now())
-        is_waiting = self.listed_at and not self.shell.state.ready
+        state = self.shell.state
+        is_waiting = self.listed_at and not state.ready
         # A new node hears of the others after it began to serve with the least number of nodes.
-        is_resized = is_fleet_resized(self.shell.state.fleet_entries, self.known_fleet())
+        is_resized = state.ready and is_fleet_resized(state.fleet_entries, self.known_fleet())
         if has_expired or is_waiting or is_resized:
             self.publish()
 
