Log when the store has come back from a copy, with the revision held at that time

The logs could not tell to which restoration of the store an answer belongs. Responses of the store keep their headers, the adapter reads the era from them, and a follower logs each change of it. No decision depends on it yet.

--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -10,6 +10,9 @@
 CONFIGURATION_KIND = "config"
 INSTANCES_KIND = "servers"
 GONE_STATUS = 410
+# Rises by one each time the store comes back from a copy that misses acknowledged writes.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 4
 
 
 class ObjectMetadata(msgspec.Struct):
@@ -72,6 +75,12 @@
     return f"{OBJECTS_PATH}{quote(kind)}?watch={revision}&wait_ms={wait_ms}"
 
 
+def era_of(headers: dict[bytes, bytes]) -> int | None:
+    """Return which restoration of the store a response comes from; None if it does not say."""
+    value = headers.get(ERA_HEADER, b"").strip()
+    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
+
+
 def decode_page(body: bytes) -> ObjectPage:
     """Decode a page of a list; raises msgspec.MsgspecError."""
     found = LIST_DECODER.decode(body)
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -34,6 +34,9 @@
 
     GONE_STATUS: int
 
+    def era_of(self, headers: dict[bytes, bytes]) -> int | None:
+        """Return the era of a response: how often the store has come back from an old copy."""
+
     def list_path(self, kind: str, after: str, allow_stale: bool) -> str:
         """Return the path that lists a kind, starting after a name."""
 
@@ -88,6 +91,7 @@
         "is_current",
         "is_urgent",
         "batch_delay_s",
+        "era",
     )
 
     def __init__(
@@ -129,6 +133,8 @@
         self.is_urgent = False
         # Delay after changes, so that the next response contains several.
         self.batch_delay_s = batch_delay_s
+        # Era of the last response of the store; None before the first one that says it.
+        self.era: int | None = None
 
     def start(self) -> None:
         """List in the background; `set_enabled` decides whether a watch follows."""
@@ -242,6 +248,7 @@
         path = self.store_api.watch_path(self.kind, self.revision, wait_ms)
         response = await self.client.read("watch", path, wait_ms / 1000.0)
         if isinstance(response, PlatformResponse) and response.status == self.store_api.GONE_STATUS:
+            self.observe_era(response)
             log("history_gone", "warning", kind=self.kind, revision=self.revision)
             self.revision = 0
             return True
@@ -262,9 +269,22 @@
         await asyncio.sleep(self.batch_delay_s)
         return True
 
+    def observe_era(self, response: object) -> None:
+        """Log when the store has come back from an older copy of itself."""
+        if not isinstance(response, PlatformResponse):
+            return
+        era = self.store_api.era_of(response.headers)
+        if era is None or era == self.era:
+            return
+        if self.era is not None:
+            fields = {"era": era, "previous": self.era, "revision": self.revision}
+            log("store_restored", "warning", kind=self.kind, **fields)
+        self.era = era
+
     def decoded(self, response: object, decode: Callable[[bytes], T]) -> T | None:
         """Decode a response and report whether the call succeeded; None if it did not."""
         reason = ""
+        self.observe_era(response)
         if not isinstance(response, PlatformResponse):
             reason = response.reason
         elif response.status != OK:
--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -5,7 +5,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 
@@ -31,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformResponse:
-    """A response with its complete body."""
+    """A response with its complete body; header names are in lower case."""
 
     status: int
     body: bytes
+    headers: dict[bytes, bytes] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,9 +194,10 @@
             writer.write(data)
             sent.append(True)
             self.sent_bytes += len(data)
-            status, encoding, content = await read_content(reader, connection)
+            status, headers, content = await read_content(reader, connection)
             self.received_bytes += len(content)
-            response = PlatformResponse(status, decode_content(encoding, content))
+            encoding = headers.get(b"content-encoding", b"").strip().lower()
+            response = PlatformResponse(status, decode_content(encoding, content), headers)
             finished = connection.our_state is connection.their_state is h11.DONE
             return response
         finally:
@@ -249,19 +251,19 @@
     reader: asyncio.StreamReader, connection: h11.Connection
 ) -> PlatformResponse:
     """Read a complete response to a request that accepted no content encoding."""
-    status, _, content = await read_content(reader, connection)
-    return PlatformResponse(status, content)
+    status, headers, content = await read_content(reader, connection)
+    return PlatformResponse(status, content, headers)
 
 
 async def read_content(
     reader: asyncio.StreamReader, connection: h11.Connection
-) -> tuple[int, bytes, bytes]:
-    """Read a complete response; return status, content encoding and content.
+) -> tuple[int, dict[bytes, bytes], bytes]:
+    """Read a complete response; return status, headers and content.
 
     Raises h11.RemoteProtocolError for a malformed or truncated response.
     """
     status = 0
-    encoding = b""
+    headers: dict[bytes, bytes] = {}
     content = bytearray()
     while True:
         event = connection.next_event()
@@ -269,13 +271,13 @@
             connection.receive_data(await reader.read(READ_BYTES))
         elif isinstance(event, h11.Response):
             status = event.status_code
-            encoding = dict(event.headers).get(b"content-encoding", b"").strip().lower()
+            headers = dict(event.headers)
         elif isinstance(event, h11.Data):
             content += event.data
             if len(content) > MAX_RESPONSE_BYTES:
                 raise h11.RemoteProtocolError("the platform's response is too large")
         elif isinstance(event, h11.EndOfMessage):
-            return status, encoding, bytes(content)
+            return status, headers, bytes(content)
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("connection closed before the end of the response")
 
