Reproduce a store that comes back from a copy and passes the node's revision; known red

The stand-in for the store can copy itself and come back from the copy; its answers carry the era. On the code as it is the node watches from revision 6 of era 1, the store of era 2 is past it, and version 12 at revision 5 is never applied.

--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -33,6 +33,9 @@
         self.is_down = False
         self.calls: dict[str, int] = {}
         self.waiting: list[tuple[Exchange, str, int, asyncio.TimerHandle]] = []
+        # How often the store has come back from a copy, and the copy: revision and objects.
+        self.era = 1
+        self.copied: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
 
     def put(self, kind: str, name: str, spec: Any, status: Any = None) -> None:
         """Create or replace an object."""
@@ -66,25 +69,47 @@
         self.first_revision = self.revision + 1
         self.revision += 1
 
+    def copy(self) -> None:
+        """Keep a copy of all objects, from which the store can come back."""
+        objects = {kind: dict(found) for kind, found in self.objects.items()}
+        self.copied = self.revision, objects
+
+    def restore(self) -> None:
+        """Come back from the copy: later writes are gone, and revisions are given out again."""
+        self.revision, objects = self.copied
+        self.objects = {kind: dict(found) for kind, found in objects.items()}
+        self.history.clear()
+        self.first_revision = self.revision + 1
+        self.era += 1
+        waiting, self.waiting = self.waiting, []
+        for exchange, _, _, timer in waiting:
+            timer.cancel()
+            exchange.drop()
+
+    def reply(self, exchange: Exchange, status: int, document: dict[str, Any]) -> None:
+        """Answer with a document and the store's era."""
+        headers = [("content-type", "application/json"), ("store-era", str(self.era))]
+        exchange.reply(status, headers, json.dumps(document).encode())
+
     def handle(self, exchange: Exchange) -> None:
         """Answer a list or a watch."""
         kind = exchange.path.removeprefix(OBJECTS_PREFIX)
         verb = "watch" if "watch" in exchange.query else "list"
         self.calls[verb] = self.calls.get(verb, 0) + 1
         if self.is_down:
-            exchange.reply_json(503, {"error": "down"})
+            self.reply(exchange, 503, {"error": "down"})
         elif verb == "list":
             items = list(self.objects.get(kind, {}).values())
             document = {"items": items, "more_pages": False, "current_rev": self.revision}
-            exchange.reply_json(200, document)
+            self.reply(exchange, 200, document)
         else:
             self.watch(exchange, kind)
 
     def watch(self, exchange: Exchange, kind: str) -> None:
         """Answer a watch at once, or when something changes, or when its wait has passed."""
         after = int(exchange.query["watch"])
-        if after < self.first_revision - 1:
-            exchange.reply_json(410, {"error": "history gone"})
+        if after < self.first_revision - 1 or after > self.revision:
+            self.reply(exchange, 410, {"error": "history gone"})
             return
         if any(revision > after and kind == found for revision, found, _, _ in self.history):
             self.answer_watch(exchange, kind, after)
@@ -107,7 +132,7 @@
             for revision, found, item, deleted in self.history
             if revision > after and found == kind
         ]
-        exchange.reply_json(200, {"events": events, "current_rev": self.revision})
+        self.reply(exchange, 200, {"events": events, "current_rev": self.revision})
 
 
 class SignedTarget:
@@ -290,6 +315,10 @@
 
     def control(self, switches: dict[str, Any]) -> None:
         """Change the configuration, targets or the store."""
+        if switches.get("copy"):
+            self.store.copy()
+        if switches.get("restore"):
+            self.store.restore()
         if "configuration" in switches:
             self.store.put("config", "main", switches["configuration"])
         if "down" in switches:
