Order revisions by the era of the store, and keep the newest configuration that any node holds

Others could use targets again that had left, if the copy named them. Cause: revisions were compared as bare numbers, and a store that comes back from a copy gives them out again. Nodes a-6 and b-2 watched from revision 42 after the store had passed 42 anew, so they got neither 410 nor what was written below, and dropped updates with lower numbers from other nodes. Class of fault: a position compared across histories that do not share an order. Ruled out: stale lists of killed nodes (they had version 15 by 13.3 s), the relay's beats (they came). A watch answered from a later era is followed by a list; one that was under way hides nothing. Hellos and heartbeats tell the highest version held, and a node that started from the copy takes it from them. What had left counts again only by a later write of its own; what registered after the copy is kept for 2 s.

--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -137,7 +137,7 @@
                     relay.changed(KIND, after, revision, [change])
                 self.deliver()
 
-    def relist(self, revision, spec):
+    def relist(self, revision, spec, era=0):
         """Let the nodes that follow the store list it anew, with a change in it."""
         with patch.object(relay_module, "clock", lambda: self.now):
             for name in self.followers():
@@ -149,7 +149,7 @@
                     "current_rev": revision,
                 }
                 follower.store_api = store
-                follower.client = ListOnce(json.dumps(body).encode())
+                follower.client = ListOnce(json.dumps(body).encode(), era)
                 asyncio.run(follower.list_all())
                 self.deliver()
 
@@ -166,12 +166,13 @@
 class ListOnce:
     """Answer a list."""
 
-    def __init__(self, body):
+    def __init__(self, body, era):
         self.body = body
+        self.headers = {store.ERA_HEADER: str(era).encode()} if era else {}
 
     async def read(self, _operation, _path, wait_s=0.0):
         """Answer a call."""
-        return PlatformResponse(200, self.body)
+        return PlatformResponse(200, self.body, self.headers)
 
 
 class RelayListener:
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -26,3 +26,78 @@
     And a caller sends 8 reads one after the other
     Then every one of them is answered with status 200
     And none of them ran on "reads-0"
+
+  # Pure functions and relays in one process.
+
+  Scenario: An empty answer of a later era makes a node list anew
+    # Guards the moment after a restoration: the store has passed the revision again and says nothing new.
+    Given a node that watches from revision 42 of era 1
+    When the watch is answered without changes, as of revision 45 of era 2
+    Then the node's next call is a list
+
+  Scenario: A watch of before a restoration does not hide what other nodes passed on since
+    # Guards a call that is under way while another node passes on the state of the new era.
+    Given a node that watches from revision 42 of era 1
+    When another node passes on revision 38 of era 2 while the watch is under way
+    And the watch is answered with a change at revision 45 of era 2
+    Then the node's next call is a watch from revision 38
+
+  Scenario: A list whose pages are of two eras does not count
+    Given a node that lists two pages, the second of a later era
+    Then the list fails and no object is taken
+
+  Scenario Outline: Nodes that hold higher revisions of before take the state of the restored store
+    # Guards nodes that rely on others: they dropped updates with lower revisions than they held.
+    Given <nodes> nodes in <data_centres> data centres with 3 seeds
+    When the exchange has run for 5 s
+    And the store comes back in era 2 at a lower revision, and the nodes that follow it list it
+    And the exchange has run for 1 s
+    Then all nodes hold the state of the restored store
+
+    Examples:
+      | nodes | data_centres |
+      | 24    | 3            |
+      | 220   | 5            |
+
+  Scenario Outline: A node that starts from the copy gets the version that the others hold
+    # Guards CONFIG: killed nodes listed the copy, and the others confirmed its revision although they
+    # served by a version that it lacks.
+    Given 24 nodes in 3 data centres with 3 seeds
+    And all of them hold version 13 of the configuration
+    When the exchange has run for 5 s
+    And the store comes back in era 2 with version 10, and the nodes that follow it list it
+    Then all nodes hold version 13 of the configuration
+    When <which> starts anew from the copy
+    And the exchange has run for 3 s
+    Then all nodes hold version 13 of the configuration
+
+    Examples:
+      | which          |
+      | the last node  |
+      | the first seed |
+
+  Scenario: A target that left before a restoration comes back only by what it writes afterwards
+    # Guards DRAIN: the copy names targets as ready as they were before they left.
+    Given a directory in which "i-0" drains at its write 7, "i-1" is removed after its write 5, and "i-2" serves
+    When the store comes back from a copy with "i-0" at write 4, "i-1" at write 5 and "i-2" at write 3
+    Then its catalogue has the targets "i-2"
+    When "i-1" writes its entry again at write 9
+    Then its catalogue has the targets "i-1,i-2"
+
+  Scenario: A target that registered after the copy was made is kept until it writes again
+    Given a directory in which "i-0" and "i-1" serve
+    When the store comes back from a copy that lacks "i-1"
+    Then its catalogue has the targets "i-0,i-1"
+    When 2.1 s pass
+    Then its catalogue has the targets "i-0"
+
+  Scenario Outline: The era of the store's answers
+    Then an answer with the era "<value>" is of era <era>
+
+    Examples:
+      | value | era  |
+      | 3     | 3    |
+      | 0     | 0    |
+      | -1    | none |
+      | x     | none |
+      | 99999 | none |
--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -125,6 +125,7 @@
             "main",
             lambda item: make_configuration(item.spec["version"]),
             lambda item: make_instance(item.name),
+            lambda item: item.spec["version"] if item.name == "main" else 0,
         )
         self.keeper = DirectorySync(shell, Directory(0.2, "measured"), translation, 24)
         for kind in (CONFIGURATION, INSTANCES):
--- a/poplarlane/decisions/directory.py
+++ b/poplarlane/decisions/directory.py
@@ -12,6 +12,8 @@
 
 # Instances whose entries expired during a platform outage register again within 2 s of its end.
 EXPIRED_ENTRY_GRACE_S = 2.0
+# Copies of the store are some seconds old; what left longer ago is not in them any more.
+KEPT_DEPARTURES_S = 120.0
 ALLOW_ALL_SELECTORS = {"all": SelectorObject(callers="", targets="")}
 
 
@@ -61,6 +63,7 @@
         "leaving",
         "started_ms",
         "warm_up_s",
+        "sequence",
     )
 
     def __init__(
@@ -75,6 +78,7 @@
         leaving: bool,
         started_ms: int,
         warm_up_s: float,
+        sequence: int = 0,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -86,13 +90,15 @@
         self.leaving = leaving
         self.started_ms = started_ms
         self.warm_up_s = warm_up_s
+        # Counts what the process has written of itself.
+        self.sequence = sequence
 
     def is_equivalent(self, other: "InstanceRecord") -> bool:
-        """Return whether another record is the same to callers, apart from its slow start."""
+        """Return whether another record is the same to callers."""
         return all(
             getattr(self, name) == getattr(other, name)
             for name in self.__slots__
-            if name != "warm_up_s"
+            if name not in ("warm_up_s", "sequence")
         )
 
 
@@ -123,6 +129,8 @@
         "instances",
         "expired",
         "grace_until",
+        "departures",
+        "superseded",
         "is_disconnected",
         "retry_ratio",
         "policy",
@@ -135,6 +143,11 @@
         # end of its grace period.
         self.expired: dict[str, tuple[InstanceRecord, float]] = {}
         self.grace_until = -math.inf
+        # Processes that were removed: last sequence and time, by target name.
+        self.departures: dict[str, tuple[int, float]] = {}
+        # Processes that had left when the store came back from a copy, which may name them as they
+        # were before: records up to this sequence do not count.
+        self.superseded: dict[str, int] = {}
         # Whether the platform does not answer this process; other nodes may still pass on changes.
         self.is_disconnected = False
         self.retry_ratio = retry_ratio
@@ -152,6 +165,11 @@
 
         Instances rewrite their entries every second or two, mostly without a change.
         """
+        name = target_name(found)
+        if found.sequence <= self.superseded.get(name, -1):
+            return False
+        self.superseded.pop(name, None)
+        self.departures.pop(name, None)
         held = self.instances.get(found.instance)
         self.instances[found.instance] = found
         was_expired = self.expired.pop(found.instance, None) is not None
@@ -161,6 +179,8 @@
         """Remove an instance, after a grace period if an outage may have expired its entry."""
         found = self.instances.pop(instance, None)
         until = now + EXPIRED_ENTRY_GRACE_S if self.is_disconnected else self.grace_until
+        if found is not None:
+            self.departures[target_name(found)] = (found.sequence, now)
         if found is not None and now < until and not found.leaving:
             self.expired[instance] = (found, until)
 
@@ -182,11 +202,27 @@
         self.is_disconnected = False
         self.grace_until = now + EXPIRED_ENTRY_GRACE_S
 
+    def mark_restored(self, now: float) -> None:
+        """Record that the store has come back from a copy, before what it holds now is applied.
+
+        The copy lacks instances that registered since, and names as ready those that left since.
+        """
+        self.grace_until = max(self.grace_until, now + EXPIRED_ENTRY_GRACE_S)
+        for name, (sequence, _) in self.departures.items():
+            self.superseded[name] = sequence
+        for held in self.instances.values():
+            if held.leaving:
+                self.superseded[target_name(held)] = held.sequence
+
     def purge_expired(self, now: float) -> bool:
         """Remove instances whose grace period has ended; return whether there were any."""
         ended = [name for name, (_, until) in self.expired.items() if now >= until]
         for name in ended:
             del self.expired[name]
+        for name, (_, left_at) in list(self.departures.items()):
+            if now - left_at > KEPT_DEPARTURES_S:
+                del self.departures[name]
+                self.superseded.pop(name, None)
         return bool(ended)
 
     def catalogue(self) -> Catalogue | None:
--- a/poplarlane/decisions/relays.py
+++ b/poplarlane/decisions/relays.py
@@ -97,6 +97,17 @@
         self.is_direct = is_direct
 
 
+class VersionAnnouncement:
+    """The highest object version of a kind that another node announced."""
+
+    __slots__ = ("version", "sender", "heard_at")
+
+    def __init__(self, version: int, sender: str, heard_at: float) -> None:
+        self.version = version
+        self.sender = sender
+        self.heard_at = heard_at
+
+
 class RelayState:
     """What a node knows of the other nodes; has no clock, callers pass the time."""
 
@@ -113,6 +124,7 @@
         "without_heartbeat_since",
         "reported_fleet_size",
         "fleet_size_reported_at",
+        "announced_versions",
     )
 
     def __init__(
@@ -142,6 +154,8 @@
         # By kind: since when changes are missing or when they were last fetched; number of fetches.
         self.missing_since: dict[str, float] = {}
         self.fetches: dict[str, int] = {}
+        # By kind: revisions do not tell that another node holds what the store has lost.
+        self.announced_versions: dict[str, VersionAnnouncement] = {}
 
 
 def set_seed_index(state: RelayState, member: Member) -> None:
@@ -248,6 +262,22 @@
     state.heartbeats[sender] = HeartbeatState(now, now - contact_age_s, revisions, is_direct)
 
 
+def record_versions(state: RelayState, sender: str, versions: dict[str, int], now: float) -> None:
+    """Record the object versions that another node holds."""
+    for kind, version in versions.items():
+        held = state.announced_versions.get(kind)
+        if held is None or version >= held.version or now - held.heard_at > MEMBER_TIMEOUT_S:
+            state.announced_versions[kind] = VersionAnnouncement(version, sender, now)
+
+
+def newer_version_source(state: RelayState, kind: str, version: int, now: float) -> str | None:
+    """Return the name of a node that holds a higher object version of a kind."""
+    held = state.announced_versions.get(kind)
+    if held is None or held.version <= version or now - held.heard_at > MEMBER_TIMEOUT_S:
+        return None
+    return held.sender
+
+
 def is_fresh(state: RelayState, heartbeat: HeartbeatState, now: float) -> bool:
     """Return whether a heartbeat and the store's answer that it reports are both recent."""
     contact_limit_s = MAX_CONTACT_AGE_FRACTION * state.apply_limit_s
@@ -310,8 +340,15 @@
     return now - state.started_at >= after_s
 
 
-def is_confirmed_current(state: RelayState, kind: str, revision: int, now: float) -> bool:
-    """Return whether fresh heartbeats confirm that no newer revision of a kind is known."""
+def is_confirmed_current(
+    state: RelayState, kind: str, revision: int, now: float, version: int = 0
+) -> bool:
+    """Return whether fresh heartbeats confirm that nothing newer of a kind is known.
+
+    Newer is a higher revision, or a higher version of an object than this node has.
+    """
+    if newer_version_source(state, kind, version, now) is not None:
+        return False
     fresh = [
         heartbeat for heartbeat in state.heartbeats.values() if is_fresh(state, heartbeat, now)
     ]
@@ -320,13 +357,20 @@
 
 
 def fetch_source(
-    state: RelayState, kind: str, revision: int, random_value: float, now: float
+    state: RelayState,
+    kind: str,
+    revision: int,
+    random_value: float,
+    now: float,
+    version: int = 0,
 ) -> str | None:
     """Return the name of the node to fetch a kind from; None when no fetch is due.
 
     `random_value` is a random number from 0 to 1.
     """
     source = most_recent_announcer(state, kind, revision, now)
+    if source is None:
+        source = newer_version_source(state, kind, version, now)
     if source is None and not revision and now - state.started_at >= INITIAL_FETCH_AFTER_S:
         source = random_member(state, random_value)
     if source is None:
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from poplarlane.store_objects import ObjectChange, ObjectPage, StoredObject
+from poplarlane.store_objects import (
+    ObjectChange,
+    ObjectPage,
+    StoredObject,
+    number_of,
+    revision_in,
+)
 
 OBJECTS_PATH = "/-/objects/"
 CONFIGURATION_KIND = "config"
@@ -72,7 +78,7 @@
 
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path that waits for changes after a revision."""
-    return f"{OBJECTS_PATH}{quote(kind)}?watch={revision}&wait_ms={wait_ms}"
+    return f"{OBJECTS_PATH}{quote(kind)}?watch={number_of(revision)}&wait_ms={wait_ms}"
 
 
 def era_of(headers: dict[bytes, bytes]) -> int | None:
@@ -81,29 +87,31 @@
     return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
 
 
-def decode_page(body: bytes) -> ObjectPage:
+def decode_page(body: bytes, era: int = 0) -> ObjectPage:
     """Decode a page of a list; raises msgspec.MsgspecError."""
     found = LIST_DECODER.decode(body)
-    items = [stored_object(raw) for raw in found.items]
+    items = [stored_object(raw, era) for raw in found.items]
     readable = [item for item in items if item is not None]
-    return ObjectPage(readable, len(items) - len(readable), found.more_pages, found.current_rev)
+    revision = revision_in(era, found.current_rev)
+    return ObjectPage(readable, len(items) - len(readable), found.more_pages, revision)
 
 
-def decode_changes(body: bytes) -> tuple[list[ObjectChange], int]:
+def decode_changes(body: bytes, era: int = 0) -> tuple[list[ObjectChange], int]:
     """Decode changes and the revision to continue from; raises msgspec.MsgspecError."""
     found = EVENTS_DECODER.decode(body)
     changes = []
     for event in found.events:
-        item = stored_object(event.object)
+        item = stored_object(event.object, era)
         if item is not None:
             changes.append(ObjectChange(item, event.deleted))
-    return changes, found.current_rev
+    return changes, revision_in(era, found.current_rev)
 
 
-def stored_object(raw: msgspec.Raw) -> StoredObject | None:
+def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | None:
     """Decode one object; None when it is invalid."""
     try:
         found = OBJECT_DECODER.decode(raw)
     except msgspec.MsgspecError:
         return None
-    return StoredObject(found.metadata.name, found.metadata.revision, found.spec, found.status)
+    revision = revision_in(era, found.metadata.revision)
+    return StoredObject(found.metadata.name, revision, found.spec, found.status)
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -76,10 +76,14 @@
 
 
 class InstanceStatus(msgspec.Struct):
-    """Changing properties of an instance; `cold_remaining_s` is the remaining warm-up time."""
+    """Changing properties of an instance; `cold_remaining_s` is the remaining warm-up time.
+
+    `sequence` counts the writes of one process, across all eras of the store.
+    """
 
     state: str
     cold_remaining_s: float = 0.0
+    sequence: int = 0
 
 
 class InstanceDocument(msgspec.Struct):
@@ -110,6 +114,12 @@
     return Configuration(found.version, routes, services, limits_of(found.limits))
 
 
+def version_of(item: StoredObject) -> int:
+    """Return the version of a configuration object without decoding the rest; 0 if it has none."""
+    version = item.spec.get("version") if isinstance(item.spec, dict) else None
+    return version if item.name == CONFIGURATION_NAME and type(version) is int else 0
+
+
 def route_of(route: RouteDocument) -> Route | str:
     """Convert a route; return the reason as text when it cannot be used."""
     if route.route_type not in ROUTE_TYPES:
@@ -177,6 +187,7 @@
         found.status.state == DRAINING,
         found.born,
         max(0.0, found.status.cold_remaining_s),
+        found.status.sequence,
     )
 
 
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from poplarlane.decisions.directory import Configuration, Directory, InstanceRecord
+from poplarlane.decisions.directory import (
+    Configuration,
+    Directory,
+    InstanceRecord,
+    target_name,
+)
 from poplarlane.decisions.entry_events import CatalogueChanged
 from poplarlane.decisions.relays import CONFIRMATION_TIMEOUT_S, fleet_size, is_fleet_resized
 from poplarlane.error_text import error_text
@@ -11,7 +16,7 @@
 from poplarlane.messages import EntryHello, EntryReport
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.object_follower import ObjectFollower
-from poplarlane.store_objects import ObjectChange, StoredObject
+from poplarlane.store_objects import ObjectChange, StoredObject, era_of
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.relay import Relay
@@ -25,7 +30,13 @@
 class Translation:
     """Functions that convert objects of the store to poplarlane's own types."""
 
-    __slots__ = ("configuration_kind", "configuration_name", "configuration_of", "instance_of")
+    __slots__ = (
+        "configuration_kind",
+        "configuration_name",
+        "configuration_of",
+        "instance_of",
+        "version_of",
+    )
 
     def __init__(
         self,
@@ -33,11 +44,13 @@
         configuration_name: str,
         configuration_of: Callable[[StoredObject], Configuration | str],
         instance_of: Callable[[StoredObject], InstanceRecord | None],
+        version_of: Callable[[StoredObject], int],
     ) -> None:
         self.configuration_kind = configuration_kind
         self.configuration_name = configuration_name
         self.configuration_of = configuration_of
         self.instance_of = instance_of
+        self.version_of = version_of
 
 
 class DirectorySync:
@@ -55,6 +68,7 @@
         "make_relay",
         "unconfirmed_kinds",
         "listed_at",
+        "instances_era",
     )
 
     def __init__(
@@ -72,6 +86,8 @@
         self.unconfirmed_kinds: set[str] = set()
         # Time at which all kinds had been listed for the first time; 0 before.
         self.listed_at = 0.0
+        # Era of the store from which the instances were last read; None before the first list.
+        self.instances_era: int | None = None
         # Relay between nodes; None where every node follows the store itself.
         self.relay: Relay | None = None
         # Creates the relay, which a node needs only once it serves; None without a relay.
@@ -124,10 +140,15 @@
             for item in items:
                 self.update_configuration(item)
         else:
+            self.observe_era(kind)
             found = [self.translation.instance_of(item) for item in items]
             usable = [record for record in found if record is not None]
             self.directory.replace_instances(usable, self.shell.now())
-            log("targets_listed", listed=len(items), usable=len(usable))
+            superseded = sum(
+                record.sequence <= self.directory.superseded.get(target_name(record), -1)
+                for record in usable
+            )
+            log("targets_listed", listed=len(items), usable=len(usable), superseded=superseded)
         self.publish()
 
     def relisted(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
@@ -143,6 +164,8 @@
 
     def apply_changes(self, kind: str, changes: list[ObjectChange]) -> None:
         """Process changes from the store or from another node."""
+        if kind != self.translation.configuration_kind:
+            self.observe_era(kind)
         has_changed = False
         for change in changes:
             if kind == self.translation.configuration_kind:
@@ -154,6 +177,14 @@
         if has_changed:
             self.publish()
 
+    def observe_era(self, kind: str) -> None:
+        """Prepare the directory for instances of a store that has come back from a copy."""
+        revisions = [found.revision for found in self.followers if found.kind == kind]
+        era = era_of(max(revisions, default=0))
+        if self.instances_era is not None and era > self.instances_era:
+            self.directory.mark_restored(self.shell.now())
+        self.instances_era = max(era, self.instances_era or 0)
+
     def update_configuration(self, item: StoredObject) -> None:
         """Accept a newer configuration; an invalid one leaves the current one in force."""
         if item.name != self.translation.configuration_name:
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -17,7 +17,7 @@
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.plumbing.platform_client import PlatformClient, PlatformResponse
-from poplarlane.store_objects import ObjectChange, ObjectPage, StoredObject
+from poplarlane.store_objects import ObjectChange, ObjectPage, StoredObject, era_of
 
 T = TypeVar("T")
 OK = 200
@@ -43,10 +43,10 @@
     def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
         """Return the path that watches for changes after a revision."""
 
-    def decode_page(self, body: bytes) -> ObjectPage:
+    def decode_page(self, body: bytes, era: int) -> ObjectPage:
         """Decode a page of a list."""
 
-    def decode_changes(self, body: bytes) -> tuple[list[ObjectChange], int]:
+    def decode_changes(self, body: bytes, era: int) -> tuple[list[ObjectChange], int]:
         """Decode changes and the revision from which to resume."""
 
 
@@ -92,6 +92,7 @@
         "is_urgent",
         "batch_delay_s",
         "era",
+        "version_of",
     )
 
     def __init__(
@@ -135,6 +136,9 @@
         self.batch_delay_s = batch_delay_s
         # Era of the last response of the store; None before the first one that says it.
         self.era: int | None = None
+        # Returns the version of an object, which its writer raises with each change, or 0. A store
+        # that comes back from a copy cannot replace an object by an older version.
+        self.version_of: Callable[[StoredObject], int] | None = None
 
     def start(self) -> None:
         """List in the background; `set_enabled` decides whether a watch follows."""
@@ -160,6 +164,8 @@
         """Apply all changes up to a revision."""
         for change in changes:
             change.previous = self.objects.get(change.item.name)
+            if self.is_newer(change.previous, None if change.deleted else change.item):
+                continue
             if change.deleted:
                 self.objects.pop(change.item.name, None)
             else:
@@ -171,10 +177,38 @@
         """Replace all objects by those of a revision, unless newer ones are already known."""
         if revision < self.revision:
             return False
-        self.objects = {item.name: item for item in items}
+        objects = {item.name: item for item in items}
+        for name, held in self.objects.items():
+            if self.is_newer(held, objects.get(name)):
+                objects[name] = held
+        self.objects = objects
         self.revision = self.changed_revision = revision
         return True
 
+    def is_newer(self, held: StoredObject | None, found: StoredObject | None) -> bool:
+        """Return whether a held object has a higher version than one that would replace it."""
+        if held is None or self.version_of is None:
+            return False
+        return self.version_of(held) > (self.version_of(found) if found is not None else 0)
+
+    def newest_version(self) -> int:
+        """Return the highest version of the objects; 0 for a kind without versions."""
+        if self.version_of is None:
+            return 0
+        return max((self.version_of(item) for item in self.objects.values()), default=0)
+
+    def adopt_newer(self, items: list[StoredObject]) -> list[ObjectChange]:
+        """Take the objects with higher versions than those held; return these changes."""
+        changes = []
+        for item in items:
+            held = self.objects.get(item.name)
+            if self.is_newer(item, held):
+                self.objects[item.name] = item
+                change = ObjectChange(item, False)
+                change.previous = held
+                changes.append(change)
+        return changes
+
     def close(self) -> None:
         """Stop the follower."""
         if self.task is not None:
@@ -216,6 +250,9 @@
             page = self.decoded(response, self.store_api.decode_page)
             if page is None:
                 return False
+            if revision and era_of(page.revision) != era_of(revision):
+                # The store came back from a copy between two pages.
+                return False
             revision = revision or page.revision
             items += page.items
             if page.unreadable:
@@ -245,18 +282,24 @@
         # A short call gets missing changes soonest and shows after a failure if the store is up.
         may_wait = self.following and self.is_current and not self.failures and not self.is_urgent
         wait_ms = self.wait_ms if may_wait else POLL_WAIT_MS
-        path = self.store_api.watch_path(self.kind, self.revision, wait_ms)
+        asked = self.revision
+        path = self.store_api.watch_path(self.kind, asked, wait_ms)
         response = await self.client.read("watch", path, wait_ms / 1000.0)
-        if isinstance(response, PlatformResponse) and response.status == self.store_api.GONE_STATUS:
+        if self.is_history_gone(response, asked):
             self.observe_era(response)
-            log("history_gone", "warning", kind=self.kind, revision=self.revision)
-            self.revision = 0
+            log("history_gone", "warning", kind=self.kind, revision=asked)
+            if self.revision == asked:
+                # Otherwise another node has passed on a state to continue from.
+                self.revision = 0
             return True
         found = self.decoded(response, self.store_api.decode_changes)
         if found is None:
             return False
         self.is_urgent = False
         changes, revision = found
+        if era_of(self.revision) > era_of(revision):
+            # Another node has passed on a state of a later era meanwhile.
+            return True
         if not changes or revision <= self.revision:
             self.revision = max(self.revision, revision)
             self.mark_current()
@@ -269,6 +312,23 @@
         await asyncio.sleep(self.batch_delay_s)
         return True
 
+    def is_history_gone(self, response: object, asked: int) -> bool:
+        """Return whether a watch cannot continue from the revision it asked for.
+
+        A store that came back from a copy answers 410 only while it has not passed that revision
+        again; after that its answer misses what was written below it.
+        """
+        if not isinstance(response, PlatformResponse):
+            return False
+        if response.status == self.store_api.GONE_STATUS:
+            return True
+        return response.status == OK and self.response_era(response) > era_of(asked)
+
+    def response_era(self, response: PlatformResponse) -> int:
+        """Return the era of a response; one that does not say it continues the last one."""
+        era = self.store_api.era_of(response.headers)
+        return era if era is not None else self.era or 0
+
     def observe_era(self, response: object) -> None:
         """Log when the store has come back from an older copy of itself."""
         if not isinstance(response, PlatformResponse):
@@ -281,7 +341,7 @@
             log("store_restored", "warning", kind=self.kind, **fields)
         self.era = era
 
-    def decoded(self, response: object, decode: Callable[[bytes], T]) -> T | None:
+    def decoded(self, response: object, decode: Callable[[bytes, int], T]) -> T | None:
         """Decode a response and report whether the call succeeded; None if it did not."""
         reason = ""
         self.observe_era(response)
@@ -291,7 +351,7 @@
             reason = f"status {response.status}"
         else:
             try:
-                found = decode(response.body)
+                found = decode(response.body, self.response_era(response))
             except msgspec.MsgspecError as error:
                 reason = f"undecodable response: {error}"
             else:
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -93,8 +93,9 @@
         self.failures: dict[str, int] = {}
         # Nodes of other data centres that asked for heartbeats, with the time of their last hello.
         self.subscribers: dict[str, float] = {}
-        # Last encoded snapshot of each kind and its revision; many nodes ask at the same time.
-        self.snapshots: dict[str, tuple[int, bytes]] = {}
+        # Last encoded snapshot of each kind, with its revision and highest version; many nodes ask
+        # at the same time.
+        self.snapshots: dict[str, tuple[tuple[int, int], bytes]] = {}
 
     def start(self) -> None:
         """Bind the socket, connect to the seeds and start the periodic steps."""
@@ -163,7 +164,8 @@
         """
         state = self.state
         is_candidate = relays.is_candidate(state, now)
-        hello = Hello(self.note(), self.digest(state.me.data_centre), is_candidate)
+        digest = self.digest(state.me.data_centre)
+        hello = Hello(self.note(), digest, is_candidate, self.versions())
         payload = relay_messages.encode(hello)
         chosen = relays.hello_recipients(state, now)
         near = relays.data_centre_members(state)
@@ -199,7 +201,12 @@
         ):
             return None
         revisions = {kind: found.changed_revision for kind, found in self.followers.items()}
-        return Heartbeat(self.note(), now - oldest, revisions)
+        return Heartbeat(self.note(), now - oldest, revisions, versions=self.versions())
+
+    def versions(self) -> dict[str, int]:
+        """Return the highest object version that this node has of each kind with versions."""
+        found = {kind: follower.newest_version() for kind, follower in self.followers.items()}
+        return {kind: version for kind, version in found.items() if version}
 
     def heartbeat(self, now: float) -> None:
         """Send a heartbeat to the nodes that depend on this one."""
@@ -241,7 +248,8 @@
         """Fetch announced changes that did not arrive: from another node, then from the store."""
         for kind, follower in self.followers.items():
             known = follower.known_revision()
-            source = relays.fetch_source(self.state, kind, known, self.random_value(), now)
+            version = follower.newest_version()
+            source = relays.fetch_source(self.state, kind, known, self.random_value(), now, version)
             if source is None:
                 continue
             log("update_missed", "warning", kind=kind, revision=follower.revision, source=source)
@@ -254,7 +262,8 @@
         for kind, follower in self.followers.items():
             if follower.is_current or not follower.revision:
                 continue
-            if relays.is_confirmed_current(self.state, kind, follower.known_revision(), now):
+            known, version = follower.known_revision(), follower.newest_version()
+            if relays.is_confirmed_current(self.state, kind, known, now, version):
                 follower.mark_current()
             elif relays.may_poll_store(self.state, now):
                 follower.poll_once()
@@ -305,6 +314,7 @@
         now = clock()
         sender = message.sender
         self.record_member(sender, now)
+        relays.record_versions(self.state, sender.name, message.versions, now)
         same = message.roster_digest == self.digest(sender.data_centre)
         members = [
             MemberInfo(found.name, found.address, found.data_centre, now - found.heard_at)
@@ -346,10 +356,11 @@
         relays.record_heartbeat(
             self.state, message.sender.name, age_s, revisions, now, message.is_direct
         )
+        relays.record_versions(self.state, message.sender.name, message.versions, now)
         self.check_current(now)
         is_far = message.sender.data_centre != self.state.me.data_centre
         if message.is_direct and is_far and self.forwards(now):
-            self.broadcast_near(Heartbeat(self.note(), age_s, revisions, is_direct=False))
+            self.broadcast_near(Heartbeat(self.note(), age_s, revisions, False, message.versions))
 
     @handle.register
     def _(self, message: Update) -> None:
@@ -374,20 +385,24 @@
         follower = self.followers.get(message.kind)
         if follower is None or not follower.revision:
             return
-        revision, payload = self.snapshots.get(message.kind, (0, b""))
-        if revision != follower.revision:
+        state = follower.revision, follower.newest_version()
+        held, payload = self.snapshots.get(message.kind, ((0, 0), b""))
+        if held != state:
             notes = [encode_object(item, False) for item in follower.objects.values()]
             payload = relay_messages.encode(Snapshot(message.kind, follower.revision, notes))
-            self.snapshots[message.kind] = follower.revision, payload
+            self.snapshots[message.kind] = state, payload
         self.send(message.sender.name, payload)
 
     @handle.register
     def _(self, message: Snapshot) -> None:
         follower = self.followers.get(message.kind)
-        if follower is None or message.revision <= follower.known_revision():
+        if follower is None:
             return
-        after, before = follower.revision, follower.objects
         items = decode_objects(message.objects)
+        if message.revision <= follower.known_revision():
+            self.adopt_newer(message.kind, follower, items)
+            return
+        after, before = follower.revision, follower.objects
         follower.replace_all(message.revision, items)
         log("snapshot_taken", kind=message.kind, revision=message.revision, objects=len(items))
         if after and self.forwards(clock()):
@@ -397,6 +412,14 @@
         self.deliver_all(message.kind, items)
         self.check_current(clock())
 
+    def adopt_newer(self, kind: str, follower: ObjectFollower, items: list[StoredObject]) -> None:
+        """Take objects that another node has in a higher version than the store gave this node."""
+        changes = follower.adopt_newer(items)
+        if changes:
+            log("version_adopted", kind=kind, version=follower.newest_version())
+            self.deliver(kind, changes)
+            self.check_current(clock())
+
     def record_member(self, found: MemberInfo, now: float) -> None:
         """Record a node as a member, or update it."""
         member = relays.Member(found.name, found.address, found.data_centre, now - found.age_s)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -18,7 +18,12 @@
 from poplarlane.metrics import AdminRequest, AdminResponse, AdminServer, Metrics, json_response
 from poplarlane.platform import store
 from poplarlane.platform.headers import PLATFORM_HEADERS
-from poplarlane.platform.translation import CONFIGURATION_NAME, configuration_of, instance_of
+from poplarlane.platform.translation import (
+    CONFIGURATION_NAME,
+    configuration_of,
+    instance_of,
+    version_of,
+)
 from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.object_follower import ObjectFollower
@@ -181,7 +186,7 @@
         STORE_MAX_TIMEOUT_FACTOR,
     )
     translation = Translation(
-        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of
+        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of, version_of
     )
     ratio = settings.extra_send_ratio * EXTRA_SENDS_SHARE
     keeper = DirectorySync(
@@ -197,6 +202,8 @@
         follower = ObjectFollower(
             client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
         )
+        if kind == store.CONFIGURATION_KIND:
+            follower.version_of = version_of
         keeper.followers.append(follower)
     if has_others:
         keeper.make_relay = lambda: make_relay(settings, keeper, generator, seeds)
--- a/poplarlane/relay_messages.py
+++ b/poplarlane/relay_messages.py
@@ -17,12 +17,14 @@
 class Hello(msgspec.Struct, tag=1, array_like=True):
     """Announcement of a node; its roster is not sent again while the digest is unchanged.
 
-    `wants_heartbeats` requests heartbeats and updates from a node of another data centre.
+    `wants_heartbeats` requests heartbeats and updates from a node of another data centre;
+    `versions` holds the highest object version that the sender has of each kind with versions.
     """
 
     sender: MemberInfo
     roster_digest: int
     wants_heartbeats: bool = False
+    versions: dict[str, int] = {}
 
 
 class Roster(msgspec.Struct, tag=2, array_like=True):
@@ -41,12 +43,14 @@
     """Heartbeat with the sender's revision of each kind and the time since the store answered.
 
     A heartbeat is direct when its sender watches the store itself; otherwise it is forwarded.
+    `versions` is as in a hello.
     """
 
     sender: MemberInfo
     contact_age_s: float
     revisions: dict[str, int]
     is_direct: bool = True
+    versions: dict[str, int] = {}
 
 
 class EncodedChange(msgspec.Struct, array_like=True):
--- a/poplarlane/store_objects.py
+++ b/poplarlane/store_objects.py
@@ -1,4 +1,26 @@
-"""Objects and changes read from a store, with their content as schemaless decoded JSON."""
+"""Objects and changes read from a store, with their content as schemaless decoded JSON.
+
+A store that comes back from an old copy gives out revisions again. Revisions inside the program
+therefore carry the era, the number of such restorations, in their upper bits: any revision of a
+later era is newer than any of an earlier one.
+"""
+
+ERA_SHIFT = 48
+
+
+def revision_in(era: int, number: int) -> int:
+    """Return the revision that a store gave out as `number` in an era."""
+    return (era << ERA_SHIFT) | number
+
+
+def era_of(revision: int) -> int:
+    """Return the era of a revision."""
+    return revision >> ERA_SHIFT
+
+
+def number_of(revision: int) -> int:
+    """Return a revision as the store of its era counts it."""
+    return revision & ((1 << ERA_SHIFT) - 1)
 
 
 class StoredObject:
