--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -101,3 +101,21 @@
       | -1    | none |
       | x     | none |
       | 99999 | none |
+
+  Scenario: An answer of before a restoration confirms nothing
+    Given a node that watches from revision 42 of era 1
+    And it is not known whether it misses anything
+    When another node passes on revision 38 of era 2 while the watch is under way
+    And the watch is answered without changes, as of revision 45 of era 1
+    Then it is still not known whether it misses anything
+    And the node's next call is a watch from revision 38
+
+  Scenario: A list with an older version leaves the newer one with the node
+    # Guards the only node that is left with a version that the copy lacks.
+    Given a node that holds version 13 of the configuration
+    When it lists a restored store with version 10
+    Then it holds version 13 of the configuration
+    When it lists a restored store without a configuration
+    Then it holds version 13 of the configuration
+    When it lists a restored store with version 14
+    Then it holds version 14 of the configuration
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -287,3 +287,45 @@
 def step_era(context, value, era):
     expected = None if era == "none" else int(era)
     assert store.era_of({store.ERA_HEADER: value.encode()}) == expected
+
+
+@given("it is not known whether it misses anything")
+def step_not_current(context):
+    context.follower.is_current = False
+
+
+@then("it is still not known whether it misses anything")
+def step_still_not_current(context):
+    assert not context.follower.is_current
+
+
+@given("a node that holds version {version:d} of the configuration")
+def step_one_holds(context, version):
+    context.follower = make_follower([])
+    context.follower.version_of = lambda item: item.spec["version"]
+    item = StoredObject("main", 40, {"version": version}, None)
+    context.follower.apply_changes(40, [ObjectChange(item, False)])
+
+
+def list_restored(context, items):
+    """Let the node list a store of the next era."""
+    follower = context.follower
+    follower.revision = 0
+    context.era = getattr(context, "era", 1) + 1
+    follower.client.answers = [({"items": items, "current_rev": 35}, context.era)]
+    assert asyncio.run(follower.list_all())
+
+
+@when("it lists a restored store with version {version:d}")
+def step_lists_version(context, version):
+    list_restored(context, [stored("main", 30) | {"spec": {"version": version}}])
+
+
+@when("it lists a restored store without a configuration")
+def step_lists_none(context):
+    list_restored(context, [])
+
+
+@then("it holds version {version:d} of the configuration")
+def step_holds(context, version):
+    assert context.follower.newest_version() == version
