Heed targets that leave or turn requests away for a time by what their own answers say

Cause: headers.py named no header for leaving, and the Retry-After of a target's 503 was read nowhere. Change: leaving, rate and pause are statements of one target process, kept by its name beside the catalogue, so lists do not take them back and a new process starts without them. Every choice asks permissions.may_send: first tries, trials, second copies, repeats, the queue; probes skip paused targets. A pause is bounded at 600 s, lengthened by up to a tenth at random, never shortened, and is followed by one request at a time until one is taken. Answers to requests and probes, refusals, interim answers and streams all count; answers to other requests and 421 do not.

--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -100,15 +100,15 @@
     context.service.policy = policy_by_name(policy)
     context.state.now = NOW
     context.targets = list(context.service.loads.values())
-    context.sends = []
+    context.sends, context.probed = [], []
     for load in context.targets:
         name_rate(context.state, load, 1.0)
         load.statements.next_permit_at = NOW + wait_s
     context.barred = {load.target.name for load in context.targets}
 
 
-def play(context, effects, until, answers=True):
-    """Execute timers and probes until an instant; notes when requests are sent, and to what."""
+def play(context, effects, until):
+    """Execute timers and probes until an instant, and record what is sent to whom."""
     now = context.state.now
     pending = list(effects)
     while True:
@@ -118,8 +118,9 @@
             if isinstance(effect, RefuseRequest):
                 context.refusal = effect
         probes = [effect for effect in pending if isinstance(effect, ProbeTarget)]
+        context.probed += [effect.target.name for effect in probes]
         pending = []
-        for effect in probes if answers else []:
+        for effect in probes:
             found = metadata(1.0, 0)
             found.rate_limit_per_s = 1.0 if effect.target.name in context.barred else None
             pending += reduce(ProbeAnswered(now, 7, effect.probe_id, found), context.state)
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/dispatching.py
@@ -9,13 +9,18 @@
     limits,
     probe_rounds,
     queueing,
-    rate_limits,
     slowdowns,
 )
 from poplarlane.decisions.attempts import enqueue, finish_refused, send
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_effects import SetTimer
 from poplarlane.decisions.entry_state import EntryState, Request, ServiceState, TimerKind, add_timer
+from poplarlane.decisions.permissions import (
+    are_paused,
+    first_send_at,
+    may_send,
+    next_send_at,
+)
 from poplarlane.decisions.policies import Measured
 from poplarlane.decisions.routing import choose_target
 from poplarlane.decisions.trials import take_due_trial
@@ -43,8 +48,8 @@
     bounds = service.limits
     if type(service.policy) is Measured:
         return choose_measured(request, targets, now)
-    permitted = [load for load in targets if rate_limits.has_permit(load, now)]
-    available = limits.targets_with_capacity(bounds, permitted)
+    willing = [load for load in targets if may_send(load, now)]
+    available = limits.targets_with_capacity(bounds, willing)
     if request.tried:
         tried = request.tried
         available = [load for load in available if load not in tried] or available
@@ -79,7 +84,7 @@
             continue
         if not completion.has_capacity(load, service.contention, slots, reserved):
             continue
-        if not rate_limits.has_permit(load, now):
+        if not may_send(load, now):
             continue
         cost_s = completion.expected_completion_s(
             load, service.contention, service.slowdowns, request.service_time_s, slots, now
@@ -107,7 +112,7 @@
     A first attempt may serve as the trial of an avoided target, which is then not probed. A request
     for which no target may be sent anything in time is refused at once.
     """
-    refusal = rate_refusal(request, targets, now)
+    refusal = barred_refusal(request, targets, now)
     if refusal is not None:
         finish_refused(state, request, refusal, effects)
         return
@@ -126,12 +131,15 @@
         send_or_queue(state, request, targets, now, effects)
 
 
-def rate_refusal(request: Request, targets: list[TargetLoad], now: float) -> NotRun | None:
-    """Return the refusal of a request that the rates of its targets leave no room for in time."""
-    permit_at = rate_limits.first_permit_at(targets, now)
-    if permit_at <= max(now, queueing.give_up_at(request)):
+def barred_refusal(request: Request, targets: list[TargetLoad], now: float) -> NotRun | None:
+    """Return the refusal of a request that its targets' statements leave no room for in time."""
+    send_at = first_send_at(targets, now)
+    if send_at <= max(now, queueing.give_up_at(request)):
         return None
-    after_s = permit_at - now + admission.request_retry_after_s(request)
+    after_s = send_at - now + admission.request_retry_after_s(request)
+    if are_paused(targets, now):
+        detail = "every target has turned requests away for a time"
+        return NotRun(ResultCode.TARGETS_PAUSED, detail, 503, after_s)
     return NotRun(ResultCode.RATE_LIMITED, "the targets' rates are used up", 503, after_s)
 
 
@@ -169,15 +177,14 @@
     recheck_at(state, service, now + RECHECK_S, now, effects)
 
 
-def await_permits(
+def await_permission(
     state: EntryState, service: ServiceState, now: float, effects: list[Effect]
 ) -> None:
-    """Schedule a check of the queue for when the rate of a target next leaves room.
+    """Schedule a check of the queue for when a target's statements next let it be used.
 
     Under policies without probes nothing else would wake requests that wait while no target works.
     """
-    permits = [rate_limits.next_permit_at(load, now) for load in service.limits.loads]
-    later = [at for at in permits if at > now]
+    later = [at for load in service.limits.loads if (at := next_send_at(load, now)) > now]
     if later and service.limits.queued:
         recheck_at(state, service, min(later), now, effects)
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/entry_events.py
@@ -131,6 +131,7 @@
     A detailed load report also gives the running and queued requests, and the slowdown as a
     multiple of the normal service time; without one, `running` is None. `rate_limit_per_s` is the
     rate that the target takes from all entries together, None if the response names none;
+    `retry_after_s` is the time for which a target that turns a request away wants no other;
     `malformed_statements` lists the headers of that kind that could not be parsed.
     """
 
@@ -145,6 +146,7 @@
         "slowdown",
         "instance",
         "rate_limit_per_s",
+        "retry_after_s",
         "malformed_statements",
     )
 
@@ -159,9 +161,23 @@
         self.slowdown = 1.0
         self.instance = ""
         self.rate_limit_per_s: float | None = None
+        self.retry_after_s: float | None = None
         self.malformed_statements: tuple[str, ...] = ()
 
 
+class InterimReceived(EntryEvent):
+    """An interim response arrived before the final response to an attempt."""
+
+    __slots__ = ("attempt_id", "metadata")
+
+    def __init__(
+        self, now: float, random_value: int, attempt_id: int, metadata: ResponseMetadata
+    ) -> None:
+        super().__init__(now, random_value)
+        self.attempt_id = attempt_id
+        self.metadata = metadata
+
+
 class ProbeAnswered(EntryEvent):
     """A probe that was sent for a request was answered."""
 
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probe_events.py
@@ -10,7 +10,12 @@
     statements,
 )
 from poplarlane.decisions.attempts import finish_refused, send, unreachable_refusal
-from poplarlane.decisions.dispatching import await_permits, choose, schedule_recheck, send_or_queue
+from poplarlane.decisions.dispatching import (
+    await_permission,
+    choose,
+    schedule_recheck,
+    send_or_queue,
+)
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
 from poplarlane.decisions.entry_state import (
@@ -21,8 +26,8 @@
     reachable_targets,
 )
 from poplarlane.decisions.hedging import hedge
+from poplarlane.decisions.permissions import first_send_at
 from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.rate_limits import first_permit_at
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests import dispatch_waiting
 from poplarlane.decisions.statements import Source
@@ -160,7 +165,7 @@
     measured = type(service.policy) is Measured
     for request in queueing.dispatch_order(service, now)[:MAX_QUEUED_PROBING] if measured else []:
         targets = reachable_targets(service, request.labels)
-        if targets and first_permit_at(targets, now) > now:
+        if targets and first_send_at(targets, now) > now:
             continue
         if targets and not request.awaiting_probes:
             request.probe_round = service.policy.max_probe_rounds
@@ -172,4 +177,4 @@
     if service.limits.queued and measured:
         schedule_recheck(state, service, now, effects)
     else:
-        await_permits(state, service, now, effects)
+        await_permission(state, service, now, effects)
--- a/poplarlane/decisions/probe_rounds.py
+++ b/poplarlane/decisions/probe_rounds.py
@@ -54,7 +54,8 @@
     random_value: int,
 ) -> list[TargetLoad]:
     """Rank the usable targets for probing, by estimated cost."""
-    usable = usable_targets(targets, now, random_value) or targets
+    awake = [load for load in targets if load.statements.paused_until <= now]
+    usable = usable_targets(awake, now, random_value) or awake
     untried = [load for load in usable if load not in tried] or usable
     count = len(untried)
     start = random_value % count if count else 0
--- a/poplarlane/decisions/rate_limits.py
+++ b/poplarlane/decisions/rate_limits.py
@@ -7,7 +7,6 @@
 """
 
 import math
-from collections.abc import Iterable
 
 from poplarlane.types import TargetLoad, TargetStatements
 
@@ -82,8 +81,3 @@
         load.statements.next_permit_at = (
             next_permit_at(load, now) + load.statements.permit_interval_s
         )
-
-
-def first_permit_at(loads: Iterable[TargetLoad], now: float) -> float:
-    """Return the earliest instant at which one of the targets may be sent a request."""
-    return min((next_permit_at(load, now) for load in loads), default=now)
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests.py
@@ -19,7 +19,7 @@
     unreachable_refusal,
 )
 from poplarlane.decisions.caller_deadlines import CallerDeadlines
-from poplarlane.decisions.dispatching import await_permits, choose, dispatch
+from poplarlane.decisions.dispatching import await_permission, choose, dispatch
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.entry_effects import RefuseCaller, RefuseRequest, SetTimer
 from poplarlane.decisions.entry_events import CallerDisconnected, RequestArrived, RequestMalformed
@@ -100,10 +100,10 @@
             send(state, request, load, event.now, effects)
         else:
             enqueue(state, request, effects)
-            await_permits(state, service, event.now, effects)
+            await_permission(state, service, event.now, effects)
     else:
         send_queued(state, service, event.now, event.random_value, effects)
-        await_permits(state, service, event.now, effects)
+        await_permission(state, service, event.now, effects)
     return effects
 
 
--- a/poplarlane/decisions/responses.py
+++ b/poplarlane/decisions/responses.py
@@ -19,8 +19,7 @@
     remove_request,
     send,
 )
-from poplarlane.decisions.dispatching import await_permits, choose, dispatch, rate_refusal
-from poplarlane.decisions.drain import mark_leaving
+from poplarlane.decisions.dispatching import await_permission, barred_refusal, choose, dispatch
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_effects import (
     DeliverAnswer,
@@ -30,6 +29,7 @@
 from poplarlane.decisions.entry_events import (
     AttemptFailed,
     FailureCause,
+    InterimReceived,
     ResponseCompleted,
     ResponseMetadata,
     ResponseStarted,
@@ -107,7 +107,7 @@
         slowdown = max(attempt.slowdown, metadata.slowdown)
         health.observe_answer(load, latency_s, ok, now, slowdown)
     completion.record_load_report(load, service.slowdowns, metadata, now)
-    if not is_misdirected(metadata):
+    if not is_misdirected(metadata) and attempt.request.streaming is not attempt:
         statements.observe(state, load, metadata, Source.RESPONSE, random_value, effects)
     if ok and attempt.request.service_time_s:
         update_service_time(attempt, latency_s)
@@ -116,8 +116,6 @@
     if metadata.in_flight is not None:
         # The report dates from when the response left the target, half a round trip ago.
         health.observe_report(load, metadata.in_flight, now - load.rtt_s / 2.0, now)
-    if metadata.leaving and not load.leaving:
-        mark_leaving(state, load.target, "answer", effects)
     changed = health.review(service.health, service.limits.loads, now)
     limits.observe_min_latency(service.limits, service.health.fast_s, now)
     if changed:
@@ -191,6 +189,8 @@
     observe_abandoned(request, attempt, event.now)
     cancel_attempts(state, request, effects, kept=attempt)
     metadata = event.metadata
+    state.now = event.now
+    statements.observe(state, attempt.load, metadata, Source.RESPONSE, event.random_value, effects)
     effects.append(
         StreamAnswer(
             request.request_id,
@@ -203,6 +203,20 @@
     return effects
 
 
+@reduce.register
+def interim_received(event: InterimReceived, state: EntryState) -> list[Effect]:
+    """Record what a target says about itself before its final response."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return []
+    state.now = event.now
+    effects: list[Effect] = []
+    statements.observe(
+        state, attempt.load, event.metadata, Source.INTERIM, event.random_value, effects
+    )
+    return effects
+
+
 @reduce.register
 def attempt_failed(event: AttemptFailed, state: EntryState) -> list[Effect]:
     """Retry a request where that is safe, or report its outcome."""
@@ -272,7 +286,7 @@
     service = request.service
     targets = reachable_targets(service, request.labels)
     decision = retries.RetryDecision.NO
-    if targets and rate_refusal(request, targets, now) is None:
+    if targets and barred_refusal(request, targets, now) is None:
         decision = retries.decide_retry(service.retry_budget, request, outcome, now)
     if request.max_attempts and request.sends >= request.max_attempts:
         decision = retries.RetryDecision.NO
@@ -295,7 +309,7 @@
         send(state, request, load, now, effects)
     else:
         enqueue(state, request, effects)
-        await_permits(state, service, now, effects)
+        await_permission(state, service, now, effects)
     return True
 
 
--- a/poplarlane/decisions/statements.py
+++ b/poplarlane/decisions/statements.py
@@ -1,13 +1,16 @@
 """What targets state about themselves in their responses: when it takes effect and what ends it.
 
-A statement of a target binds this node by itself, whatever the store says. It ends with a later
-response that no longer makes it, or with the target process: names of targets differ between
-processes, so a new process at the same address starts without statements.
+A target may say that it leaves, that it takes only so many requests a second from all nodes, or
+that it wants nothing from this node for a time. A statement binds this node by itself, whatever the
+store says. A rate ends with a later response that names none, a pause with its time, and leaving
+only with the process: names of targets differ between processes, so a new process at the same
+address starts without statements.
 """
 
 from enum import StrEnum
 
 from poplarlane.decisions import rate_limits
+from poplarlane.decisions.drain import mark_leaving
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.entry_events import ResponseMetadata
 from poplarlane.decisions.entry_state import EntryState
@@ -17,12 +20,17 @@
 # Statements of targets that no list names are kept this long, because an outage of the store may
 # hide a target for a while.
 KEPT_ABSENT_S = 120.0
+# A process that asks for a longer time is tried once after this, in case its value is a mistake.
+MAX_PAUSE_S = 600.0
+# Share by which a pause is lengthened at most, at random.
+PAUSE_SPREAD = 0.1
 
 
 class Source(StrEnum):
     """Kind of response that made or withdrew a statement."""
 
     RESPONSE = "response"
+    INTERIM = "interim"
     PROBE = "probe"
 
 
@@ -39,11 +47,46 @@
         effects.append(Count("malformed_statement_total", 1.0, {"header": name}))
         fields = {"target": load.target.name, "header": name, "source": source.value}
         append_line(state, "malformed_statement", "warning", fields, effects)
+    if metadata.leaving and not load.leaving:
+        load.statements.heard_at = state.now
+        mark_leaving(state, load.target, source.value, effects)
+    observe_pause(state, load, metadata, source, random_value, effects)
     if not metadata.malformed_statements:
         limit_per_s = metadata.rate_limit_per_s
         observe_rate_limit(state, load, limit_per_s, source, random_value, effects)
 
 
+def observe_pause(
+    state: EntryState,
+    load: TargetLoad,
+    metadata: ResponseMetadata,
+    source: Source,
+    random_value: int,
+    effects: list[Effect],
+) -> None:
+    """Start a pause that the target asks for, or end its return after one.
+
+    A pause is never shortened, because an earlier statement holds for its whole time.
+    """
+    found = load.statements
+    fields: dict[str, object] = {"target": load.target.name, "source": source.value}
+    if metadata.retry_after_s:
+        pause_s = min(MAX_PAUSE_S, metadata.retry_after_s)
+        # Nodes that are turned away together do not come back together.
+        pause_s *= 1.0 + PAUSE_SPREAD * rate_limits.random_share(random_value)
+        found.paused_until = max(found.paused_until, state.now + pause_s)
+        found.is_returning = True
+        found.heard_at = state.now
+        fields["retry_after_s"] = metadata.retry_after_s
+        fields["pause_s"] = round(found.paused_until - state.now, 3)
+        append_line(state, "target_paused", "info", fields, effects)
+        effects.append(Count("target_pause_total", 1.0, {"source": source.value}))
+    elif found.is_returning and state.now >= found.paused_until and source is Source.RESPONSE:
+        found.is_returning = metadata.not_run
+        if not found.is_returning:
+            append_line(state, "target_pause_ended", "info", fields, effects)
+
+
 def observe_rate_limit(
     state: EntryState,
     load: TargetLoad,
@@ -56,7 +99,8 @@
     found = load.statements
     before = found.rate_limit_per_s
     if limit_per_s is None:
-        if before is None or (source is Source.PROBE and not found.is_limit_on_probes):
+        is_silent = source is Source.PROBE and not found.is_limit_on_probes
+        if before is None or is_silent or source is Source.INTERIM:
             return
         found.rate_limit_per_s = None
         found.is_limit_on_probes = False
@@ -88,3 +132,4 @@
         for name, found in state.statements.items()
         if name in used or now - found.heard_at <= KEPT_ABSENT_S
     }
+    state.leaving &= state.statements.keys()
--- a/poplarlane/decisions/trials.py
+++ b/poplarlane/decisions/trials.py
@@ -2,8 +2,8 @@
 
 from functools import singledispatch
 
+from poplarlane.decisions.permissions import may_send
 from poplarlane.decisions.policies import Adaptive, Measured, Policy, ProbePool
-from poplarlane.decisions.rate_limits import has_permit
 from poplarlane.decisions.verdicts import ramp_eighths, trial_interval_s
 from poplarlane.types import TargetLoad, Verdict
 
@@ -20,13 +20,13 @@
 
 
 def usable_targets(candidates: list[TargetLoad], now: float, random_value: int) -> list[TargetLoad]:
-    """Return the targets for this request: healthy, with a permit, let through by a ramp."""
+    """Return the targets for this request: healthy, willing, let through by a ramp."""
     return [
         load
         for load in candidates
         if load.verdict is not Verdict.AVOIDED
         and load.shed_until <= now
-        and has_permit(load, now)
+        and may_send(load, now)
         and (load.ramp_until <= now or (random_value >> 40) % 8 < ramp_eighths(load, now))
     ]
 
@@ -82,7 +82,7 @@
         if (
             load.verdict is not Verdict.AVOIDED
             or load.outstanding
-            or not has_permit(load, now)
+            or not may_send(load, now)
             or now < trial_due_at(policy, load)
         ):
             continue
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -29,5 +29,6 @@
     expected_instance=b"x-expected-instance",
     signature=b"x-server-signature",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
     adds_own_headers=False,
 )
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
+import h11
+
 from poplarlane.decisions.entry_events import (
     AttemptFailed,
     AttemptSent,
@@ -13,6 +15,7 @@
     EntryEvent,
     EntryPaused,
     FailureCause,
+    InterimReceived,
     ProbeAnswered,
     ProbeFailed,
     ReportDue,
@@ -38,7 +41,7 @@
 from poplarlane.plumbing.entry_execute import IDLE_LINGER_S, execute
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
-from poplarlane.plumbing.heads import service_host
+from poplarlane.plumbing.heads import read_response_head, service_host
 from poplarlane.plumbing.pauses import PauseDetector
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.settings import EntrySettings, seeded_generator
@@ -355,6 +358,16 @@
         )
         self.exchanges.pop(exchange.attempt_id, None)
 
+    def interim_read(self, exchange: Exchange, event: h11.InformationalResponse) -> None:
+        """Report what an interim response to a request says about its target."""
+        if exchange.is_probe:
+            return
+        head = read_response_head(
+            event.status_code, event.reason, event.headers.raw_items(), self.header_names
+        )
+        now, random_value = self.now(), self.random_value()
+        self.feed(InterimReceived(now, random_value, exchange.attempt_id, head.metadata))
+
     def exchange_failed(self, exchange: Exchange, cause: FailureCause, detail: str) -> None:
         """Report an attempt or a probe that ended without a complete response."""
         self.exchanges.pop(exchange.attempt_id, None)
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -20,6 +20,7 @@
 )
 MAX_REPORTED_IN_FLIGHT = 1_000_000.0
 # Longer numbers, signs and exponents are not what a target sends.
+RETRY_AFTER = b"retry-after"
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
@@ -40,6 +41,7 @@
         "expected_instance",
         "signature",
         "rate_limit",
+        "leaving",
         "adds_own_headers",
         "request_dropped",
         "response_dropped",
@@ -56,6 +58,7 @@
         expected_instance: bytes = b"",
         signature: bytes = b"",
         rate_limit: bytes = b"x-rate-limit",
+        leaving: bytes = b"x-leaving",
         adds_own_headers: bool = True,
     ) -> None:
         self.request_id = request_id
@@ -67,6 +70,7 @@
         self.expected_instance = expected_instance
         self.signature = signature
         self.rate_limit = rate_limit
+        self.leaving = leaving
         self.adds_own_headers = adds_own_headers
         # Set by the entry for each attempt, or meant for the entry only.
         dropped = {b"content-length", b"expect", b"x-attempt", b"x-caller-labels", deadline}
@@ -76,13 +80,34 @@
 
 
 def read_rate_limit(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
-    """Set the rate limit from a decimal number; a second header line makes the first one void."""
-    is_repeated = metadata.rate_limit_per_s is not None or metadata.malformed_statements
-    if is_repeated or not DECIMAL.fullmatch(value.strip(b" \t")):
-        metadata.rate_limit_per_s = None
-        metadata.malformed_statements = (name.decode("latin-1"),)
-        return
-    metadata.rate_limit_per_s = float(value)
+    """Set the rate that the target takes."""
+    metadata.rate_limit_per_s = read_decimal(metadata, name, value, metadata.rate_limit_per_s)
+
+
+def read_retry_after(metadata: ResponseMetadata, value: bytes) -> None:
+    """Set the time for which the target wants no request; dates are not supported."""
+    metadata.retry_after_s = read_decimal(metadata, RETRY_AFTER, value, metadata.retry_after_s)
+
+
+def read_decimal(
+    metadata: ResponseMetadata, name: bytes, value: bytes, before: float | None
+) -> float | None:
+    """Parse a decimal number; a malformed or second line voids the header and is noted."""
+    text = name.decode("latin-1")
+    is_repeated = before is not None or text in metadata.malformed_statements
+    if not is_repeated and DECIMAL.fullmatch(value.strip(b" \t")):
+        return float(value)
+    if text not in metadata.malformed_statements:
+        metadata.malformed_statements += (text,)
+    return None
+
+
+def read_leaving(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
+    """Note that the target leaves; any other value than 1 is malformed."""
+    if value.strip(b" \t") == b"1":
+        metadata.leaving = True
+    else:
+        metadata.malformed_statements += (name.decode("latin-1"),)
 
 
 def read_in_flight(metadata: ResponseMetadata, value: bytes) -> None:
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -9,7 +9,14 @@
 
 from poplarlane.decisions.entry_events import ResponseMetadata
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
-from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames, read_rate_limit
+from poplarlane.plumbing.header_names import (
+    DEFAULT_HEADERS,
+    RETRY_AFTER,
+    HeaderNames,
+    read_leaving,
+    read_rate_limit,
+    read_retry_after,
+)
 
 HEAD_END = b"\r\n\r\n"
 # The captured value is empty for a line without a colon.
@@ -18,6 +25,7 @@
 # Statuses with which a target may state, by a header, that it has not run the request.
 NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
 MISDIRECTED = 421
+UNAVAILABLE = 503
 POPLAR_PREFIX = b"x-poplar-"
 REASONS = {
     200: b"OK",
@@ -269,8 +277,10 @@
             names.read_load(metadata, value)
         elif lower == names.rate_limit:
             read_rate_limit(metadata, lower, value)
-        elif lower == b"x-leaving":
-            metadata.leaving = value == b"1"
+        elif lower == names.leaving:
+            read_leaving(metadata, lower, value)
+        elif lower == RETRY_AFTER and status == UNAVAILABLE:
+            read_retry_after(metadata, value)
         elif lower == names.request_id:
             head.request_id = value
         elif lower == names.signature:
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -184,6 +184,7 @@
         """Skip an unrequested interim response; the connection is not reused."""
         self.reusable = False
         self.informational += 1
+        self.shell.interim_read(self.exchange, event)
         if event.status_code == 101 or self.informational > MAX_INFORMATIONAL:
             self.fail(FailureCause.ANSWER_INVALID, f"unexpected status {event.status_code}")
             return False
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -264,6 +264,7 @@
         "rejected": state.rejected,
         "leaving_targets": sorted(state.leaving),
         "fleet_entries": state.fleet_entries,
+        "statements": target_statements(shell),
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -278,6 +279,24 @@
     }
 
 
+def target_statements(shell: EntryShell) -> dict:
+    """Describe what targets have said about themselves, by service and target."""
+    now = shell.now()
+    found: dict[str, dict] = {}
+    for name, service in shell.state.services.items():
+        for target, load in service.loads.items():
+            held = load.statements
+            paused_s = max(0.0, held.paused_until - now)
+            if held.rate_limit_per_s is None and not paused_s and not load.leaving:
+                continue
+            found.setdefault(name, {})[target] = {
+                "leaving": load.leaving,
+                "rate_limit_per_s": held.rate_limit_per_s,
+                "paused_s": round(paused_s, 3),
+            }
+    return found
+
+
 def update_gauges(shell: EntryShell) -> None:
     """Export the entry's own counters as gauges."""
     metrics = shell.metrics
@@ -294,6 +313,10 @@
             load.statements.rate_limit_per_s is not None for load in service.loads.values()
         )
         metrics.set("rate_limited_targets", {"service": name}, limited)
+        paused = sum(load.statements.paused_until > shell.now() for load in service.loads.values())
+        metrics.set("paused_targets", {"service": name}, paused)
+        leaving = sum(load.leaving for load in service.loads.values())
+        metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
     routes = shell.state.routes
     if routes is not None:
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -25,6 +25,8 @@
 
     REFUSED_ON_ARRIVAL = "refused on arrival"
     REFUSED_AFTER_WAIT = "refused after a wait"
+    RATE_USED_UP = "refused: rates named by targets used up"
+    TARGETS_PAUSED = "refused: targets turned requests away"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -37,6 +39,11 @@
     NOT_ATTRIBUTED = "not attributed"
 
 
+STATEMENT_CAUSES = {
+    "rate_limited": Cause.RATE_USED_UP,
+    "targets_paused": Cause.TARGETS_PAUSED,
+}
+
 Key = tuple[str, str, Cause]
 
 
@@ -75,6 +82,8 @@
         return Cause.CUT
     if count_of(fields, "code") < 1200:
         return Cause.NOT_ATTRIBUTED
+    if fields.get("result") in STATEMENT_CAUSES:
+        return STATEMENT_CAUSES[fields["result"]]
     is_direct = count_of(fields, "age_ms") <= ARRIVAL_MS
     return Cause.REFUSED_ON_ARRIVAL if is_direct else Cause.REFUSED_AFTER_WAIT
 
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -144,6 +144,8 @@
         self.service = service
         self.address = address
         self.mode = ""
+        # What the target says about itself in all its answers: headers and their values.
+        self.statements: dict[str, str] = {}
         # How probes are answered: well, or in a shape without end.
         self.probe_mode = ""
         # Answers without end that were begun and whose callers have not closed.
@@ -152,6 +154,8 @@
         self.work_ms = fleet.settings.work_ms
         self.running = 0
         self.probes = 0
+        # When requests reached it, those that it refused included.
+        self.arrivals: list[float] = []
         self.server = HttpServer(self.handle)
 
     def load(self) -> str:
@@ -162,6 +166,8 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer a probe, refuse a request for another instance, or work."""
         headers = [("x-server-load", self.load()), ("x-instance-id", self.name)]
+        if self.mode != "interim":
+            headers += self.statements.items()
         if exchange.path == self.fleet.settings.probe_path:
             self.probes += 1
             if self.probe_mode:
@@ -173,7 +179,11 @@
         headers.append(("x-attempt-id", request_id))
         if exchange.headers.get("x-expected-instance", self.name) != self.name:
             exchange.reply(421, headers, b"")
-        elif self.mode == "shed":
+            return
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if self.mode == "interim":
+            self.answer_interim(exchange)
+        if self.mode == "shed":
             exchange.reply(503, [*headers, ("x-not-executed", "1")], b"")
         else:
             self.work(exchange, headers, request_id)
@@ -218,6 +228,12 @@
         else:
             exchange.reply(200, signed, body)
 
+    def answer_interim(self, exchange: Exchange) -> None:
+        """Send an interim answer with the statements before the final one."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in self.statements.items())
+        exchange.connection.transport.write(f"HTTP/1.1 103 Early Hints\r\n{lines}\r\n".encode())
+        self.statements = {}
+
     def answer_endlessly(self, mode: str, exchange: Exchange, headers: list) -> None:
         """Answer without end until the caller closes."""
         exchange.finished = True
@@ -303,6 +319,7 @@
                 "cancelled": self.cancelled,
                 "deadlines_ms": self.deadlines_ms,
                 "probes": {name: target.probes for name, target in self.targets.items()},
+                "arrivals": {name: target.arrivals for name, target in self.targets.items()},
                 "endless": sum(len(target.endless) for target in self.targets.values()),
                 "calls": self.store.calls,
             }
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -105,6 +105,8 @@
         "rate_limit_per_s",
         "permit_interval_s",
         "next_permit_at",
+        "paused_until",
+        "is_returning",
         "is_limit_on_probes",
         "heard_at",
     )
@@ -115,6 +117,10 @@
         # Under a limit, this node may send one request at a time, at instants this far apart.
         self.permit_interval_s = 0.0
         self.next_permit_at = -math.inf
+        # Until then the target wants nothing from this node; afterwards it gets one request at a
+        # time until it has taken one.
+        self.paused_until = -math.inf
+        self.is_returning = False
         # Whether responses to probes carry the limit too; only then does one without it end it.
         self.is_limit_on_probes = False
         # Instant of the last response that made a statement.
