Send a refused request to its target again only on another connection

Report of another operator: a target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. The connection is closed now.

--- a/features/entry_bad_input.feature
+++ b/features/entry_bad_input.feature
@@ -76,3 +76,10 @@
       | HTTP/1.0 with a length     |
       | an unexpected 100          |
     And bytes on an idle connection close it before the next request
+
+  Scenario: A request that was refused goes to its target again on another connection
+    # Guards REFUSED: a refusal that the target sends once more on that connection bears the same id, and
+    # would be taken for the answer to the second attempt.
+    When a caller sends a read to the raw target, which refuses each attempt
+    Then the caller is told that it was not run
+    And no two attempts of it used one connection of the raw target
--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -73,6 +73,34 @@
     And a caller sends "POST" "/bookings/1" with id "g1"
     Then the answer has status 200, the id "g1" and the signature of a target of "books"
 
+  Scenario: A refusal that a target sends once more is not taken for an answer to the next request
+    # Guards REFUSED and TWICE: the caller of a booking that the target was running was told that it had
+    # not run (report of another operator; not seen here).
+    Given a node with 1 targets of the service "reads" and 1 of "books"
+    When every target of "books" is set to "refusal-copy"
+    And a caller sends "POST" "/bookings/1" with id "v1"
+    Then the answer has status 503
+    When a caller sends "POST" "/bookings/1" with id "v2"
+    Then the answer has status 200, the id "v2" and the signature of a target of "books"
+    And the request "v1" ran on no target
+    And the request "v2" ran 1 times
+
+  Scenario Outline: A head that breaks off is no answer
+    # Guards MIXED: a 200 whose head was cut reached the caller as whole, with an empty body (report of
+    # another operator; not seen here).
+    Given a node with 1 targets of the service "reads" and 1 of "books"
+    When every target of "books" is set to "half-head-<lines>"
+    And a caller sends "POST" "/bookings/1" with id "w1"
+    Then the answer has status 502
+    And the request "w1" ran 1 times
+
+    Examples:
+      | lines |
+      | 0     |
+      | 1     |
+      | 3     |
+      | 5     |
+
   Scenario: A draining target gets no new requests
     Given a node with 2 targets of the service "reads" and 1 of "books"
     When the target "reads-0" drains and the node knows it
--- a/features/steps/entry_bad_input_steps.py
+++ b/features/steps/entry_bad_input_steps.py
@@ -241,3 +241,26 @@
     context.rig.entry.wait_for("target_connection_fault")
     assert ask_raw(context, CLEAN_ANSWER).body == b"ok"
     assert raw.connections == opened + 2
+
+
+@when("a caller sends a read to the raw target, which refuses each attempt")
+def step_refusing(context):
+    context.raw.answer = (
+        b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nx-request-id: twice\r\ncontent-length: 0\r\n\r\n"
+    )
+    caller = context.rig.caller()
+    caller.send(b"GET / HTTP/1.1\r\nhost: raw.example\r\nx-request-id: twice\r\n\r\n")
+    context.reply = caller.reply()
+    caller.close()
+
+
+@then("the caller is told that it was not run")
+def step_told_not_run(context):
+    assert context.reply.status == 503 and context.reply.code == "1207", context.reply
+
+
+@then("no two attempts of it used one connection of the raw target")
+def step_own_connections(context):
+    raw = context.raw
+    assert len(raw.heads) > 1, "the read was not sent again"
+    assert raw.connections == len(raw.heads), (raw.connections, len(raw.heads))
--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -11,6 +11,7 @@
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS
+from poplarlane.plumbing.heads import read_response_head
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import TargetConnection
 from poplarlane.settings import EntrySettings
@@ -52,6 +53,9 @@
     def caller_opened(self, caller):
         caller.trusted = True
 
+    def interim_read(self, _exchange, event):
+        read_response_head(event.status_code, event.reason, event.headers.raw_items())
+
     def request_read(self, request):
         request.request_id = 1
         self.requests.append((request.head.forwarded, request.body))
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -76,7 +76,7 @@
     exchange = Exchange(effect.attempt_id, effect.request_id, is_head, head.request_id, data)
     shell.exchanges[effect.attempt_id] = exchange
     pool = shell.pool(effect.target)
-    connection = pool.take()
+    connection = pool.take(head.request_id)
     if connection is not None:
         # AttemptSent must precede a failure, and a write can fail synchronously.
         shell.feed(AttemptSent(shell.now(), 0, effect.attempt_id))
--- a/poplarlane/plumbing/target_pools.py
+++ b/poplarlane/plumbing/target_pools.py
@@ -20,11 +20,17 @@
         self.open = 0
         self.limit = limit
 
-    def take(self) -> "TargetConnection | None":
-        """Take an idle connection that is still open, if there is one."""
+    def take(self, request_id: bytes = b"") -> "TargetConnection | None":
+        """Take an idle connection that is still open, if there is one.
+
+        The one on which the target has just refused the same request is closed: a refusal that the
+        target sends once more there could not be told from the answer.
+        """
         while self.idle:
             connection = self.idle.pop()
-            if connection.is_open():
+            if request_id and connection.refused_id == request_id:
+                connection.abort()
+            elif connection.is_open():
                 return connection
         return None
 
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -59,6 +59,7 @@
         "is_skipping",
         "skipped_bytes",
         "closed",
+        "refused_id",
     )
 
     def __init__(self, shell: "EntryShell", pool: "ConnectionPool") -> None:
@@ -83,6 +84,8 @@
         self.is_skipping = False
         self.skipped_bytes = 0
         self.closed = False
+        # Request ID of the last response if the target refused the request as not run.
+        self.refused_id = b""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection in its pool."""
@@ -253,6 +256,7 @@
             and not trailing
             and not self.transport.get_write_buffer_size()
         )
+        self.refused_id = head.request_id if head.metadata.not_run else b""
         self.exchange = None
         exchange.connection = None
         self.parser = None
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -146,6 +146,8 @@
         self.mode = ""
         # What the target says about itself in all its answers: headers and their values.
         self.statements: dict[str, str] = {}
+        # The request that was refused and whose refusal is sent once more, in that mode.
+        self.refused_id = ""
         # How probes are answered: well, or in a shape without end.
         self.probe_mode = ""
         # Answers without end that were begun and whose callers have not closed.
@@ -183,6 +185,13 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         if self.mode == "interim":
             self.answer_interim(exchange)
+        if self.mode == "refusal-copy" and self.refused_id:
+            copy = f"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nx-attempt-id: {self.refused_id}\r\n"
+            exchange.connection.transport.write(f"{copy}content-length: 0\r\n\r\n".encode())
+        elif self.mode == "refusal-copy":
+            self.refused_id = request_id
+            exchange.reply(503, [*headers, ("x-not-executed", "1")], b"")
+            return
         if self.mode == "shed":
             exchange.reply(503, [*headers, ("x-not-executed", "1")], b"")
         else:
@@ -213,6 +222,8 @@
         signed = [*headers, ("x-server-signature", f"{self.name}.{len(body)}")]
         if self.mode == "lose":
             exchange.drop()
+        elif self.mode.startswith("half-head"):
+            self.answer_half_head(exchange, signed)
         elif self.mode == "unsigned":
             exchange.reply(200, headers, body)
         elif self.mode == "fail":
@@ -228,6 +239,15 @@
         else:
             exchange.reply(200, signed, body)
 
+    def answer_half_head(self, exchange: Exchange, headers: list) -> None:
+        """Stop in the middle of the head, after as many lines as the mode says, and close."""
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers), "x-cut: "]
+        whole = int(self.mode.rpartition("-")[2])
+        text = "".join(f"{line}\r\n" for line in lines[:whole]) + lines[whole][:4]
+        exchange.finished = True
+        exchange.connection.transport.write(text.encode())
+        exchange.connection.transport.close()
+
     def answer_interim(self, exchange: Exchange) -> None:
         """Send an interim answer with the statements before the final one."""
         lines = "".join(f"{name}: {value}\r\n" for name, value in self.statements.items())
