--- a/features/node_interleaving.feature
+++ b/features/node_interleaving.feature
@@ -4,7 +4,7 @@
 
   Scenario: No drawn interleaving breaks a promise
     # Guards at-most-once, true refusals, one answer per request, the bound on targets, the end of work
-    # for leaving targets, and the order of versions.
+    # for leaving targets, the order of versions, and what targets say of themselves in their answers.
     Then 600 drawn interleavings with the weakening "none" break no promise
 
   Scenario Outline: The check finds each rule that is broken by hand
@@ -19,3 +19,6 @@
       | older versions are accepted | goes to ['                  |
       | leaving targets are kept    | which is leaving            |
       | timers are lost             | has 0 answers               |
+      | leaving in answers is missed | which said that it leaves |
+      | pauses are missed           | which turned the node away  |
+      | rates are missed            | beyond the rate             |
--- a/features/node_interleaving.py
+++ b/features/node_interleaving.py
@@ -7,10 +7,12 @@
 finds it.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterator
 
 from features.node_world import NOW, SLOTS
+from poplarlane.decisions import rate_limits
 from poplarlane.decisions.directory import (
     Catalogue,
     Configuration,
@@ -57,6 +59,8 @@
 MAX_ATTEMPTS = 2
 DEADLINE_S = 1.5
 STEPS = 160
+NODES = 4
+SLOW_RATE_PER_S = 0.8
 READ = RequestKind("read", frozenset(), "/", True, Priority.NORMAL, DEADLINE_S * 1000.0, True)
 WRITE = RequestKind("write", frozenset(), "/", False, Priority.HIGH, DEADLINE_S * 1000.0, False)
 
@@ -74,6 +78,31 @@
         self.excused = False
 
 
+class Said:
+    """Hold what a target has said of itself to the present process of the node."""
+
+    def __init__(self) -> None:
+        self.leaves = False
+        self.paused_until = -math.inf
+        self.rate_per_s: float | None = None
+        # Requests sent to the target since it named the rate.
+        self.sent_at: list[float] = []
+
+    def check(self, name: str, now: float) -> None:
+        """Check a request that the node sends to the target."""
+        assert not self.leaves, f"a request goes to {name}, which said that it leaves"
+        assert now >= self.paused_until, f"a request goes to {name}, which turned the node away"
+        if self.rate_per_s is None:
+            return
+        self.sent_at.append(now)
+        share = rate_limits.used_share(self.rate_per_s, NODES)
+        interval_s = NODES / (share * self.rate_per_s)
+        window_s = rate_limits.WINDOW_S
+        recent = sum(now - at < window_s for at in self.sent_at)
+        most = 1 + (window_s + rate_limits.PERMIT_VALID_S) / interval_s
+        assert recent <= most, f"{recent} requests go to {name}, beyond the rate that it named"
+
+
 class Sending:
     """Hold one attempt on its way to or at a target."""
 
@@ -96,7 +125,9 @@
         self.next_instance = 0
         self.asked: dict[int, Asked] = {}
         self.sendings: dict[int, Sending] = {}
-        self.probes: set[int] = set()
+        # Targets of the probes that are not answered yet.
+        self.probes: dict[int, str] = {}
+        self.said: dict[str, Said] = {}
         self.directory = Directory(0.2, "measured")
         # Targets that the node was told to send nothing to any more.
         self.left: set[str] = set()
@@ -138,6 +169,7 @@
             asked.excused = asked.excused or not asked.answers
         self.sendings.clear()
         self.probes.clear()
+        self.said.clear()
         self.state = EntryState("node", 1)
         self.state.policy_name = "measured"
         self.state.probes_per_target_s = 60.0
@@ -151,7 +183,7 @@
         present = {name for service in found.services.values() for name in service.targets}
         known = {target_name(record) for record in self.directory.instances.values()}
         assert present == known
-        self.feed(CatalogueChanged(self.now, self.random_value(), found, 4))
+        self.feed(CatalogueChanged(self.now, self.random_value(), found, NODES))
         self.left = {name for name in self.left if name not in present}
 
     def random_value(self) -> int:
@@ -170,7 +202,7 @@
         if isinstance(effect, SendRequest):
             self.send(effect)
         elif isinstance(effect, CancelAttempt):
-            self.probes.discard(effect.attempt_id)
+            self.probes.pop(effect.attempt_id, None)
             found = self.sendings.pop(effect.attempt_id, None)
             if (
                 found is not None
@@ -180,7 +212,7 @@
             ):
                 self.begin(found)
         elif isinstance(effect, ProbeTarget):
-            self.probes.add(effect.probe_id)
+            self.probes[effect.probe_id] = effect.target.name
         elif isinstance(effect, DeliverAnswer | RefuseRequest | CutAnswer):
             self.asked[effect.request_id].answers.append(effect)
 
@@ -189,6 +221,7 @@
         asked = self.asked[effect.request_id]
         name = effect.target.name
         assert name not in self.left, f"a request goes to {name}, which is leaving"
+        self.said.setdefault(name, Said()).check(name, self.now)
         services = [
             record.service
             for record in self.directory.instances.values()
@@ -283,6 +316,7 @@
         metadata.not_run = not found.begun
         metadata.status = 503 if metadata.not_run else 500 if chance < 0.4 else 200
         metadata.running, metadata.slowdown = 1, self.generator.choice((1.0, 1.0, 5.0))
+        self.make_statement(found.target.name, metadata, False)
         self.feed(ResponseCompleted(self.now, self.random_value(), number, metadata))
 
     def probe_ends(self) -> None:
@@ -290,15 +324,33 @@
         if not self.probes:
             return
         number = self.generator.choice(sorted(self.probes))
-        self.probes.discard(number)
+        name = self.probes.pop(number)
         if self.generator.random() < 0.1:
             self.feed(ProbeFailed(self.now, self.random_value(), number))
             return
         metadata = ResponseMetadata()
         metadata.status, metadata.running = 200, self.generator.randrange(SLOTS)
         metadata.slowdown = self.generator.choice((1.0, 1.0, 5.0))
+        self.make_statement(name, metadata, True)
         self.feed(ProbeAnswered(self.now, self.random_value(), number, metadata))
 
+    def make_statement(self, name: str, metadata: ResponseMetadata, is_probe: bool) -> None:
+        """Let a target say something of itself now and then, and go on saying what it said."""
+        said = self.said.setdefault(name, Said())
+        chance = self.generator.random()
+        said.leaves = said.leaves or chance < 0.004
+        metadata.leaving = said.leaves
+        if metadata.not_run and chance > 0.7:
+            metadata.retry_after_s = self.generator.uniform(0.05, 0.6)
+            until = self.now + metadata.retry_after_s
+            said.paused_until = max(said.paused_until, until)
+        if said.rate_per_s is None and 0.1 < chance < 0.13:
+            said.rate_per_s = SLOW_RATE_PER_S
+        elif said.rate_per_s is not None and not is_probe and chance < 0.1:
+            said.rate_per_s = None
+            said.sent_at.clear()
+        metadata.rate_limit_per_s = said.rate_per_s
+
     def caller_leaves(self) -> None:
         """Let a caller close its connection."""
         open_requests = [number for number, found in self.asked.items() if not found.answers]
@@ -393,6 +445,27 @@
         world.state.catalogue.update(event.catalogue.services)
 
 
+def event_metadata(event: EntryEvent) -> ResponseMetadata:
+    """Give what the answer of an event says; nothing for other events."""
+    is_answer = isinstance(event, ResponseCompleted | ProbeAnswered)
+    return event.metadata if is_answer else ResponseMetadata()
+
+
+def miss_leaving(world: World, event: EntryEvent) -> None:
+    """Overlook that an answer says that its target leaves."""
+    event_metadata(event).leaving = False
+
+
+def miss_pauses(world: World, event: EntryEvent) -> None:
+    """Overlook the time for which a target wants nothing."""
+    event_metadata(event).retry_after_s = None
+
+
+def miss_rates(world: World, event: EntryEvent) -> None:
+    """Overlook the rate that a target names."""
+    event_metadata(event).rate_limit_per_s = None
+
+
 def lose_deadlines(world: World, event: EntryEvent) -> None:
     """Drop every timer, so that silence is never answered."""
     world.state.timers.clear()
@@ -407,6 +480,9 @@
     "older versions are accepted": accept_older,
     "leaving targets are kept": keep_leaving,
     "timers are lost": lose_deadlines,
+    "leaving in answers is missed": miss_leaving,
+    "pauses are missed": miss_pauses,
+    "rates are missed": miss_rates,
 }
 
 
