Do not hedge reads of a service whose targets name rates, unless their target is lost

Hypothesis: a second copy takes the place of a read that was not sent yet. The scenarios on overdue reads could not fail before: the service's latency was unknown to the rig, so nothing was hedged. It is known now, and they fail when the choice ignores statements.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -136,3 +136,15 @@
       | 24    | 2.5  | 0.6   | 0.9  |
       | 218   | 3.1  | 0.5   | 0.7  |
       | 218   | 30   | 0.9   | 1.0  |
+
+  Scenario Outline: Second copies leave the room to first ones while targets name rates
+    # Guards reads before a service in need: each second copy took the place of a read that waited.
+    Given a node with a read at the first of 4 targets, of which the last <names> a rate
+    When the read is overdue and its target <answers> probes
+    Then the read was sent <count> times
+
+    Examples:
+      | names          | answers         | count |
+      | names          | answers         | 1     |
+      | does not name  | answers         | 2     |
+      | names          | does not answer | 2     |
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -12,7 +12,7 @@
 )
 from poplarlane.bench.arrival_record import most_allowed
 from poplarlane.bench.service_model import Pattern, ServiceModel
-from poplarlane.decisions import rate_limits, relays, statements
+from poplarlane.decisions import health, rate_limits, relays, statements
 from poplarlane.decisions.effects import Count
 from poplarlane.decisions.entry_effects import ProbeTarget, RefuseRequest, SendRequest
 from poplarlane.decisions.entry_events import (
@@ -98,6 +98,8 @@
     context.state = make_state(4)
     context.service = context.state.services["reads"]
     context.service.policy = policy_by_name(policy)
+    # A service whose latency is unknown is not hedged.
+    context.service.health.p95_s = 0.1
     context.state.now = NOW
     context.targets = list(context.service.loads.values())
     context.sends, context.probed = [], []
@@ -341,3 +343,38 @@
 @then("{nodes:d} nodes use between {least:g} and {most:g} of a rate of {rate:g} requests a second")
 def step_share_used(context, nodes, least, most, rate):
     assert least <= rate_limits.used_share(rate, nodes) <= most
+
+
+@given("a node with a read at the first of 4 targets, of which the last {names} a rate")
+def step_read_at_first(context, names):
+    context.state = make_state(4)
+    context.state.now = NOW
+    context.service = context.state.services["reads"]
+    context.targets = list(context.service.loads.values())
+    context.service.health.p95_s = 0.1
+    context.sends, context.probed, context.barred = [], [], set()
+    for load in context.targets[1:]:
+        load.outstanding = load.connection_share
+    play(context, arrive(context.state), NOW + 0.02)
+    (context.attempt,) = context.state.attempts.values()
+    assert context.attempt.load is context.targets[0]
+    effects = reduce(AttemptSent(NOW + 0.02, 3, context.attempt.attempt_id), context.state)
+    play(context, effects, NOW + 0.03)
+    for load in context.targets[1:]:
+        load.outstanding = 0
+    if names == "names":
+        name_rate(context.state, context.targets[-1], 1.0)
+        context.barred = {context.targets[-1].target.name}
+
+
+@when("the read is overdue and its target {answers} probes")
+def step_read_overdue(context, answers):
+    if answers == "does not answer":
+        health.observe_unreachable(context.attempt.load, NOW + 0.1)
+        context.attempt.load.shed_until = NOW + 5.0
+    play(context, [], NOW + 2.5)
+
+
+@then("the read was sent {count:d} times")
+def step_sent_times(context, count):
+    assert len(context.sends) == count, context.sends
--- a/features/steps/target_statement_steps.py
+++ b/features/steps/target_statement_steps.py
@@ -165,6 +165,8 @@
     context.state = make_state(4)
     context.state.now = NOW
     context.service = context.state.services["reads"]
+    # A service whose latency is unknown is not hedged.
+    context.service.health.p95_s = 0.1
     context.targets = list(context.service.loads.values())
     context.sends, context.probed = [], []
     speaking = context.targets[silent:]
--- a/poplarlane/decisions/hedging.py
+++ b/poplarlane/decisions/hedging.py
@@ -1,6 +1,6 @@
 """Hedged requests: second copies of reads that are not answered in time."""
 
-from poplarlane.decisions import limits, probe_rounds, request_log, retries
+from poplarlane.decisions import limits, probe_rounds, rate_limits, request_log, retries
 from poplarlane.decisions.attempts import send
 from poplarlane.decisions.dispatching import choose, choose_measured
 from poplarlane.decisions.effects import Count, Effect
@@ -121,13 +121,18 @@
     random_value: int,
     effects: list[Effect],
 ) -> None:
-    """Hedge a slow read once the budget, the probes and the queued requests allow it."""
+    """Hedge a slow read once the budget, the probes and the queued requests allow it.
+
+    Where targets name rates the others are full, and a second copy takes the place of a request
+    that was not sent yet. Only reads at lost targets are hedged then.
+    """
     service = request.service
     first = request.attempts[0].load
     is_lost = probe_rounds.is_lost(first, now)
     is_urgent = is_lost or now >= urgent_from(request)
     probe_rounds.probe_if_silent(state, request, first, now, effects)
-    if not retries.allows_hedge(service.hedge_budget, now, is_urgent):
+    is_scarce = rate_limits.any_limited(service.limits.loads) and not is_lost
+    if is_scarce or not retries.allows_hedge(service.hedge_budget, now, is_urgent):
         schedule_recheck_after_denial(state, request, is_urgent, now, effects)
         return
     if request.probe_round < HEDGE_PROBE_ROUND:
--- a/poplarlane/decisions/rate_limits.py
+++ b/poplarlane/decisions/rate_limits.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from poplarlane.types import TargetLoad, TargetStatements
 
@@ -70,6 +71,11 @@
     return found.next_permit_at
 
 
+def any_limited(loads: Iterable[TargetLoad]) -> bool:
+    """Return whether one of the targets has named a rate."""
+    return any(load.statements.rate_limit_per_s is not None for load in loads)
+
+
 def has_permit(load: TargetLoad, now: float) -> bool:
     """Return whether this node may send the target a request now."""
     return load.statements.rate_limit_per_s is None or next_permit_at(load, now) <= now
