--- a/features/steps/target_statement_steps.py
+++ b/features/steps/target_statement_steps.py
@@ -10,9 +10,11 @@
 from poplarlane.bench.arrival_record import WINDOW_S
 from poplarlane.decisions import permissions, statements
 from poplarlane.decisions.effects import Count
+from poplarlane.decisions.entry_effects import ProbeTarget
 from poplarlane.decisions.entry_events import (
     AttemptSent,
     CatalogueChanged,
+    ProbeAnswered,
     RequestArrived,
     ResponseCompleted,
 )
@@ -311,3 +313,19 @@
     context.sends, context.probed, context.barred = [], [], set()
     say(context.state, first, "they leave", "a response")
     say(context.state, second, f"they want nothing for {time_s} s", "a refusal")
+
+
+@given("a node with two targets and a read that waits for their probes")
+def step_waits_for_probes(context):
+    context.state = make_state(2)
+    context.state.now = NOW
+    context.probes = [item for item in arrive(context.state) if isinstance(item, ProbeTarget)]
+    assert len(context.probes) == 2
+
+
+@when("both answer their probes with a refusal and a time of {time_s:g} s")
+def step_probes_refused(context, time_s):
+    context.sends, context.probed, context.barred = [], [], set()
+    for probe in context.probes:
+        answer = statement(f"they want nothing for {time_s} s")
+        play(context, reduce(ProbeAnswered(NOW, 7, probe.probe_id, answer), context.state), NOW)
--- a/features/target_statements.feature
+++ b/features/target_statements.feature
@@ -136,3 +136,9 @@
     Given a node with two targets of which one leaves and the other one wants nothing for 5 s
     When a read arrives
     Then it is refused as not run with result code 1213 and a time to come back of at least 5 s
+
+  Scenario: A read is refused at once when its probes tell that no target wants it
+    # Guards against a wait for targets that have just turned the node away.
+    Given a node with two targets and a read that waits for their probes
+    When both answer their probes with a refusal and a time of 5 s
+    Then it is refused as not run with result code 1213 and a time to come back of at least 5 s
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/dispatching.py
@@ -150,11 +150,15 @@
     now: float,
     effects: list[Effect],
 ) -> None:
-    """Send a request to the best target by current knowledge, or queue it."""
+    """Send a request to the best target by current knowledge, queue it, or refuse it."""
     load = choose(request, targets, now, 0)
     if load is not None:
         send(state, request, load, now, effects)
         return
+    refusal = barred_refusal(request, targets, now)
+    if refusal is not None:
+        finish_refused(state, request, refusal, effects)
+        return
     enqueue(state, request, effects)
     if request.request_id in state.requests:
         schedule_recheck(state, request.service, now, effects)
