Take the version of objects from the translation; put a comment at its constant

Translation carried version_of, and nothing read it: the composition root set the follower's from the adapter again. A comment on decimal numbers stood above the name of a header. No behaviour is changed; formatter, linter and the features restored_store, target_statements and platform_translation pass (72 scenarios).

--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -19,8 +19,8 @@
     }
 )
 MAX_REPORTED_IN_FLIGHT = 1_000_000.0
-# Longer numbers, signs and exponents are not what a target sends.
 RETRY_AFTER = b"retry-after"
+# Longer numbers, signs and exponents are not what a target sends.
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -203,7 +203,7 @@
             client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
         )
         if kind == store.CONFIGURATION_KIND:
-            follower.version_of = version_of
+            follower.version_of = translation.version_of
         keeper.followers.append(follower)
     if has_others:
         keeper.make_relay = lambda: make_relay(settings, keeper, generator, seeds)
