--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -104,8 +104,20 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
+
+
+def encode(document: object) -> bytes:
+    """Encode JSON as text; bytes that are no text are written as they were."""
+    return json.dumps(document, ensure_ascii=False).encode("utf-8", "surrogateescape")
+
+
 class Store:
-    """The platform's store: objects by kind, lists and watches."""
+    """The platform's store: objects by kind, lists in pages, and watches.
+
+    `encode` writes documents; Python's usual encoding escapes all that is not ASCII.
+    """
 
     def __init__(self, record: Record) -> None:
         self.record = record
@@ -114,6 +126,7 @@
         self.history: list[tuple[int, str, dict, bool]] = []
         self.changed = asyncio.Event()
         self.http = HttpServer(self.respond)
+        self.encode = lambda document: json.dumps(document).encode()
 
     def put(self, kind: str, name: str, spec: dict, status: dict | None = None) -> None:
         """Create or replace an object."""
@@ -141,13 +154,24 @@
                     break
             document = {"events": self.events(kind, after), "current_rev": self.revision}
         else:
-            items = list(self.objects.get(kind, {}).values())
-            document = {"items": items, "more_pages": False, "current_rev": self.revision}
-        data = json.dumps(document).encode()
+            items, more = self.page(kind, query.get("after", ""))
+            document = {"items": items, "more_pages": more, "current_rev": self.revision}
+        data = self.encode(document)
         writer.write(head_of(200, {"Content-Type": "application/json"}, len(data)) + data)
         await writer.drain()
         return True
 
+    def page(self, kind: str, after: str) -> tuple[list[dict], bool]:
+        """Return the items of one page, by name, and whether there are more."""
+        left = [item for name, item in sorted(self.objects.get(kind, {}).items()) if name > after]
+        items, size = [], 0
+        for item in left[:PAGE_ITEMS]:
+            size += len(self.encode(item))
+            if items and size > PAGE_BYTES:
+                break
+            items.append(item)
+        return items, len(items) < len(left)
+
     def events(self, kind: str, after: int) -> list[dict]:
         """Return the changes of a kind after a revision."""
         return [
