--- a/features/control_grant_contention.py
+++ b/features/control_grant_contention.py
@@ -10,15 +10,12 @@
 from collections.abc import Callable
 from functools import partial
 
-from poplarlane.decisions import agent_effects as effects
-from poplarlane.decisions import agent_events as events
-from poplarlane.decisions import (
-    agent_handlers,  # noqa: F401  registers the handlers
-    grants,
-    probe_schedule,
-)
-from poplarlane.decisions.agent_state import AcceptedService, AgentState
-from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
+from poplarlane.decisions.membership import agent_effects as effects
+from poplarlane.decisions.membership import agent_events as events
+from poplarlane.decisions.membership import agent_handlers  # noqa: F401  registers the handlers
+from poplarlane.decisions.membership.agent_state import AcceptedService, AgentState
+from poplarlane.decisions.probes import grants, probe_schedule
+from poplarlane.decisions.probes.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
 from poplarlane.decisions.reducer import reduce
 from poplarlane.objects import ProbeBudgetObject, ServiceObject, TargetObject
 
--- a/features/control_handover.py
+++ b/features/control_handover.py
@@ -8,10 +8,10 @@
     make_service,
     services_of_two_shards,
 )
-from poplarlane.decisions import agent_effects as effects
-from poplarlane.decisions import agent_events as events
-from poplarlane.decisions import probe_schedule
-from poplarlane.decisions.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
+from poplarlane.decisions.membership import agent_effects as effects
+from poplarlane.decisions.membership import agent_events as events
+from poplarlane.decisions.probes import probe_schedule
+from poplarlane.decisions.probes.probe_schedule import MAX_PROBE_FLIGHT_S, PROBE_TIMEOUT_S
 
 SERVICE = "handed-over"
 SLOW_CLOCK, FAST_CLOCK = 0.9901, 1.0099
--- a/features/ctl_interleaving.py
+++ b/features/ctl_interleaving.py
@@ -9,10 +9,13 @@
 import msgspec
 
 from features.ctl_world import SERVICE, service_document
-from poplarlane.decisions import configuration, edits
-from poplarlane.decisions.configuration import Accepted
-from poplarlane.decisions.edits import content_of, value_at_path
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration import (
+    configuration,
+    edits,
+)
+from poplarlane.decisions.configuration.configuration import Accepted
+from poplarlane.decisions.configuration.edits import content_of, value_at_path
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import (
     MAX_RECORDED_CHANGES,
     SERVICE_COPIES_KIND,
--- a/features/hedge_world.py
+++ b/features/hedge_world.py
@@ -3,16 +3,17 @@
 import heapq
 import random
 
-import poplarlane.decisions.responses  # noqa: F401  registers its handlers
-import poplarlane.decisions.views  # noqa: F401  registers the handler of views
-from poplarlane.decisions.entry_effects import (
+import poplarlane.decisions.configuration.views  # noqa: F401  registers the handler of views
+import poplarlane.decisions.requests.responses  # noqa: F401  registers its handlers
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
     DeliverAnswer,
     RefuseRequest,
     SendRequest,
     SetTimer,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     RequestArrived,
     ResponseCompleted,
@@ -20,8 +21,7 @@
     TimerFired,
     ViewReceived,
 )
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.messages import ServiceBody, ViewUpdate
 from poplarlane.objects import (
     LimitsObject,
--- a/features/node_interleaving.py
+++ b/features/node_interleaving.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterator
 
 from features.node_world import NOW, SLOTS
-from poplarlane.decisions import rate_limits
-from poplarlane.decisions.directory import (
+from poplarlane.decisions.choice import rate_limits
+from poplarlane.decisions.configuration.directory import (
     Catalogue,
     Configuration,
     Directory,
@@ -21,8 +21,10 @@
     ServiceRecord,
     target_name,
 )
+from poplarlane.decisions.configuration.route_table import Route, WeightedService
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
     CutAnswer,
     DeliverAnswer,
@@ -30,7 +32,7 @@
     RefuseRequest,
     SendRequest,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     AttemptFailed,
     AttemptSent,
     CallerDisconnected,
@@ -44,10 +46,8 @@
     ResponseMetadata,
     TimerFired,
 )
-from poplarlane.decisions.entry_handlers import ENTRY_HANDLERS
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.route_table import Route, WeightedService
+from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.outcomes import NotRun
 from poplarlane.types import Priority, RequestKind, Target
 
--- a/features/node_world.py
+++ b/features/node_world.py
@@ -2,31 +2,31 @@
 
 from types import SimpleNamespace
 
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice import (
     completion,
     contention,
-    limits,
     slowdowns,
 )
-from poplarlane.decisions.directory import (
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.configuration.directory import (
     Configuration,
     Directory,
     InstanceRecord,
     ServiceRecord,
 )
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.configuration.route_table import Route, WeightedService
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import (
     SendRequest,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     CatalogueChanged,
     RequestArrived,
     ResponseMetadata,
 )
-from poplarlane.decisions.entry_handlers import ENTRY_HANDLERS
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.route_table import Route, WeightedService
+from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.types import Priority, RequestKind, Target, TargetLoad
 
 # Importing these modules registers their handlers with the reducer.
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from poplarlane import relay_messages
-from poplarlane.decisions import relays
+from poplarlane.decisions.membership import relays
 from poplarlane.platform import store
 from poplarlane.plumbing import relay as relay_module
 from poplarlane.plumbing.object_follower import ObjectFollower
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -8,7 +8,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from poplarlane.decisions import health, limits, retries
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.health import health
+from poplarlane.decisions.repeats import retries
 from poplarlane.outcomes import NotRun, OutcomeUnknown, ResultCode
 from poplarlane.types import Priority, Target, TargetLoad
 
--- a/features/steps/control_liveness_steps.py
+++ b/features/steps/control_liveness_steps.py
@@ -4,10 +4,18 @@
 
 from behave import given, then, when
 
-from poplarlane.decisions import agent_handlers, distribution, liveness, membership, platform_watch
-from poplarlane.decisions.agent_effects import ListVms, SendToPeer
-from poplarlane.decisions.agent_events import EntryMessageReceived, ListedVm, PeerMessage
-from poplarlane.decisions.agent_state import AgentState, Peer
+from poplarlane.decisions.configuration import (
+    distribution,
+    platform_watch,
+)
+from poplarlane.decisions.membership import (
+    agent_handlers,
+    liveness,
+    membership,
+)
+from poplarlane.decisions.membership.agent_effects import ListVms, SendToPeer
+from poplarlane.decisions.membership.agent_events import EntryMessageReceived, ListedVm, PeerMessage
+from poplarlane.decisions.membership.agent_state import AgentState, Peer
 from poplarlane.decisions.reducer import reduce
 from poplarlane.exchange_messages import FactList, Sender, StateUpdate
 from poplarlane.messages import EntryReport, MemberNotice
--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -18,8 +18,8 @@
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.bench.standin_client import call
-from poplarlane.decisions.agent_state import AgentState
-from poplarlane.decisions.membership import has_same_state, merge, merge_fact, precedence
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.membership.membership import has_same_state, merge, merge_fact, precedence
 from poplarlane.types import MemberFact, MemberKind, MemberState
 
 SEED = 11
--- a/features/steps/control_probes_steps.py
+++ b/features/steps/control_probes_steps.py
@@ -12,8 +12,8 @@
 from poplarlane.bench.layout import AGENT_ENTRY_PORT
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.relayed_fleet import RelayedFleet
-from poplarlane.decisions.grants import shard_name
-from poplarlane.decisions.probe_schedule import shard_of
+from poplarlane.decisions.probes.grants import shard_name
+from poplarlane.decisions.probes.probe_schedule import shard_of
 from poplarlane.messages import ENCODER, VIEW_DECODER, EntryHello
 
 SEED = 13
--- a/features/steps/control_shard_steps.py
+++ b/features/steps/control_shard_steps.py
@@ -15,10 +15,10 @@
     short_intervals,
 )
 from features.control_handover import RUN_S, SERVICE, TARGETS, Handover, Reconnection, Release
-from poplarlane.decisions import agent_effects as effects
-from poplarlane.decisions import agent_events as events
-from poplarlane.decisions.grants import rank_candidates
-from poplarlane.decisions.probe_schedule import (
+from poplarlane.decisions.membership import agent_effects as effects
+from poplarlane.decisions.membership import agent_events as events
+from poplarlane.decisions.probes.grants import rank_candidates
+from poplarlane.decisions.probes.probe_schedule import (
     GRANT_SHARDS,
     MAX_PROBE_FLIGHT_S,
     PROBE_TIMEOUT_S,
--- a/features/steps/control_soak_steps.py
+++ b/features/steps/control_soak_steps.py
@@ -6,8 +6,8 @@
 from features.ctl_world import SERVICE, service_document
 from poplarlane.bench import control_soak
 from poplarlane.bench.soak_checks import Record, Served, Version, count_all
-from poplarlane.decisions import edits
-from poplarlane.decisions.edits import Sentinel
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.edits import Sentinel
 from poplarlane.objects import ChangeObject, ServiceObject
 
 # The last change of the record takes its target out at this time.
--- a/features/steps/control_terms_steps.py
+++ b/features/steps/control_terms_steps.py
@@ -3,10 +3,10 @@
 from behave import given, then, when
 
 from features.control_grant_contention import SERVICE, World, make_service
-from poplarlane.decisions import agent_effects as effects
-from poplarlane.decisions import agent_events as events
-from poplarlane.decisions.agent_state import EntryLink
-from poplarlane.decisions.probe_schedule import shard_of
+from poplarlane.decisions.membership import agent_effects as effects
+from poplarlane.decisions.membership import agent_events as events
+from poplarlane.decisions.membership.agent_state import EntryLink
+from poplarlane.decisions.probes.probe_schedule import shard_of
 from poplarlane.decisions.reducer import reduce
 from poplarlane.exchange_messages import Sender, StateUpdate
 from poplarlane.messages import MemberNotice, ProbeNotice
--- a/features/steps/control_verdict_steps.py
+++ b/features/steps/control_verdict_steps.py
@@ -4,12 +4,12 @@
 
 from behave import given, then, when
 
-from poplarlane.decisions import agent_handlers  # noqa: F401  registers the handlers
-from poplarlane.decisions.agent_effects import SendToPeer
-from poplarlane.decisions.agent_events import EntryMessageReceived, PeerMessage
-from poplarlane.decisions.agent_state import AgentState
-from poplarlane.decisions.distribution import sender
-from poplarlane.decisions.membership import register_sender
+from poplarlane.decisions.configuration.distribution import sender
+from poplarlane.decisions.membership import agent_handlers  # noqa: F401  registers the handlers
+from poplarlane.decisions.membership.agent_effects import SendToPeer
+from poplarlane.decisions.membership.agent_events import EntryMessageReceived, PeerMessage
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.membership.membership import register_sender
 from poplarlane.decisions.reducer import reduce
 from poplarlane.exchange_messages import StateUpdate
 from poplarlane.messages import EntryReport, VerdictNotice
--- a/features/steps/ctl_change_steps.py
+++ b/features/steps/ctl_change_steps.py
@@ -16,7 +16,7 @@
 )
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.standin_client import call
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import MAX_VALUE_BYTES, encode_service
 
 # Long enough for a change to be made while reads still show what was before it.
--- a/features/steps/ctl_fuzz_steps.py
+++ b/features/steps/ctl_fuzz_steps.py
@@ -11,8 +11,8 @@
 
 from features.ctl_generated import services
 from poplarlane import exchange_messages, messages
-from poplarlane.decisions.selectors import compile_access
-from poplarlane.decisions.validation import ObjectFault, check_service
+from poplarlane.decisions.access.selectors import compile_access
+from poplarlane.decisions.configuration.validation import ObjectFault, check_service
 from poplarlane.objects import MAX_VALUE_BYTES, ServiceObject, encode_service
 
 NAME = "availability"
--- a/features/steps/ctl_old_read_steps.py
+++ b/features/steps/ctl_old_read_steps.py
@@ -7,8 +7,8 @@
 
 from features.ctl_interleaving import FakePlatform, VirtualLoop
 from features.ctl_world import SERVICE, service_document
-from poplarlane.decisions import edits
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import MAX_RECORDED_CHANGES, SERVICE_COPIES_KIND, SERVICES_KIND
 from poplarlane.plumbing.ctl_client import PlatformFailure, StoredValue
 from poplarlane.programs.ctl.change_outcomes import ChangeAccepted, FleetView, Unfinished
--- a/features/steps/ctl_property_steps.py
+++ b/features/steps/ctl_property_steps.py
@@ -14,11 +14,14 @@
     values,
     written,
 )
-from poplarlane.decisions import configuration, edits
-from poplarlane.decisions.configuration import Accepted, StoredObject
-from poplarlane.decisions.edits import EditConflict
-from poplarlane.decisions.selectors import InvalidSelector, compile_access, matches, parse
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.access.selectors import InvalidSelector, compile_access, matches, parse
+from poplarlane.decisions.configuration import (
+    configuration,
+    edits,
+)
+from poplarlane.decisions.configuration.configuration import Accepted, StoredObject
+from poplarlane.decisions.configuration.edits import EditConflict
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import ServiceObject, encode_service
 
 NAME = "availability"
--- a/features/steps/ctl_soak_steps.py
+++ b/features/steps/ctl_soak_steps.py
@@ -7,8 +7,8 @@
 
 from features.ctl_world import PLATFORM_PORT, SERVICE, World, service_document, wait_until
 from poplarlane.bench.processes import Launcher
-from poplarlane.decisions import edits
-from poplarlane.decisions.edits import EditConflict, EditInvalid, Sentinel
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.edits import EditConflict, EditInvalid, Sentinel
 from poplarlane.plumbing.ctl_client import PlatformClient
 from poplarlane.programs.ctl.change_outcomes import ChangeAccepted
 from poplarlane.programs.ctl.change_procedure import Change
--- a/features/steps/entry_failure_steps.py
+++ b/features/steps/entry_failure_steps.py
@@ -4,20 +4,18 @@
 
 from behave import given, then, when
 
-import poplarlane.decisions.requests
-import poplarlane.decisions.responses
-import poplarlane.decisions.views  # noqa: F401  registers the handlers
-from poplarlane.decisions import health
-from poplarlane.decisions.entry_effects import DeliverAnswer, SendRequest
-from poplarlane.decisions.entry_events import (
+import poplarlane.decisions.configuration.views  # noqa: F401  registers the handlers
+from poplarlane.decisions.health import health
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import DeliverAnswer, SendRequest
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     RequestArrived,
     ResponseCompleted,
     ResponseMetadata,
     ViewReceived,
 )
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.messages import ServiceBody, ViewUpdate
 from poplarlane.objects import (
     RequestKindObject,
--- a/features/steps/entry_pause_steps.py
+++ b/features/steps/entry_pause_steps.py
@@ -10,11 +10,11 @@
 from poplarlane.bench.processes import Launcher
 from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.bench.standin_client import call
-from poplarlane.decisions import views  # noqa: F401  registers the handlers
-from poplarlane.decisions.entry_effects import CancelAttempt, SendRequest, SendToAgent
-from poplarlane.decisions.entry_events import EntryPaused, RequestArrived, ViewReceived
-from poplarlane.decisions.entry_state import EntryState
+from poplarlane.decisions.configuration import views  # noqa: F401  registers the handlers
 from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import CancelAttempt, SendRequest, SendToAgent
+from poplarlane.decisions.requests.entry_events import EntryPaused, RequestArrived, ViewReceived
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.messages import ServiceBody, ViewUpdate
 from poplarlane.objects import JSON_ENCODER
 
--- a/features/steps/hedge_steps.py
+++ b/features/steps/hedge_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.hedge_world import HedgeWorld
-from poplarlane.decisions import retries
+from poplarlane.decisions.repeats import retries
 
 SEED = 3
 BOUND_S = 0.3
--- a/features/steps/load_pattern_steps.py
+++ b/features/steps/load_pattern_steps.py
@@ -14,25 +14,25 @@
     metadata,
     sent,
 )
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import queueing
+from poplarlane.decisions.choice import (
     completion,
     contention,
     dispatching,
-    health,
-    queueing,
-    requests,
     slowdowns,
 )
-from poplarlane.decisions.entry_effects import ProbeTarget, SendRequest
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests import requests
+from poplarlane.decisions.requests.entry_effects import ProbeTarget, SendRequest
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     CallerDisconnected,
     ProbeAnswered,
     RequestArrived,
     TimerFired,
 )
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import dispatch_waiting
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.types import Verdict
 
 SLOTS = 3
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -18,25 +18,30 @@
     metadata,
     sent,
 )
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import (
     admission,
+    limits,
+    queueing,
+)
+from poplarlane.decisions.choice import (
     completion,
     contention,
     dispatching,
-    health,
-    limits,
-    queueing,
-    requests,
-    retries,
 )
+from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.effects import Log
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats import retries
+from poplarlane.decisions.requests import requests
+from poplarlane.decisions.requests.entry_effects import (
     DeliverAnswer,
     ProbeTarget,
     RefuseRequest,
     SendRequest,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     AttemptFailed,
     AttemptSent,
     FailureCause,
@@ -47,9 +52,6 @@
     StopSignalled,
     TimerFired,
 )
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.probe_allowance import ProbeTokenBucket
-from poplarlane.decisions.reducer import reduce
 from poplarlane.outcomes import NotRun, OutcomeUnknown, ResultCode
 
 UNKNOWN = OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, "connection reset")
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -18,11 +18,19 @@
     make_instance,
 )
 from poplarlane import relay_messages
-from poplarlane.decisions import relay_fetches, relays
-from poplarlane.decisions.directory import (
+from poplarlane.decisions.configuration.directory import (
     Directory,
 )
-from poplarlane.decisions.route_table import Route, RouteTable, WeightedService, choose_service
+from poplarlane.decisions.configuration.route_table import (
+    Route,
+    RouteTable,
+    WeightedService,
+    choose_service,
+)
+from poplarlane.decisions.membership import (
+    relay_fetches,
+    relays,
+)
 from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -14,9 +14,9 @@
 from features.relay_fleet import FIRST_REVISION, KIND, RelayFleet, message_bytes
 from poplarlane import relay_messages
 from poplarlane.change_encoding import encode_changes, resolve_changes
-from poplarlane.decisions import relays
-from poplarlane.decisions.directory import Directory
-from poplarlane.decisions.object_deltas import apply_delta, delta_between
+from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.configuration.object_deltas import apply_delta, delta_between
+from poplarlane.decisions.membership import relays
 from poplarlane.platform import store
 from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.object_follower import ObjectFollower
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -11,8 +11,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from poplarlane.decisions.directory import Configuration
-from poplarlane.decisions.entry_events import ResponseMetadata
+from poplarlane.decisions.configuration.directory import Configuration
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.platform import store, translation
 from poplarlane.platform.headers import PLATFORM_HEADERS, read_load
 from poplarlane.plumbing.heads import NOT_RUN_STATUSES, read_response_head
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -12,20 +12,25 @@
 )
 from poplarlane.bench.arrival_record import most_allowed
 from poplarlane.bench.service_model import Pattern, ServiceModel
-from poplarlane.decisions import health, rate_limits, relays, statements
+from poplarlane.decisions.choice import (
+    rate_limits,
+    statements,
+)
+from poplarlane.decisions.choice.policies import policy_by_name
+from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count
-from poplarlane.decisions.entry_effects import ProbeTarget, RefuseRequest, SendRequest
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.membership import relays
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import ProbeTarget, RefuseRequest, SendRequest
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     CatalogueChanged,
     ProbeAnswered,
     ResponseCompleted,
     TimerFired,
 )
-from poplarlane.decisions.policies import policy_by_name
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import dispatch_waiting
-from poplarlane.decisions.statements import Source
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.outcomes import NotRun
 from poplarlane.plumbing.header_names import HeaderNames
 from poplarlane.plumbing.heads import read_response_head
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -8,10 +8,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from poplarlane.decisions import health
-from poplarlane.decisions.policies import policy_by_name
-from poplarlane.decisions.routing import choose_target
-from poplarlane.decisions.subsets import choose_subset, interleave
+from poplarlane.decisions.choice.policies import policy_by_name
+from poplarlane.decisions.choice.routing import choose_target
+from poplarlane.decisions.choice.subsets import choose_subset, interleave
+from poplarlane.decisions.health import health
 from poplarlane.types import Target, TargetLoad
 
 NOW = 1000.0
--- a/features/steps/share_steps.py
+++ b/features/steps/share_steps.py
@@ -5,9 +5,10 @@
 
 from behave import given, then, when
 
-from poplarlane.decisions import limits, selectors
-from poplarlane.decisions.entry_state import ServiceState, reachable_targets
-from poplarlane.decisions.shares import update_shares
+from poplarlane.decisions.access import selectors
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice.shares import update_shares
+from poplarlane.decisions.requests.entry_state import ServiceState, reachable_targets
 from poplarlane.types import Target, TargetLoad
 
 CONNECTIONS = 330
--- a/features/steps/target_health_steps.py
+++ b/features/steps/target_health_steps.py
@@ -7,10 +7,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from poplarlane.decisions import health
-from poplarlane.decisions.policies import policy_by_name
-from poplarlane.decisions.routing import choose_target
-from poplarlane.decisions.verdicts import RAMP_S
+from poplarlane.decisions.choice.policies import policy_by_name
+from poplarlane.decisions.choice.routing import choose_target
+from poplarlane.decisions.health import health
+from poplarlane.decisions.health.verdicts import RAMP_S
 from poplarlane.types import Target, TargetLoad, Verdict
 
 SERVICE_S = 0.02
--- a/features/steps/target_restart_steps.py
+++ b/features/steps/target_restart_steps.py
@@ -2,11 +2,11 @@
 
 from behave import given, then, when
 
-import poplarlane.decisions.views  # noqa: F401  registers the handler of views
-from poplarlane.decisions import health
-from poplarlane.decisions.entry_events import ViewReceived
-from poplarlane.decisions.entry_state import EntryState
+import poplarlane.decisions.configuration.views  # noqa: F401  registers the handler of views
+from poplarlane.decisions.health import health
 from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_events import ViewReceived
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.messages import MemberNotice, ServiceBody, ViewUpdate
 from poplarlane.objects import ServiceObject, TargetObject, encode_service
 from poplarlane.types import Verdict
--- a/features/steps/target_statement_steps.py
+++ b/features/steps/target_statement_steps.py
@@ -8,18 +8,21 @@
 from features.steps.node_path_steps import step_reads, step_send, wait_until
 from features.steps.rate_limit_steps import play
 from poplarlane.bench.arrival_record import WINDOW_S
-from poplarlane.decisions import permissions, statements
+from poplarlane.decisions.choice import (
+    permissions,
+    statements,
+)
+from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count
-from poplarlane.decisions.entry_effects import ProbeTarget
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import ProbeTarget
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     CatalogueChanged,
     ProbeAnswered,
     RequestArrived,
     ResponseCompleted,
 )
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.statements import Source
 from poplarlane.plumbing.header_names import HeaderNames
 from poplarlane.plumbing.heads import read_response_head
 from poplarlane.types import Verdict
--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 
 from features.node_world import NOW, arrive, make_state
-from poplarlane.decisions.entry_effects import RefuseRequest, SetTimer
-from poplarlane.decisions.entry_events import EntryEvent
-from poplarlane.decisions.entry_state import TimerKind
+from poplarlane.decisions.requests.entry_effects import RefuseRequest, SetTimer
+from poplarlane.decisions.requests.entry_events import EntryEvent
+from poplarlane.decisions.requests.entry_state import TimerKind
 from poplarlane.plumbing import entry_shell
 from poplarlane.plumbing.entry_shell import EntryShell
 
--- a/poplarlane/bench/ablation.py
+++ b/poplarlane/bench/ablation.py
@@ -14,22 +14,28 @@
 
 from poplarlane.bench.model_report import PATTERNS
 from poplarlane.bench.service_model import Pattern, ServiceModel
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import (
     admission,
     caller_deadlines,
+    queueing,
+)
+from poplarlane.decisions.admission.limits import ADMIT, queued_in_order
+from poplarlane.decisions.choice import (
     completion,
     contention,
     dispatching,
-    hedging,
-    probe_events,
-    probe_rounds,
-    queueing,
-    responses,
     slowdowns,
+)
+from poplarlane.decisions.health import (
     trials,
     verdicts,
 )
-from poplarlane.decisions.limits import ADMIT, queued_in_order
+from poplarlane.decisions.probes import (
+    probe_events,
+    probe_rounds,
+)
+from poplarlane.decisions.repeats import hedging
+from poplarlane.decisions.requests import responses
 
 # Value of a late answer as a share of one in time, as operators of the platform rate it.
 LATE_VALUE = 0.1
--- a/poplarlane/bench/control_soak.py
+++ b/poplarlane/bench/control_soak.py
@@ -19,9 +19,9 @@
 from poplarlane.bench.soak_checks import Record, Served, Version, count_all, examples
 from poplarlane.bench.soak_faults import Faults
 from poplarlane.bench.standin_client import call
-from poplarlane.decisions import edits
-from poplarlane.decisions.edits import Edit
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.edits import Edit
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import JSON_ENCODER, SelectorObject
 from poplarlane.plumbing.ctl_client import PlatformClient
 from poplarlane.programs.ctl.change_outcomes import ChangeAccepted
--- a/poplarlane/bench/decision_cost.py
+++ b/poplarlane/bench/decision_cost.py
@@ -9,9 +9,11 @@
 import timeit
 from types import SimpleNamespace
 
-from poplarlane.decisions import health, limits, retries
-from poplarlane.decisions.policies import POLICIES, policy_by_name
-from poplarlane.decisions.routing import choose_target
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice.policies import POLICIES, policy_by_name
+from poplarlane.decisions.choice.routing import choose_target
+from poplarlane.decisions.health import health
+from poplarlane.decisions.repeats import retries
 from poplarlane.types import Priority, Target, TargetLoad
 
 TARGETS = 17
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -14,15 +14,17 @@
 
 from poplarlane.bench.arrival_record import ArrivalRecord
 from poplarlane.bench.model_targets import ModelTarget, TargetShape, Work
-from poplarlane.decisions.directory import (
+from poplarlane.decisions.configuration.directory import (
     Configuration,
     Directory,
     InstanceRecord,
     ServiceRecord,
     target_name,
 )
+from poplarlane.decisions.configuration.route_table import Route, WeightedService
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
     DeliverAnswer,
     ProbeTarget,
@@ -30,7 +32,7 @@
     SendRequest,
     SetTimer,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     AttemptSent,
     CatalogueChanged,
     EntryEvent,
@@ -40,10 +42,8 @@
     ResponseMetadata,
     TimerFired,
 )
-from poplarlane.decisions.entry_handlers import ENTRY_HANDLERS
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.route_table import Route, WeightedService
+from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.outcomes import NotRun
 from poplarlane.types import Priority, RequestKind
 
--- a/poplarlane/bench/soak_checks.py
+++ b/poplarlane/bench/soak_checks.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-from poplarlane.decisions import edits
-from poplarlane.decisions.edits import Edit, content_of, value_at_path
-from poplarlane.decisions.selectors import compile_access
+from poplarlane.decisions.access.selectors import compile_access
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.edits import Edit, content_of, value_at_path
 from poplarlane.objects import MAX_RECORDED_CHANGES, ServiceObject
 
 IN_FORCE_S = 4.0
--- a/poplarlane/bench/soak_faults.py
+++ b/poplarlane/bench/soak_faults.py
@@ -11,7 +11,7 @@
 from poplarlane.bench.processes import Process
 from poplarlane.bench.relayed_fleet import RelayedFleet
 from poplarlane.bench.standin_client import call
-from poplarlane.decisions.pauses import VIEW_CONFIRM_TIMEOUT_S
+from poplarlane.decisions.requests.pauses import VIEW_CONFIRM_TIMEOUT_S
 
 READY_TIMEOUT_S = 30.0
 # Gaps between the faults of one lane. Watchers that backed off need up to 2 s after an outage.
--- a/poplarlane/change_encoding.py
+++ b/poplarlane/change_encoding.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from poplarlane.decisions.object_deltas import Delta, apply_delta, delta_between
+from poplarlane.decisions.configuration.object_deltas import Delta, apply_delta, delta_between
 from poplarlane.relay_messages import EncodedChange
 from poplarlane.store_objects import ObjectChange, StoredObject
 
--- /dev/null
+++ b/poplarlane/decisions/access/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets a caller may reach, by labels and selectors."""
--- a/poplarlane/decisions/access_explanation.py
+++ b/poplarlane/decisions/access/access_explanation.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from poplarlane.decisions.selectors import Access, Selector, compile_access
+from poplarlane.decisions.access.selectors import Access, Selector, compile_access
 from poplarlane.objects import ServiceObject
 
 
--- a/poplarlane/decisions/selectors.py
+++ b/poplarlane/decisions/access/selectors.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from poplarlane.decisions.labels import key_fault, value_fault
+from poplarlane.decisions.access.labels import key_fault, value_fault
 from poplarlane.objects import ServiceObject
 
 MAX_SELECTOR_CHARACTERS = 4_096
--- /dev/null
+++ b/poplarlane/decisions/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, queueing and limits of requests."""
--- a/poplarlane/decisions/admission.py
+++ b/poplarlane/decisions/admission/admission.py
@@ -2,9 +2,9 @@
 
 from functools import singledispatch
 
-from poplarlane.decisions import limits
-from poplarlane.decisions.entry_state import Request, ServiceState, next_random_value
-from poplarlane.decisions.policies import Measured, Policy
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice.policies import Measured, Policy
+from poplarlane.decisions.requests.entry_state import Request, ServiceState, next_random_value
 from poplarlane.outcomes import NotRun, ResultCode
 
 # Retry-after times lie between RETRY_AFTER_S and RETRY_AFTER_S + RETRY_AFTER_SPREAD_S, so that
--- a/poplarlane/decisions/queueing.py
+++ b/poplarlane/decisions/admission/queueing.py
@@ -7,8 +7,8 @@
 not run while its caller still has time to retry.
 """
 
-from poplarlane.decisions import limits
-from poplarlane.decisions.entry_state import Request, ServiceState
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.requests.entry_state import Request, ServiceState
 
 # Service times vary by about a third around their mean.
 SERVICE_TIME_MARGIN = 1.2
--- /dev/null
+++ b/poplarlane/decisions/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for a request."""
--- a/poplarlane/decisions/adaptive.py
+++ b/poplarlane/decisions/choice/adaptive.py
@@ -8,9 +8,9 @@
 
 import math
 
-from poplarlane.decisions.policies import Adaptive
-from poplarlane.decisions.sampling import sample_targets
-from poplarlane.decisions.trials import take_due_trial, usable_targets
+from poplarlane.decisions.choice.policies import Adaptive
+from poplarlane.decisions.choice.sampling import sample_targets
+from poplarlane.decisions.health.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad
 
 # Decay time of a load report, as a multiple of the typical latency. A target's number of requests
--- a/poplarlane/decisions/completion.py
+++ b/poplarlane/decisions/choice/completion.py
@@ -8,9 +8,9 @@
 
 import math
 
-from poplarlane.decisions.contention import Contention, best_concurrency, contention_factor
-from poplarlane.decisions.entry_events import ResponseMetadata
-from poplarlane.decisions.slowdowns import Slowdowns, expected, observe
+from poplarlane.decisions.choice.contention import Contention, best_concurrency, contention_factor
+from poplarlane.decisions.choice.slowdowns import Slowdowns, expected, observe
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.types import TargetLoad
 
 # A target that has just started takes about twice the normal service time.
--- a/poplarlane/decisions/dispatching.py
+++ b/poplarlane/decisions/choice/dispatching.py
@@ -2,28 +2,36 @@
 
 import math
 
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import (
     admission,
-    completion,
-    contention,
     limits,
-    probe_rounds,
     queueing,
+)
+from poplarlane.decisions.choice import (
+    completion,
+    contention,
     slowdowns,
 )
-from poplarlane.decisions.attempts import enqueue, finish_refused, send
-from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import SetTimer
-from poplarlane.decisions.entry_state import EntryState, Request, ServiceState, TimerKind, add_timer
-from poplarlane.decisions.permissions import (
+from poplarlane.decisions.choice.permissions import (
     are_paused,
     first_send_at,
     may_send,
     next_send_at,
 )
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.routing import choose_target
-from poplarlane.decisions.trials import take_due_trial
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.choice.routing import choose_target
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.health.trials import take_due_trial
+from poplarlane.decisions.probes import probe_rounds
+from poplarlane.decisions.requests.attempts import enqueue, finish_refused, send
+from poplarlane.decisions.requests.entry_effects import SetTimer
+from poplarlane.decisions.requests.entry_state import (
+    EntryState,
+    Request,
+    ServiceState,
+    TimerKind,
+    add_timer,
+)
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad, Verdict
 
--- a/poplarlane/decisions/permissions.py
+++ b/poplarlane/decisions/choice/permissions.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from poplarlane.decisions.rate_limits import has_permit, next_permit_at
+from poplarlane.decisions.choice.rate_limits import has_permit, next_permit_at
 from poplarlane.types import TargetLoad
 
 
--- a/poplarlane/decisions/routing.py
+++ b/poplarlane/decisions/choice/routing.py
@@ -2,8 +2,8 @@
 
 from functools import singledispatch
 
-from poplarlane.decisions.adaptive import choose_adaptively
-from poplarlane.decisions.policies import (
+from poplarlane.decisions.choice.adaptive import choose_adaptively
+from poplarlane.decisions.choice.policies import (
     Adaptive,
     LeastOutstanding,
     Policy,
@@ -12,8 +12,8 @@
     Random,
     RoundRobin,
 )
-from poplarlane.decisions.sampling import pick, sample_targets
-from poplarlane.decisions.trials import take_due_trial, usable_targets
+from poplarlane.decisions.choice.sampling import pick, sample_targets
+from poplarlane.decisions.health.trials import take_due_trial, usable_targets
 from poplarlane.types import TargetLoad
 
 PROBE_SAMPLE_SIZE = 5
--- a/poplarlane/decisions/shares.py
+++ b/poplarlane/decisions/choice/shares.py
@@ -6,16 +6,16 @@
 
 from collections import Counter
 
-from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import SetConnectionLimit
-from poplarlane.decisions.entry_state import ServiceState
-from poplarlane.decisions.limits import MIN_IN_FLIGHT_SHARE, ServiceLimits, share_target
-from poplarlane.decisions.subsets import (
+from poplarlane.decisions.admission.limits import MIN_IN_FLIGHT_SHARE, ServiceLimits, share_target
+from poplarlane.decisions.choice.subsets import (
     TargetGroup,
     choose_subset,
     interleave,
     max_entries_per_target,
 )
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.requests.entry_effects import SetConnectionLimit
+from poplarlane.decisions.requests.entry_state import ServiceState
 
 
 def update_shares(service: ServiceState, effects: list[Effect]) -> None:
--- a/poplarlane/decisions/statements.py
+++ b/poplarlane/decisions/choice/statements.py
@@ -9,12 +9,12 @@
 
 from enum import StrEnum
 
-from poplarlane.decisions import rate_limits
-from poplarlane.decisions.drain import mark_leaving
+from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.effects import Count, Effect
-from poplarlane.decisions.entry_events import ResponseMetadata
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.request_log import append_line
+from poplarlane.decisions.requests.drain import mark_leaving
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.decisions.requests.request_log import append_line
 from poplarlane.types import TargetLoad
 
 # Statements of targets that no list names are kept this long, because an outage of the store may
--- /dev/null
+++ b/poplarlane/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and targets: validation, distribution and application."""
--- a/poplarlane/decisions/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -1,19 +1,20 @@
 """Handler that applies a catalogue of routes, services and targets to an entry."""
 
-from poplarlane.decisions import health, statements
-from poplarlane.decisions.directory import Catalogue
+from poplarlane.decisions.choice import statements
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.choice.shares import update_shares
+from poplarlane.decisions.configuration.directory import Catalogue
+from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.configuration.views import apply_service, close_removed_targets
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.entry_effects import SetCallerLimits, StartAccepting
-from poplarlane.decisions.entry_events import CatalogueChanged
-from poplarlane.decisions.entry_state import EntryState, ServiceState, next_random_value
-from poplarlane.decisions.pauses import resume_confirmed
-from poplarlane.decisions.policies import Measured
+from poplarlane.decisions.health import health
 from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import dispatch_waiting
-from poplarlane.decisions.retries import set_timed_refill
-from poplarlane.decisions.route_table import RouteTable
-from poplarlane.decisions.shares import update_shares
-from poplarlane.decisions.views import apply_service, close_removed_targets
+from poplarlane.decisions.repeats.retries import set_timed_refill
+from poplarlane.decisions.requests.entry_effects import SetCallerLimits, StartAccepting
+from poplarlane.decisions.requests.entry_events import CatalogueChanged
+from poplarlane.decisions.requests.entry_state import EntryState, ServiceState, next_random_value
+from poplarlane.decisions.requests.pauses import resume_confirmed
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.objects import ServiceObject
 
 
--- a/poplarlane/decisions/configuration.py
+++ b/poplarlane/decisions/configuration/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from poplarlane.decisions.validation import ObjectFault
+from poplarlane.decisions.configuration.validation import ObjectFault
 from poplarlane.objects import (
     MAX_RECORDED_CHANGES,
     SERVICES_KIND,
--- a/poplarlane/decisions/content.py
+++ b/poplarlane/decisions/configuration/content.py
@@ -4,8 +4,8 @@
 import re
 from collections.abc import Iterable, Iterator
 
-from poplarlane.decisions.labels import MAX_LABELS, key_fault, value_fault
-from poplarlane.decisions.selectors import InvalidSelector, parse
+from poplarlane.decisions.access.labels import MAX_LABELS, key_fault, value_fault
+from poplarlane.decisions.access.selectors import InvalidSelector, parse
 from poplarlane.objects import (
     MAX_RECORDED_CHANGES,
     ChangeObject,
--- a/poplarlane/decisions/directory.py
+++ b/poplarlane/decisions/configuration/directory.py
@@ -6,7 +6,7 @@
 
 import math
 
-from poplarlane.decisions.route_table import Route
+from poplarlane.decisions.configuration.route_table import Route
 from poplarlane.objects import LimitsObject, SelectorObject, ServiceObject, TargetObject
 from poplarlane.types import CallerLimits
 
--- a/poplarlane/decisions/distribution.py
+++ b/poplarlane/decisions/configuration/distribution.py
@@ -3,9 +3,14 @@
 import random
 import zlib
 
-from poplarlane.decisions import intake, liveness, membership
-from poplarlane.decisions.agent_effects import SendToPeer
-from poplarlane.decisions.agent_state import (
+from poplarlane.decisions.configuration import intake
+from poplarlane.decisions.effects import Effect
+from poplarlane.decisions.membership import (
+    liveness,
+    membership,
+)
+from poplarlane.decisions.membership.agent_effects import SendToPeer
+from poplarlane.decisions.membership.agent_state import (
     EXCHANGE_BURST_BYTES,
     EXCHANGE_BYTES_PER_S,
     AcceptedService,
@@ -13,7 +18,6 @@
     Peer,
     bucket_of,
 )
-from poplarlane.decisions.effects import Effect
 from poplarlane.exchange_messages import (
     MAX_MESSAGE_BODY_BYTES,
     Digest,
--- a/poplarlane/decisions/edits.py
+++ b/poplarlane/decisions/configuration/edits.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from poplarlane.decisions.validation import WHOLE_OBJECT, ObjectFault, check_service
+from poplarlane.decisions.configuration.validation import WHOLE_OBJECT, ObjectFault, check_service
 from poplarlane.objects import (
     JSON_ENCODER,
     SERVICES_KIND,
--- a/poplarlane/decisions/intake.py
+++ b/poplarlane/decisions/configuration/intake.py
@@ -1,11 +1,11 @@
 """Processing of received service objects: validation, acceptance, and reports of bad objects."""
 
-from poplarlane.decisions import probe_schedule
-from poplarlane.decisions.agent_effects import ReadObject
-from poplarlane.decisions.agent_state import AcceptedService, AgentState
-from poplarlane.decisions.configuration import Rejected, Stale, accept
+from poplarlane.decisions.configuration.configuration import Rejected, Stale, accept
+from poplarlane.decisions.configuration.validation import ObjectFault, check_service
 from poplarlane.decisions.effects import Count, Effect, Log
-from poplarlane.decisions.validation import ObjectFault, check_service
+from poplarlane.decisions.membership.agent_effects import ReadObject
+from poplarlane.decisions.membership.agent_state import AcceptedService, AgentState
+from poplarlane.decisions.probes import probe_schedule
 from poplarlane.exchange_messages import RejectionNotice
 from poplarlane.objects import SERVICE_COPIES_KIND, SERVICES_KIND
 
--- a/poplarlane/decisions/platform_watch.py
+++ b/poplarlane/decisions/configuration/platform_watch.py
@@ -2,11 +2,15 @@
 
 import random
 
-from poplarlane.decisions import intake, membership, verification
-from poplarlane.decisions.agent_effects import ListObjects, ListVms, WatchObjects
-from poplarlane.decisions.agent_events import PlatformFailed, PlatformObjects
-from poplarlane.decisions.agent_state import AgentState
+from poplarlane.decisions.configuration import (
+    intake,
+    verification,
+)
 from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_effects import ListObjects, ListVms, WatchObjects
+from poplarlane.decisions.membership.agent_events import PlatformFailed, PlatformObjects
+from poplarlane.decisions.membership.agent_state import AgentState
 from poplarlane.objects import SERVICES_KIND
 
 # Shorter than PLATFORM_CONTACT_TIMEOUT_S, after which other agents start to watch.
--- a/poplarlane/decisions/validation.py
+++ b/poplarlane/decisions/configuration/validation.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from poplarlane.decisions import content
-from poplarlane.decisions.shape import check_shape
+from poplarlane.decisions.configuration import content
+from poplarlane.decisions.configuration.shape import check_shape
 from poplarlane.objects import MAX_VALUE_BYTES, SERVICE_DECODER, SERVICES_KIND, ServiceObject
 
 WHOLE_OBJECT = "(object)"
--- a/poplarlane/decisions/verification.py
+++ b/poplarlane/decisions/configuration/verification.py
@@ -2,10 +2,11 @@
 
 import random
 
-from poplarlane.decisions import distribution, membership
-from poplarlane.decisions.agent_effects import ListObjects, SendToPeer
-from poplarlane.decisions.agent_state import AgentState, Verification
+from poplarlane.decisions.configuration import distribution
 from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_effects import ListObjects, SendToPeer
+from poplarlane.decisions.membership.agent_state import AgentState, Verification
 from poplarlane.exchange_messages import Digest, RevisionList
 from poplarlane.objects import SERVICE_COPIES_KIND, SERVICES_KIND
 
--- a/poplarlane/decisions/views.py
+++ b/poplarlane/decisions/configuration/views.py
@@ -1,18 +1,25 @@
 """Handlers for views from the agent: services, members and peers' verdicts."""
 
-from poplarlane.decisions import health, limits, retries, selectors
-from poplarlane.decisions.drain import mark_leaving, mark_returned
+from poplarlane.decisions.access import selectors
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice.policies import Adaptive, policy_by_name
+from poplarlane.decisions.choice.shares import assign_subsets, update_shares
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.decisions.effects import Count, Effect, Log
-from poplarlane.decisions.entry_effects import SendToAgent, SetConnectionLimit, StartAccepting
-from poplarlane.decisions.entry_events import ViewReceived
-from poplarlane.decisions.entry_state import EntryState, ServiceState, next_random_value
-from poplarlane.decisions.pauses import resume_confirmed
-from poplarlane.decisions.policies import Adaptive, policy_by_name
+from poplarlane.decisions.health import health
 from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.reports import current_report, hello
-from poplarlane.decisions.requests import dispatch_waiting
-from poplarlane.decisions.shares import assign_subsets, update_shares
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.repeats import retries
+from poplarlane.decisions.requests.drain import mark_leaving, mark_returned
+from poplarlane.decisions.requests.entry_effects import (
+    SendToAgent,
+    SetConnectionLimit,
+    StartAccepting,
+)
+from poplarlane.decisions.requests.entry_events import ViewReceived
+from poplarlane.decisions.requests.entry_state import EntryState, ServiceState, next_random_value
+from poplarlane.decisions.requests.pauses import resume_confirmed
+from poplarlane.decisions.requests.reports import current_report, hello
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.messages import MemberNotice, ProbeNotice, ServiceBody, VerdictNotice, ViewUpdate
 from poplarlane.objects import LimitsObject, RequestKindObject, ServiceObject
 from poplarlane.types import (
--- /dev/null
+++ b/poplarlane/decisions/health/__init__.py
@@ -0,0 +1,1 @@
+"""Passive health checking of targets and their trials."""
--- a/poplarlane/decisions/evidence.py
+++ b/poplarlane/decisions/health/evidence.py
@@ -7,7 +7,7 @@
 
 import math
 
-from poplarlane.decisions import verdicts
+from poplarlane.decisions.health import verdicts
 from poplarlane.types import TargetLoad, Verdict
 
 LATENCY_MEMORY_S = 10.0
--- a/poplarlane/decisions/health.py
+++ b/poplarlane/decisions/health/health.py
@@ -6,8 +6,8 @@
 
 import math
 
-from poplarlane.decisions import verdicts
-from poplarlane.decisions.evidence import (
+from poplarlane.decisions.health import verdicts
+from poplarlane.decisions.health.evidence import (
     FROZEN_REPORTS,
     LATENCY_MEMORY_S,
     ServiceHealth,
@@ -25,7 +25,7 @@
     observe_shed,
     observe_unreachable,
 )
-from poplarlane.decisions.verdicts import start_ramp
+from poplarlane.decisions.health.verdicts import start_ramp
 from poplarlane.types import TargetLoad, Verdict
 
 __all__ = [
--- a/poplarlane/decisions/trials.py
+++ b/poplarlane/decisions/health/trials.py
@@ -2,9 +2,9 @@
 
 from functools import singledispatch
 
-from poplarlane.decisions.permissions import may_send
-from poplarlane.decisions.policies import Adaptive, Measured, Policy, ProbePool
-from poplarlane.decisions.verdicts import ramp_eighths, trial_interval_s
+from poplarlane.decisions.choice.permissions import may_send
+from poplarlane.decisions.choice.policies import Adaptive, Measured, Policy, ProbePool
+from poplarlane.decisions.health.verdicts import ramp_eighths, trial_interval_s
 from poplarlane.types import TargetLoad, Verdict
 
 # Trials go to the slowest targets, so their share must be well below 1% in order not to raise p99.
--- /dev/null
+++ b/poplarlane/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet, and which nodes follow the store."""
--- a/poplarlane/decisions/agent_handlers.py
+++ b/poplarlane/decisions/membership/agent_handlers.py
@@ -4,17 +4,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from poplarlane.decisions import (
+from poplarlane.decisions.configuration import (
     distribution,
-    entry_links,
-    grants,
-    membership,
     platform_watch,
-    probes,
     verification,
 )
-from poplarlane.decisions.agent_effects import ConnectPeer, SendToPeer, StopAgent
-from poplarlane.decisions.agent_events import (
+from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership import (
+    entry_links,
+    membership,
+)
+from poplarlane.decisions.membership.agent_effects import ConnectPeer, SendToPeer, StopAgent
+from poplarlane.decisions.membership.agent_events import (
     AgentEvent,
     AgentPaused,
     AgentStarted,
@@ -29,8 +30,11 @@
     ProbeFinished,
     VmsListed,
 )
-from poplarlane.decisions.agent_state import AgentState
-from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.probes import (
+    grants,
+    probes,
+)
 from poplarlane.decisions.reducer import reduce
 from poplarlane.exchange_messages import Digest, FactList, FetchServices, RevisionList, StateUpdate
 from poplarlane.types import MemberKind, MemberState
--- a/poplarlane/decisions/agent_state.py
+++ b/poplarlane/decisions/membership/agent_state.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from poplarlane.decisions.probe_state import ShardProbes, TargetProbe
+from poplarlane.decisions.probes.probe_state import ShardProbes, TargetProbe
 from poplarlane.exchange_messages import RejectionNotice
 from poplarlane.messages import ProbeNotice, VerdictNotice
 from poplarlane.objects import ServiceObject
--- a/poplarlane/decisions/entry_links.py
+++ b/poplarlane/decisions/membership/entry_links.py
@@ -1,10 +1,11 @@
 """Messages between the agent and the entries of its VM: view updates and reports."""
 
-from poplarlane.decisions import distribution, membership
-from poplarlane.decisions.agent_effects import SendToEntry
-from poplarlane.decisions.agent_events import EntryMessageReceived
-from poplarlane.decisions.agent_state import AgentState, EntryLink
+from poplarlane.decisions.configuration import distribution
 from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_effects import SendToEntry
+from poplarlane.decisions.membership.agent_events import EntryMessageReceived
+from poplarlane.decisions.membership.agent_state import AgentState, EntryLink
 from poplarlane.messages import (
     EntryHello,
     EntryReport,
--- a/poplarlane/decisions/liveness.py
+++ b/poplarlane/decisions/membership/liveness.py
@@ -5,8 +5,8 @@
 
 import xxhash
 
-from poplarlane.decisions import membership
-from poplarlane.decisions.agent_state import AgentState, Peer
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_state import AgentState, Peer
 from poplarlane.exchange_messages import AliveNotice
 
 # Alive notices introduce a sample of agents with their addresses. Ages cover all agents: with a
--- a/poplarlane/decisions/membership.py
+++ b/poplarlane/decisions/membership/membership.py
@@ -2,10 +2,10 @@
 
 import xxhash
 
-from poplarlane.decisions.agent_effects import ConnectPeer, DisconnectPeer
-from poplarlane.decisions.agent_events import ListedVm
-from poplarlane.decisions.agent_state import AgentState, Peer
 from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.membership.agent_effects import ConnectPeer, DisconnectPeer
+from poplarlane.decisions.membership.agent_events import ListedVm
+from poplarlane.decisions.membership.agent_state import AgentState, Peer
 from poplarlane.exchange_messages import AliveNotice, Sender
 from poplarlane.messages import MemberNotice
 from poplarlane.types import MemberFact, MemberKind, MemberState
--- a/poplarlane/decisions/relay_fetches.py
+++ b/poplarlane/decisions/membership/relay_fetches.py
@@ -5,7 +5,7 @@
 revisions may hold different content.
 """
 
-from poplarlane.decisions.relays import (
+from poplarlane.decisions.membership.relays import (
     HEARTBEAT_TIMEOUT_S,
     MEMBER_TIMEOUT_S,
     RelayState,
--- /dev/null
+++ b/poplarlane/decisions/probes/__init__.py
@@ -0,0 +1,1 @@
+"""Probes of targets, and their schedule and budget."""
--- a/poplarlane/decisions/grants.py
+++ b/poplarlane/decisions/probes/grants.py
@@ -8,17 +8,18 @@
 
 from collections import Counter
 
-from poplarlane.decisions import membership, probe_schedule
-from poplarlane.decisions.agent_effects import ReadGrant, SendProbe, WriteGrant
-from poplarlane.decisions.agent_events import GrantFailed, GrantRead
-from poplarlane.decisions.agent_state import AgentState
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.probe_schedule import (
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_effects import ReadGrant, SendProbe, WriteGrant
+from poplarlane.decisions.membership.agent_events import GrantFailed, GrantRead
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.probes import probe_schedule
+from poplarlane.decisions.probes.probe_schedule import (
     CHANGE_PROPAGATION_S,
     CLOCK_DRIFT,
     MAX_PROBE_FLIGHT_S,
 )
-from poplarlane.decisions.probe_state import ShardProbes
+from poplarlane.decisions.probes.probe_state import ShardProbes
 from poplarlane.objects import ProbeGrantObject
 
 # A grant is renewed when this fraction of its duration has passed.
--- a/poplarlane/decisions/probe_events.py
+++ b/poplarlane/decisions/probes/probe_events.py
@@ -1,36 +1,38 @@
 """Handlers for the results of probe rounds, and the choice of a target after a round."""
 
-from poplarlane.decisions import (
-    completion,
-    health,
+from poplarlane.decisions.admission import (
     limits,
-    probe_rounds,
     queueing,
+)
+from poplarlane.decisions.choice import (
+    completion,
     slowdowns,
     statements,
 )
-from poplarlane.decisions.attempts import finish_refused, send, unreachable_refusal
-from poplarlane.decisions.dispatching import (
+from poplarlane.decisions.choice.dispatching import (
     await_permission,
     choose,
     schedule_recheck,
     send_or_queue,
 )
+from poplarlane.decisions.choice.permissions import first_send_at
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_events import ProbeAnswered, ProbeFailed
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.probes import probe_rounds
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats.hedging import hedge
+from poplarlane.decisions.requests.attempts import finish_refused, send, unreachable_refusal
+from poplarlane.decisions.requests.entry_events import ProbeAnswered, ProbeFailed
+from poplarlane.decisions.requests.entry_state import (
     EntryState,
     Request,
     RequestState,
     ServiceState,
     reachable_targets,
 )
-from poplarlane.decisions.hedging import hedge
-from poplarlane.decisions.permissions import first_send_at
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import dispatch_waiting
-from poplarlane.decisions.statements import Source
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import TargetLoad
 
--- a/poplarlane/decisions/probe_rounds.py
+++ b/poplarlane/decisions/probes/probe_rounds.py
@@ -5,10 +5,11 @@
 answered or a short timeout passes. The rate of probes per target is limited over the whole fleet.
 """
 
-from poplarlane.decisions import completion
+from poplarlane.decisions.choice import completion
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import ProbeTarget, SetTimer
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.health.trials import usable_targets
+from poplarlane.decisions.requests.entry_effects import ProbeTarget, SetTimer
+from poplarlane.decisions.requests.entry_state import (
     EntryState,
     Probe,
     Request,
@@ -16,7 +17,6 @@
     TimerKind,
     add_timer,
 )
-from poplarlane.decisions.trials import usable_targets
 from poplarlane.types import TargetLoad
 
 PROBES_PER_ROUND = 2
--- a/poplarlane/decisions/probe_schedule.py
+++ b/poplarlane/decisions/probes/probe_schedule.py
@@ -10,8 +10,8 @@
 
 import xxhash
 
-from poplarlane.decisions.agent_state import AgentState
-from poplarlane.decisions.probe_state import ShardProbes, TargetProbe
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.probes.probe_state import ShardProbes, TargetProbe
 from poplarlane.objects import ProbeBudgetObject, ServiceObject
 from poplarlane.types import MemberKind, MemberState, Verdict
 
--- a/poplarlane/decisions/probes.py
+++ b/poplarlane/decisions/probes/probes.py
@@ -4,13 +4,14 @@
 probe can have arrived until the later one is sent, so the budget holds at the target.
 """
 
-from poplarlane.decisions import grants, membership
-from poplarlane.decisions.agent_effects import SendProbe, SendToPeer
-from poplarlane.decisions.agent_events import ProbeFinished
-from poplarlane.decisions.agent_state import AgentState
-from poplarlane.decisions.distribution import sender
+from poplarlane.decisions.configuration.distribution import sender
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.probe_schedule import (
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.membership.agent_effects import SendProbe, SendToPeer
+from poplarlane.decisions.membership.agent_events import ProbeFinished
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.probes import grants
+from poplarlane.decisions.probes.probe_schedule import (
     MAX_PROBE_FLIGHT_S,
     PROBE_TIMEOUT_S,
     schedule,
@@ -18,7 +19,7 @@
     shard_probes,
     take_due,
 )
-from poplarlane.decisions.probe_state import ShardProbes, TargetProbe
+from poplarlane.decisions.probes.probe_state import ShardProbes, TargetProbe
 from poplarlane.exchange_messages import StateUpdate
 from poplarlane.messages import ProbeNotice
 
--- /dev/null
+++ b/poplarlane/decisions/repeats/__init__.py
@@ -0,0 +1,1 @@
+"""Retries and hedges, and their budgets."""
--- a/poplarlane/decisions/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -1,12 +1,18 @@
 """Hedged requests: second copies of reads that are not answered in time."""
 
-from poplarlane.decisions import limits, probe_rounds, rate_limits, request_log, retries
-from poplarlane.decisions.attempts import send
-from poplarlane.decisions.dispatching import choose, choose_measured
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice import rate_limits
+from poplarlane.decisions.choice.dispatching import choose, choose_measured
+from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.effects import Count, Effect
-from poplarlane.decisions.entry_effects import SetTimer
-from poplarlane.decisions.entry_events import AttemptSent
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.probes import probe_rounds
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats import retries
+from poplarlane.decisions.requests import request_log
+from poplarlane.decisions.requests.attempts import send
+from poplarlane.decisions.requests.entry_effects import SetTimer
+from poplarlane.decisions.requests.entry_events import AttemptSent
+from poplarlane.decisions.requests.entry_state import (
     Attempt,
     EntryState,
     Request,
@@ -17,8 +23,6 @@
     next_random_value,
     reachable_targets,
 )
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.reducer import reduce
 from poplarlane.types import TargetLoad, Verdict
 
 # A read is hedged after HEDGE_DELAY_RATIO service times, or earlier if the hedge needs that to be
--- a/poplarlane/decisions/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -1,15 +1,22 @@
 """Sending, queueing, cancelling and finishing requests."""
 
-from poplarlane.decisions import admission, health, limits, rate_limits, request_log
+from poplarlane.decisions.admission import (
+    admission,
+    limits,
+)
+from poplarlane.decisions.choice import rate_limits
+from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.requests import request_log
+from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
     CutAnswer,
     RefuseRequest,
     SendRequest,
     Stop,
 )
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.requests.entry_state import (
     DROPPED_TIMERS_PER_REQUEST,
     Attempt,
     EntryState,
@@ -17,7 +24,6 @@
     RequestState,
     drop_ended_timers,
 )
-from poplarlane.decisions.policies import Measured
 from poplarlane.outcomes import NotRun, OutcomeUnknown, RequestFailure, ResultCode
 from poplarlane.types import TargetLoad
 
--- a/poplarlane/decisions/drain.py
+++ b/poplarlane/decisions/requests/drain.py
@@ -1,17 +1,17 @@
 """Draining of targets, and graceful shutdown of an entry."""
 
+from poplarlane.decisions.choice.shares import update_shares
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import (
     SetConnectionLimit,
     SetTimer,
     Stop,
     StopAccepting,
 )
-from poplarlane.decisions.entry_events import StopSignalled
-from poplarlane.decisions.entry_state import EntryState, Request, TimerKind, add_timer
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.reports import current_report
-from poplarlane.decisions.shares import update_shares
+from poplarlane.decisions.requests.entry_events import StopSignalled
+from poplarlane.decisions.requests.entry_state import EntryState, Request, TimerKind, add_timer
+from poplarlane.decisions.requests.reports import current_report
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import Target, TargetLoad
 
--- a/poplarlane/decisions/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from poplarlane.decisions.directory import Catalogue
+from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.events import Event
 from poplarlane.messages import ViewUpdate
 from poplarlane.outcomes import RequestFailure
--- a/poplarlane/decisions/entry_handlers.py
+++ b/poplarlane/decisions/requests/entry_handlers.py
@@ -1,14 +1,16 @@
 """Imports the modules that register the entry's event handlers with the reducer."""
 
-from poplarlane.decisions import (
+from poplarlane.decisions.configuration import (
     catalogue,
+    views,
+)
+from poplarlane.decisions.probes import probe_events
+from poplarlane.decisions.requests import (
     drain,
-    probe_events,
     reports,
     requests,
     responses,
     timers,
-    views,
 )
 
 ENTRY_HANDLERS = (responses, catalogue, drain, probe_events, reports, requests, timers, views)
--- a/poplarlane/decisions/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -4,18 +4,18 @@
 import math
 from enum import IntEnum
 
-from poplarlane.decisions.caller_deadlines import CallerDeadlines
-from poplarlane.decisions.contention import Contention
-from poplarlane.decisions.health import ServiceHealth
-from poplarlane.decisions.labels import InvalidLabels, parse_labels
-from poplarlane.decisions.limits import ServiceLimits
-from poplarlane.decisions.policies import Policy
-from poplarlane.decisions.probe_allowance import ProbeTokenBucket
-from poplarlane.decisions.retries import Budget
-from poplarlane.decisions.route_table import RouteTable
-from poplarlane.decisions.selectors import Access
-from poplarlane.decisions.slowdowns import Slowdowns
-from poplarlane.decisions.subsets import TargetGroup
+from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
+from poplarlane.decisions.access.selectors import Access
+from poplarlane.decisions.admission.caller_deadlines import CallerDeadlines
+from poplarlane.decisions.admission.limits import ServiceLimits
+from poplarlane.decisions.choice.contention import Contention
+from poplarlane.decisions.choice.policies import Policy
+from poplarlane.decisions.choice.slowdowns import Slowdowns
+from poplarlane.decisions.choice.subsets import TargetGroup
+from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.health.health import ServiceHealth
+from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
+from poplarlane.decisions.repeats.retries import Budget
 from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import RequestFailure
 from poplarlane.types import Priority, RequestKind, TargetLoad, TargetStatements
--- a/poplarlane/decisions/pauses.py
+++ b/poplarlane/decisions/requests/pauses.py
@@ -3,20 +3,20 @@
 Requests are held until the agent confirms the view, which may have become stale in the meantime.
 """
 
-from poplarlane.decisions.attempts import end_attempt, enqueue
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.entry_effects import CancelAttempt, SendToAgent, SetTimer
-from poplarlane.decisions.entry_events import EntryPaused
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.attempts import end_attempt, enqueue
+from poplarlane.decisions.requests.entry_effects import CancelAttempt, SendToAgent, SetTimer
+from poplarlane.decisions.requests.entry_events import EntryPaused
+from poplarlane.decisions.requests.entry_state import (
     Attempt,
     EntryState,
     TimerKind,
     add_timer,
     next_random_value,
 )
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.reports import hello
-from poplarlane.decisions.requests import dispatch_waiting
+from poplarlane.decisions.requests.reports import hello
+from poplarlane.decisions.requests.requests import dispatch_waiting
 
 # Within this time, an agent that was paused together with its entry has compared its view with
 # peers, even at 20% packet loss. Afterwards the entry serves by its current view, as it does
--- a/poplarlane/decisions/reports.py
+++ b/poplarlane/decisions/requests/reports.py
@@ -1,11 +1,11 @@
 """Status reports from an entry to its agent."""
 
 from poplarlane.decisions.effects import Effect
-from poplarlane.decisions.entry_effects import SendToAgent
-from poplarlane.decisions.entry_events import ReportDue
-from poplarlane.decisions.entry_state import EntryState, ServiceState
-from poplarlane.decisions.health import review
+from poplarlane.decisions.health.health import review
 from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_effects import SendToAgent
+from poplarlane.decisions.requests.entry_events import ReportDue
+from poplarlane.decisions.requests.entry_state import EntryState, ServiceState
 from poplarlane.messages import EntryHello, EntryReport, VerdictNotice
 from poplarlane.types import TargetLoad
 
--- a/poplarlane/decisions/request_log.py
+++ b/poplarlane/decisions/requests/request_log.py
@@ -8,7 +8,7 @@
 import math
 
 from poplarlane.decisions.effects import Count, Effect, Log, Observe
-from poplarlane.decisions.entry_state import Attempt, EntryState, Request
+from poplarlane.decisions.requests.entry_state import Attempt, EntryState, Request
 from poplarlane.outcomes import NotRun, RequestFailure
 from poplarlane.types import TargetLoad
 
--- a/poplarlane/decisions/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -1,15 +1,22 @@
 """Handlers for request arrival and for callers, and the dispatch of queued requests."""
 
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import (
     admission,
     caller_deadlines,
-    completion,
     limits,
     queueing,
-    request_log,
-    retries,
 )
-from poplarlane.decisions.attempts import (
+from poplarlane.decisions.admission.caller_deadlines import CallerDeadlines
+from poplarlane.decisions.choice import completion
+from poplarlane.decisions.choice.dispatching import await_permission, choose, dispatch
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.configuration.route_table import Route, choose_service
+from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats import retries
+from poplarlane.decisions.repeats.hedging import send_pending_hedges
+from poplarlane.decisions.requests import request_log
+from poplarlane.decisions.requests.attempts import (
     cancel_attempts,
     enqueue,
     finish_refused,
@@ -18,13 +25,14 @@
     send,
     unreachable_refusal,
 )
-from poplarlane.decisions.caller_deadlines import CallerDeadlines
-from poplarlane.decisions.dispatching import await_permission, choose, dispatch
-from poplarlane.decisions.drain import late_refusal
-from poplarlane.decisions.effects import Count, Effect, Log
-from poplarlane.decisions.entry_effects import RefuseCaller, RefuseRequest, SetTimer
-from poplarlane.decisions.entry_events import CallerDisconnected, RequestArrived, RequestMalformed
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.requests.drain import late_refusal
+from poplarlane.decisions.requests.entry_effects import RefuseCaller, RefuseRequest, SetTimer
+from poplarlane.decisions.requests.entry_events import (
+    CallerDisconnected,
+    RequestArrived,
+    RequestMalformed,
+)
+from poplarlane.decisions.requests.entry_state import (
     MALFORMED_LOGS_PER_S,
     EntryState,
     Request,
@@ -35,10 +43,6 @@
     next_random_value,
     reachable_targets,
 )
-from poplarlane.decisions.hedging import send_pending_hedges
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.route_table import Route, choose_service
 from poplarlane.outcomes import NotRun, ResultCode
 from poplarlane.types import Priority, RequestKind
 
--- a/poplarlane/decisions/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -1,16 +1,26 @@
 """Handlers for responses from targets and for failed attempts."""
 
-from poplarlane.decisions import (
+from poplarlane.decisions.admission import limits
+from poplarlane.decisions.choice import (
     completion,
     contention,
-    health,
-    limits,
-    request_log,
-    retries,
     slowdowns,
     statements,
 )
-from poplarlane.decisions.attempts import (
+from poplarlane.decisions.choice.dispatching import (
+    await_permission,
+    barred_refusal,
+    choose,
+    dispatch,
+)
+from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.choice.statements import Source
+from poplarlane.decisions.effects import Count, Effect
+from poplarlane.decisions.health import health
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats import retries
+from poplarlane.decisions.requests import request_log
+from poplarlane.decisions.requests.attempts import (
     cancel_attempts,
     end_attempt,
     enqueue,
@@ -19,14 +29,12 @@
     remove_request,
     send,
 )
-from poplarlane.decisions.dispatching import await_permission, barred_refusal, choose, dispatch
-from poplarlane.decisions.effects import Count, Effect
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.requests.entry_effects import (
     DeliverAnswer,
     FinishStream,
     StreamAnswer,
 )
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.requests.entry_events import (
     AttemptFailed,
     FailureCause,
     InterimReceived,
@@ -34,7 +42,7 @@
     ResponseMetadata,
     ResponseStarted,
 )
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.requests.entry_state import (
     Attempt,
     EntryState,
     Request,
@@ -42,11 +50,8 @@
     next_random_value,
     reachable_targets,
 )
-from poplarlane.decisions.policies import Measured
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.reports import verdict_report
-from poplarlane.decisions.requests import dispatch_waiting
-from poplarlane.decisions.statements import Source
+from poplarlane.decisions.requests.reports import verdict_report
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.outcomes import NotRun, OutcomeUnknown, RequestFailure, ResultCode
 from poplarlane.types import TargetLoad, Verdict
 
--- a/poplarlane/decisions/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -2,13 +2,22 @@
 
 import heapq
 
-from poplarlane.decisions import health, limits
-from poplarlane.decisions.attempts import finish_refused
-from poplarlane.decisions.drain import accept_ended, drain_limit_passed
+from poplarlane.decisions.admission import limits
 from poplarlane.decisions.effects import Effect, Log
-from poplarlane.decisions.entry_effects import CancelAttempt, SetTimer
-from poplarlane.decisions.entry_events import TimerFired
-from poplarlane.decisions.entry_state import (
+from poplarlane.decisions.health import health
+from poplarlane.decisions.probes.probe_events import (
+    fail_probe,
+    finish_round,
+    recheck_queue,
+    refuse_queued,
+)
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats.hedging import hedge
+from poplarlane.decisions.requests.attempts import finish_refused
+from poplarlane.decisions.requests.drain import accept_ended, drain_limit_passed
+from poplarlane.decisions.requests.entry_effects import CancelAttempt, SetTimer
+from poplarlane.decisions.requests.entry_events import TimerFired
+from poplarlane.decisions.requests.entry_state import (
     DROPPED_TIMERS_PER_FIRING,
     EntryState,
     Request,
@@ -17,11 +26,8 @@
     drop_ended_timers,
     next_random_value,
 )
-from poplarlane.decisions.hedging import hedge
-from poplarlane.decisions.pauses import view_confirm_timed_out
-from poplarlane.decisions.probe_events import fail_probe, finish_round, recheck_queue, refuse_queued
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import dispatch_waiting
+from poplarlane.decisions.requests.pauses import view_confirm_timed_out
+from poplarlane.decisions.requests.requests import dispatch_waiting
 from poplarlane.error_text import error_text
 from poplarlane.outcomes import NotRun, OutcomeUnknown, RequestFailure, ResultCode
 
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -1,6 +1,6 @@
 """Header names and the load header format of the users' platform."""
 
-from poplarlane.decisions.entry_events import ResponseMetadata
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.plumbing.header_names import HeaderNames
 
 BASELINE_SLOWDOWN_PERCENT = 100.0
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
-from poplarlane.decisions.directory import Configuration, InstanceRecord, ServiceRecord
-from poplarlane.decisions.route_table import Route, WeightedService, priority_of_rank
+from poplarlane.decisions.configuration.directory import (
+    Configuration,
+    InstanceRecord,
+    ServiceRecord,
+)
+from poplarlane.decisions.configuration.route_table import Route, WeightedService, priority_of_rank
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import CallerLimits, RequestKind
 
--- a/poplarlane/plumbing/agent_shell.py
+++ b/poplarlane/plumbing/agent_shell.py
@@ -9,14 +9,12 @@
 
 import msgspec
 
-from poplarlane.decisions import agent_effects as effects
-from poplarlane.decisions import agent_events as events
-from poplarlane.decisions import (
-    agent_handlers,  # noqa: F401  registers the handlers
-    grants,
-)
-from poplarlane.decisions.agent_state import AgentState
 from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.membership import agent_effects as effects
+from poplarlane.decisions.membership import agent_events as events
+from poplarlane.decisions.membership import agent_handlers  # noqa: F401  registers the handlers
+from poplarlane.decisions.membership.agent_state import AgentState
+from poplarlane.decisions.probes import grants
 from poplarlane.decisions.reducer import reduce
 from poplarlane.error_text import error_text
 from poplarlane.exchange_messages import EXCHANGE_DECODER
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -3,14 +3,18 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from poplarlane.decisions.directory import (
+from poplarlane.decisions.configuration.directory import (
     Configuration,
     Directory,
     InstanceRecord,
     target_name,
 )
-from poplarlane.decisions.entry_events import CatalogueChanged
-from poplarlane.decisions.relays import CONFIRMATION_TIMEOUT_S, fleet_size, is_fleet_resized
+from poplarlane.decisions.membership.relays import (
+    CONFIRMATION_TIMEOUT_S,
+    fleet_size,
+    is_fleet_resized,
+)
+from poplarlane.decisions.requests.entry_events import CatalogueChanged
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from poplarlane.decisions.effects import Count, Effect, Log, Observe
-from poplarlane.decisions.entry_effects import (
+from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
     CutAnswer,
     DeliverAnswer,
@@ -24,7 +24,7 @@
     StopAccepting,
     StreamAnswer,
 )
-from poplarlane.decisions.entry_events import AttemptSent, FailureCause
+from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause
 from poplarlane.logs import log
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.caller_requests import CallerRequest
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from poplarlane.decisions.entry_events import (
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_events import (
     AttemptFailed,
     AttemptSent,
     CallerDisconnected,
@@ -27,9 +28,8 @@
     TimerFired,
     ViewReceived,
 )
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.reducer import reduce
-from poplarlane.decisions.requests import may_run_pipelined
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.decisions.requests.requests import may_run_pipelined
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport, ViewUpdate
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Callable
 
-from poplarlane.decisions.entry_events import ResponseMetadata
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
 
 HOP_BY_HOP = frozenset(
     {
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -7,7 +7,7 @@
 import json
 import re
 
-from poplarlane.decisions.entry_events import ResponseMetadata
+from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
 from poplarlane.plumbing.header_names import (
     DEFAULT_HEADERS,
--- a/poplarlane/plumbing/platform_objects.py
+++ b/poplarlane/plumbing/platform_objects.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from poplarlane.decisions.agent_events import ListedVm, StoredItem
+from poplarlane.decisions.membership.agent_events import ListedVm, StoredItem
 from poplarlane.objects import PROBE_GRANT_DECODER, ProbeGrantObject
 
 
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -14,7 +14,10 @@
     encode_object,
     resolve_changes,
 )
-from poplarlane.decisions import relay_fetches, relays
+from poplarlane.decisions.membership import (
+    relay_fetches,
+    relays,
+)
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.plumbing.object_follower import ObjectFollower
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from poplarlane.decisions.entry_events import FailureCause
+from poplarlane.decisions.requests.entry_events import FailureCause
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.heads import (
     HEAD_END,
--- a/poplarlane/programs/agent.py
+++ b/poplarlane/programs/agent.py
@@ -4,7 +4,7 @@
 import gc
 import signal
 
-from poplarlane.decisions.agent_events import AgentStopRequested
+from poplarlane.decisions.membership.agent_events import AgentStopRequested
 from poplarlane.logs import log, start_logging
 from poplarlane.programs.composition import build_agent
 from poplarlane.settings import AgentSettings, settings_from_arguments
--- a/poplarlane/programs/agent_pages.py
+++ b/poplarlane/programs/agent_pages.py
@@ -3,8 +3,10 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from poplarlane.decisions import grants, membership, verification
-from poplarlane.decisions.probe_state import ShardProbes
+from poplarlane.decisions.configuration import verification
+from poplarlane.decisions.membership import membership
+from poplarlane.decisions.probes import grants
+from poplarlane.decisions.probes.probe_state import ShardProbes
 from poplarlane.metrics import AdminHandler, AdminRequest, AdminResponse, json_response
 from poplarlane.plumbing.agent_shell import AgentShell
 from poplarlane.plumbing.pauses import clock
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -6,15 +6,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from poplarlane.decisions.directory import Directory
-from poplarlane.decisions.entry_handlers import ENTRY_HANDLERS
-from poplarlane.decisions.entry_state import EntryState
-from poplarlane.decisions.relays import (
+from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
     WATCH_WAIT_FRACTION,
     Member,
     RelayState,
 )
+from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.metrics import AdminRequest, AdminResponse, AdminServer, Metrics, json_response
 from poplarlane.platform import store
 from poplarlane.platform.headers import PLATFORM_HEADERS
@@ -40,7 +40,7 @@
 from poplarlane.types import Verdict
 
 if TYPE_CHECKING:
-    from poplarlane.decisions.agent_state import AgentState
+    from poplarlane.decisions.membership.agent_state import AgentState
     from poplarlane.plumbing.agent_shell import AgentShell
     from poplarlane.plumbing.relay import Relay
 
@@ -351,7 +351,7 @@
 
 def agent_state(settings: AgentSettings, incarnation: int) -> "AgentState":
     """Build the initial state of an agent from its settings."""
-    from poplarlane.decisions.agent_state import AgentState, Peer
+    from poplarlane.decisions.membership.agent_state import AgentState, Peer
 
     state = AgentState(
         settings.name,
--- a/poplarlane/programs/ctl/change_commands.py
+++ b/poplarlane/programs/ctl/change_commands.py
@@ -9,10 +9,10 @@
 from cleo.helpers import argument, option
 from cleo.io.inputs.option import Option
 
-from poplarlane.decisions import edits
-from poplarlane.decisions.edits import Edit, Sentinel
-from poplarlane.decisions.labels import InvalidLabels, key_fault, parse_labels
-from poplarlane.decisions.selectors import InvalidSelector, parse
+from poplarlane.decisions.access.labels import InvalidLabels, key_fault, parse_labels
+from poplarlane.decisions.access.selectors import InvalidSelector, parse
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.edits import Edit, Sentinel
 from poplarlane.objects import SelectorObject
 from poplarlane.plumbing.ctl_client import PlatformClient
 from poplarlane.programs.ctl.change_outcomes import ChangeAccepted, DryRunResult, Outcome
--- a/poplarlane/programs/ctl/change_outcomes.py
+++ b/poplarlane/programs/ctl/change_outcomes.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from poplarlane.decisions.configuration import BaseUnavailable
-from poplarlane.decisions.edits import EditConflict, EditInvalid
+from poplarlane.decisions.configuration.configuration import BaseUnavailable
+from poplarlane.decisions.configuration.edits import EditConflict, EditInvalid
 from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import ResultCode
 
--- a/poplarlane/programs/ctl/change_procedure.py
+++ b/poplarlane/programs/ctl/change_procedure.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from poplarlane.decisions import configuration
-from poplarlane.decisions.configuration import Base, BaseUnavailable, StoredObject
-from poplarlane.decisions.edits import (
+from poplarlane.decisions.configuration import configuration
+from poplarlane.decisions.configuration.configuration import Base, BaseUnavailable, StoredObject
+from poplarlane.decisions.configuration.edits import (
     Edit,
     EditConflict,
     EditInvalid,
@@ -20,7 +20,7 @@
     bind_expected,
     truncate_summary,
 )
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import (
     MAX_RECORDED_CHANGES,
     SERVICE_COPIES_KIND,
--- a/poplarlane/programs/ctl/command.py
+++ b/poplarlane/programs/ctl/command.py
@@ -9,7 +9,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from poplarlane.decisions.content import NAME_PATTERN
+from poplarlane.decisions.configuration.content import NAME_PATTERN
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformClient
 from poplarlane.programs.ctl.reports import Report, error_report, show, usage_error
--- a/poplarlane/programs/ctl/explain_command.py
+++ b/poplarlane/programs/ctl/explain_command.py
@@ -2,8 +2,8 @@
 
 from cleo.helpers import argument, option
 
-from poplarlane.decisions.access_explanation import Explanation, explain
-from poplarlane.decisions.labels import InvalidLabels, parse_labels
+from poplarlane.decisions.access.access_explanation import Explanation, explain
+from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
 from poplarlane.objects import ServiceObject
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, check_name, common_options
--- a/poplarlane/programs/ctl/fleet.py
+++ b/poplarlane/programs/ctl/fleet.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import ServiceObject
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure, read_admin
 from poplarlane.plumbing.http_call import CallFailure
--- a/poplarlane/programs/ctl/object_commands.py
+++ b/poplarlane/programs/ctl/object_commands.py
@@ -6,11 +6,11 @@
 import msgspec
 from cleo.helpers import argument, option
 
-from poplarlane.decisions import edits
-from poplarlane.decisions.configuration import StoredObject
-from poplarlane.decisions.content import NAME_PATTERN
-from poplarlane.decisions.edits import Edit
-from poplarlane.decisions.validation import ObjectFault, check_service
+from poplarlane.decisions.configuration import edits
+from poplarlane.decisions.configuration.configuration import StoredObject
+from poplarlane.decisions.configuration.content import NAME_PATTERN
+from poplarlane.decisions.configuration.edits import Edit
+from poplarlane.decisions.configuration.validation import ObjectFault, check_service
 from poplarlane.objects import JSON_ENCODER, SERVICE_COPIES_KIND, SERVICES_KIND, ServiceObject
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
 from poplarlane.programs.ctl.change_commands import (
--- a/poplarlane/programs/ctl/reports.py
+++ b/poplarlane/programs/ctl/reports.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from poplarlane.decisions.configuration import BaseUnavailable
-from poplarlane.decisions.edits import EditConflict, EditInvalid, conflict_reason
-from poplarlane.decisions.validation import ObjectFault
+from poplarlane.decisions.configuration.configuration import BaseUnavailable
+from poplarlane.decisions.configuration.edits import EditConflict, EditInvalid, conflict_reason
+from poplarlane.decisions.configuration.validation import ObjectFault
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformFailure
 from poplarlane.programs.ctl.change_outcomes import Unfinished
--- a/poplarlane/programs/ctl/stored_objects.py
+++ b/poplarlane/programs/ctl/stored_objects.py
@@ -1,7 +1,7 @@
 """Decoding of service objects read from the platform."""
 
-from poplarlane.decisions.configuration import StoredObject
-from poplarlane.decisions.validation import check_service
+from poplarlane.decisions.configuration.configuration import StoredObject
+from poplarlane.decisions.configuration.validation import check_service
 from poplarlane.objects import SERVICES_KIND
 from poplarlane.plumbing.ctl_client import StoredValue
 
