--- /dev/null
+++ b/features/fleet_digests.feature
@@ -0,0 +1,42 @@
+Feature: What nodes see together reaches all of them
+  Reports go up a tree of relays and seeds, digests come down. No node depends on one other node.
+
+  Scenario Outline: Every node learns what all nodes have counted
+    Given <nodes> nodes in 3 data centres that count what they see
+    When each node counts 2 and 1.5 seconds pass
+    Then every node knows a sum of <sum>, all told
+
+    Examples:
+      | nodes | sum |
+      | 3     | 6   |
+      | 30    | 60  |
+      | 60    | 120 |
+
+  Scenario: An urgent observation does not wait for the interval
+    Given 30 nodes in 3 data centres that count what they see
+    When 1.5 seconds pass
+    And one node counts 1 and tells the others at once
+    Then every node knows a sum of 1, without any further time
+
+  Scenario: The next seed takes over when the root ends
+    Given 30 nodes in 3 data centres that count what they see
+    When 1.5 seconds pass
+    And the root ends and 4 seconds pass
+    Then no node that is left is isolated
+    And all digests come from one root
+
+  Scenario: A node that is cut off knows that it is isolated
+    Given 30 nodes in 3 data centres that count what they see
+    When 1.5 seconds pass
+    And one node is cut off for 1.5 seconds
+    Then that node is isolated and the others are not
+
+  Scenario: A malformed section costs neither the digest nor the other sections
+    Given a node that counts
+    When it receives a digest with a malformed section and a good one
+    Then the good one is in force and the other one is logged
+
+  Scenario: Nodes without an active section send nothing
+    Given 30 nodes in 3 data centres that count what they see
+    When the section becomes inactive and 2 seconds pass
+    Then no report or digest has been sent since
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -35,8 +35,10 @@
         """Disconnect from a node."""
 
     def send(self, name, payload):
-        """Queue a message for a node, named or by its address."""
-        self.fleet.queue.append((name, payload))
+        """Queue a message for a node, named or by its address, unless either is cut off."""
+        receiver = self.fleet.by_address.get(name, name)
+        if not self.fleet.cut & {self.name, receiver}:
+            self.fleet.queue.append((name, payload))
 
 
 class AnyName:
@@ -53,6 +55,8 @@
         self.now = START
         self.connected = AnyName()
         self.queue = []
+        # Names of nodes that neither send nor receive.
+        self.cut = set()
         self.relays = {}
         self.by_address = {}
         # Nodes that the store turns away, and those that it was asked by.
--- /dev/null
+++ b/features/steps/fleet_digest_steps.py
@@ -0,0 +1,204 @@
+"""Steps for the exchange of reports and digests, without a network."""
+
+from unittest.mock import patch
+
+import msgspec
+from behave import given, then, when
+from relay_fleet import RelayFleet
+
+from poplarlane.decisions.fleet import digests  # noqa: F401  registers the handler
+from poplarlane.decisions.fleet.sections import FleetState
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_events import FleetDigestReceived
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.plumbing import relay as relay_module
+from poplarlane.plumbing.fleet_exchange import FleetExchange
+from poplarlane.relay_messages import DECODER, FleetDigest, FleetReport
+
+
+class CountSection:
+    """Add up what all nodes count."""
+
+    name = "count"
+
+    def __init__(self):
+        self.counted = 0
+        self.total = 0
+        self.known = 0
+        self.active = True
+        self.urgent = False
+
+    def is_active(self):
+        return self.active
+
+    def is_urgent(self, now):
+        return self.urgent
+
+    def take_report(self, now):
+        taken, self.counted, self.urgent = self.counted, 0, False
+        return msgspec.msgpack.encode(taken)
+
+    def merge_report(self, sender, payload, now):
+        found = msgspec.msgpack.decode(payload, type=int)
+        self.counted += found
+        self.urgent = self.urgent or found > 0
+
+    def member_lost(self, sender, now):
+        pass
+
+    def make_digest(self, now):
+        self.total += self.counted
+        self.counted, self.urgent = 0, False
+        return msgspec.msgpack.encode(self.total)
+
+    def adopt_digest(self, payload, age_s, now):
+        self.known = msgspec.msgpack.decode(payload, type=int)
+        return []
+
+
+class CountingNode:
+    """A node's section and the state that digests are applied to."""
+
+    def __init__(self, fleet, relay):
+        self.fleet = fleet
+        self.state = EntryState(relay.state.me.name, 1)
+        self.section = CountSection()
+        self.state.fleet.add(self.section)
+        self.root = ""
+        relay.fleet_exchange = FleetExchange(
+            relay, self.state.fleet, lambda: fleet.now, self.adopt, self.wait
+        )
+
+    def wait(self, _delay_s, _function):
+        """Leave what is urgent to the next step."""
+
+    def adopt(self, digest):
+        self.root = digest.root
+        event = FleetDigestReceived(
+            self.fleet.now, 0, digest.sections, digest.age_s, digest.root, digest.nodes
+        )
+        reduce(event, self.state)
+
+
+@given("{nodes:d} nodes in 3 data centres that count what they see")
+def step(context, nodes):
+    context.fleet = RelayFleet(nodes, 3, 3)
+    context.nodes = {
+        name: CountingNode(context.fleet, relay) for name, relay in context.fleet.relays.items()
+    }
+
+
+@when("each node counts 2 and {time_s:g} seconds pass")
+def step(context, time_s):
+    context.fleet.run(1.5)
+    for node in context.nodes.values():
+        node.section.counted += 2
+    context.fleet.run(time_s)
+
+
+@when("{time_s:g} seconds pass")
+def step(context, time_s):
+    context.fleet.run(time_s)
+
+
+@when("one node counts 1 and tells the others at once")
+def step(context):
+    fleet = context.fleet
+    name = list(context.nodes)[-1]
+    # The least interval between two urgent messages has passed.
+    fleet.now += 0.05
+    section = context.nodes[name].section
+    section.counted, section.urgent = 1, True
+    with patch.object(relay_module, "clock", lambda: fleet.now):
+        fleet.relays[name].fleet_exchange.notify()
+        fleet.deliver()
+
+
+@then("every node knows a sum of {total:d}, {addition}")
+def step(context, total, addition):
+    known = {name: node.section.known for name, node in context.nodes.items()}
+    assert set(known.values()) == {total}, known
+
+
+@when("the root ends and {time_s:g} seconds pass")
+def step(context, time_s):
+    root = next(iter(context.nodes.values())).root
+    context.fleet.end(context.fleet.relays[root].state.me.address)
+    del context.nodes[root]
+    context.fleet.run(time_s)
+
+
+@then("no node that is left is isolated")
+def step(context):
+    now = context.fleet.now
+    assert not [name for name, node in context.nodes.items() if node.state.fleet.is_isolated(now)]
+
+
+@then("all digests come from one root")
+def step(context):
+    assert len({node.root for node in context.nodes.values()}) == 1
+
+
+@when("one node is cut off for {time_s:g} seconds")
+def step(context, time_s):
+    context.cut = list(context.nodes)[-1]
+    context.fleet.cut.add(context.cut)
+    context.fleet.run(time_s)
+
+
+@then("that node is isolated and the others are not")
+def step(context):
+    now = context.fleet.now
+    isolated = {name for name, node in context.nodes.items() if node.state.fleet.is_isolated(now)}
+    assert isolated == {context.cut}, isolated
+
+
+@given("a node that counts")
+def step(context):
+    context.state = EntryState("node", 1)
+    context.state.fleet = FleetState()
+    context.section = CountSection()
+    context.state.fleet.add(context.section)
+    broken = CountSection()
+    broken.name = "broken"
+    context.state.fleet.add(broken)
+
+
+@when("it receives a digest with a malformed section and a good one")
+def step(context):
+    sections = {"broken": b"\xc1", "count": msgspec.msgpack.encode(7), "unknown": b"x"}
+    context.effects = reduce(FleetDigestReceived(1.0, 0, sections, 0.0, "r", 2), context.state)
+
+
+@then("the good one is in force and the other one is logged")
+def step(context):
+    assert context.section.known == 7
+    events = [effect.event for effect in context.effects]
+    assert events == ["fleet_joined", "fleet_section_malformed"], events
+
+
+@when("the section becomes inactive and {time_s:g} seconds pass")
+def step(context, time_s):
+    fleet = context.fleet
+    fleet.run(1.0)
+    for node in context.nodes.values():
+        node.section.active = False
+    # Children that no longer report are forgotten first, on each level of the tree.
+    fleet.run(4.0)
+    context.sent = []
+    for relay in fleet.relays.values():
+        send = relay.sockets.send
+
+        def record(name, payload, send=send):
+            context.sent.append(payload)
+            send(name, payload)
+
+        relay.sockets.send = record
+    fleet.run(time_s)
+
+
+@then("no report or digest has been sent since")
+def step(context):
+    assert context.sent
+    kinds = {type(DECODER.decode(payload)) for payload in context.sent if payload[:1] != b"\xc1"}
+    assert not kinds & {FleetReport, FleetDigest}, kinds
--- a/poplarlane/decisions/requests/entry_effects.py
+++ b/poplarlane/decisions/requests/entry_effects.py
@@ -177,3 +177,9 @@
 
     def __init__(self, at_once: bool) -> None:
         self.at_once = at_once
+
+
+class NotifyFleet(Effect):
+    """Send the urgent sections of this node to the other nodes without waiting."""
+
+    __slots__ = ()
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -278,3 +278,24 @@
         self.is_confirmed = is_confirmed
         self.catalogue = catalogue
         self.fleet_entries = fleet_entries
+
+
+class FleetDigestReceived(EntryEvent):
+    """A digest of the fleet, made `age_s` ago by `root` from the reports of `nodes` nodes."""
+
+    __slots__ = ("sections", "age_s", "root", "nodes")
+
+    def __init__(
+        self,
+        now: float,
+        random_value: int,
+        sections: dict[str, bytes],
+        age_s: float,
+        root: str,
+        nodes: int,
+    ) -> None:
+        super().__init__(now, random_value)
+        self.sections = sections
+        self.age_s = age_s
+        self.root = root
+        self.nodes = nodes
--- a/poplarlane/decisions/requests/entry_handlers.py
+++ b/poplarlane/decisions/requests/entry_handlers.py
@@ -4,6 +4,7 @@
     catalogue,
     views,
 )
+from poplarlane.decisions.fleet import digests
 from poplarlane.decisions.probes import probe_events
 from poplarlane.decisions.requests import (
     drain,
@@ -13,4 +14,14 @@
     timers,
 )
 
-ENTRY_HANDLERS = (responses, catalogue, drain, probe_events, reports, requests, timers, views)
+ENTRY_HANDLERS = (
+    digests,
+    responses,
+    catalogue,
+    drain,
+    probe_events,
+    reports,
+    requests,
+    timers,
+    views,
+)
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -13,6 +13,7 @@
 from poplarlane.decisions.choice.slowdowns import Slowdowns
 from poplarlane.decisions.choice.subsets import TargetGroup
 from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
 from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
 from poplarlane.decisions.repeats.retries import Budget
@@ -304,6 +305,7 @@
         "extra_sends",
         "extra_sends_window_s",
         "statements",
+        "fleet",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -365,6 +367,8 @@
         self.probe_allowance = ProbeTokenBucket()
         # What targets said about themselves, by target name.
         self.statements: dict[str, TargetStatements] = {}
+        # What this node shares with the others.
+        self.fleet = FleetState()
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/requests/pauses.py
+++ b/poplarlane/decisions/requests/pauses.py
@@ -3,6 +3,8 @@
 Requests are held until the agent confirms the view, which may have become stale in the meantime.
 """
 
+import math
+
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests.attempts import end_attempt, enqueue
@@ -28,6 +30,8 @@
 def entry_paused(event: EntryPaused, state: EntryState) -> list[Effect]:
     """Hold all requests, and ask the agent for a view from after the pause."""
     effects: list[Effect] = [Log("paused", "warning", {"gap_ms": round(event.gap_s * 1000)})]
+    # Quotas and levels from before the pause are out of date.
+    state.fleet.digest_at = -math.inf
     if not state.ready:
         return effects
     state.view_nonce += 1
--- a/poplarlane/plumbing/agent_link.py
+++ b/poplarlane/plumbing/agent_link.py
@@ -58,6 +58,9 @@
         except zmq.Again:
             return
 
+    def notify_fleet(self) -> None:
+        """Do nothing: entries with an agent exchange no messages."""
+
     def close(self) -> None:
         """Close the socket."""
         if self.task is not None:
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -14,12 +14,14 @@
     fleet_size,
     is_fleet_resized,
 )
-from poplarlane.decisions.requests.entry_events import CatalogueChanged
+from poplarlane.decisions.requests.entry_events import CatalogueChanged, FleetDigestReceived
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport
 from poplarlane.plumbing.entry_shell import EntryShell
+from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.relay_messages import FleetDigest
 from poplarlane.store_objects import ObjectChange, StoredObject, era_of
 
 if TYPE_CHECKING:
@@ -112,6 +114,15 @@
         try:
             relay = self.make_relay()
             relay.start()
+            shell = self.shell
+            if shell.state.fleet.sections:
+                relay.fleet_exchange = FleetExchange(
+                    relay,
+                    shell.state.fleet,
+                    shell.now,
+                    self.digest_received,
+                    shell.loop.call_later,
+                )
         except Exception as error:
             # Without the relay the node follows the store itself.
             log("relay_start_failed", "error", reason=error_text(error))
@@ -121,6 +132,24 @@
             return
         self.relay = relay
 
+    def digest_received(self, digest: FleetDigest) -> None:
+        """Pass a digest of the fleet to the entry."""
+        shell = self.shell
+        event = FleetDigestReceived(
+            shell.now(),
+            shell.random_value(),
+            digest.sections,
+            digest.age_s,
+            digest.root,
+            digest.nodes,
+        )
+        shell.feed(event)
+
+    def notify_fleet(self) -> None:
+        """Send what other nodes have to know at once."""
+        if self.relay is not None and self.relay.fleet_exchange is not None:
+            self.relay.fleet_exchange.notify()
+
     def close(self) -> None:
         """Stop the relay and all followers."""
         if self.relay is not None:
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -11,6 +11,7 @@
     CutAnswer,
     DeliverAnswer,
     FinishStream,
+    NotifyFleet,
     ProbeTarget,
     RefuseCaller,
     RefuseRequest,
@@ -325,6 +326,12 @@
     shell.link.send(effect.message)
 
 
+@execute.register(NotifyFleet)
+def execute_notify_fleet(_: NotifyFleet, shell: "EntryShell") -> None:
+    """Send urgent sections to the other nodes."""
+    shell.link.notify_fleet()
+
+
 @execute.register(StartAccepting)
 def execute_start_accepting(effect: StartAccepting, shell: "EntryShell") -> None:
     """Start listening on the bound socket."""
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -72,6 +72,9 @@
     def send(self, message: EntryHello | EntryReport) -> None:
         """Send a message; it may be dropped."""
 
+    def notify_fleet(self) -> None:
+        """Send what other nodes have to know at once, where nodes exchange messages."""
+
     def close(self) -> None:
         """Close the link."""
 
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -20,11 +20,14 @@
 )
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
+from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.peer_sockets import PeerSockets
 from poplarlane.relay_messages import (
     Fetch,
+    FleetDigest,
+    FleetReport,
     Heartbeat,
     Hello,
     MemberInfo,
@@ -64,6 +67,7 @@
         "subscribers",
         "snapshots",
         "failures",
+        "fleet_exchange",
     )
 
     def __init__(
@@ -99,6 +103,8 @@
         # Last encoded snapshot of each kind, with its revision and highest version; many nodes ask
         # at the same time.
         self.snapshots: dict[str, tuple[tuple[int, int], bytes]] = {}
+        # Exchange of reports and digests; None where nothing is shared.
+        self.fleet_exchange: FleetExchange | None = None
 
     def start(self) -> None:
         """Bind the socket, connect to the seeds and start the periodic steps."""
@@ -147,6 +153,12 @@
             self.heartbeat(now)
         self.request_missing(now)
         self.check_current(now)
+        if self.fleet_exchange is not None:
+            self.fleet_exchange.step(now)
+
+    def clock(self) -> float:
+        """Return the time on the relay's clock."""
+        return clock()
 
     def note(self) -> MemberInfo:
         """Describe this node."""
@@ -417,6 +429,19 @@
         self.deliver_all(message.kind, items)
         self.check_current(clock())
 
+    @handle.register
+    def _(self, message: FleetReport) -> None:
+        now = clock()
+        self.record_member(message.sender, now)
+        if self.fleet_exchange is not None:
+            self.fleet_exchange.report_received(message, now)
+
+    @handle.register
+    def _(self, message: FleetDigest) -> None:
+        self.record_member(message.sender, clock())
+        if self.fleet_exchange is not None:
+            self.fleet_exchange.digest_received(message)
+
     def adopt_newer(self, kind: str, follower: ObjectFollower, items: list[StoredObject]) -> None:
         """Take objects that another node has in a higher version than the store gave this node."""
         changes = follower.adopt_newer(items)
--- a/poplarlane/relay_messages.py
+++ b/poplarlane/relay_messages.py
@@ -96,7 +96,27 @@
     objects: list[EncodedChange]
 
 
-Message = Hello | Roster | Heartbeat | Update | Fetch | Snapshot
+class FleetReport(msgspec.Struct, tag=7, array_like=True):
+    """What a node and the `nodes` below it, including itself, have observed, by section."""
+
+    sender: MemberInfo
+    sequence: int
+    nodes: int
+    sections: dict[str, bytes]
+
+
+class FleetDigest(msgspec.Struct, tag=8, array_like=True):
+    """What the root has combined from reports; `age_s` is the time since it did."""
+
+    sender: MemberInfo
+    root: str
+    sequence: int
+    age_s: float
+    nodes: int
+    sections: dict[str, bytes]
+
+
+Message = Hello | Roster | Heartbeat | Update | Fetch | Snapshot | FleetReport | FleetDigest
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Message)
 # Large messages repeat field names and compress well; small ones gain nothing.
