Wire the fleet exchange in the composition root

Cause: the relay's start took the sections from the entry, so a relay without them could not start in a test of its own. Change: make_relay builds the exchange.

--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -19,7 +19,6 @@
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport
 from poplarlane.plumbing.entry_shell import EntryShell
-from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.relay_messages import FleetDigest
 from poplarlane.store_objects import ObjectChange, StoredObject, era_of
@@ -114,15 +113,6 @@
         try:
             relay = self.make_relay()
             relay.start()
-            shell = self.shell
-            if shell.state.fleet.sections:
-                relay.fleet_exchange = FleetExchange(
-                    relay,
-                    shell.state.fleet,
-                    shell.now,
-                    self.digest_received,
-                    shell.loop.call_later,
-                )
         except Exception as error:
             # Without the relay the node follows the store itself.
             log("relay_start_failed", "error", reason=error_text(error))
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -26,6 +26,7 @@
 )
 from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.entry_shell import EntryShell
+from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient
@@ -230,6 +231,11 @@
     )
     for follower in keeper.followers:
         relay.followers[follower.kind] = follower
+    shell = keeper.shell
+    if shell.state.fleet.sections:
+        relay.fleet_exchange = FleetExchange(
+            relay, shell.state.fleet, shell.now, keeper.digest_received, shell.loop.call_later
+        )
     return relay
 
 
