Answer a failed pipelined request in its turn instead of resetting the connection

Cause: a streamed response that failed always reset the caller's connection, also while its first bytes were still buffered behind an earlier response. The reset also discarded earlier responses that the kernel had not sent yet.

Change: CutAnswer carries the outcome. While nothing of the response was written, the request is answered with it (502 or 504) in its turn. Otherwise the connection is reset once the bytes before the cut have been acknowledged, or when the caller has taken none of them for the idle time-out.

--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -53,6 +53,30 @@
     When the first read is answered
     Then the second one is written and its target is read from
 
+  Scenario Outline: A later read that fails after a part of its answer does not end the first one
+    # Guards LOST: nothing of the later answer was written, so its failure needs no reset.
+    Given a caller's connection that may have 4 requests in turn
+    When the caller sends 2 reads at once
+    And the second one is answered in part and then fails with <status>
+    Then nothing is written yet
+    When the first read is answered
+    Then the answer and then status <status> are written and the connection stays open
+
+    Examples:
+      | status |
+      | 502    |
+      | 504    |
+
+  Scenario: A cut answer resets the connection only after the answer before it was sent
+    # Guards LOST: a reset discards what the kernel has not sent yet.
+    Given a caller's connection that may have 4 requests in turn
+    When the caller sends 2 reads at once
+    And the first read is answered and the caller has not read it
+    And the second one is answered in part and then fails with 502
+    Then the connection is still open
+    When the caller has read the first answer
+    Then the connection is reset
+
   Scenario: A node serves further reads on the connection they were sent on
     Given a node with 2 targets of the service "reads" and 1 of "books"
     And targets that work for 200 ms
--- a/features/recording_transport.py
+++ b/features/recording_transport.py
@@ -11,6 +11,8 @@
         self.aborted = False
         self.ended = False
         self.is_reading = True
+        # Bytes that the peer has not taken yet.
+        self.waiting = 0
 
     def get_extra_info(self, name):
         if name == "socket":
@@ -23,7 +25,7 @@
         """Take the bound of the write buffer."""
 
     def get_write_buffer_size(self):
-        return 0
+        return self.waiting
 
     def is_closing(self):
         return self.aborted or self.ended
--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -9,7 +9,11 @@
 
 from features.recording_transport import RecordingTransport
 from features.steps.node_path_steps import ANSWER_LIMIT_S, HOST
+from poplarlane.decisions.requests.attempts import finish_refused
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.outcomes import OutcomeUnknown, ResultCode
 from poplarlane.plumbing.callers import CallerConnection
+from poplarlane.plumbing.entry_execute import execute
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS
 
 HELD_LIMIT = 300_000
@@ -27,7 +31,8 @@
         self.buffered_body_bytes = 0
         self.time = 1.0
         self.next_id = 1
-        self.working = {}
+        self.working = self.requests_by_id = {}
+        self.results = {}
         self.started = []
         self.deadlines_ms = {}
         self.gone = []
@@ -256,6 +261,72 @@
     assert context.caller.transport.ended
 
 
+STREAMED = SimpleNamespace(
+    request_id=0,
+    possibly_started=1,
+    hedged=False,
+    service=SimpleNamespace(policy=None),
+    attempts=[],
+    streaming=True,
+    retried=False,
+    retried_below=False,
+)
+
+
+def streaming_state(request):
+    """Make the state of an entry that streams the answer of one request."""
+    state = EntryState("entry", 1)
+    STREAMED.request_id = request.request_id
+    state.requests[request.request_id] = STREAMED
+    return state
+
+
+@when("the second one is answered in part and then fails with {status:d}")
+def step_part(context, status):
+    shell = context.shell
+    request = context.caller.requests[-1]
+    request.write(b"HTTP/1.1 200 OK\r\ncontent-length: 900000\r\n\r\n")
+    request.write_body(b"x" * 262_144)
+    request.stream_from(EndlessSource())
+    outcome = OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "connection closed", status)
+    effects = []
+    finish_refused(streaming_state(request), STREAMED, outcome, effects)
+    for effect in effects:
+        execute(effect, shell)
+
+
+@then("the answer and then status {status:d} are written and the connection stays open")
+def step_failed_in_turn(context, status):
+    written = context.caller.transport.written
+    assert written.startswith(b"HTTP/1.1 200 /0\r\n"), written[:80]
+    assert written.count(b"HTTP/1.1") == 2 and b"HTTP/1.1 %d " % status in written, written
+    assert b"xxx" not in written
+    assert not context.caller.transport.ended
+
+
+@when("the first read is answered and the caller has not read it")
+def step_unread_first(context):
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 5_000
+
+
+@then("the connection is still open")
+def step_still_open(context):
+    assert not context.caller.transport.aborted
+
+
+@when("the caller has read the first answer")
+def step_first_read(context):
+    context.caller.transport.waiting = 0
+    context.shell.time = context.caller.expires_at
+    context.caller.expire()
+
+
+@then("the connection is reset")
+def step_is_reset(context):
+    assert context.caller.transport.aborted
+
+
 class EndlessSource:
     """Stand for the exchange of an answer whose body never ends."""
 
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -115,11 +115,9 @@
         request_log.request_refused(state, request, outcome, effects)
     cancel_attempts(state, request, effects)
     request.state = RequestState.REFUSED if certain else RequestState.UNKNOWN
-    if request.streaming is not None:
-        effects.append(CutAnswer(request.request_id))
-    else:
-        retried = request.retried or request.retried_below
-        effects.append(RefuseRequest(request.request_id, outcome, retried, state.draining))
+    retried = request.retried or request.retried_below
+    kind = RefuseRequest if request.streaming is None else CutAnswer
+    effects.append(kind(request.request_id, outcome, retried, state.draining))
     remove_request(state, request, effects)
 
 
--- a/poplarlane/decisions/requests/entry_effects.py
+++ b/poplarlane/decisions/requests/entry_effects.py
@@ -98,12 +98,20 @@
 
 
 class CutAnswer(Effect):
-    """Reset the caller's connection, so that a truncated response cannot look complete."""
+    """End a streamed response: answer with the failure, or reset if a part was written.
 
-    __slots__ = ("request_id",)
+    The reset keeps a truncated response from looking complete.
+    """
 
-    def __init__(self, request_id: int) -> None:
+    __slots__ = ("request_id", "outcome", "retried", "close")
+
+    def __init__(
+        self, request_id: int, outcome: RequestFailure, retried: bool, close: bool
+    ) -> None:
         self.request_id = request_id
+        self.outcome = outcome
+        self.retried = retried
+        self.close = close
 
 
 class RefuseRequest(Effect):
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -18,6 +18,8 @@
     partial_head_fault,
     read_request_head,
 )
+from poplarlane.plumbing.resets import reset
+from poplarlane.plumbing.unsent import unsent_bytes
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.entry_shell import EntryShell
@@ -30,6 +32,8 @@
 MAX_PENDING_INPUT_BYTES = 65_536
 # Time to wait for the caller to close the connection after the last response.
 LINGER_S = 1.0
+# Interval at which unsent bytes of a connection that is to be closed are checked.
+FLUSH_CHECK_S = 0.1
 STATUS_CODES = {
     408: ResultCode.REQUEST_TIMEOUT,
     413: ResultCode.BODY_TOO_LARGE,
@@ -69,6 +73,10 @@
         "close_after",
         "closing",
         "is_lingering",
+        "is_cut",
+        "has_responded",
+        "unsent",
+        "stalls_at",
         "is_writing_paused",
         "pending_refusal",
         "chunk_sizes",
@@ -99,6 +107,13 @@
         self.closing = False
         # Whether the last response was written and the caller's close is awaited.
         self.is_lingering = False
+        # Whether the last response was truncated and the connection ends with a reset.
+        self.is_cut = False
+        # Whether a response was completed on this connection; the caller may still be reading it.
+        self.has_responded = False
+        # Unsent bytes at the last check, and when a caller that takes none of them is given up.
+        self.unsent = 0
+        self.stalls_at = 0.0
         self.is_writing_paused = False
         # Error response to malformed input, to be sent after the outstanding responses.
         self.pending_refusal = b""
@@ -340,6 +355,7 @@
         requests = self.requests
         while requests and requests[0].is_done:
             done = requests.popleft()
+            self.has_responded = True
             self.shell.buffered_body_bytes -= len(done.body)
             if requests:
                 self.write_buffered(requests[0])
@@ -381,6 +397,25 @@
         self.transport.write_eof()
         self.transport.resume_reading()
 
+    def cut(self) -> None:
+        """Reset the connection once the responses before the truncated one have been sent."""
+        self.closing = True
+        self.is_lingering = True
+        self.is_cut = True
+        self.buffer = b""
+        if self.has_responded and self.is_flushing():
+            self.expires_at = self.shell.now() + FLUSH_CHECK_S
+        else:
+            reset(self.transport)
+
+    def is_flushing(self) -> bool:
+        """Return whether written bytes are unsent and the caller has not stopped taking them."""
+        unsent = unsent_bytes(self.transport)
+        if unsent != self.unsent:
+            self.unsent = unsent
+            self.stalls_at = self.shell.now() + self.shell.idle_timeout_s
+        return unsent > 0 and self.shell.now() < self.stalls_at
+
     def is_reading(self) -> bool:
         """Return whether part of a request has arrived."""
         return self.parser is not None or bool(self.buffer)
@@ -392,7 +427,9 @@
     def expire(self) -> None:
         """Handle the deadline: close an idle connection or refuse a slow request."""
         self.expires_at = 0.0
-        if self.is_lingering:
+        if self.is_cut:
+            self.cut()
+        elif self.is_lingering:
             self.transport.abort()
         elif self.is_idle():
             self.closing = True
