Keep connections whose callers still read their responses, also during a stop

Cause: a response that announced the close got one second from its hand-over to the transport, and an idle connection 0.25 s from the end of accepting, whether or not its bytes had been sent. The rest was then dropped.

Change: a connection with unsent bytes (transport and kernel) is kept while its caller takes some of them within the idle time-out; the close starts once they are sent. The end of accepting no longer shortens the time of a connection that is already closing.

--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -77,6 +77,27 @@
     When the caller has read the first answer
     Then the connection is reset
 
+  Scenario Outline: A planned stop leaves answers to callers that still read them
+    # Guards LOST: an answer is complete when the caller has it, not when the transport has it.
+    Given a caller's connection that may have 4 requests in turn
+    When the caller sends 1 reads at once
+    And the read is answered <when> the stop and its caller reads it for 4 s
+    Then the connection is still open
+    When the caller has read the answer
+    Then the connection ends within 1.1 s
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
+  Scenario: A caller that stops reading does not keep its connection
+    # Guards memory: an answer that nobody takes is given up after the idle time-out.
+    Given a caller's connection that may have 4 requests in turn
+    When the caller sends 1 reads at once
+    And the read is answered after the stop and its caller takes nothing of it
+    Then the connection ends within 7 s
+
   Scenario: A node serves further reads on the connection they were sent on
     Given a node with 2 targets of the service "reads" and 1 of "books"
     And targets that work for 200 ms
--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -10,6 +10,7 @@
 from features.recording_transport import RecordingTransport
 from features.steps.node_path_steps import ANSWER_LIMIT_S, HOST
 from poplarlane.decisions.requests.attempts import finish_refused
+from poplarlane.decisions.requests.entry_effects import StopAccepting
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.outcomes import OutcomeUnknown, ResultCode
 from poplarlane.plumbing.callers import CallerConnection
@@ -327,6 +328,55 @@
     assert context.caller.transport.aborted
 
 
+def pass_time(context, duration_s, taken_per_s=0):
+    """Let time pass in steps of the sweep; the caller takes bytes meanwhile."""
+    transport = context.caller.transport
+    ends_at = context.shell.time + duration_s
+    while context.shell.time < ends_at and not transport.aborted:
+        context.shell.time += 0.1
+        transport.waiting = max(0, transport.waiting - int(taken_per_s * 0.1))
+        if 0.0 < context.caller.expires_at <= context.shell.time:
+            context.caller.expire()
+
+
+def begin_stop(context):
+    """Close the listener as the end of the time for accepting does."""
+    context.shell.draining = True
+    context.shell.acceptor = SimpleNamespace(stop=lambda: None)
+    context.shell.callers = {1: context.caller}
+    execute(StopAccepting(), context.shell)
+
+
+@when("the read is answered {when} the stop and its caller reads it for {duration_s:d} s")
+def step_reads_on(context, when, duration_s):
+    if when == "after":
+        begin_stop(context)
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 100_000
+    if when == "before":
+        begin_stop(context)
+    pass_time(context, duration_s, taken_per_s=10_000)
+
+
+@when("the read is answered after the stop and its caller takes nothing of it")
+def step_takes_nothing(context):
+    begin_stop(context)
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 100_000
+
+
+@when("the caller has read the answer")
+def step_answer_read(context):
+    context.caller.transport.waiting = 0
+
+
+@then("the connection ends within {limit_s:f} s")
+@then("the connection ends within {limit_s:d} s")
+def step_ends_within(context, limit_s):
+    pass_time(context, limit_s)
+    assert context.caller.transport.aborted
+
+
 class EndlessSource:
     """Stand for the exchange of an answer whose body never ends."""
 
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -30,7 +30,7 @@
 MAX_BUFFERED_BODY_BYTES = 67_108_864
 # Pipelined input to buffer; without reading, a disconnect of the caller would go unnoticed.
 MAX_PENDING_INPUT_BYTES = 65_536
-# Time to wait for the caller to close the connection after the last response.
+# Time to wait for the caller to close the connection once the last response has been sent.
 LINGER_S = 1.0
 # Interval at which unsent bytes of a connection that is to be closed are checked.
 FLUSH_CHECK_S = 0.1
@@ -430,11 +430,17 @@
         if self.is_cut:
             self.cut()
         elif self.is_lingering:
-            self.transport.abort()
+            if self.is_flushing():
+                self.expires_at = self.shell.now() + LINGER_S
+            else:
+                self.transport.abort()
         elif self.is_idle():
+            if self.is_flushing():
+                self.expires_at = self.shell.now() + FLUSH_CHECK_S
+                return
             self.closing = True
             if self.transport.get_write_buffer_size():
-                # close() would wait for a caller that does not read its response.
+                # close() would wait for a caller that has stopped reading its response.
                 self.transport.abort()
             else:
                 self.transport.close()
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -355,7 +355,7 @@
     shell.stop_at = shell.now() + IDLE_LINGER_S
     for caller in shell.callers.values():
         caller.close_after = True
-        if caller.is_idle():
+        if caller.is_idle() and not caller.closing:
             caller.expires_at = shell.stop_at
 
 
