Refuse unsent requests before the end of a drain would cut them off

Cause: a request that waited in a queue when the stop signal arrived, with a deadline beyond the end of the drain, was cut without an answer at that end.

Change: each outstanding request gets a timer. From the time at which a new arrival of its kind would be refused, and at the latest 0.3 s before the end, a request that no target has got is refused as not run (503). One that is with a target is checked again 0.3 s before the end.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -349,3 +349,9 @@
       | 0.1  | 3.0      | 0.05 | refused  |
       | 1.0  | 0.8      | 0.16 | taken    |
       | 2.0  | 5.0      | 0.30 | refused  |
+
+  Scenario: A read that waits for a target when the stop comes is refused before the end
+    # Guards LOST: the end of the drain cut requests that no target had got.
+    Given a node that drains for 1.0 s and a read that waits for its full target
+    When the node is asked to stop and the target stays full
+    Then the read is refused as not run by the stopping node 0.3 s before the end or earlier
--- a/features/steps/node_decision_steps.py
+++ b/features/steps/node_decision_steps.py
@@ -40,6 +40,7 @@
     ProbeTarget,
     RefuseRequest,
     SendRequest,
+    Stop,
 )
 from poplarlane.decisions.requests.entry_events import (
     AttemptFailed,
@@ -532,6 +533,36 @@
     context.now = context.state.drain_ends_at - left_s
 
 
+@given("a node that drains for {drain_s:f} s and a read that waits for its full target")
+def step_full(context, drain_s):
+    context.state = make_state(1)
+    context.state.drain_limit_s = drain_s
+    context.state.services["reads"].limits.held = True
+    context.now = NOW
+    step_arrives_late(context, 4.0, 0.05)
+    context.refused = {}
+
+
+@when("the node is asked to stop and the target stays full")
+def step_stop_full(context):
+    effects = reduce(StopSignalled(context.now, 3), context.state)
+    ends_at = context.state.drain_ends_at
+    while not any(isinstance(effect, Stop) for effect in effects):
+        for effect in effects:
+            if isinstance(effect, RefuseRequest):
+                context.refused[effect.request_id] = (context.now, effect.outcome)
+        context.now = min(ends_at, context.state.timer_at or ends_at)
+        effects = reduce(TimerFired(context.now, 5), context.state)
+
+
+@then("the read is refused as not run by the stopping node {least_s:f} s before the end or earlier")
+def step_refused_in_time(context, least_s):
+    assert list(context.refused) == [1], "the read was not refused before the end of the drain"
+    at, outcome = context.refused[1]
+    assert context.state.drain_ends_at - at >= least_s - 1e-6, at
+    assert isinstance(outcome, NotRun) and outcome.status == 503, outcome
+
+
 @when("a request with {deadline_s:f} s to its deadline and usually {work_s:f} s of work arrives")
 def step_arrives_late(context, deadline_s, work_s):
     context.state.services["reads"].service_time_s["read"] = work_s
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -58,11 +58,18 @@
     RECHECK = 7
     GIVE_UP = 9
     PROBE_LIMIT = 8
+    DRAIN_REFUSAL = 10
 
 
 # Kinds of timers that belong to a request and end with it.
 REQUEST_TIMERS = frozenset(
-    {TimerKind.DEADLINE, TimerKind.HEDGE, TimerKind.PROBE_END, TimerKind.GIVE_UP}
+    {
+        TimerKind.DEADLINE,
+        TimerKind.HEDGE,
+        TimerKind.PROBE_END,
+        TimerKind.GIVE_UP,
+        TimerKind.DRAIN_REFUSAL,
+    }
 )
 
 
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -25,7 +25,7 @@
     send,
     unreachable_refusal,
 )
-from poplarlane.decisions.requests.drain import late_refusal
+from poplarlane.decisions.requests.drain import late_refusal, schedule_drain_refusal
 from poplarlane.decisions.requests.entry_effects import RefuseCaller, RefuseRequest, SetTimer
 from poplarlane.decisions.requests.entry_events import (
     CallerDisconnected,
@@ -99,6 +99,8 @@
     effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
+    if state.draining:
+        schedule_drain_refusal(state, request, event.now, effects)
     if measured:
         dispatch(state, request, targets, event.now, event.random_value, effects)
     elif decision is limits.ADMIT:
--- a/poplarlane/decisions/requests/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -14,7 +14,7 @@
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
 from poplarlane.decisions.requests.attempts import finish_refused
-from poplarlane.decisions.requests.drain import accept_ended, drain_limit_passed
+from poplarlane.decisions.requests.drain import accept_ended, drain_limit_passed, refuse_unsent
 from poplarlane.decisions.requests.entry_effects import CancelAttempt, SetTimer
 from poplarlane.decisions.requests.entry_events import TimerFired
 from poplarlane.decisions.requests.entry_state import (
@@ -101,6 +101,8 @@
             finish_round(state, request, now, random_value, effects)
     elif kind is TimerKind.GIVE_UP:
         refuse_queued(state, request, now, effects)
+    elif kind is TimerKind.DRAIN_REFUSAL:
+        refuse_unsent(state, request, now, effects)
     else:
         deadline_passed(state, request, now, random_value, effects)
 
