--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -9,7 +9,12 @@
 
 from features.recording_transport import RecordingTransport
 from features.steps.node_path_steps import ANSWER_LIMIT_S, HOST
+from poplarlane.decisions.requests.attempts import finish_refused
+from poplarlane.decisions.requests.entry_effects import StopAccepting
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.outcomes import OutcomeUnknown, ResultCode
 from poplarlane.plumbing.callers import CallerConnection
+from poplarlane.plumbing.entry_execute import execute
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS
 
 HELD_LIMIT = 300_000
@@ -27,7 +32,8 @@
         self.buffered_body_bytes = 0
         self.time = 1.0
         self.next_id = 1
-        self.working = {}
+        self.working = self.requests_by_id = {}
+        self.results = {}
         self.started = []
         self.deadlines_ms = {}
         self.gone = []
@@ -256,6 +262,121 @@
     assert context.caller.transport.ended
 
 
+STREAMED = SimpleNamespace(
+    request_id=0,
+    possibly_started=1,
+    hedged=False,
+    service=SimpleNamespace(policy=None),
+    attempts=[],
+    streaming=True,
+    retried=False,
+    retried_below=False,
+)
+
+
+def streaming_state(request):
+    """Make the state of an entry that streams the answer of one request."""
+    state = EntryState("entry", 1)
+    STREAMED.request_id = request.request_id
+    state.requests[request.request_id] = STREAMED
+    return state
+
+
+@when("the second one is answered in part and then fails with {status:d}")
+def step_part(context, status):
+    shell = context.shell
+    request = context.caller.requests[-1]
+    request.write(b"HTTP/1.1 200 OK\r\ncontent-length: 900000\r\n\r\n")
+    request.write_body(b"x" * 262_144)
+    request.stream_from(EndlessSource())
+    outcome = OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "connection closed", status)
+    effects = []
+    finish_refused(streaming_state(request), STREAMED, outcome, effects)
+    for effect in effects:
+        execute(effect, shell)
+
+
+@then("the answer and then status {status:d} are written and the connection stays open")
+def step_failed_in_turn(context, status):
+    written = context.caller.transport.written
+    assert written.startswith(b"HTTP/1.1 200 /0\r\n"), written[:80]
+    assert written.count(b"HTTP/1.1") == 2 and b"HTTP/1.1 %d " % status in written, written
+    assert b"xxx" not in written
+    assert not context.caller.transport.ended
+
+
+@when("the first read is answered and the caller has not read it")
+def step_unread_first(context):
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 5_000
+
+
+@then("the connection is still open")
+def step_still_open(context):
+    assert not context.caller.transport.aborted
+
+
+@when("the caller has read the first answer")
+def step_first_read(context):
+    context.caller.transport.waiting = 0
+    context.shell.time = context.caller.expires_at
+    context.caller.expire()
+
+
+@then("the connection is reset")
+def step_is_reset(context):
+    assert context.caller.transport.aborted
+
+
+def pass_time(context, duration_s, taken_per_s=0):
+    """Let time pass in steps of the sweep; the caller takes bytes meanwhile."""
+    transport = context.caller.transport
+    ends_at = context.shell.time + duration_s
+    while context.shell.time < ends_at and not transport.aborted:
+        context.shell.time += 0.1
+        transport.waiting = max(0, transport.waiting - int(taken_per_s * 0.1))
+        if 0.0 < context.caller.expires_at <= context.shell.time:
+            context.caller.expire()
+
+
+def begin_stop(context):
+    """Close the listener as the end of the time for accepting does."""
+    context.shell.draining = True
+    context.shell.acceptor = SimpleNamespace(stop=lambda: None)
+    context.shell.callers = {1: context.caller}
+    execute(StopAccepting(), context.shell)
+
+
+@when("the read is answered {when} the stop and its caller reads it for {duration_s:d} s")
+def step_reads_on(context, when, duration_s):
+    if when == "after":
+        begin_stop(context)
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 100_000
+    if when == "before":
+        begin_stop(context)
+    pass_time(context, duration_s, taken_per_s=10_000)
+
+
+@when("the read is answered after the stop and its caller takes nothing of it")
+def step_takes_nothing(context):
+    begin_stop(context)
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 100_000
+
+
+@when("the caller has read the answer")
+def step_answer_read(context):
+    context.caller.transport.waiting = 0
+
+
+@then("the connection ends within {limit_s:f} s")
+@then("the connection ends within {limit_s:d} s")
+def step_ends_within(context, limit_s):
+    pass_time(context, limit_s)
+    assert context.caller.transport.aborted
+
+
 class EndlessSource:
     """Stand for the exchange of an answer whose body never ends."""
 
