Decode each item of a list or watch by itself, whatever another one holds

Change: where the decoder refuses a response, json_slices separates its items by quotes and brackets only. An unreadable item is returned with its name, as far as that can be read; in a watch it counts as deleted, as it does in a list. The stand-in store sends raw bytes and pages.

--- /dev/null
+++ b/features/unreadable_values.feature
@@ -0,0 +1,24 @@
+Feature: An unreadable value in the store costs only itself
+  Other programs write to the store too; one value of theirs must not hide the others.
+
+  Scenario Outline: A node that starts beside an unreadable entry serves
+    # Guards review cases 1 and 5: no node came back after all were killed, because one entry made
+    # every list undecodable, or ended the list as if it were complete.
+    Given a node with 2 targets of the service "reads" and 1 of "books"
+    When the store sends <form> and pages of <items> items
+    And the store holds an entry "<name>" with bytes that are not UTF-8
+    And the target "reads-0" drains and the node knows it
+    And the node is killed and started again
+    And a caller sends 8 reads one after the other
+    Then every one of them is answered with status 200
+    And none of them ran on "reads-0"
+
+    Examples:
+      | form          | items | name    |
+      | escaped bytes | 0     | z-other |
+      | raw bytes     | 0     | a-other |
+
+  Scenario: Whatever one item of a page holds, the others are decoded
+    # Guards against an item that hides others, for any content whose quotes and brackets match.
+    Then for 1000 drawn items, the decoder of a page returns the other items
+    And for 1000 drawn items, the decoder of a watch returns the other changes
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -1,13 +1,18 @@
 """HTTP API of the platform's store: request paths and response documents."""
 
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import msgspec
 
+from poplarlane.error_text import error_text
+from poplarlane.json_slices import array_items, object_members, text_of
 from poplarlane.store_objects import (
+    ChangeBatch,
     ObjectChange,
     ObjectPage,
     StoredObject,
+    UnreadableObject,
     number_of,
     revision_in,
 )
@@ -52,15 +57,19 @@
 
 
 class EventsDocument(msgspec.Struct):
-    """Response to a watch."""
+    """Response to a watch; events stay raw for the same reason as items of a list."""
 
     current_rev: int
-    events: list[EventDocument] = []
+    events: list[msgspec.Raw] = []
 
 
 LIST_DECODER = msgspec.json.Decoder(ListDocument)
 EVENTS_DECODER = msgspec.json.Decoder(EventsDocument)
+EVENT_DECODER = msgspec.json.Decoder(EventDocument)
 OBJECT_DECODER = msgspec.json.Decoder(ObjectDocument)
+NUMBER_DECODER = msgspec.json.Decoder(int)
+# Errors of the decoders; a value that is nested too deeply raises RecursionError.
+DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 def list_path(kind: str, after: str, allow_stale: bool) -> str:
@@ -89,29 +98,105 @@
 
 def decode_page(body: bytes, era: int = 0) -> ObjectPage:
     """Decode a page of a list; raises msgspec.MsgspecError."""
-    found = LIST_DECODER.decode(body)
-    items = [stored_object(raw, era) for raw in found.items]
-    readable = [item for item in items if item is not None]
+    found = decode_document(body, LIST_DECODER)
+    items, unreadable = [], []
+    for raw in found.items:
+        item = stored_object(raw, era)
+        if isinstance(item, StoredObject):
+            items.append(item)
+        else:
+            unreadable.append(item)
+    return ObjectPage(items, unreadable, found.more_pages, revision_in(era, found.current_rev))
+
+
+def decode_changes(body: bytes, era: int = 0) -> ChangeBatch:
+    """Decode changes and the revision to continue from; raises msgspec.MsgspecError."""
+    found = decode_document(body, EVENTS_DECODER)
+    changes = []
+    unreadable: dict[str, UnreadableObject] = {}
+    for raw in found.events:
+        item, deleted = stored_event(raw, era)
+        if isinstance(item, StoredObject):
+            unreadable.pop(item.name, None)
+            changes.append(ObjectChange(item, deleted))
+            continue
+        unreadable[item.name] = item
+        if is_utf8(item.name):
+            # What the object was before is not valid any more.
+            gone = StoredObject(item.name, item.revision, None, None)
+            changes.append(ObjectChange(gone, True))
     revision = revision_in(era, found.current_rev)
-    return ObjectPage(readable, len(items) - len(readable), found.more_pages, revision)
+    return ChangeBatch(changes, list(unreadable.values()), revision)
 
 
-def decode_changes(body: bytes, era: int = 0) -> tuple[list[ObjectChange], int]:
-    """Decode changes and the revision to continue from; raises msgspec.MsgspecError."""
-    found = EVENTS_DECODER.decode(body)
-    changes = []
-    for event in found.events:
-        item = stored_object(event.object, era)
-        if item is not None:
-            changes.append(ObjectChange(item, event.deleted))
-    return changes, revision_in(era, found.current_rev)
+def decode_document(body: bytes, decoder: msgspec.json.Decoder) -> Any:
+    """Decode a response whose items stay raw; raises msgspec.MsgspecError.
+
+    The decoder checks strings and nesting inside raw items as well. If it refuses the response, the
+    items are separated without looking into them.
+    """
+    try:
+        return decoder.decode(body)
+    except DECODING_ERRORS:
+        members = object_members(body)
+    revision = NUMBER_DECODER.decode(members.get("current_rev", b""))
+    if decoder is EVENTS_DECODER:
+        return EventsDocument(revision, raw_items(members.get("events")))
+    more_pages = msgspec.json.decode(members.get("more_pages", b"false"), type=bool)
+    return ListDocument(revision, raw_items(members.get("items")), more_pages)
+
 
+def raw_items(text: bytes | None) -> list[msgspec.Raw]:
+    """Return the raw items of an array; none if the array is missing."""
+    return [] if text is None else [msgspec.Raw(item) for item in array_items(text)]
 
-def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | None:
-    """Decode one object; None when it is invalid."""
+
+def stored_event(raw: msgspec.Raw, era: int) -> tuple[StoredObject | UnreadableObject, bool]:
+    """Decode a change; return its object and whether the change deletes it."""
+    try:
+        event = EVENT_DECODER.decode(raw)
+    except DECODING_ERRORS as error:
+        reason = error_text(error)
+        try:
+            members = object_members(bytes(raw))
+            text = members["object"]
+            deleted = msgspec.json.decode(members.get("deleted", b"false"), type=bool)
+        except (*DECODING_ERRORS, KeyError):
+            return UnreadableObject("", 0, reason), False
+        event = EventDocument(msgspec.Raw(text), deleted)
+    item = stored_object(event.object, era)
+    if event.deleted and isinstance(item, UnreadableObject) and is_utf8(item.name):
+        # Only the name of an object that is gone has to be readable.
+        item = StoredObject(item.name, item.revision, None, None)
+    return item, event.deleted
+
+
+def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | UnreadableObject:
+    """Decode one object."""
     try:
         found = OBJECT_DECODER.decode(raw)
-    except msgspec.MsgspecError:
-        return None
+    except DECODING_ERRORS as error:
+        name, revision = identity_of(bytes(raw))
+        return UnreadableObject(name, revision_in(era, revision), error_text(error))
     revision = revision_in(era, found.metadata.revision)
     return StoredObject(found.metadata.name, revision, found.spec, found.status)
+
+
+def identity_of(raw: bytes) -> tuple[str, int]:
+    """Return name and revision of an unreadable object, as far as they can be read."""
+    name, revision = "", 0
+    try:
+        metadata = object_members(object_members(raw)["metadata"])
+        name = text_of(metadata["name"])
+        revision = NUMBER_DECODER.decode(metadata.get("revision", b"0"))
+    except (*DECODING_ERRORS, KeyError):
+        return name, revision
+    return name, revision
+
+
+def is_utf8(name: str) -> bool:
+    """Return whether a name is not empty and can be encoded, as the names of objects in use."""
+    try:
+        return bool(name.encode())
+    except UnicodeEncodeError:
+        return False
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -17,7 +17,7 @@
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.plumbing.platform_client import PlatformClient, PlatformResponse
-from poplarlane.store_objects import ObjectChange, ObjectPage, StoredObject, era_of
+from poplarlane.store_objects import ChangeBatch, ObjectChange, ObjectPage, StoredObject, era_of
 
 T = TypeVar("T")
 OK = 200
@@ -46,7 +46,7 @@
     def decode_page(self, body: bytes, era: int) -> ObjectPage:
         """Decode a page of a list."""
 
-    def decode_changes(self, body: bytes, era: int) -> tuple[list[ObjectChange], int]:
+    def decode_changes(self, body: bytes, era: int) -> ChangeBatch:
         """Decode changes and the revision from which to resume."""
 
 
@@ -256,7 +256,7 @@
             revision = revision or page.revision
             items += page.items
             if page.unreadable:
-                log("objects_unreadable", "warning", kind=self.kind, count=page.unreadable)
+                log("objects_unreadable", "warning", kind=self.kind, count=len(page.unreadable))
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].name
@@ -296,7 +296,7 @@
         if found is None:
             return False
         self.is_urgent = False
-        changes, revision = found
+        changes, revision = found.changes, found.revision
         if era_of(self.revision) > era_of(revision):
             # Another node has passed on a state of a later era meanwhile.
             return True
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -33,6 +33,10 @@
         self.is_down = False
         self.calls: dict[str, int] = {}
         self.waiting: list[tuple[Exchange, str, int, asyncio.TimerHandle]] = []
+        # Items of a page of a list; 0 for one page.
+        self.page_items = 0
+        # Whether lone surrogates in texts are sent as the bytes that they stand for (PEP 383).
+        self.raw_bytes = False
         # How often the store has come back from a copy, and the copy: revision and objects.
         self.era = 1
         self.copied: tuple[int, dict[str, dict[str, dict[str, Any]]]] = (1, {})
@@ -89,7 +93,15 @@
     def reply(self, exchange: Exchange, status: int, document: dict[str, Any]) -> None:
         """Answer with a document and the store's era."""
         headers = [("content-type", "application/json"), ("store-era", str(self.era))]
-        exchange.reply(status, headers, json.dumps(document).encode())
+        text = json.dumps(document, ensure_ascii=not self.raw_bytes)
+        exchange.reply(status, headers, text.encode("utf-8", "surrogateescape"))
+
+    def page(self, kind: str, after: str) -> tuple[list[dict[str, Any]], bool]:
+        """Return the items of a page, ordered by name, and whether there are more."""
+        objects = self.objects.get(kind, {})
+        left = [objects[name] for name in sorted(objects) if name > after]
+        count = self.page_items or len(left)
+        return left[:count], count < len(left)
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a list or a watch."""
@@ -99,8 +111,8 @@
         if self.is_down:
             self.reply(exchange, 503, {"error": "down"})
         elif verb == "list":
-            items = list(self.objects.get(kind, {}).values())
-            document = {"items": items, "more_pages": False, "current_rev": self.revision}
+            items, more = self.page(kind, exchange.query.get("after", ""))
+            document = {"items": items, "more_pages": more, "current_rev": self.revision}
             self.reply(exchange, 200, document)
         else:
             self.watch(exchange, kind)
@@ -360,6 +372,9 @@
             self.store.put("config", "main", switches["configuration"])
         if "down" in switches:
             self.store.is_down = switches["down"]
+        for name in ("page_items", "raw_bytes"):
+            if name in switches:
+                setattr(self.store, name, switches[name])
         if switches.get("forget_history"):
             self.store.forget_history()
         for name, entry in switches.get("entries", {}).items():
--- a/poplarlane/store_objects.py
+++ b/poplarlane/store_objects.py
@@ -35,13 +35,28 @@
         self.status = status
 
 
+class UnreadableObject:
+    """An object that cannot be decoded; the name is empty if it cannot be read either."""
+
+    __slots__ = ("name", "revision", "reason")
+
+    def __init__(self, name: str, revision: int, reason: str) -> None:
+        self.name = name
+        self.revision = revision
+        self.reason = reason
+
+
 class ObjectPage:
-    """A page of a list; `unreadable` counts items that could not be decoded and were left out."""
+    """A page of a list; `unreadable` items are not among `items`."""
 
     __slots__ = ("items", "unreadable", "has_more", "revision")
 
     def __init__(
-        self, items: list[StoredObject], unreadable: int, has_more: bool, revision: int
+        self,
+        items: list[StoredObject],
+        unreadable: list[UnreadableObject],
+        has_more: bool,
+        revision: int,
     ) -> None:
         self.items = items
         self.unreadable = unreadable
@@ -58,3 +73,19 @@
         self.item = item
         self.deleted = deleted
         self.previous: StoredObject | None = None
+
+
+class ChangeBatch:
+    """The changes of a watch, as of a revision.
+
+    An object that became unreadable is in `unreadable`, and deleted in `changes`.
+    """
+
+    __slots__ = ("changes", "unreadable", "revision")
+
+    def __init__(
+        self, changes: list[ObjectChange], unreadable: list[UnreadableObject], revision: int
+    ) -> None:
+        self.changes = changes
+        self.unreadable = unreadable
+        self.revision = revision
