Continue a list after its last item while the store says that more pages follow

Change: the store's more_pages alone decides; the next page starts after the name of the last item, unreadable or not, and names keep bytes that are not UTF-8.

--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -1,13 +1,19 @@
 """Steps about values in the store that cannot be read."""
 
+import asyncio
 import json
+import random
+from types import SimpleNamespace
+from urllib.parse import unquote_to_bytes
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import example, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
 from poplarlane.platform import store
+from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.platform_client import PlatformResponse
 
 # As a Python program holds bytes that are not UTF-8 (PEP 383).
 NOT_UTF8 = b"\xff\xfe\x80".decode("utf-8", "surrogateescape")
@@ -99,3 +105,84 @@
         assert batch.revision == 9
 
     rule()
+
+
+class PagedClient:
+    """Answer lists with one item per page, ordered by the bytes of the names."""
+
+    def __init__(self, items):
+        self.items = items
+
+    async def read(self, _operation, path, wait_s=0.0):
+        """Answer a call."""
+        after = unquote_to_bytes(path.partition("after=")[2])
+        left = sorted(name for name in self.items if name > after)
+        more = json.dumps(len(left) > 1).encode()
+        body = b'{"items":[%s],"more_pages":%s,"current_rev":9}' % (self.items[left[0]], more)
+        return PlatformResponse(200, body)
+
+
+class RepeatingClient:
+    """Answer every list with the same page, after which there are more."""
+
+    def __init__(self, item):
+        self.body = b'{"items":[%s],"more_pages":true,"current_rev":9}' % item
+
+    async def read(self, _operation, _path, wait_s=0.0):
+        """Answer a call."""
+        return PlatformResponse(200, self.body)
+
+
+def named(name, spec):
+    """Write an item with a raw name and a raw content."""
+    return b'{"metadata":{"name":"%s","revision":3},"spec":%s}' % (name, spec)
+
+
+@given('a store with pages of one item, of which all but "b", "n" and "z" are unreadable')
+def step_paged(context):
+    deep = b"[" * 5_000 + b"]" * 5_000
+    items = {name: named(name, b"{}") for name in (b"b", b"n", b"z")}
+    items |= {
+        b"a": named(b"a", b'"\xff"'),
+        b"c": named(b"c", b'"\\udcff"'),
+        b"d": named(b"d", deep),
+        b"e\xff": named(b"e\xff", b"{}"),
+        b"e\xfe": named(b"e\\udcfe", b"{}"),
+        b"o": named(b"o", b"1e999"),
+        b"zz": named(b"zz", b"NaN"),
+    }
+    context.client = PagedClient(items)
+
+
+@given("a store that says that there are more pages after {page}")
+def step_repeating(context, page):
+    items = {
+        "an empty page": b"",
+        "an item without name": b'{"spec":{}}',
+        "the same page again": named(b"a", b"{}"),
+    }
+    context.client = RepeatingClient(items[page])
+
+
+@when("a follower lists it")
+def step_list(context):
+    context.lists = []
+    listener = SimpleNamespace(
+        store_call_finished=lambda _kind, _good: None,
+        confirmed=lambda _kind: None,
+        listed=lambda _kind, items: context.lists.append([item.name for item in items]),
+    )
+    follower = ObjectFollower(context.client, store, "kind", listener, 100, random.Random(1))
+    context.succeeded = asyncio.run(follower.list_all())
+    context.follower = follower
+
+
+@then('it has the objects "{names}"')
+def step_has_objects(context, names):
+    assert context.succeeded and context.lists == [names.split(",")], context.lists
+    assert sorted(context.follower.objects) == names.split(",")
+
+
+@then("the list fails")
+def step_list_fails(context):
+    assert not context.succeeded and not context.lists and not context.follower.revision
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -17,8 +17,28 @@
       | form          | items | name    |
       | escaped bytes | 0     | z-other |
       | raw bytes     | 0     | a-other |
+      | raw bytes     | 1     | a-other |
+      | escaped bytes | 1     | o-other |
 
   Scenario: Whatever one item of a page holds, the others are decoded
     # Guards against an item that hides others, for any content whose quotes and brackets match.
     Then for 1000 drawn items, the decoder of a page returns the other items
     And for 1000 drawn items, the decoder of a watch returns the other changes
+
+  Scenario: A list goes on behind unreadable items until the store says that it is complete
+    # Guards review case 5: a page without a readable item ended the list as if it were complete.
+    Given a store with pages of one item, of which all but "b", "n" and "z" are unreadable
+    When a follower lists it
+    Then it has the objects "b,n,z"
+
+  Scenario Outline: A list that cannot be continued does not count as complete
+    # Guards the targets of a node: a list that lacks some of them would remove them.
+    Given a store that says that there are more pages after <page>
+    When a follower lists it
+    Then the list fails
+
+    Examples:
+      | page                 |
+      | an empty page        |
+      | an item without name |
+      | the same page again  |
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -78,13 +78,22 @@
     A list with `allow_stale` may be some seconds old, costs a tenth of a current one and does not
     count against the limit on the rate of calls.
     """
-    query = {"after": after} if after else {}
+    query: dict[str, str | bytes] = {"after": name_bytes(after)} if after else {}
     if allow_stale:
         query["allow_stale"] = "1"
     path = OBJECTS_PATH + quote(kind)
     return f"{path}?{urlencode(query)}" if query else path
 
 
+def name_bytes(name: str) -> bytes:
+    """Return the bytes of a name, which need not be UTF-8 (PEP 383)."""
+    try:
+        return name.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        # A surrogate that stands for no byte, such as half of a character outside the BMP.
+        return name.encode("utf-8", "surrogatepass")
+
+
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path that waits for changes after a revision."""
     return f"{OBJECTS_PATH}{quote(kind)}?watch={number_of(revision)}&wait_ms={wait_ms}"
@@ -100,13 +109,16 @@
     """Decode a page of a list; raises msgspec.MsgspecError."""
     found = decode_document(body, LIST_DECODER)
     items, unreadable = [], []
+    last_name = ""
     for raw in found.items:
         item = stored_object(raw, era)
+        last_name = item.name or last_name
         if isinstance(item, StoredObject):
             items.append(item)
         else:
             unreadable.append(item)
-    return ObjectPage(items, unreadable, found.more_pages, revision_in(era, found.current_rev))
+    revision = revision_in(era, found.current_rev)
+    return ObjectPage(items, unreadable, found.more_pages, last_name, revision)
 
 
 def decode_changes(body: bytes, era: int = 0) -> ChangeBatch:
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -257,9 +257,15 @@
             items += page.items
             if page.unreadable:
                 log("objects_unreadable", "warning", kind=self.kind, count=len(page.unreadable))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 break
-            after = page.items[-1].name
+            if page.last_name in ("", after):
+                log("list_stuck", "error", kind=self.kind, after=after)
+                return False
+            after = page.last_name
+        else:
+            log("list_too_long", "error", kind=self.kind, pages=MAX_PAGES)
+            return False
         # Another node may have sent newer objects while the list was read.
         before, known = self.objects, self.changed_revision
         if self.replace_all(revision, items):
--- a/poplarlane/store_objects.py
+++ b/poplarlane/store_objects.py
@@ -47,20 +47,25 @@
 
 
 class ObjectPage:
-    """A page of a list; `unreadable` items are not among `items`."""
+    """A page of a list; `unreadable` items are not among `items`.
 
-    __slots__ = ("items", "unreadable", "has_more", "revision")
+    `last_name` is the name of the last item, unreadable or not; the next page starts after it.
+    """
+
+    __slots__ = ("items", "unreadable", "has_more", "last_name", "revision")
 
     def __init__(
         self,
         items: list[StoredObject],
         unreadable: list[UnreadableObject],
         has_more: bool,
+        last_name: str,
         revision: int,
     ) -> None:
         self.items = items
         self.unreadable = unreadable
         self.has_more = has_more
+        self.last_name = last_name
         self.revision = revision
 
 
