Leave out objects that other nodes cannot be sent: deep nesting and large integers

Cause: the recursion limit depends on the depth of the stack, so an object that a list decoded could fail to be compared or encoded later; msgpack has no integers beyond 64 bits. A node then lost all changes of the watch and could not send its objects to others. A revision of more than 48 bits changed the era. Change: objects nested deeper than 100 levels, with integers beyond 64 bits or a revision outside 48 bits count as unreadable.

--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -11,6 +11,8 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from poplarlane import relay_messages
+from poplarlane.change_encoding import encode_changes, encode_object, resolve_changes
 from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.platform_client import PlatformResponse
@@ -28,7 +30,16 @@
 )
 METADATA = st.fixed_dictionaries({"name": TEXTS | VALUES, "revision": st.integers() | VALUES})
 ITEMS = VALUES | st.fixed_dictionaries({"metadata": METADATA | VALUES, "spec": VALUES})
-DEEP = b'{"metadata":{"name":"deep"},"spec":' + b"[" * 5_000 + b"]" * 5_000 + b"}"
+LARGE = b'{"metadata":{"name":"large"},"spec":{"a":[%d]}}' % (2**70)
+
+
+def nested(levels):
+    """Encode an item whose content is nested that deep."""
+    return b'{"metadata":{"name":"deep"},"spec":%s%s}' % (b"[" * levels, b"]" * levels)
+
+
+# Beyond the recursion limit of the decoder.
+DEEP = nested(5_000)
 
 
 def item_bytes(name, revision):
@@ -48,6 +59,11 @@
 DRAWN = st.builds(encoded, ITEMS, st.booleans())
 
 
+def passed_on(message):
+    """Return a message as another node gets it."""
+    return relay_messages.decode(relay_messages.encode(message))
+
+
 def is_name(name):
     """Return whether a sound item has the name."""
     return name in HELD
@@ -75,6 +91,8 @@
 def step_pages(context, count):
     @settings(max_examples=count, deadline=None)
     @example(DEEP, True)
+    @example(nested(900), True)
+    @example(LARGE, True)
     @for_all(DRAWN, st.booleans())
     def rule(drawn, more):
         sound = [item_bytes(name, revision) for name, revision in HELD.items()]
@@ -85,6 +103,8 @@
         assert found == HELD, (drawn, found)
         assert (page.has_more, page.revision) == (more, 9)
         assert len(page.items) + len(page.unreadable) == 5, drawn
+        notes = [encode_object(item, False) for item in page.items]
+        passed_on(relay_messages.Snapshot("kind", 9, notes))
 
     rule()
 
@@ -93,6 +113,8 @@
 def step_watches(context, count):
     @settings(max_examples=count, deadline=None)
     @example(DEEP)
+    @example(nested(900))
+    @example(LARGE)
     @for_all(DRAWN)
     def rule(drawn):
         sound = [item_bytes(name, revision) for name, revision in HELD.items()]
@@ -103,6 +125,8 @@
         found = {item.name: item.revision for item in items if is_name(item.name)}
         assert found == HELD, (drawn, found)
         assert batch.revision == 9
+        message = relay_messages.Update("kind", 3, 9, encode_changes(batch.changes))
+        assert resolve_changes(passed_on(message).changes, {}) is not None, drawn
 
     rule()
 
@@ -140,12 +164,11 @@
 
 @given('a store with pages of one item, of which all but "b", "n" and "z" are unreadable')
 def step_paged(context):
-    deep = b"[" * 5_000 + b"]" * 5_000
     items = {name: named(name, b"{}") for name in (b"b", b"n", b"z")}
     items |= {
         b"a": named(b"a", b'"\xff"'),
         b"c": named(b"c", b'"\\udcff"'),
-        b"d": named(b"d", deep),
+        b"d": DEEP.replace(b'"deep"', b'"d"'),
         b"e\xff": named(b"e\xff", b"{}"),
         b"e\xfe": named(b"e\\udcfe", b"{}"),
         b"o": named(b"o", b"1e999"),
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -21,7 +21,8 @@
       | escaped bytes | 1     | o-other |
 
   Scenario: Whatever one item of a page holds, the others are decoded
-    # Guards against an item that hides others, for any content whose quotes and brackets match.
+    # Guards against an item that hides others, for any content whose quotes and brackets match, and
+    # against one that a node cannot pass on: it lost the changes that came with it.
     Then for 1000 drawn items, the decoder of a page returns the other items
     And for 1000 drawn items, the decoder of a watch returns the other changes
 
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP API of the platform's store: request paths and response documents."""
 
-from typing import Any
+import re
+from typing import Annotated, Any
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -8,6 +9,7 @@
 from poplarlane.error_text import error_text
 from poplarlane.json_slices import array_items, object_members, text_of
 from poplarlane.store_objects import (
+    ERA_SHIFT,
     ChangeBatch,
     ObjectChange,
     ObjectPage,
@@ -24,13 +26,22 @@
 # Rises by one each time the store comes back from a copy that misses acknowledged writes.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 4
+# Larger revisions would change the era that the upper bits hold.
+Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << ERA_SHIFT)]
+# Objects are compared, encoded and decoded by recursive functions, at different stack depths.
+MAX_NESTING = 100
+# Messages between nodes hold integers of 64 bits.
+MIN_INTEGER = -(1 << 63)
+MAX_INTEGER = (1 << 64) - 1
+# Objects with few brackets and no such number, as most records of targets, need no closer check.
+LONG_NUMBER = re.compile(rb"[0-9]{19}")
 
 
 class ObjectMetadata(msgspec.Struct):
     """Name of an object and revision of its last change."""
 
     name: str
-    revision: int = 0
+    revision: Revision = 0
 
 
 class ObjectDocument(msgspec.Struct):
@@ -44,7 +55,7 @@
 class ListDocument(msgspec.Struct):
     """A page of a list; items stay raw, so that an invalid one does not hide the others."""
 
-    current_rev: int
+    current_rev: Revision
     items: list[msgspec.Raw] = []
     more_pages: bool = False
 
@@ -59,7 +70,7 @@
 class EventsDocument(msgspec.Struct):
     """Response to a watch; events stay raw for the same reason as items of a list."""
 
-    current_rev: int
+    current_rev: Revision
     events: list[msgspec.Raw] = []
 
 
@@ -67,7 +78,7 @@
 EVENTS_DECODER = msgspec.json.Decoder(EventsDocument)
 EVENT_DECODER = msgspec.json.Decoder(EventDocument)
 OBJECT_DECODER = msgspec.json.Decoder(ObjectDocument)
-NUMBER_DECODER = msgspec.json.Decoder(int)
+REVISION_DECODER = msgspec.json.Decoder(Revision)
 # Errors of the decoders; a value that is nested too deeply raises RecursionError.
 DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
@@ -151,7 +162,7 @@
         return decoder.decode(body)
     except DECODING_ERRORS:
         members = object_members(body)
-    revision = NUMBER_DECODER.decode(members.get("current_rev", b""))
+    revision = REVISION_DECODER.decode(members.get("current_rev", b""))
     if decoder is EVENTS_DECODER:
         return EventsDocument(revision, raw_items(members.get("events")))
     more_pages = msgspec.json.decode(members.get("more_pages", b"false"), type=bool)
@@ -190,8 +201,33 @@
     except DECODING_ERRORS as error:
         name, revision = identity_of(bytes(raw))
         return UnreadableObject(name, revision_in(era, revision), error_text(error))
-    revision = revision_in(era, found.metadata.revision)
-    return StoredObject(found.metadata.name, revision, found.spec, found.status)
+    name, revision = found.metadata.name, revision_in(era, found.metadata.revision)
+    reason = excess(bytes(raw), [found.spec, found.status])
+    if reason:
+        return UnreadableObject(name, revision, reason)
+    if not name:
+        return UnreadableObject(name, revision, "empty name")
+    return StoredObject(name, revision, found.spec, found.status)
+
+
+def excess(raw: bytes, content: list[object]) -> str:
+    """Return why an object cannot be passed to other nodes; empty if it can."""
+    if raw.count(b"[") + raw.count(b"{") <= MAX_NESTING and not LONG_NUMBER.search(raw):
+        return ""
+    level = content
+    for _ in range(MAX_NESTING):
+        inner: list[object] = []
+        for value in level:
+            if type(value) is dict:
+                inner += value.values()
+            elif type(value) is list:
+                inner += value
+            elif type(value) is int and not MIN_INTEGER <= value <= MAX_INTEGER:
+                return "integer beyond 64 bits"
+        if not inner:
+            return ""
+        level = inner
+    return f"nested deeper than {MAX_NESTING} levels"
 
 
 def identity_of(raw: bytes) -> tuple[str, int]:
@@ -200,7 +236,7 @@
     try:
         metadata = object_members(object_members(raw)["metadata"])
         name = text_of(metadata["name"])
-        revision = NUMBER_DECODER.decode(metadata.get("revision", b"0"))
+        revision = REVISION_DECODER.decode(metadata.get("revision", b"0"))
     except (*DECODING_ERRORS, KeyError):
         return name, revision
     return name, revision
