Refuse ports that are no ASCII numbers of at most five digits

Cause: str.isdigit accepts "²", which int refuses; one such entry ended the processing of the whole list of targets with an error. So did a port of more than 4,300 digits. Change: the port has to match [0-9]{1,5}.

--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -13,9 +13,12 @@
 
 from poplarlane import relay_messages
 from poplarlane.change_encoding import encode_changes, encode_object, resolve_changes
-from poplarlane.platform import store
+from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.platform import store, translation
+from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.platform_client import PlatformResponse
+from poplarlane.store_objects import StoredObject
 
 # As a Python program holds bytes that are not UTF-8 (PEP 383).
 NOT_UTF8 = b"\xff\xfe\x80".decode("utf-8", "surrogateescape")
@@ -209,3 +212,40 @@
 @then("the list fails")
 def step_list_fails(context):
     assert not context.succeeded and not context.lists and not context.follower.revision
+
+
+def target_entry(name, port):
+    """Write the record of a target."""
+    info = {"service": "reads", "zone": "a", "slots": 6}
+    return StoredObject(name, 3, {"address": f"127.0.0.1:{port}", "info": info}, {"state": "ready"})
+
+
+def make_sync():
+    """Create the directory of a node that has listed nothing yet, without a relay."""
+    shell = SimpleNamespace(state=SimpleNamespace(ready=False, fleet_entries=1), now=lambda: 100.0)
+    functions = Translation(
+        store.CONFIGURATION_KIND,
+        translation.CONFIGURATION_NAME,
+        translation.configuration_of,
+        translation.instance_of,
+        translation.version_of,
+    )
+    return DirectorySync(shell, Directory(0.2, "measured"), functions, 1)
+
+
+@given("entries of two targets and one with the port {port}")
+def step_ports(context, port):
+    long = {"of 5,000 digits": "9" * 5_000, "of 5,000 zeros and 1": "0" * 5_000 + "1"}
+    ports = {"a": "9001", "b": long.get(port, port.strip('"')), "c": "9002"}
+    context.entries = [target_entry(name, port) for name, port in ports.items()]
+
+
+@when("a node takes the list of them")
+def step_takes(context):
+    context.sync = make_sync()
+    context.sync.listed(store.INSTANCES_KIND, context.entries)
+
+
+@then("it has the two targets")
+def step_two(context):
+    assert sorted(context.sync.directory.instances) == ["a", "c"]
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -43,3 +43,19 @@
       | an empty page        |
       | an item without name |
       | the same page again  |
+
+  Scenario Outline: An entry whose port is no number names no target and hides no other
+    # Guards against an error of int() that ended the processing of the whole list.
+    Given entries of two targets and one with the port <port>
+    When a node takes the list of them
+    Then it has the two targets
+
+    Examples:
+      | port                 |
+      | "²"                  |
+      | "8080²"              |
+      | "٣"                  |
+      | "-1"                 |
+      | "65536"              |
+      | of 5,000 digits      |
+      | of 5,000 zeros and 1 |
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -1,6 +1,7 @@
 """Conversion of the platform's configuration and instance records to internal types."""
 
 import ipaddress
+import re
 
 import msgspec
 
@@ -20,6 +21,8 @@
 ROUTE_TYPES = (SAFE, "unsafe")
 # For routes without `timeout_s`: long enough that only callers' deadlines bound the wait.
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
+# str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
+PORT = re.compile(r"[0-9]{1,5}")
 
 
 class SplitDocument(msgspec.Struct):
@@ -178,7 +181,7 @@
     if found.status.state not in (READY, DRAINING) or found.info.slots < 1:
         return None
     address, _, port = found.address.rpartition(":")
-    if not port.isdigit() or not 0 < int(port) < 65_536 or not is_ip(address):
+    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_ip(address):
         return None
     return InstanceRecord(
         item.name,
