--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -1,13 +1,20 @@
 """HTTP API of the platform's store: request paths and response documents."""
 
+import re
+from typing import Annotated, Any
 from urllib.parse import quote, urlencode
 
 import msgspec
 
+from poplarlane.error_text import error_text
+from poplarlane.json_slices import array_items, object_members, text_of
 from poplarlane.store_objects import (
+    ERA_SHIFT,
+    ChangeBatch,
     ObjectChange,
     ObjectPage,
     StoredObject,
+    UnreadableObject,
     number_of,
     revision_in,
 )
@@ -19,13 +26,22 @@
 # Rises by one each time the store comes back from a copy that misses acknowledged writes.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 4
+# Larger revisions would change the era that the upper bits hold.
+Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << ERA_SHIFT)]
+# Objects are compared, encoded and decoded by recursive functions, at different stack depths.
+MAX_NESTING = 100
+# Messages between nodes hold integers of 64 bits.
+MIN_INTEGER = -(1 << 63)
+MAX_INTEGER = (1 << 64) - 1
+# Objects with few brackets and no such number, as most records of targets, need no closer check.
+LONG_NUMBER = re.compile(rb"[0-9]{19}")
 
 
 class ObjectMetadata(msgspec.Struct):
     """Name of an object and revision of its last change."""
 
     name: str
-    revision: int = 0
+    revision: Revision = 0
 
 
 class ObjectDocument(msgspec.Struct):
@@ -39,7 +55,7 @@
 class ListDocument(msgspec.Struct):
     """A page of a list; items stay raw, so that an invalid one does not hide the others."""
 
-    current_rev: int
+    current_rev: Revision
     items: list[msgspec.Raw] = []
     more_pages: bool = False
 
@@ -52,15 +68,19 @@
 
 
 class EventsDocument(msgspec.Struct):
-    """Response to a watch."""
+    """Response to a watch; events stay raw for the same reason as items of a list."""
 
-    current_rev: int
-    events: list[EventDocument] = []
+    current_rev: Revision
+    events: list[msgspec.Raw] = []
 
 
 LIST_DECODER = msgspec.json.Decoder(ListDocument)
 EVENTS_DECODER = msgspec.json.Decoder(EventsDocument)
+EVENT_DECODER = msgspec.json.Decoder(EventDocument)
 OBJECT_DECODER = msgspec.json.Decoder(ObjectDocument)
+REVISION_DECODER = msgspec.json.Decoder(Revision)
+# Errors of the decoders; a value that is nested too deeply raises RecursionError.
+DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
 
 def list_path(kind: str, after: str, allow_stale: bool) -> str:
@@ -69,13 +89,22 @@
     A list with `allow_stale` may be some seconds old, costs a tenth of a current one and does not
     count against the limit on the rate of calls.
     """
-    query = {"after": after} if after else {}
+    query: dict[str, str | bytes] = {"after": name_bytes(after)} if after else {}
     if allow_stale:
         query["allow_stale"] = "1"
     path = OBJECTS_PATH + quote(kind)
     return f"{path}?{urlencode(query)}" if query else path
 
 
+def name_bytes(name: str) -> bytes:
+    """Return the bytes of a name, which need not be UTF-8 (PEP 383)."""
+    try:
+        return name.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        # A surrogate that stands for no byte, such as half of a character outside the BMP.
+        return name.encode("utf-8", "surrogatepass")
+
+
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path that waits for changes after a revision."""
     return f"{OBJECTS_PATH}{quote(kind)}?watch={number_of(revision)}&wait_ms={wait_ms}"
@@ -89,29 +118,133 @@
 
 def decode_page(body: bytes, era: int = 0) -> ObjectPage:
     """Decode a page of a list; raises msgspec.MsgspecError."""
-    found = LIST_DECODER.decode(body)
-    items = [stored_object(raw, era) for raw in found.items]
-    readable = [item for item in items if item is not None]
+    found = decode_document(body, LIST_DECODER)
+    items, unreadable = [], []
+    last_name = ""
+    for raw in found.items:
+        item = stored_object(raw, era)
+        last_name = item.name or last_name
+        if isinstance(item, StoredObject):
+            items.append(item)
+        else:
+            unreadable.append(item)
     revision = revision_in(era, found.current_rev)
-    return ObjectPage(readable, len(items) - len(readable), found.more_pages, revision)
+    return ObjectPage(items, unreadable, found.more_pages, last_name, revision)
 
 
-def decode_changes(body: bytes, era: int = 0) -> tuple[list[ObjectChange], int]:
+def decode_changes(body: bytes, era: int = 0) -> ChangeBatch:
     """Decode changes and the revision to continue from; raises msgspec.MsgspecError."""
-    found = EVENTS_DECODER.decode(body)
+    found = decode_document(body, EVENTS_DECODER)
     changes = []
-    for event in found.events:
-        item = stored_object(event.object, era)
-        if item is not None:
-            changes.append(ObjectChange(item, event.deleted))
-    return changes, revision_in(era, found.current_rev)
+    unreadable: dict[str, UnreadableObject] = {}
+    for raw in found.events:
+        item, deleted = stored_event(raw, era)
+        if isinstance(item, StoredObject):
+            unreadable.pop(item.name, None)
+            changes.append(ObjectChange(item, deleted))
+            continue
+        unreadable[item.name] = item
+        if is_utf8(item.name):
+            # What the object was before is not valid any more.
+            gone = StoredObject(item.name, item.revision, None, None)
+            changes.append(ObjectChange(gone, True))
+    revision = revision_in(era, found.current_rev)
+    return ChangeBatch(changes, list(unreadable.values()), revision)
+
+
+def decode_document(body: bytes, decoder: msgspec.json.Decoder) -> Any:
+    """Decode a response whose items stay raw; raises msgspec.MsgspecError.
+
+    The decoder checks strings and nesting inside raw items as well. If it refuses the response, the
+    items are separated without looking into them.
+    """
+    try:
+        return decoder.decode(body)
+    except DECODING_ERRORS:
+        members = object_members(body)
+    revision = REVISION_DECODER.decode(members.get("current_rev", b""))
+    if decoder is EVENTS_DECODER:
+        return EventsDocument(revision, raw_items(members.get("events")))
+    more_pages = msgspec.json.decode(members.get("more_pages", b"false"), type=bool)
+    return ListDocument(revision, raw_items(members.get("items")), more_pages)
+
 
+def raw_items(text: bytes | None) -> list[msgspec.Raw]:
+    """Return the raw items of an array; none if the array is missing."""
+    return [] if text is None else [msgspec.Raw(item) for item in array_items(text)]
 
-def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | None:
-    """Decode one object; None when it is invalid."""
+
+def stored_event(raw: msgspec.Raw, era: int) -> tuple[StoredObject | UnreadableObject, bool]:
+    """Decode a change; return its object and whether the change deletes it."""
+    try:
+        event = EVENT_DECODER.decode(raw)
+    except DECODING_ERRORS as error:
+        reason = error_text(error)
+        try:
+            members = object_members(bytes(raw))
+            text = members["object"]
+            deleted = msgspec.json.decode(members.get("deleted", b"false"), type=bool)
+        except (*DECODING_ERRORS, KeyError):
+            return UnreadableObject("", 0, reason), False
+        event = EventDocument(msgspec.Raw(text), deleted)
+    item = stored_object(event.object, era)
+    if event.deleted and isinstance(item, UnreadableObject) and is_utf8(item.name):
+        # Only the name of an object that is gone has to be readable.
+        item = StoredObject(item.name, item.revision, None, None)
+    return item, event.deleted
+
+
+def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | UnreadableObject:
+    """Decode one object."""
     try:
         found = OBJECT_DECODER.decode(raw)
-    except msgspec.MsgspecError:
-        return None
-    revision = revision_in(era, found.metadata.revision)
-    return StoredObject(found.metadata.name, revision, found.spec, found.status)
+    except DECODING_ERRORS as error:
+        name, revision = identity_of(bytes(raw))
+        return UnreadableObject(name, revision_in(era, revision), error_text(error))
+    name, revision = found.metadata.name, revision_in(era, found.metadata.revision)
+    reason = excess(bytes(raw), [found.spec, found.status])
+    if reason:
+        return UnreadableObject(name, revision, reason)
+    if not name:
+        return UnreadableObject(name, revision, "empty name")
+    return StoredObject(name, revision, found.spec, found.status)
+
+
+def excess(raw: bytes, content: list[object]) -> str:
+    """Return why an object cannot be passed to other nodes; empty if it can."""
+    if raw.count(b"[") + raw.count(b"{") <= MAX_NESTING and not LONG_NUMBER.search(raw):
+        return ""
+    level = content
+    for _ in range(MAX_NESTING):
+        inner: list[object] = []
+        for value in level:
+            if type(value) is dict:
+                inner += value.values()
+            elif type(value) is list:
+                inner += value
+            elif type(value) is int and not MIN_INTEGER <= value <= MAX_INTEGER:
+                return "integer beyond 64 bits"
+        if not inner:
+            return ""
+        level = inner
+    return f"nested deeper than {MAX_NESTING} levels"
+
+
+def identity_of(raw: bytes) -> tuple[str, int]:
+    """Return name and revision of an unreadable object, as far as they can be read."""
+    name, revision = "", 0
+    try:
+        metadata = object_members(object_members(raw)["metadata"])
+        name = text_of(metadata["name"])
+        revision = REVISION_DECODER.decode(metadata.get("revision", b"0"))
+    except (*DECODING_ERRORS, KeyError):
+        return name, revision
+    return name, revision
+
+
+def is_utf8(name: str) -> bool:
+    """Return whether a name is not empty and can be encoded, as the names of objects in use."""
+    try:
+        return bool(name.encode())
+    except UnicodeEncodeError:
+        return False
--- a/poplarlane/store_objects.py
+++ b/poplarlane/store_objects.py
@@ -35,17 +35,37 @@
         self.status = status
 
 
+class UnreadableObject:
+    """An object that cannot be decoded; the name is empty if it cannot be read either."""
+
+    __slots__ = ("name", "revision", "reason")
+
+    def __init__(self, name: str, revision: int, reason: str) -> None:
+        self.name = name
+        self.revision = revision
+        self.reason = reason
+
+
 class ObjectPage:
-    """A page of a list; `unreadable` counts items that could not be decoded and were left out."""
+    """A page of a list; `unreadable` items are not among `items`.
 
-    __slots__ = ("items", "unreadable", "has_more", "revision")
+    `last_name` is the name of the last item, unreadable or not; the next page starts after it.
+    """
+
+    __slots__ = ("items", "unreadable", "has_more", "last_name", "revision")
 
     def __init__(
-        self, items: list[StoredObject], unreadable: int, has_more: bool, revision: int
+        self,
+        items: list[StoredObject],
+        unreadable: list[UnreadableObject],
+        has_more: bool,
+        last_name: str,
+        revision: int,
     ) -> None:
         self.items = items
         self.unreadable = unreadable
         self.has_more = has_more
+        self.last_name = last_name
         self.revision = revision
 
 
@@ -58,3 +78,19 @@
         self.item = item
         self.deleted = deleted
         self.previous: StoredObject | None = None
+
+
+class ChangeBatch:
+    """The changes of a watch, as of a revision.
+
+    An object that became unreadable is in `unreadable`, and deleted in `changes`.
+    """
+
+    __slots__ = ("changes", "unreadable", "revision")
+
+    def __init__(
+        self, changes: list[ObjectChange], unreadable: list[UnreadableObject], revision: int
+    ) -> None:
+        self.changes = changes
+        self.unreadable = unreadable
+        self.revision = revision
