--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -8,6 +8,7 @@
 from poplarlane.decisions.configuration.views import apply_service, close_removed_targets
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.health import health
+from poplarlane.decisions.overload.priorities import mark_mixed_services
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.retries import set_timed_refill
 from poplarlane.decisions.requests.entry_effects import SetCallerLimits, StartAccepting
@@ -59,6 +60,7 @@
     if current is not None and catalogue.version <= current.version:
         return
     state.routes = RouteTable(catalogue.version, catalogue.routes)
+    mark_mixed_services(state, catalogue.routes)
     if catalogue.caller_limits is not None:
         effects.append(SetCallerLimits(catalogue.caller_limits))
     fields = {
--- /dev/null
+++ b/poplarlane/decisions/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What is delayed or refused when a service has too few free slots."""
--- a/poplarlane/decisions/probes/probe_events.py
+++ b/poplarlane/decisions/probes/probe_events.py
@@ -10,6 +10,7 @@
     statements,
 )
 from poplarlane.decisions.choice.dispatching import (
+    RECHECK_S,
     await_permission,
     choose,
     schedule_recheck,
@@ -20,6 +21,7 @@
 from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
+from poplarlane.decisions.overload.priorities import poll_factor
 from poplarlane.decisions.probes import probe_rounds
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
@@ -165,11 +167,14 @@
     """Probe targets again for the first requests of a queue."""
     service.recheck_at = 0.0
     measured = type(service.policy) is Measured
-    for request in queueing.dispatch_order(service, now)[:MAX_QUEUED_PROBING] if measured else []:
+    queued = queueing.dispatch_order(service, now) if measured else []
+    for request in [found for found in queued if found.poll_at <= now][:MAX_QUEUED_PROBING]:
         targets = reachable_targets(service, request.labels)
         if targets and first_send_at(targets, now) > now:
             continue
         if targets and not request.awaiting_probes:
+            # The timer fires slightly late, so the instant allows for half an interval.
+            request.poll_at = now + (poll_factor(request, now) - 0.5) * RECHECK_S
             request.probe_round = service.policy.max_probe_rounds
             request.probed = []
             request.awaiting_probes = probe_rounds.start_round(
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -99,6 +99,7 @@
         "slowdowns",
         "number",
         "recheck_at",
+        "has_mixed_priorities",
     )
 
     def __init__(self, name: str) -> None:
@@ -131,6 +132,8 @@
         # (0: not scheduled).
         self.number = 0
         self.recheck_at = 0.0
+        # Whether its routes differ in priority.
+        self.has_mixed_priorities = False
 
 
 class Request:
@@ -167,6 +170,7 @@
         "probed",
         "pending_probes",
         "may_use_old_reports",
+        "poll_at",
     )
 
     def __init__(
@@ -220,6 +224,8 @@
         self.pending_probes: set[int] = set()
         # Whether its targets cannot be probed now, so that old load reports have to do.
         self.may_use_old_reports = False
+        # While it is queued, when it probes targets again.
+        self.poll_at = 0.0
 
 
 class Attempt:
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -17,6 +17,7 @@
 from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
+from poplarlane.decisions.overload.rejections import has_free_slots, return_after_s
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -83,7 +84,7 @@
         request.possibly_started -= 1
         request.sends -= 1
         request.retried_below = request.retried_below or metadata.retried
-        outcome = NotRun(ResultCode.REFUSED_BY_TARGET, f"refused by {attempt.load.target.name}")
+        outcome = rejection(attempt, metadata)
         send_again_or_finish(state, attempt, outcome, event.now, event.random_value, effects)
     elif not retry_failed_response(state, attempt, metadata, event, effects):
         observe_abandoned(request, None, event.now)
@@ -107,7 +108,8 @@
     latency_s = now - attempt.sent_at
     ok = metadata.status < SERVER_ERROR
     if metadata.not_run:
-        health.observe_shed(load, now)
+        if not has_free_slots(service, metadata):
+            health.observe_shed(load, now)
     else:
         slowdown = max(attempt.slowdown, metadata.slowdown)
         health.observe_answer(load, latency_s, ok, now, slowdown)
@@ -182,6 +184,16 @@
     return ResultCode.ANSWERED if metadata.status < SERVER_ERROR else ResultCode.TARGET_FAILED
 
 
+def rejection(attempt: Attempt, metadata: ResponseMetadata) -> NotRun:
+    """Return the outcome of an attempt that the target has rejected."""
+    request = attempt.request
+    detail = f"refused by {attempt.load.target.name}"
+    after_s = 0.0
+    if has_free_slots(request.service, metadata):
+        after_s = return_after_s(request.request_id)
+    return NotRun(ResultCode.REFUSED_BY_TARGET, detail, 503, after_s)
+
+
 @reduce.register
 def response_started(event: ResponseStarted, state: EntryState) -> list[Effect]:
     """Start to stream a response that is too large to buffer, and cancel the other attempts."""
