Digests reach nodes that do not report yet

Cause: only nodes that report receive digests, and a node without an active section does not report. The first observation of a section that is inactive in normal operation stayed at the nodes that had made it.

Change: a digest with sections is also sent to the members of the data centre by its relay and to the relays by the root; a node that takes part in nothing accepts it from its place in the tree.

--- a/features/fleet_digests.feature
+++ b/features/fleet_digests.feature
@@ -18,6 +18,13 @@
     And one node counts 1 and tells the others at once
     Then every node knows a sum of 1, without any further time
 
+  Scenario: The first observation reaches the nodes that do not report yet
+    # Guards against evidence that stays at one node because no other had a reason to report.
+    Given 30 nodes in 3 data centres that count what they see
+    When the section becomes inactive and 2 seconds pass
+    And the section becomes active at one node, which counts 1 and tells the others at once
+    Then every node knows a sum of 1, without any further time
+
   Scenario: The next seed takes over when the root ends
     Given 30 nodes in 3 data centres that count what they see
     When 1.5 seconds pass
--- a/features/steps/fleet_digest_steps.py
+++ b/features/steps/fleet_digest_steps.py
@@ -114,6 +114,12 @@
         fleet.deliver()
 
 
+@when("the section becomes active at one node, which counts 1 and tells the others at once")
+def step(context):
+    list(context.nodes.values())[-1].section.active = True
+    context.execute_steps("When one node counts 1 and tells the others at once")
+
+
 @then("every node knows a sum of {total:d}, {addition}")
 def step(context, total, addition):
     known = {name: node.section.known for name, node in context.nodes.items()}
--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -10,6 +10,8 @@
 from poplarlane.decisions.fleet import tree
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.fleet.tree import Child
+from poplarlane.decisions.membership import relays
+from poplarlane.decisions.membership.relays import is_in_data_centre as is_near
 from poplarlane.logs import log
 from poplarlane.relay_messages import FleetDigest, FleetReport
 
@@ -136,12 +138,30 @@
         return 1 + sum(child.nodes for child in self.children.values())
 
     def forward(self, digest: FleetDigest) -> None:
-        """Send a digest to all children."""
-        if self.children:
+        """Send a digest to all children, and to the nodes that do not report yet.
+
+        A node without an active section does not report. The first observation of another node has
+        to reach it nevertheless; once it has adopted that, it reports like all others.
+        """
+        names = [*self.children, *(self.idle_nodes() if digest.sections else ())]
+        if names:
             payload = relay_messages.encode(digest)
-            for name in self.children:
+            for name in names:
                 self.relay.send(name, payload)
 
+    def idle_nodes(self) -> list[str]:
+        """List the nodes below this one in the tree that do not report."""
+        state = self.relay.state
+        relay = relays.data_centre_relay(state, self.relay.clock())
+        names = [relay] if self.recipient is None else []
+        if relay == state.me.name:
+            names = [member.name for member in relays.data_centre_members(state)]
+        if self.recipient is None:
+            # A seed knows the relays of the other data centres.
+            far = (found for found in state.members.values() if not is_near(state, found))
+            names += [member.name for member in far]
+        return [name for name in names if name not in self.children and name != state.me.name]
+
     def report_received(self, message: FleetReport, now: float) -> None:
         """Merge the report of a child; reports of the node that this one reports to are dropped."""
         sender = message.sender.name
@@ -160,6 +180,9 @@
 
     def digest_received(self, message: FleetDigest) -> None:
         """Adopt a digest of the node that this one reports to, and pass it on."""
+        if not self.fleet.is_active() and not self.children:
+            # This node has not reported lately, so its place in the tree may have changed.
+            self.recipient = tree.report_recipient(self.relay.state, self.relay.clock())
         if message.sender.name != self.recipient:
             return
         is_same_root = message.root == self.digest_root
