Decisions: quarantine of requests that crash their targets

Change: an attempt that ends with a closed connection starts a check of its target's process; a crash is evidence against all requests that ran there. From two crashed targets on a request is refused (1214, 1304) for 30 s, then tried by one node at a time. Evidence travels in section `quarantine` of the fleet digests and merges in any order. A request that was answered in between, or was beside another convicted one, is convicted for 2 s only. The crash of a convicted request does not count against its target.

--- /dev/null
+++ b/poplarlane/decisions/quarantine/fingerprints.py
@@ -0,0 +1,41 @@
+"""Digests by which nodes recognise the same request."""
+
+from typing import Protocol
+
+import xxhash
+
+DIGEST_BYTES = 16
+
+
+class Content(Protocol):
+    """The content of a request, which the shell holds until its caller is answered."""
+
+    def fingerprint(self, customer: str) -> bytes:
+        """Return the digest of the content as sent by a customer."""
+
+
+def digest(customer: str, host: str, method: bytes, path: bytes, body: bytes) -> bytes:
+    """Return the digest of a request.
+
+    Each part is preceded by its length, so that no two different requests have the same input.
+    """
+    state = xxhash.xxh3_128()
+    for part in (customer.encode(), host.encode("utf-8", "surrogateescape"), method, path, body):
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.digest()
+
+
+class Held(Protocol):
+    """What a digest needs of a request; `fingerprint` is empty until it was computed."""
+
+    content: Content | None
+    customer: str
+    fingerprint: bytes
+
+
+def fingerprint(request: Held) -> bytes:
+    """Return the digest of a request, computed once; empty if the content is not known."""
+    if not request.fingerprint and request.content is not None:
+        request.fingerprint = request.content.fingerprint(request.customer)
+    return request.fingerprint
--- a/poplarlane/decisions/repeats/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -6,6 +6,7 @@
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.probes import probe_rounds
+from poplarlane.decisions.quarantine.enforcement import is_suspect
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -104,6 +105,9 @@
         return
     if not request.attempts or not may_be_hedged(request):
         return
+    # A second copy of a request that crashes targets would end another target.
+    if state.quarantine.items and is_suspect(state, request):
+        return
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels) or []
     others = [load for load in targets if load is not first]
--- a/poplarlane/decisions/requests/entry_effects.py
+++ b/poplarlane/decisions/requests/entry_effects.py
@@ -57,6 +57,19 @@
         self.target = target
 
 
+class CheckProcess(Effect):
+    """Check on a new connection whether the process of a target is gone.
+
+    Without `may_probe` the connection is opened but nothing is sent, so that no budget is used.
+    """
+
+    __slots__ = ("target", "may_probe")
+
+    def __init__(self, target: Target, may_probe: bool) -> None:
+        self.target = target
+        self.may_probe = may_probe
+
+
 class SetCallerLimits(Effect):
     """Set the size and time limits on what callers send."""
 
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -4,6 +4,7 @@
 
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.events import Event
+from poplarlane.decisions.quarantine.fingerprints import Content
 from poplarlane.messages import ViewUpdate
 from poplarlane.outcomes import RequestFailure
 
@@ -23,6 +24,7 @@
 
     `labels` is empty and `deadline_ms` None from untrusted sources. `hedged_above` means that a
     process further up the call chain hedges this read; `trace_id` is the caller's request id.
+    `content` gives the digest of the request if it is needed.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "retried",
         "hedged_above",
         "trace_id",
+        "content",
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         retried: bool,
         hedged_above: bool = False,
         trace_id: str = "",
+        content: Content | None = None,
     ) -> None:
         self.now = now
         self.random_value = random_value
@@ -65,6 +69,7 @@
         self.retried = retried
         self.hedged_above = hedged_above
         self.trace_id = trace_id
+        self.content = content
 
 
 class RequestMalformed(EntryEvent):
@@ -208,6 +213,17 @@
         self.probe_id = probe_id
 
 
+class ProcessChecked(EntryEvent):
+    """A check found that a target's process is gone, or did not find it."""
+
+    __slots__ = ("target_name", "is_gone")
+
+    def __init__(self, now: float, random_value: int, target_name: str, is_gone: bool) -> None:
+        super().__init__(now, random_value)
+        self.target_name = target_name
+        self.is_gone = is_gone
+
+
 class ResponseStarted(AttemptResponse):
     """A response turned out too large to buffer."""
 
--- a/poplarlane/decisions/requests/entry_handlers.py
+++ b/poplarlane/decisions/requests/entry_handlers.py
@@ -6,6 +6,7 @@
 )
 from poplarlane.decisions.fleet import digests
 from poplarlane.decisions.probes import probe_events
+from poplarlane.decisions.quarantine import checks
 from poplarlane.decisions.requests import (
     drain,
     reports,
@@ -15,6 +16,7 @@
 )
 
 ENTRY_HANDLERS = (
+    checks,
     digests,
     responses,
     catalogue,
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -16,6 +16,8 @@
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
 from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
+from poplarlane.decisions.quarantine.convictions import Quarantine
+from poplarlane.decisions.quarantine.fingerprints import Content
 from poplarlane.decisions.repeats.retries import Budget
 from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import RequestFailure
@@ -55,6 +57,7 @@
     VIEW_LIMIT = 5
     PROBE_END = 6
     # RECHECK belongs to a service and PROBE_LIMIT to a probe; the others to requests.
+    TRIAL_LIMIT = 10
     RECHECK = 7
     GIVE_UP = 9
     PROBE_LIMIT = 8
@@ -62,7 +65,13 @@
 
 # Kinds of timers that belong to a request and end with it.
 REQUEST_TIMERS = frozenset(
-    {TimerKind.DEADLINE, TimerKind.HEDGE, TimerKind.PROBE_END, TimerKind.GIVE_UP}
+    {
+        TimerKind.DEADLINE,
+        TimerKind.HEDGE,
+        TimerKind.PROBE_END,
+        TimerKind.GIVE_UP,
+        TimerKind.TRIAL_LIMIT,
+    }
 )
 
 
@@ -160,6 +169,9 @@
         "probed",
         "pending_probes",
         "may_use_old_reports",
+        "content",
+        "customer",
+        "fingerprint",
     )
 
     def __init__(
@@ -213,6 +225,10 @@
         self.pending_probes: set[int] = set()
         # Whether its targets cannot be probed now, so that old load reports have to do.
         self.may_use_old_reports = False
+        # What the caller sent, who it is, and the digest of both once it was needed.
+        self.content: Content | None = None
+        self.customer = ""
+        self.fingerprint = b""
 
 
 class Attempt:
@@ -306,6 +322,7 @@
         "extra_sends_window_s",
         "statements",
         "fleet",
+        "quarantine",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -369,6 +386,7 @@
         self.statements: dict[str, TargetStatements] = {}
         # What this node shares with the others.
         self.fleet = FleetState()
+        self.quarantine = Quarantine()
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -12,6 +12,7 @@
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.configuration.route_table import Route, choose_service
 from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.repeats.hedging import send_pending_hedges
@@ -84,21 +85,25 @@
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
     measured = type(service.policy) is Measured
+    effects: list[Effect] = []
     decision = late_refusal(state, request, event.now)
+    if decision is None and state.quarantine.items:
+        decision = enforcement.refusal_at_arrival(state, request, event.now, effects)
     if decision is None:
         decision = admission.admit(service.policy, service, request, event.now)
     if isinstance(decision, NotRun):
-        refused: list[Effect] = [RefuseRequest(event.request_id, decision, False, state.draining)]
+        effects.append(RefuseRequest(event.request_id, decision, False, state.draining))
         if measured:
-            request_log.request_refused(state, request, decision, refused)
-        return refused
+            request_log.request_refused(state, request, decision, effects)
+        return effects
     state.requests[request.request_id] = request
     retries.observe_request(service.retry_budget, request.attempt)
     if service.hedge_budget is not service.retry_budget:
         retries.observe_request(service.hedge_budget, request.attempt)
-    effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
+    if state.quarantine.items and enforcement.hold_for_trial(state, request, event.now, effects):
+        return effects
     if measured:
         dispatch(state, request, targets, event.now, event.random_value, effects)
     elif decision is limits.ADMIT:
@@ -155,6 +160,7 @@
         event.hedged_above,
     )
     request.trace_id = event.trace_id
+    request.content = event.content
     if route is not None:
         request.arrived_at = event.now
         elapsed_s = 0.0
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -17,6 +17,8 @@
 from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
+from poplarlane.decisions.quarantine import crashes
+from poplarlane.decisions.quarantine.fingerprints import fingerprint
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -75,6 +77,8 @@
     metadata = event.metadata
     effects: list[Effect] = []
     observe_response(state, attempt, metadata, event.now, event.random_value, effects)
+    if state.quarantine.items and not metadata.not_run:
+        state.quarantine.record_answer(fingerprint(request), event.now)
     end_attempt(state, attempt)
     if request.streaming is attempt:
         effects.append(FinishStream(request.request_id, attempt.attempt_id))
@@ -231,9 +235,10 @@
     state.now = event.now
     request = attempt.request
     effects: list[Effect] = []
+    suspicion = crashes.suspect(state, attempt, event.cause, effects)
     if event.cause is FailureCause.CONNECT_FAILED:
         health.observe_unreachable(attempt.load, event.now)
-    else:
+    elif suspicion is None:
         health.observe_failure(attempt.load, event.now)
     end_attempt(state, attempt)
     labels = {"service": request.service.name, "cause": event.cause.name.lower()}
@@ -241,6 +246,8 @@
     outcome = failure_outcome(attempt, event)
     if request.streaming is attempt:
         finish_refused(state, request, outcome, effects)
+    elif suspicion and not request.attempts and crashes.must_wait(state, suspicion):
+        crashes.wait_for_checks(state, suspicion, outcome)
     else:
         send_again_or_finish(state, attempt, outcome, event.now, event.random_value, effects)
     changed = health.review(request.service.health, request.service.limits.loads, event.now)
--- a/poplarlane/decisions/requests/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -11,6 +11,7 @@
     recheck_queue,
     refuse_queued,
 )
+from poplarlane.decisions.quarantine.enforcement import trial_limit_passed
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
 from poplarlane.decisions.requests.attempts import finish_refused
@@ -101,6 +102,8 @@
             finish_round(state, request, now, random_value, effects)
     elif kind is TimerKind.GIVE_UP:
         refuse_queued(state, request, now, effects)
+    elif kind is TimerKind.TRIAL_LIMIT:
+        trial_limit_passed(state, request, now, effects)
     else:
         deadline_passed(state, request, now, random_value, effects)
 
