Node: check the process of a target, and quarantine in status and metrics

Cause: the decisions need the result of a check and the digest of a request.

Change: a check opens a new connection to the target; refused, or answered by another instance, means that the process is gone. The node registers the section, gives the reducer the content of a request, and lists the quarantine in /status and the gauge `quarantined`.

--- a/poplarlane/plumbing/caller_requests.py
+++ b/poplarlane/plumbing/caller_requests.py
@@ -2,7 +2,8 @@
 
 from typing import TYPE_CHECKING
 
-from poplarlane.plumbing.heads import RequestHead
+from poplarlane.decisions.quarantine import fingerprints
+from poplarlane.plumbing.heads import RequestHead, service_host
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.callers import CallerConnection
@@ -52,6 +53,13 @@
         self.buffered: list[bytes] = []
         self.is_done = False
 
+    def fingerprint(self, customer: str) -> bytes:
+        """Return the digest of the content; the request id is not part of it."""
+        head = self.head
+        return fingerprints.digest(
+            customer, service_host(head.host), head.method, head.path, self.body
+        )
+
     def is_first(self) -> bool:
         """Return whether no earlier response on the connection is outstanding."""
         return self.caller.requests[0] is self
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -8,6 +8,7 @@
 from poplarlane.decisions.effects import Count, Effect, Log, Observe
 from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
+    CheckProcess,
     CutAnswer,
     DeliverAnswer,
     FinishStream,
@@ -25,12 +26,13 @@
     StopAccepting,
     StreamAnswer,
 )
-from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause
+from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause, ProcessChecked
 from poplarlane.logs import log
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.caller_requests import CallerRequest
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.heads import ResponseHead, error_response
+from poplarlane.plumbing.process_checks import is_process_gone
 from poplarlane.plumbing.resets import reset
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import CONNECT_TIMEOUT_S, TargetConnection
@@ -169,6 +171,25 @@
     exchange.task.add_done_callback(shell.tasks.discard)
 
 
+@execute.register(CheckProcess)
+def execute_check(effect: CheckProcess, shell: "EntryShell") -> None:
+    """Check whether the process of a target is gone, in the background."""
+    task = shell.loop.create_task(check_process(effect, shell))
+    shell.tasks.add(task)
+    task.add_done_callback(shell.tasks.discard)
+
+
+async def check_process(effect: CheckProcess, shell: "EntryShell") -> None:
+    """Report whether the process of a target is gone; requests wait for the report."""
+    target = effect.target
+    is_gone = False
+    try:
+        source = shell.settings.listen_address
+        is_gone = await is_process_gone(target, effect.may_probe, shell.header_names, source)
+    finally:
+        shell.feed(ProcessChecked(shell.now(), shell.random_value(), target.name, is_gone))
+
+
 @execute.register(CancelAttempt)
 def execute_cancel(effect: CancelAttempt, shell: "EntryShell") -> None:
     """Close the connection of an attempt, so that its target can cancel the work."""
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -13,6 +13,8 @@
     Member,
     RelayState,
 )
+from poplarlane.decisions.quarantine.convictions import most_important
+from poplarlane.decisions.quarantine.section import QuarantineSection
 from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.metrics import AdminRequest, AdminResponse, AdminServer, Metrics, json_response
@@ -119,6 +121,9 @@
     apply_node_settings(state, settings)
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
+    state.quarantine.enabled = True
+    state.quarantine.has_peers = bool(settings.exchange_ports)
+    state.fleet.add(QuarantineSection(state))
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -265,6 +270,7 @@
         "leaving_targets": sorted(state.leaving),
         "fleet_entries": state.fleet_entries,
         "statements": target_statements(shell),
+        "quarantine": quarantined_requests(shell),
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -297,6 +303,22 @@
     return found
 
 
+def quarantined_requests(shell: EntryShell) -> list[dict]:
+    """Describe the requests that have crashed targets, those in quarantine first."""
+    now = shell.now()
+    return [
+        {
+            "digest": item.digest.hex(),
+            "route": item.route,
+            "targets": sorted(item.crashes),
+            "state": item.state(now),
+            "terms": item.terms,
+            "ends_in_s": round(max(0.0, item.ends_at() - now), 1) if item.terms else 0.0,
+        }
+        for item in most_important(shell.state.quarantine.items.values())
+    ]
+
+
 def update_gauges(shell: EntryShell) -> None:
     """Export the entry's own counters as gauges."""
     metrics = shell.metrics
@@ -318,6 +340,9 @@
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    now = shell.now()
+    convicted = sum(item.is_convicted(now) for item in shell.state.quarantine.items.values())
+    metrics.set("quarantined", {}, convicted)
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
