--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -21,6 +21,7 @@
     GetCommand,
     HistoryCommand,
 )
+from poplarlane.programs.ctl.quarantine_command import QuarantineCommand
 from poplarlane.programs.ctl.reports import error_report, show, usage_error
 from poplarlane.programs.ctl.trace_command import TraceCommand
 
@@ -39,6 +40,7 @@
     WaitCommand,
     TraceCommand,
     LossesCommand,
+    QuarantineCommand,
 )
 
 
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -205,10 +205,11 @@
 
 
 class SignedTargetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """One target of the signed fleet."""
+    """One target of the signed fleet; another process may serve it (`is_external`)."""
 
     service: str
     address: SocketAddress
+    is_external: bool = False
 
 
 class SignedFleetSettings(Settings, kw_only=True):
@@ -223,6 +224,9 @@
     slots: PositiveCount = 6
     work_ms: float = 20.0
     born_ms: int = 1_000
+    # The process exits `deadly_ms` after it got a request whose path starts with this.
+    deadly_prefix: str = ""
+    deadly_ms: float = 40.0
 
 
 class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 from poplarlane.settings import SignedFleetSettings, settings_from_arguments
@@ -198,7 +199,11 @@
             self.work(exchange, headers, request_id)
 
     def work(self, exchange: Exchange, headers: list, request_id: str) -> None:
-        """Run a request for the time of work at the present pace."""
+        """Run a request for the time of work at the present pace, or exit because of it."""
+        settings = self.fleet.settings
+        if settings.deadly_prefix and exchange.path.startswith(settings.deadly_prefix):
+            asyncio.get_running_loop().call_later(settings.deadly_ms / 1000.0, os._exit, 1)
+            return
         self.fleet.ledger.setdefault(request_id, []).append(self.name)
         self.fleet.deadlines_ms[request_id] = exchange.headers.get("x-deadline-ms", "")
         self.running += 1
@@ -316,9 +321,10 @@
 
     async def start(self) -> Any:
         """Listen everywhere and fill the store."""
-        for target in self.targets.values():
+        for name, target in self.targets.items():
             host, port = target.address.rsplit(":", 1)
-            await target.server.listen(host, int(port))
+            if not self.settings.targets[name].is_external:
+                await target.server.listen(host, int(port))
             target.register()
         if self.settings.configuration:
             self.store.put("config", "main", self.settings.configuration)
@@ -327,7 +333,8 @@
         async def stop() -> None:
             self.server.close()
             for target in self.targets.values():
-                target.server.close()
+                if target.server.listener is not None:
+                    target.server.close()
 
         return stop
 
