poplarctl losses: causes of the quarantine

Cause: requests refused for the quarantine were counted as refused on arrival or cut by a target. Change: two causes of their own.

--- a/features/losses.feature
+++ b/features/losses.feature
@@ -17,8 +17,10 @@
       time=2026-07-04T19:51:59.400+00:00 event=request_answered id=a8 route=books age_ms=90 process=n2
       time=2026-07-04T19:51:59.500+00:00 event=lines_dropped count=3 process=n2
       time=2026-07-04T19:51:59.600+00:00 event=request_refused id=a9 route=reads age_ms= code=
+      time=2026-07-04T19:51:59.700+00:00 event=request_refused id=b1 route=reads age_ms=0 code=1214 result=quarantined process=n2
+      time=2026-07-04T19:51:59.800+00:00 event=request_refused id=b2 route=reads age_ms=83 code=1304 result=crashes_targets process=n2
       """
-    Then 11 requests are lost, of them
+    Then 13 requests are lost, of them
       | second              | route | cause                                | count |
       | 2026-07-04T19:51:58 | reads | refused after a wait                 | 1     |
       | 2026-07-04T19:51:58 | reads | refused on arrival                   | 1     |
@@ -27,6 +29,8 @@
       | 2026-07-04T19:51:59 | books | late: target chosen by an old report | 1     |
       | 2026-07-04T19:51:59 | books | late: busy target                    | 1     |
       | 2026-07-04T19:51:59 | books | failed at its target                 | 1     |
+      | 2026-07-04T19:51:59 | reads | refused: in quarantine               | 1     |
+      | 2026-07-04T19:51:59 | reads | crashed its targets                  | 1     |
       | 2026-07-04T19:51:59 | -     | not attributed                       | 3     |
       | 2026-07-04T19:51:59 | reads | not attributed                       | 1     |
 
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -27,6 +27,8 @@
     REFUSED_AFTER_WAIT = "refused after a wait"
     RATE_USED_UP = "refused: rates named by targets used up"
     TARGETS_PAUSED = "refused: targets turned requests away"
+    QUARANTINED = "refused: in quarantine"
+    CRASHES_TARGETS = "crashed its targets"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -42,6 +44,7 @@
 STATEMENT_CAUSES = {
     "rate_limited": Cause.RATE_USED_UP,
     "targets_paused": Cause.TARGETS_PAUSED,
+    "quarantined": Cause.QUARANTINED,
 }
 
 Key = tuple[str, str, Cause]
@@ -78,6 +81,8 @@
         return late_cause(fields)
     if fields.get("result", "").startswith("deadline_after"):
         return Cause.NO_ANSWER
+    if fields.get("result") == "crashes_targets":
+        return Cause.CRASHES_TARGETS
     if count_of(fields, "code") >= 1300:
         return Cause.CUT
     if count_of(fields, "code") < 1200:
