Quarantine: only a run acquits; crashes count from the end of the connection

Cause: a target that turned a deadly read away without saying so acquitted it; a failed check left no log line; an urgent flag stayed set where there was nothing to send.

Change: responses with 408, 429 or a status from 500 on do not acquit. A crash counts from when the connection ended, so that an answer before the end of the check acquits. An unexpected error of a check is logged and counts as no result.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -67,6 +67,18 @@
     When a read beside a crash is answered by the next target and is beside another crash
     Then the read is not in quarantine
 
+  Scenario Outline: A response that does not show a run acquits nobody
+    # Guards against targets that turn a deadly read away, which would let it go on.
+    Given a node with 8 targets
+    When a deadly read crashes a target, gets <status> and crashes another one
+    Then the read is in quarantine for 30 s
+
+    Examples:
+      | status |
+      | 429    |
+      | 500    |
+      | 503    |
+
   Scenario: Three crashes in a short time convict in spite of answers
     # Guards against a request that crashes only some targets and is answered by the others.
     Given a node with 8 targets
--- a/features/quarantine_world.py
+++ b/features/quarantine_world.py
@@ -164,11 +164,11 @@
         self.crash(target)
         return target
 
-    def answer(self, number):
-        """Let a target answer a request."""
+    def answer(self, number, response=None):
+        """Let a target answer a request, with status 200 by default."""
         attempt = next(found for found, work in self.at_work.items() if work[1] == number)
         del self.at_work[attempt]
-        self.feed(ResponseCompleted(self.now, 17, attempt, metadata(1.0)))
+        self.feed(ResponseCompleted(self.now, 17, attempt, response or metadata(1.0)))
 
     def wait(self, time_s):
         """Let time pass and the timers fire."""
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -295,6 +295,27 @@
     assert node.targets_of(2) and not node.item().terms, node.item().crashes
 
 
+@when("a deadly read crashes a target, gets {status:d} and crashes another one")
+def step_turned_away(context, status):
+    node = context.node
+    node.arrive(1)
+    node.crash_with(1)
+    node.now += CRASH_DELAY_S
+    found = metadata(1.0)
+    found.status = status
+    while node.targets_of(1):
+        node.answer(1, found)
+    node.now += 0.1
+    node.arrive(2)
+    node.crash_with(2)
+
+
+@then("the read is in quarantine for {time_s:g} s")
+def step_in_quarantine(context, time_s):
+    node, item = context.node, context.node.item()
+    assert item.is_convicted(node.now) and round(item.ends_at() - node.now) == time_s, item.crashes
+
+
 @when("a read crashes three targets and is answered by others in between")
 def step_some_targets(context):
     node = context.node
--- a/poplarlane/decisions/quarantine/checks.py
+++ b/poplarlane/decisions/quarantine/checks.py
@@ -54,7 +54,9 @@
     items = []
     for found in suspicions:
         route = found.attempt.request.kind.name
-        items.append(state.quarantine.record_crash(found.digest, route, event.target_name, now))
+        items.append(
+            state.quarantine.record_crash(found.digest, route, event.target_name, found.at)
+        )
         load = found.attempt.load
         load.shed_until = max(load.shed_until, now + GONE_PAUSE_S)
     effects.append(NotifyFleet())
--- a/poplarlane/decisions/quarantine/convictions.py
+++ b/poplarlane/decisions/quarantine/convictions.py
@@ -108,11 +108,13 @@
 class Suspicion:
     """A request whose connection ended at a target whose process is being checked."""
 
-    __slots__ = ("digest", "attempt")
+    __slots__ = ("digest", "attempt", "at")
 
-    def __init__(self, digest: bytes, attempt: "Attempt") -> None:
+    def __init__(self, digest: bytes, attempt: "Attempt", at: float) -> None:
         self.digest = digest
         self.attempt = attempt
+        # When the connection ended; an answer after that may come before the result of the check.
+        self.at = at
 
 
 class Quarantine:
--- a/poplarlane/decisions/quarantine/crashes.py
+++ b/poplarlane/decisions/quarantine/crashes.py
@@ -27,7 +27,7 @@
     digest = fingerprint(attempt.request)
     if not digest:
         return None
-    suspicion = Suspicion(digest, attempt)
+    suspicion = Suspicion(digest, attempt, state.now)
     if target.name not in known.suspicions:
         known.suspicions[target.name] = []
         may_probe = state.probe_allowance.take(1, state.now) > 0
--- a/poplarlane/decisions/quarantine/section.py
+++ b/poplarlane/decisions/quarantine/section.py
@@ -55,12 +55,12 @@
         These are reported until a digest holds them, because a report may be lost.
         """
         known = self.state.quarantine
-        if not known.items and not self.asks and not known.asking:
-            return None
+        known.is_urgent = False
         self.collect_asks()
+        if not known.items and not self.asks:
+            return None
         changed = [known.items[digest] for digest in known.changed if digest in known.items]
         asks = [Ask(digest, node) for digest, node in self.asks.items()][:MAX_ASKS]
-        known.is_urgent = False
         self.asks.clear()
         return ENCODER.encode(Report(limited_evidence(changed, now), asks))
 
@@ -96,12 +96,12 @@
         if now - self.root_at > ROOT_GAP_S:
             self.root_since = now
         self.root_at = now
-        if not known.items:
-            return None
+        known.is_urgent = False
         self.collect_asks()
         self.hand_out_trials(now)
+        if not known.items:
+            return None
         known.changed.clear()
-        known.is_urgent = False
         grants = [
             Grant(digest, node, round((until - now) * 1000.0))
             for digest, (node, until) in self.grants.items()
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -59,6 +59,8 @@
 
 SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
+REQUEST_TIMEOUT = 408
+TOO_MANY_REQUESTS = 429
 FAILURE_CODES = {
     FailureCause.CLOSED_BEFORE_ANSWER: ResultCode.OUTCOME_UNKNOWN,
     FailureCause.ANSWER_TRUNCATED: ResultCode.ANSWER_TRUNCATED,
@@ -77,7 +79,7 @@
     metadata = event.metadata
     effects: list[Effect] = []
     observe_response(state, attempt, metadata, event.now, event.random_value, effects)
-    if state.quarantine.items and not metadata.not_run:
+    if state.quarantine.items and shows_survival(metadata):
         state.quarantine.record_answer(fingerprint(request), event.now)
     end_attempt(state, attempt)
     if request.streaming is attempt:
@@ -136,6 +138,15 @@
     return metadata.not_run and metadata.status == MISDIRECTED_REQUEST
 
 
+def shows_survival(metadata: ResponseMetadata) -> bool:
+    """Return whether a target has run a request and survived it.
+
+    A target that refuses a request without saying so, or fails, may not have run all of it.
+    """
+    is_refusal = metadata.not_run or metadata.status in (REQUEST_TIMEOUT, TOO_MANY_REQUESTS)
+    return metadata.status < SERVER_ERROR and not is_refusal
+
+
 def update_service_time(attempt: Attempt, latency_s: float) -> None:
     """Update the service time of the request kind, and the contention, from a success."""
     request = attempt.request
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -27,6 +27,7 @@
     StreamAnswer,
 )
 from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause, ProcessChecked
+from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.caller_requests import CallerRequest
@@ -182,12 +183,13 @@
 async def check_process(effect: CheckProcess, shell: "EntryShell") -> None:
     """Report whether the process of a target is gone; requests wait for the report."""
     target = effect.target
-    is_gone = False
+    source = shell.settings.listen_address
     try:
-        source = shell.settings.listen_address
         is_gone = await is_process_gone(target, effect.may_probe, shell.header_names, source)
-    finally:
-        shell.feed(ProcessChecked(shell.now(), shell.random_value(), target.name, is_gone))
+    except Exception as error:
+        is_gone = False
+        log("process_check_failed", "error", target=target.name, reason=error_text(error))
+    shell.feed(ProcessChecked(shell.now(), shell.random_value(), target.name, is_gone))
 
 
 @execute.register(CancelAttempt)
