Quarantine: answers do not delay evidence

Cause: an answer that a child reported was passed on at once, and a second crash within the next 20 ms then had to wait for the least interval between messages.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -151,6 +151,12 @@
       | 24    | lost     | 4.0  |
       | 60    | lost     | 4.0  |
 
+  Scenario: An answer that a child reports does not use up the least interval between messages
+    # Guards against evidence that came 20 ms late because an acquittal had just been sent on.
+    Given a node with 8 targets
+    When a child reports a crash, and then an answer after it
+    Then the crash is urgent and the answer is not
+
   Scenario: A node that starts learns what is in force
     Given 24 nodes that exchange evidence, with good messages
     When a read is convicted and a node forgets everything
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -611,3 +611,24 @@
 @then("no further copy has been sent")
 def step_no_further(context):
     assert fleet_sends(context.fleet) == context.sent, fleet_sends(context.fleet)
+
+
+@when("a child reports a crash, and then an answer after it")
+def step_child(context):
+    node, child = context.node, QuarantineNode(name="child")
+    digest = Content(DEADLY).fingerprint("")
+    context.urgent = []
+    child.state.quarantine.record_crash(digest, "read", "i-1.1", child.now)
+    for _ in range(2):
+        node.section.merge_report("child", child.section.take_report(child.now), node.now)
+        context.urgent.append(node.section.is_urgent(node.now))
+        node.section.make_digest(node.now)
+        child.now += 1.0
+        node.now += 1.0
+        child.state.quarantine.record_answer(digest, child.now)
+
+
+@then("the crash is urgent and the answer is not")
+def step_urgent(context):
+    assert context.urgent == [True, False], context.urgent
+    assert context.node.item().answered_at > max(context.node.item().crashes.values())
--- a/poplarlane/decisions/quarantine/section.py
+++ b/poplarlane/decisions/quarantine/section.py
@@ -69,8 +69,12 @@
         report = REPORTS.decode(payload)
         known = self.state.quarantine
         for evidence in report.evidence:
+            held = known.items.get(evidence.digest)
+            before = set(held.crashes) if held is not None else set()
             if self.merge(evidence, 0.0, now):
-                known.note_change(evidence.digest, True)
+                # Answers can wait; a message for them would delay evidence by the least interval.
+                is_crash = not before.issuperset(known.items[evidence.digest].crashes)
+                known.note_change(evidence.digest, is_crash)
         for ask in report.asks:
             self.asks.setdefault(ask.digest, ask.node)
             known.is_urgent = True
