Quarantine: test that reports in any order lead to one view

Cause: nodes that judge the same evidence differently would send what others refuse. Change: a seeded test over three nodes with repeated and shuffled reports.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -151,6 +151,10 @@
       | 24    | lost     | 4.0  |
       | 60    | lost     | 4.0  |
 
+  Scenario: Repeated reports in any order lead to one view
+    # Guards against nodes that keep different convictions for the same evidence.
+    Then for 300 seeds nodes that hear each other in any order agree about a read
+
   Scenario: An answer that a child reports does not use up the least interval between messages
     # Guards against evidence that came 20 ms late because an acquittal had just been sent on.
     Given a node with 8 targets
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -5,7 +5,7 @@
 import msgspec
 from behave import given, then, when
 
-from features.node_world import metadata
+from features.node_world import NOW, metadata
 from features.quarantine_fleet import MAX_DELAY_S, FaultyFleet
 from features.quarantine_world import DEADLY, Content, QuarantineNode
 from poplarlane.decisions.quarantine import enforcement
@@ -632,3 +632,42 @@
 def step_urgent(context):
     assert context.urgent == [True, False], context.urgent
     assert context.node.item().answered_at > max(context.node.item().crashes.values())
+
+
+def random_evidence(generator, node, start):
+    """Let a node see a few crashes and answers of the same read within some seconds."""
+    digest = Content(DEADLY).fingerprint("")
+    for _ in range(generator.randrange(4)):
+        at = start + generator.random() * 5.0
+        if generator.random() < 0.7:
+            target = f"i-{generator.randrange(4)}.1"
+            node.state.quarantine.record_crash(digest, "read", target, at)
+        else:
+            node.state.quarantine.record_answer(digest, at)
+
+
+@then("for {seeds:d} seeds nodes that hear each other in any order agree about a read")
+def step_agree(context, seeds):
+    convicted = 0
+    for seed in range(seeds):
+        generator = random.Random(seed)
+        nodes = [QuarantineNode(1, f"node-{number}") for number in range(3)]
+        now = NOW + 6.0
+        for node in nodes:
+            random_evidence(generator, node, NOW)
+        root, *others = nodes
+        reports = [node.section.take_report(now) for node in others]
+        reports = [found for found in reports if found is not None] * 2
+        generator.shuffle(reports)
+        for report in reports:
+            root.section.merge_report("any", report, now)
+        digest = root.section.make_digest(now)
+        for node in nodes if digest is not None else []:
+            node.section.adopt_digest(digest, 0.0, now)
+            node.section.adopt_digest(digest, 0.0, now)
+        items = [node.item() for node in nodes]
+        views = {item and (item.terms, tuple(sorted(item.crashes))) for item in items}
+        assert len(views) == 1, (seed, views)
+        convicted += bool(items[0] and items[0].terms)
+    print(f"{convicted} of {seeds} convicted")
+    assert 0 < convicted < seeds
