--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -17,6 +17,8 @@
 from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
+from poplarlane.decisions.quarantine import crashes
+from poplarlane.decisions.quarantine.fingerprints import fingerprint
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -57,6 +59,8 @@
 
 SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
+REQUEST_TIMEOUT = 408
+TOO_MANY_REQUESTS = 429
 FAILURE_CODES = {
     FailureCause.CLOSED_BEFORE_ANSWER: ResultCode.OUTCOME_UNKNOWN,
     FailureCause.ANSWER_TRUNCATED: ResultCode.ANSWER_TRUNCATED,
@@ -75,6 +79,8 @@
     metadata = event.metadata
     effects: list[Effect] = []
     observe_response(state, attempt, metadata, event.now, event.random_value, effects)
+    if state.quarantine.items and shows_survival(metadata):
+        state.quarantine.record_answer(fingerprint(request), event.now)
     end_attempt(state, attempt)
     if request.streaming is attempt:
         effects.append(FinishStream(request.request_id, attempt.attempt_id))
@@ -132,6 +138,15 @@
     return metadata.not_run and metadata.status == MISDIRECTED_REQUEST
 
 
+def shows_survival(metadata: ResponseMetadata) -> bool:
+    """Return whether a target has run a request and survived it.
+
+    A target that refuses a request without saying so, or fails, may not have run all of it.
+    """
+    is_refusal = metadata.not_run or metadata.status in (REQUEST_TIMEOUT, TOO_MANY_REQUESTS)
+    return metadata.status < SERVER_ERROR and not is_refusal
+
+
 def update_service_time(attempt: Attempt, latency_s: float) -> None:
     """Update the service time of the request kind, and the contention, from a success."""
     request = attempt.request
@@ -231,9 +246,10 @@
     state.now = event.now
     request = attempt.request
     effects: list[Effect] = []
+    suspicion = crashes.suspect(state, attempt, event.cause, effects)
     if event.cause is FailureCause.CONNECT_FAILED:
         health.observe_unreachable(attempt.load, event.now)
-    else:
+    elif suspicion is None:
         health.observe_failure(attempt.load, event.now)
     end_attempt(state, attempt)
     labels = {"service": request.service.name, "cause": event.cause.name.lower()}
@@ -241,6 +257,8 @@
     outcome = failure_outcome(attempt, event)
     if request.streaming is attempt:
         finish_refused(state, request, outcome, effects)
+    elif suspicion and not request.attempts and crashes.must_wait(state, suspicion):
+        crashes.wait_for_checks(state, suspicion, outcome)
     else:
         send_again_or_finish(state, attempt, outcome, event.now, event.random_value, effects)
     changed = health.review(request.service.health, request.service.limits.loads, event.now)
