Show unreadable objects: one log line each, a metric, the status page and poplarctl

Cause: the log counted unreadable items at every list without naming them, entries that could be decoded but not used were dropped silently, and a bad configuration was logged at every list. Change: object_unreadable is logged once with the name until the object can be read again; gauge unreadable_objects{kind}; "unreadable" in /status; poplarctl unreadable HOST:PORT... A record of a target gives the reason why it is invalid; one in another state than ready or draining is valid and is not reported. objects_unreadable and bad_object are no longer logged by nodes. The drawn-entries step takes a reason as text for what was None before.

--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -192,7 +192,9 @@
         document = document if isinstance(document, dict) else {}
         item = StoredObject("i-1", 3, document.get("spec"), document.get("status"))
         found = translation.instance_of(item)
-        if found is not None:
+        if isinstance(found, str):
+            assert found
+        elif found is not None:
             assert translation.is_ip(found.address) and 0 < found.port < 65_536, found.address
             assert found.slots >= 1 and isinstance(found.service, str)
             assert isinstance(found.started_ms, int) and found.warm_up_s >= 0.0
--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import subprocess
+import urllib.request
 from types import SimpleNamespace
 from urllib.parse import unquote_to_bytes
 
@@ -11,14 +13,16 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from features.steps.node_path_steps import ADMIN_PORT, metric_sum, read_metrics, wait_until
 from poplarlane import relay_messages
+from poplarlane.bench.processes import binary_path
 from poplarlane.change_encoding import encode_changes, encode_object, resolve_changes
 from poplarlane.decisions.configuration.directory import Directory
 from poplarlane.platform import store, translation
 from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.platform_client import PlatformResponse
-from poplarlane.store_objects import StoredObject
+from poplarlane.store_objects import ObjectChange, StoredObject
 
 # As a Python program holds bytes that are not UTF-8 (PEP 383).
 NOT_UTF8 = b"\xff\xfe\x80".decode("utf-8", "surrogateescape")
@@ -249,3 +253,109 @@
 @then("it has the two targets")
 def step_two(context):
     assert sorted(context.sync.directory.instances) == ["a", "c"]
+
+
+def address_entry(address):
+    """Write the record of a target with an address, for the stand-in store."""
+    info = {"service": "reads", "zone": "a", "slots": 6}
+    return {"spec": {"address": address, "info": info}, "status": {"state": "ready"}}
+
+
+def unreadable_lines(context, name):
+    """Return the lines in which the node has logged an entry as unreadable."""
+    lines = [line.fields for line in context.rig.node.lines]
+    return [
+        fields
+        for fields in lines
+        if fields.get("event") == "object_unreadable" and fields.get("name") == name
+    ]
+
+
+@when('the store holds an entry "{name}" with the address "{address}"')
+def step_address(context, name, address):
+    context.rig.control(entries={name: address_entry(address)})
+
+
+@when("the node has logged both")
+def step_logged(context):
+    for name in ("other", "no-port"):
+        context.rig.node.wait_for("object_unreadable", name=name)
+
+
+@when("the node applies version {version:d}")
+def step_applies(context, version):
+    context.rig.node.wait_for("configuration_applied", version=str(version))
+
+
+@then("each of them was logged once")
+def step_once(context):
+    for name in ("other", "no-port"):
+        found = unreadable_lines(context, name)
+        assert len(found) == 1 and found[0]["kind"] == store.INSTANCES_KIND, found
+        assert found[0]["reason"], found
+
+
+@when('the entry "{gone}" is removed and "{name}" has the address "{address}"')
+def step_repaired(context, gone, name, address):
+    context.rig.control(delete=[gone], entries={name: address_entry(address)})
+
+
+@then(
+    "the node's metrics count {count:d} unreadable objects, and its status and poplarctl show "
+    '"{names}"'
+)
+@then(
+    "the node's metrics count {count:d} unreadable objects, and its status and poplarctl show " '""'
+)
+def step_shown(context, count, names=""):
+    address = f"{context.rig.node_address}:{ADMIN_PORT}"
+
+    def counted():
+        return metric_sum(read_metrics(context), "unreadable_objects", "servers")
+
+    wait_until(lambda: counted() == count, "the metric counts the objects")
+    with urllib.request.urlopen(f"http://{address}/status", timeout=5) as answer:
+        status = json.load(answer)["unreadable"]
+    assert ",".join(sorted(item["name"] for item in status)) == names, status
+    command = [binary_path("poplarctl"), "unreadable", address]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 0, done
+    shown = [
+        name for name in ("no-port", "other") if f"{store.INSTANCES_KIND}/{name!r}" in done.stdout
+    ]
+    assert ",".join(shown) == names, done.stdout
+
+
+def ignore(*_arguments):
+    """Take a callback."""
+
+
+@given('a follower that holds "a" and "b"')
+def step_holding(context):
+    listener = SimpleNamespace(store_call_finished=ignore, confirmed=ignore, changed=ignore)
+    follower = ObjectFollower(None, store, "kind", listener, 100, random.Random(1), False, 0.0)
+    follower.replace_all(3, [StoredObject(name, 3, {}, None) for name in ("a", "b")])
+    context.follower = follower
+
+
+@when('a watch brings an unreadable "a"')
+def step_watch(context):
+    body = b'{"events":[{"object":%s}],"current_rev":4}' % named(b"a", b'"\\udcff"')
+
+    async def read(_operation, _path, _wait_s=0.0):
+        return PlatformResponse(200, body)
+
+    context.follower.client = SimpleNamespace(read=read)
+    assert asyncio.run(context.follower.watch())
+
+
+@when('another node passes on a readable "a"')
+def step_passed_on(context):
+    context.follower.apply_changes(5, [ObjectChange(StoredObject("a", 5, {}, None), False)])
+
+
+@then('it holds "{names}" and counts "{unreadable}" as unreadable')
+@then('it holds "{names}" and counts "" as unreadable')
+def step_holds(context, names, unreadable=""):
+    assert ",".join(sorted(context.follower.objects)) == names
+    assert ",".join(context.follower.unreadable.by_name) == unreadable
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -59,3 +59,26 @@
       | "65536"              |
       | of 5,000 digits      |
       | of 5,000 zeros and 1 |
+
+  Scenario: An unreadable value is logged once, counted and shown
+    # Guards operators who look for the writer of a bad entry, and logs that repeat it on every list.
+    Given a node with 1 targets of the service "reads" and 1 of "books"
+    When the store holds an entry "other" with bytes that are not UTF-8
+    And the store holds an entry "no-port" with the address "127.0.0.1:²"
+    And the node has logged both
+    And the store forgets its history and the configuration moves "/views/" to "books" in version 9
+    And the node applies version 9
+    And the store holds an entry "other" with bytes that are not UTF-8
+    And the configuration moves "/views/" to "reads" in version 10
+    And the node has applied version 10
+    Then each of them was logged once
+    And the node's metrics count 2 unreadable objects, and its status and poplarctl show "no-port,other"
+    When the entry "other" is removed and "no-port" has the address "127.0.0.1:9"
+    Then the node's metrics count 0 unreadable objects, and its status and poplarctl show ""
+
+  Scenario: A value that becomes unreadable and readable again is followed in lists, watches and relayed changes
+    Given a follower that holds "a" and "b"
+    When a watch brings an unreadable "a"
+    Then it holds "b" and counts "a" as unreadable
+    When another node passes on a readable "a"
+    Then it holds "a,b" and counts "" as unreadable
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -172,16 +172,21 @@
     )
 
 
-def instance_of(item: StoredObject) -> InstanceRecord | None:
-    """Convert an instance record; None when it is invalid or the instance cannot be used."""
+def instance_of(item: StoredObject) -> InstanceRecord | str | None:
+    """Convert an instance record; return the reason as text when it is invalid.
+
+    None stands for an instance in a state in which it cannot be used.
+    """
     try:
         found = msgspec.convert(merge_status(item), InstanceDocument)
-    except (msgspec.ValidationError, TypeError):
-        return None
-    if found.status.state not in (READY, DRAINING) or found.info.slots < 1:
-        return None
+    except (msgspec.ValidationError, TypeError) as error:
+        return str(error)
+    if found.info.slots < 1:
+        return f"{found.info.slots} slots"
     address, _, port = found.address.rpartition(":")
     if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_ip(address):
+        return f"{found.address!r} is not an IP address and a port"
+    if found.status.state not in (READY, DRAINING):
         return None
     return InstanceRecord(
         item.name,
--- a/poplarlane/plumbing/agent_link.py
+++ b/poplarlane/plumbing/agent_link.py
@@ -12,6 +12,7 @@
 
 from poplarlane.logs import log
 from poplarlane.messages import ENCODER, VIEW_DECODER, EntryHello, EntryReport, ViewUpdate
+from poplarlane.plumbing.unreadable_objects import UnreadableObjects
 
 # Limit for an unreachable agent; each report supersedes the ones before it.
 SEND_QUEUE_MESSAGES = 16
@@ -61,6 +62,10 @@
     def notify_fleet(self) -> None:
         """Do nothing: entries with an agent exchange no messages."""
 
+    def unreadable_objects(self) -> list[UnreadableObjects]:
+        """Return nothing: the agent reads the objects."""
+        return []
+
     def close(self) -> None:
         """Close the socket."""
         if self.task is not None:
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -21,8 +21,9 @@
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.unreadable_objects import UnreadableObjects
 from poplarlane.relay_messages import FleetDigest
-from poplarlane.store_objects import ObjectChange, StoredObject, era_of
+from poplarlane.store_objects import ObjectChange, StoredObject, UnreadableObject, era_of
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.relay import Relay
@@ -49,7 +50,7 @@
         configuration_kind: str,
         configuration_name: str,
         configuration_of: Callable[[StoredObject], Configuration | str],
-        instance_of: Callable[[StoredObject], InstanceRecord | None],
+        instance_of: Callable[[StoredObject], InstanceRecord | str | None],
         version_of: Callable[[StoredObject], int],
     ) -> None:
         self.configuration_kind = configuration_kind
@@ -75,6 +76,7 @@
         "unconfirmed_kinds",
         "listed_at",
         "instances_era",
+        "untranslatable",
     )
 
     def __init__(
@@ -94,6 +96,8 @@
         self.listed_at = 0.0
         # Era of the store from which the instances were last read; None before the first list.
         self.instances_era: int | None = None
+        # Objects that were decoded but cannot be used, by kind.
+        self.untranslatable: dict[str, UnreadableObjects] = {}
         # Relay between nodes; None where every node follows the store itself.
         self.relay: Relay | None = None
         # Creates the relay, which a node needs only once it serves; None without a relay.
@@ -169,13 +173,21 @@
         self.listed_kinds.add(kind)
         if len(self.listed_kinds) == len(self.followers):
             self.listed_at = self.listed_at or self.shell.now()
+        invalid = self.invalid_objects(kind)
+        invalid.update([], invalid.by_name.keys() - {item.name for item in items})
         if kind == self.translation.configuration_kind:
             for item in items:
                 self.update_configuration(item)
         else:
             self.observe_era(kind)
             found = [self.translation.instance_of(item) for item in items]
-            usable = [record for record in found if record is not None]
+            usable = [record for record in found if isinstance(record, InstanceRecord)]
+            reasons = zip(items, found, strict=True)
+            invalid.replace(
+                UnreadableObject(item.name, item.revision, reason)
+                for item, reason in reasons
+                if isinstance(reason, str)
+            )
             self.directory.replace_instances(usable, self.shell.now())
             superseded = sum(
                 record.sequence <= self.directory.superseded.get(target_name(record), -1)
@@ -202,11 +214,13 @@
         has_changed = False
         for change in changes:
             if kind == self.translation.configuration_kind:
-                if not change.deleted:
+                if change.deleted:
+                    self.record_translated(kind, change.item, None)
+                else:
                     self.update_configuration(change.item)
                     has_changed = True
             else:
-                has_changed |= self.update_instance(change)
+                has_changed |= self.update_instance(kind, change)
         if has_changed:
             self.publish()
 
@@ -223,19 +237,38 @@
         if item.name != self.translation.configuration_name:
             return
         found = self.translation.configuration_of(item)
+        self.record_translated(self.translation.configuration_kind, item, found)
         if isinstance(found, str):
-            log("bad_object", "error", name=item.name, revision=item.revision, reason=found)
-        elif not self.directory.update_configuration(found):
+            return
+        if not self.directory.update_configuration(found):
             log("configuration_stale", "debug", version=found.version, revision=item.revision)
 
-    def update_instance(self, change: ObjectChange) -> bool:
+    def record_translated(self, kind: str, item: StoredObject, found: object) -> None:
+        """Record whether an object can be used; `found` is the reason as text if it cannot."""
+        faults = []
+        if isinstance(found, str):
+            faults.append(UnreadableObject(item.name, item.revision, found))
+        self.invalid_objects(kind).update(faults, [item.name])
+
+    def invalid_objects(self, kind: str) -> UnreadableObjects:
+        """Return the objects of a kind that were decoded but cannot be used."""
+        return self.untranslatable.setdefault(kind, UnreadableObjects(kind))
+
+    def unreadable_objects(self) -> list[UnreadableObjects]:
+        """Return the objects that cannot be decoded or used, by kind and cause."""
+        undecodable = [follower.unreadable for follower in self.followers]
+        return undecodable + list(self.untranslatable.values())
+
+    def update_instance(self, kind: str, change: ObjectChange) -> bool:
         """Process a change of one instance; return whether it affects routing.
 
         An unreadable object counts as deleted.
         """
         item = change.item
         found = None if change.deleted else self.translation.instance_of(item)
-        if found is None:
+        self.record_translated(kind, item, found)
+        if not isinstance(found, InstanceRecord):
+            found = None
             self.directory.remove_instance(item.name, self.shell.now())
         elif not self.directory.update_instance(found):
             return False
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -48,6 +48,7 @@
 from poplarlane.types import Target
 
 if TYPE_CHECKING:
+    from poplarlane.plumbing.unreadable_objects import UnreadableObjects
     from poplarlane.traces import Tracer
 
 # Callers may wait this long for a node that is starting; with its store away it takes longer, and
@@ -75,6 +76,9 @@
     def notify_fleet(self) -> None:
         """Send what other nodes have to know at once, where nodes exchange messages."""
 
+    def unreadable_objects(self) -> "list[UnreadableObjects]":
+        """Return the objects of a store that cannot be used, by kind and cause."""
+
     def close(self) -> None:
         """Close the link."""
 
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -17,7 +17,15 @@
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.plumbing.platform_client import PlatformClient, PlatformResponse
-from poplarlane.store_objects import ChangeBatch, ObjectChange, ObjectPage, StoredObject, era_of
+from poplarlane.plumbing.unreadable_objects import UnreadableObjects
+from poplarlane.store_objects import (
+    ChangeBatch,
+    ObjectChange,
+    ObjectPage,
+    StoredObject,
+    UnreadableObject,
+    era_of,
+)
 
 T = TypeVar("T")
 OK = 200
@@ -93,6 +101,7 @@
         "batch_delay_s",
         "era",
         "version_of",
+        "unreadable",
     )
 
     def __init__(
@@ -139,6 +148,8 @@
         # Returns the version of an object, which its writer raises with each change, or 0. A store
         # that comes back from a copy cannot replace an object by an older version.
         self.version_of: Callable[[StoredObject], int] | None = None
+        # Objects that could not be decoded when this node last read them from the store.
+        self.unreadable = UnreadableObjects(kind)
 
     def start(self) -> None:
         """List in the background; `set_enabled` decides whether a watch follows."""
@@ -160,8 +171,14 @@
         """Return the newest known revision, even after the store has dropped its history."""
         return max(self.revision, self.changed_revision)
 
-    def apply_changes(self, revision: int, changes: list[ObjectChange]) -> None:
+    def apply_changes(
+        self,
+        revision: int,
+        changes: list[ObjectChange],
+        unreadable: Iterable[UnreadableObject] = (),
+    ) -> None:
         """Apply all changes up to a revision."""
+        self.unreadable.update(unreadable, [change.item.name for change in changes])
         for change in changes:
             change.previous = self.objects.get(change.item.name)
             if self.is_newer(change.previous, None if change.deleted else change.item):
@@ -178,6 +195,7 @@
         if revision < self.revision:
             return False
         objects = {item.name: item for item in items}
+        self.unreadable.update([], objects)
         for name, held in self.objects.items():
             if self.is_newer(held, objects.get(name)):
                 objects[name] = held
@@ -241,6 +259,7 @@
     async def list_all(self) -> bool:
         """List all pages; the watch starts from the revision of the first one."""
         items: list[StoredObject] = []
+        unreadable: list[UnreadableObject] = []
         after = ""
         revision = 0
         allow_stale, self.allow_stale_list = self.allow_stale_list, False
@@ -255,8 +274,7 @@
                 return False
             revision = revision or page.revision
             items += page.items
-            if page.unreadable:
-                log("objects_unreadable", "warning", kind=self.kind, count=len(page.unreadable))
+            unreadable += page.unreadable
             if not page.has_more:
                 break
             if page.last_name in ("", after):
@@ -266,6 +284,7 @@
         else:
             log("list_too_long", "error", kind=self.kind, pages=MAX_PAGES)
             return False
+        self.unreadable.replace(unreadable)
         # Another node may have sent newer objects while the list was read.
         before, known = self.objects, self.changed_revision
         if self.replace_all(revision, items):
@@ -307,11 +326,12 @@
             # Another node has passed on a state of a later era meanwhile.
             return True
         if not changes or revision <= self.revision:
+            self.unreadable.update(found.unreadable, [])
             self.revision = max(self.revision, revision)
             self.mark_current()
             return True
         after = self.changed_revision
-        self.apply_changes(revision, changes)
+        self.apply_changes(revision, changes, found.unreadable)
         self.listener.changed(self.kind, after, revision, changes)
         self.mark_current()
         # Changes come in bursts; after the delay one response contains several of them.
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from poplarlane.decisions.configuration.directory import Directory
@@ -265,6 +266,9 @@
         "leaving_targets": sorted(state.leaving),
         "fleet_entries": state.fleet_entries,
         "statements": target_statements(shell),
+        "unreadable": [
+            item for found in shell.link.unreadable_objects() for item in found.document()
+        ],
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -302,6 +306,11 @@
     metrics = shell.metrics
     metrics.set("requests_in_flight", {}, len(shell.state.requests))
     metrics.set("caller_connections", {}, len(shell.callers))
+    unreadable = Counter()
+    for found in shell.link.unreadable_objects():
+        unreadable[found.kind] += len(found.by_name)
+    for kind, count in unreadable.items():
+        metrics.set("unreadable_objects", {"kind": kind}, count)
     for code, count in shell.results.items():
         metrics.set("answers", {"code": str(int(code))}, count)
     for name, service in shell.state.services.items():
--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -23,6 +23,7 @@
 )
 from poplarlane.programs.ctl.reports import error_report, show, usage_error
 from poplarlane.programs.ctl.trace_command import TraceCommand
+from poplarlane.programs.ctl.unreadable_command import UnreadableCommand
 
 VERSION = "0.1.0"
 COMMANDS = (
@@ -39,6 +40,7 @@
     WaitCommand,
     TraceCommand,
     LossesCommand,
+    UnreadableCommand,
 )
 
 
