Accept a decimal number of milliseconds as a caller's deadline

Cause: only digits were accepted, so X-Deadline-Ms: 1000.5 was answered 400. Change: up to nine digits, optionally with a point and a fraction; other forms stay a fault.

--- a/features/platform_translation.feature
+++ b/features/platform_translation.feature
@@ -32,6 +32,23 @@
       | a,b,c,d    | none    | 0       | 1.0  |
       | -1,0,6,100 | none    | 0       | 1.0  |
 
+  Scenario Outline: The time that a caller allows is a decimal number of milliseconds
+    # Guards against 400 for a caller that sends a fraction.
+    Then the deadline header "<value>" gives <deadline> ms
+
+    Examples:
+      | value      | deadline |
+      | 1000       | 1000     |
+      | 1000.5     | 1000.5   |
+      | 0.25       | 0.25     |
+      | 1000.      | no       |
+      | .5         | no       |
+      | 1e3        | no       |
+      | 1,000      | no       |
+      | -1         | no       |
+      | nan        | no       |
+      | 1000000000 | no       |
+
   Scenario: Any entry of a target is translated or names no target
     # Guards against an entry of another writer that ends the node or becomes a wrong target.
     Then for 2000 drawn entries, translation gives a usable instance or none and never fails
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -15,7 +15,11 @@
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.platform import store, translation
 from poplarlane.platform.headers import PLATFORM_HEADERS, read_load
-from poplarlane.plumbing.heads import NOT_RUN_STATUSES, read_response_head
+from poplarlane.plumbing.heads import (
+    NOT_RUN_STATUSES,
+    read_request_head,
+    read_response_head,
+)
 from poplarlane.store_objects import StoredObject
 
 PACKAGE = Path(__file__).resolve().parents[2] / "poplarlane"
@@ -181,6 +185,16 @@
     assert (found.running, found.waiting, found.slowdown) == (wanted, waiting, slowdown)
 
 
+@then('the deadline header "{value}" gives {deadline} ms')
+def step_deadline(context, value, deadline):
+    headers = [(b"host", b"a.example"), (b"x-deadline-ms", value.encode())]
+    head = read_request_head(b"GET", b"/", headers, True, PLATFORM_HEADERS)
+    if deadline == "no":
+        assert head.fault and head.deadline_ms is None, head.deadline_ms
+    else:
+        assert not head.fault and head.deadline_ms == float(deadline), head.fault
+
+
 @then("for {cases:d} drawn entries, translation gives a usable instance or none and never fails")
 def step_entries(context, cases):
     entry = {"spec": ENTRY_SPEC, "status": ENTRY_STATUS}
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -26,6 +26,8 @@
 NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Some callers send milliseconds with a fraction.
+DEADLINE_MS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,20})?")
 POPLAR_PREFIX = b"x-poplar-"
 REASONS = {
     200: b"OK",
@@ -185,13 +187,16 @@
         head.retried = value == b"1"
     elif lower == b"x-poplar-hedged":
         head.hedged_above = value == b"1"
-    elif lower in (names.deadline, b"x-attempt"):
-        if not value.isdigit() or len(value) > 9:
+    elif lower == names.deadline:
+        if DEADLINE_MS.fullmatch(value):
+            head.deadline_ms = float(value)
+        else:
             head.fault = f"{lower.decode()} is not a number"
-        elif lower == b"x-attempt":
+    elif lower == b"x-attempt":
+        if value.isdigit() and len(value) <= 9:
             head.attempt = max(1, int(value))
         else:
-            head.deadline_ms = float(value)
+            head.fault = f"{lower.decode()} is not a number"
 
 
 def use_absolute_form(head: RequestHead) -> None:
