Count only two failed calls in a row as an outage of the store

Cause: one failed watch, which may be cut at any time, started the grace period for entries that an outage may have expired; an entry that its target removed within 2 s was kept up to 2.3 s. Change: the store counts as unavailable after LOST_AFTER_FAILURES = 2 failed calls of a kind in a row, as it already did for other nodes; store_lost and store_reached are logged accordingly.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -297,6 +297,24 @@
     When 2.1 seconds have passed
     Then 2 of them are targets
 
+  Scenario Outline: Only an outage keeps entries that are removed
+    # Guards DRAIN: one watch that was cut kept an entry 2 s longer, which its target had removed.
+    Given a node with the targets "i-0" and "i-1" that reaches the store
+    When <failures> of its watches fail in a row, the next one succeeds and "i-1" is removed
+    Then its targets are "<targets>"
+
+    Examples:
+      | failures | targets |
+      | 0        | i-0     |
+      | 1        | i-0     |
+      | 2        | i-0,i-1 |
+      | 3        | i-0,i-1 |
+
+  Scenario: A removal that another node passes on after one failed watch takes effect
+    Given a node with the targets "i-0" and "i-1" that reaches the store
+    When 1 of its watches fail in a row and "i-1" is removed
+    Then its targets are "i-0"
+
   Scenario: A watch that is cut off alarms nobody
     # Guards the store's rates: one reset at the node that follows sent 281 of 313 nodes to the store.
     Given three nodes of a data centre of which the store turns away the chosen one and another
--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -14,12 +14,11 @@
 from hypothesis import strategies as st
 
 from features.steps.node_path_steps import ADMIN_PORT, metric_sum, read_metrics, wait_until
+from features.store_world import make_sync, target_entry
 from poplarlane import relay_messages
 from poplarlane.bench.processes import binary_path
 from poplarlane.change_encoding import encode_changes, encode_object, resolve_changes
-from poplarlane.decisions.configuration.directory import Directory
-from poplarlane.platform import store, translation
-from poplarlane.plumbing.directory_sync import DirectorySync, Translation
+from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.platform_client import PlatformResponse
 from poplarlane.store_objects import ObjectChange, StoredObject
@@ -218,25 +217,6 @@
     assert not context.succeeded and not context.lists and not context.follower.revision
 
 
-def target_entry(name, port):
-    """Write the record of a target."""
-    info = {"service": "reads", "zone": "a", "slots": 6}
-    return StoredObject(name, 3, {"address": f"127.0.0.1:{port}", "info": info}, {"state": "ready"})
-
-
-def make_sync():
-    """Create the directory of a node that has listed nothing yet, without a relay."""
-    shell = SimpleNamespace(state=SimpleNamespace(ready=False, fleet_entries=1), now=lambda: 100.0)
-    functions = Translation(
-        store.CONFIGURATION_KIND,
-        translation.CONFIGURATION_NAME,
-        translation.configuration_of,
-        translation.instance_of,
-        translation.version_of,
-    )
-    return DirectorySync(shell, Directory(0.2, "measured"), functions, 1)
-
-
 @given("entries of two targets and one with the port {port}")
 def step_ports(context, port):
     long = {"of 5,000 digits": "9" * 5_000, "of 5,000 zeros and 1": "0" * 5_000 + "1"}
--- a/poplarlane/decisions/membership/relays.py
+++ b/poplarlane/decisions/membership/relays.py
@@ -37,6 +37,9 @@
 # another node has confirmed the list; when the whole system starts there is time to wait longer.
 INITIAL_POLL_AFTER_S = 0.1
 BOOTSTRAP_POLL_AFTER_S = 1.5
+# Consecutive failed calls after which the store counts as unavailable. A single failed watch does
+# not count, because it may be cut off at any time; the short call after it shows the state.
+LOST_AFTER_FAILURES = 2
 # After this time a new or resumed node serves from its list even if no node has confirmed it.
 CONFIRMATION_TIMEOUT_S = 2.0
 # Fractions of the time in which an accepted change has to be in force everywhere. A watch, the next
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -11,6 +11,7 @@
 )
 from poplarlane.decisions.membership.relays import (
     CONFIRMATION_TIMEOUT_S,
+    LOST_AFTER_FAILURES,
     fleet_size,
     is_fleet_resized,
 )
@@ -69,6 +70,7 @@
         "translation",
         "followers",
         "reachable",
+        "failures",
         "listed_kinds",
         "fleet_entries",
         "relay",
@@ -86,8 +88,9 @@
         self.directory = directory
         self.translation = translation
         self.followers: list[ObjectFollower] = []
-        # Whether the last call for each kind succeeded.
+        # Whether the store answers calls for each kind, and the last calls that failed in a row.
         self.reachable: dict[str, bool] = {}
+        self.failures: dict[str, int] = {}
         self.listed_kinds: set[str] = set()
         self.fleet_entries = fleet_entries
         # Kinds not yet read from the store after a pause of this process.
@@ -285,6 +288,9 @@
                 self.shell.loop.call_soon(self.publish, True)
         if self.relay is not None:
             self.relay.store_call_finished(kind, succeeded)
+        self.failures[kind] = 0 if succeeded else self.failures.get(kind, 0) + 1
+        if 0 < self.failures[kind] < LOST_AFTER_FAILURES:
+            return
         before = self.reachable.get(kind)
         self.reachable[kind] = succeeded
         if before is None or before == succeeded:
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -42,8 +42,6 @@
 # A node without members repeats its hello sooner, because its connections are still opening.
 INITIAL_HELLO_INTERVAL_S = 0.03
 STARTUP_PERIOD_S = 2.0
-# Consecutive failed calls after which other nodes are told that the store does not respond.
-LOST_AFTER_FAILURES = 2
 
 
 class Relay:
@@ -302,7 +300,7 @@
                 self.heartbeat_due = 0.0
         elif (
             self.following
-            and failures >= LOST_AFTER_FAILURES
+            and failures >= relays.LOST_AFTER_FAILURES
             and self.contact_at.get(kind, 0.0) > 0.0
         ):
             self.contact_at[kind] = 0.0
