Install the handler of SIGHUP before a node loads its modules

Cause: the handler was installed after all imports and the settings, so SIGHUP in the first 0.15 s ended the process. Change: the entry point only installs a handler and then imports the daemon, which is in node_daemon.py now. A signal that arrives meanwhile reloads the settings once they are watched.

--- a/features/node_path.feature
+++ b/features/node_path.feature
@@ -155,6 +155,12 @@
     When the settings file becomes wrong without a signal
     Then the node refuses it and goes on serving
 
+  Scenario: A node that is told to reload its settings while it starts takes them
+    # Guards against a process that SIGHUP ends in its first 0.15 s.
+    Given a stand-in of the platform
+    When a node gets SIGHUP while it reads its settings, which then change to "extra_sends" 40
+    Then the node takes "extra_sends" and becomes ready
+
   Scenario: A failed request is explained from its id
     # Guards issue 12: code, targets, configuration and budget stand in one line.
     Given a node with 1 targets of the service "reads" and 2 of "books"
--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -11,7 +12,7 @@
 
 from behave import given, then, when
 
-from poplarlane.bench.processes import Launcher, binary_path
+from poplarlane.bench.processes import Launcher, Process, binary_path
 
 HOST = "h.example"
 STORE_PORT = 24_000
@@ -59,8 +60,8 @@
         """List the routes of the scenarios."""
         return [("/views/", views, SAFE_ROUTE), ("/bookings/", "books", UNSAFE_ROUTE)]
 
-    def start(self, counts, ready_event="ready"):
-        """Start the stand-in and the node; with None, do not wait for the node."""
+    def start_fleet(self, counts):
+        """Start the stand-in."""
         targets = {}
         for service, count in counts.items():
             self.names[service] = [f"{service}-{number}" for number in range(count)]
@@ -77,6 +78,10 @@
                 "configuration": self.configuration(5, self.usual_routes()),
             },
         )
+
+    def start(self, counts, ready_event="ready"):
+        """Start the stand-in and the node; with None, do not wait for the node."""
+        self.start_fleet(counts)
         self.node = self.launcher.start("poplarlane-node", self.node_settings(), ready_event)
 
     def node_settings(self):
@@ -484,6 +489,42 @@
     assert read_answer(context.caller)[0] == status
 
 
+def open_for_reader(path):
+    """Open a pipe for writing, once another process reads it; return the descriptor."""
+    until = time.monotonic() + ANSWER_LIMIT_S
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError):
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        time.sleep(CONNECT_POLL_S)
+    raise AssertionError("nobody reads the pipe")
+
+
+@given("a stand-in of the platform")
+def step_fleet_alone(context):
+    context.rig = NodeRig(context.resources.enter_context(Launcher()))
+    context.rig.start_fleet({"reads": 1, "books": 1})
+
+
+@when("a node gets SIGHUP while it reads its settings, which then change to " '"{key}" {value:d}')
+def step_early_reload(context, key, value):
+    rig = context.rig
+    changed = rig.launcher.settings_path("changed", rig.node_settings() | {key: value})
+    path = str(Path(changed).with_name("pipe.json"))
+    os.mkfifo(path)
+    rig.node = Process("node-1", [binary_path("poplarlane-node"), "--settings", path])
+    rig.launcher.processes["node-1"] = rig.node
+    with os.fdopen(open_for_reader(path), "w") as pipe:
+        rig.node.signal(signal.SIGHUP)
+        os.replace(changed, path)
+        json.dump(rig.node_settings(), pipe)
+
+
+@then('the node takes "{key}" and becomes ready')
+def step_ready_with(context, key):
+    context.rig.node.wait_for("settings_reloaded", taken=key)
+    context.rig.node.wait_for("ready")
+
+
 @when("the settings file becomes wrong without a signal")
 def step_wrong_file(context):
     context.rig.launcher.settings_path("node-1", context.rig.node_settings() | {"front": 7})
--- a/poplarlane/programs/node.py
+++ b/poplarlane/programs/node.py
@@ -1,57 +1,15 @@
-"""The node daemon: an entry that watches the platform's store itself, one process per VM.
+"""Entry point of the node daemon; installs a signal handler before the slow imports."""
 
-After a loss of all nodes, no requests are served until one has started, which takes most of a
-second on a third of a core. Modules that serving requests does not need are therefore loaded later.
-"""
-
-import asyncio
-import gc
 import signal
-import socket
-import sys
-
-from poplarlane.logs import load_eliot, log, start_logging_early
-from poplarlane.plumbing.acceptor import listen_early
-from poplarlane.settings import NodeSettings, checked_settings
-
-# Delays that let the first returning callers be served before the remaining modules are loaded.
-LOAD_LOGS_AFTER_S = 4.0
-LOAD_METRICS_AFTER_S = 5.0
 
 
 def main() -> None:
-    # Garbage collections during the start find nothing to free.
-    gc.disable()
-    settings, path = checked_settings(NodeSettings, "Run a proxy that watches the store.")
-    start_logging_early(settings.log_level, sys.stdout, process=settings.name)
-    listener = listen_early(settings.listen_address, settings.listen_port)
-    asyncio.run(run(settings, path, listener))
-
-
-async def run(settings: NodeSettings, path: str, listener: socket.socket) -> None:
-    """Serve until the drain is complete."""
-    from poplarlane.programs.composition import build_node, make_settings_watch
+    """Run a node; a request to reload the settings that arrives during the start is kept."""
+    early_reloads: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _frame: early_reloads.append(number))
+    from poplarlane.programs.node_daemon import start
 
-    shell, admin, ready = build_node(settings)
-    loop = asyncio.get_running_loop()
-    watch = make_settings_watch(settings, path, shell)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, shell.stop_signalled)
-    loop.add_signal_handler(signal.SIGHUP, watch.reload)
-    await shell.start(listener)
-    watch.start()
-    await ready.start(settings.listen_address, settings.ready_port)
-    await admin.start(settings.listen_address, settings.admin_port)
-    log("listening", address=settings.listen_address, port=settings.listen_port)
-    # By timer and not on readiness: a node without its store must not run on without collections.
-    loop.call_later(LOAD_LOGS_AFTER_S, gc.enable)
-    loop.call_later(LOAD_LOGS_AFTER_S, load_eliot)
-    loop.call_later(LOAD_METRICS_AFTER_S, shell.metrics.load)
-    await shell.stopped.wait()
-    ready.close()
-    admin.close()
-    await shell.close()
-    log("stopped")
+    start(early_reloads)
 
 
 if __name__ == "__main__":
