Skip shallow content in one match when separating items

Cause: each bracket and comma took a step of Python, so an unreadable value of 1 MB with many small arrays held up the event loop. Change: one pattern skips content of up to four levels of brackets.

--- a/poplarlane/json_slices.py
+++ b/poplarlane/json_slices.py
@@ -11,6 +11,21 @@
 import msgspec
 
 STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+FILLING = rb'[^\[\]{}"]*+'
+# Levels of brackets that one match of SHALLOW skips; deeper ones take a step of Python per bracket.
+SHALLOW_LEVELS = 4
+
+
+def shallow_pattern(levels: int) -> bytes:
+    """Return a pattern for content without brackets nested deeper than some levels."""
+    pattern = FILLING + rb"(?:" + STRING + FILLING + rb")*+"
+    for _ in range(levels):
+        group = rb"[\[{]" + pattern + rb"[\]}]"
+        pattern = FILLING + rb"(?:(?:" + STRING + rb"|" + group + rb")" + FILLING + rb")*+"
+    return pattern
+
+
+SHALLOW = re.compile(shallow_pattern(SHALLOW_LEVELS), re.DOTALL)
 # The last alternative is a string without an end.
 TOKEN = re.compile(STRING + rb'|[\[{]+|[\]}]+|,|"', re.DOTALL)
 KEY = re.compile(rb"\s*(" + STRING + rb")\s*:", re.DOTALL)
@@ -51,15 +66,19 @@
     if len(text) < 2 or not text.startswith(opening) or not text.endswith(closing):
         raise msgspec.DecodeError(f"not enclosed in {(opening + closing).decode()}")
     end = len(text) - 1
-    start, depth = 1, 0
-    for token in TOKEN.finditer(text, 1, end):
+    start, depth, at = 1, 0, 1
+    while token := TOKEN.search(text, at, end):
+        at = token.end()
         first, length = text[token.start()], token.end() - token.start()
         if first in OPENING:
             depth += length
+            at = SHALLOW.match(text, at, end).end()
         elif first in CLOSING:
             depth -= length
             if depth < 0:
                 raise msgspec.DecodeError("unbalanced brackets")
+            if depth:
+                at = SHALLOW.match(text, at, end).end()
         elif first == COMMA:
             if not depth:
                 yield text[start : token.start()]
