Check the limits of messages for a whole response at once

A deletion of an object beyond the limits was counted as unreadable. Change: the nesting of a response and the encoding of all its objects are checked together, and single objects only if that fails; a deletion needs a readable name only.

--- a/features/steps/unreadable_value_steps.py
+++ b/features/steps/unreadable_value_steps.py
@@ -310,6 +310,14 @@
     """Take a callback."""
 
 
+@then("an unreadable entry that is deleted counts as deleted only")
+def step_deleted(context):
+    for item in (DEEP, nested(900), LARGE, b'{"metadata":{"name":"x"},"spec":"\\udcff"}'):
+        body = b'{"events":[{"object":%s,"deleted":true}],"current_rev":9}' % item
+        batch = store.decode_changes(body)
+        assert [change.deleted for change in batch.changes] == [True] and not batch.unreadable
+
+
 @given('a follower that holds "a" and "b"')
 def step_holding(context):
     listener = SimpleNamespace(store_call_finished=ignore, confirmed=ignore, changed=ignore)
--- a/features/unreadable_values.feature
+++ b/features/unreadable_values.feature
@@ -82,3 +82,4 @@
     Then it holds "b" and counts "a" as unreadable
     When another node passes on a readable "a"
     Then it holds "a,b" and counts "" as unreadable
+    And an unreadable entry that is deleted counts as deleted only
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -1,6 +1,5 @@
 """HTTP API of the platform's store: request paths and response documents."""
 
-import re
 from typing import Annotated, Any
 from urllib.parse import quote, urlencode
 
@@ -30,11 +29,11 @@
 Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << ERA_SHIFT)]
 # Objects are compared, encoded and decoded by recursive functions, at different stack depths.
 MAX_NESTING = 100
-# Messages between nodes hold integers of 64 bits.
-MIN_INTEGER = -(1 << 63)
-MAX_INTEGER = (1 << 64) - 1
-# Objects with few brackets and no such number, as most records of targets, need no closer check.
-LONG_NUMBER = re.compile(rb"[0-9]{19}")
+# Levels of nesting that are checked on the raw text, which is faster than on the decoded content.
+SHALLOW_NESTING = 12
+NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
+# As in messages between nodes, which hold integers of 64 bits.
+MESSAGE_ENCODER = msgspec.msgpack.Encoder()
 
 
 class ObjectMetadata(msgspec.Struct):
@@ -121,8 +120,7 @@
     found = decode_document(body, LIST_DECODER)
     items, unreadable = [], []
     last_name = ""
-    for raw in found.items:
-        item = stored_object(raw, era)
+    for item in within_limits(body, [stored_object(raw, era) for raw in found.items]):
         last_name = item.name or last_name
         if isinstance(item, StoredObject):
             items.append(item)
@@ -137,13 +135,18 @@
     found = decode_document(body, EVENTS_DECODER)
     changes = []
     unreadable: dict[str, UnreadableObject] = {}
-    for raw in found.events:
-        item, deleted = stored_event(raw, era)
+    events = [stored_event(raw, era) for raw in found.events]
+    checked = within_limits(body, [item for item, _ in events])
+    for item, (_, deleted) in zip(checked, events, strict=True):
         if isinstance(item, StoredObject):
             unreadable.pop(item.name, None)
             changes.append(ObjectChange(item, deleted))
             continue
-        unreadable[item.name] = item
+        if deleted and is_utf8(item.name):
+            # Only the name of an object that is gone has to be readable.
+            unreadable.pop(item.name, None)
+        else:
+            unreadable[item.name] = item
         if is_utf8(item.name):
             # What the object was before is not valid any more.
             gone = StoredObject(item.name, item.revision, None, None)
@@ -187,11 +190,7 @@
         except (*DECODING_ERRORS, KeyError):
             return UnreadableObject("", 0, reason), False
         event = EventDocument(msgspec.Raw(text), deleted)
-    item = stored_object(event.object, era)
-    if event.deleted and isinstance(item, UnreadableObject) and is_utf8(item.name):
-        # Only the name of an object that is gone has to be readable.
-        item = StoredObject(item.name, item.revision, None, None)
-    return item, event.deleted
+    return stored_object(event.object, era), event.deleted
 
 
 def stored_object(raw: msgspec.Raw, era: int = 0) -> StoredObject | UnreadableObject:
@@ -202,19 +201,52 @@
         name, revision = identity_of(bytes(raw))
         return UnreadableObject(name, revision_in(era, revision), error_text(error))
     name, revision = found.metadata.name, revision_in(era, found.metadata.revision)
-    reason = excess(bytes(raw), [found.spec, found.status])
-    if reason:
-        return UnreadableObject(name, revision, reason)
     if not name:
         return UnreadableObject(name, revision, "empty name")
     return StoredObject(name, revision, found.spec, found.status)
 
 
-def excess(raw: bytes, content: list[object]) -> str:
-    """Return why an object cannot be passed to other nodes; empty if it can."""
-    if raw.count(b"[") + raw.count(b"{") <= MAX_NESTING and not LONG_NUMBER.search(raw):
-        return ""
-    level = content
+def within_limits(
+    body: bytes, items: list[StoredObject | UnreadableObject]
+) -> list[StoredObject | UnreadableObject]:
+    """Replace the objects of a response that cannot be passed to other nodes."""
+    contents = [(item.spec, item.status) for item in items if isinstance(item, StoredObject)]
+    if is_shallow(body) and is_encodable(contents):
+        return items
+    return [limited(item) if isinstance(item, StoredObject) else item for item in items]
+
+
+def limited(item: StoredObject) -> StoredObject | UnreadableObject:
+    """Return an object, as unreadable if it cannot be passed to other nodes."""
+    content = [item.spec, item.status]
+    if is_too_deep(content):
+        reason = f"nested deeper than {MAX_NESTING} levels"
+    elif not is_encodable(content):
+        reason = "integer beyond 64 bits"
+    else:
+        return item
+    return UnreadableObject(item.name, item.revision, reason)
+
+
+def is_encodable(contents: list[Any]) -> bool:
+    """Return whether contents can be encoded in a message."""
+    try:
+        MESSAGE_ENCODER.encode(contents)
+    except (OverflowError, RecursionError):
+        return False
+    return True
+
+
+def is_shallow(body: bytes) -> bool:
+    """Return whether no object of a response can be nested too deeply."""
+    brackets = body.translate(None, NOT_BRACKETS)
+    for _ in range(SHALLOW_NESTING):
+        brackets = brackets.replace(b"{}", b"").replace(b"[]", b"")
+    return not brackets
+
+
+def is_too_deep(level: list[object]) -> bool:
+    """Return whether values are nested deeper than MAX_NESTING levels."""
     for _ in range(MAX_NESTING):
         inner: list[object] = []
         for value in level:
@@ -222,12 +254,10 @@
                 inner += value.values()
             elif type(value) is list:
                 inner += value
-            elif type(value) is int and not MIN_INTEGER <= value <= MAX_INTEGER:
-                return "integer beyond 64 bits"
         if not inner:
-            return ""
+            return False
         level = inner
-    return f"nested deeper than {MAX_NESTING} levels"
+    return True
 
 
 def identity_of(raw: bytes) -> tuple[str, int]:
