--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -24,6 +24,7 @@
 from poplarlane.programs.ctl.quarantine_command import QuarantineCommand
 from poplarlane.programs.ctl.reports import error_report, show, usage_error
 from poplarlane.programs.ctl.trace_command import TraceCommand
+from poplarlane.programs.ctl.unreadable_command import UnreadableCommand
 
 VERSION = "0.1.0"
 COMMANDS = (
@@ -41,6 +42,7 @@
     TraceCommand,
     LossesCommand,
     QuarantineCommand,
+    UnreadableCommand,
 )
 
 
