Account held bodies and unread responses against the memory of the VM

Cause: a request body existed about four times while it was forwarded (its parts, their join, head and body joined, the transport's buffer), and the bound of 67 MB counted it once, whatever the VM's memory.

Change: a body stays in the parts that were read and is written to the target piece by piece as the target takes it. MemoryAccount bounds the bytes of bodies and of unread responses by memory_mb (new setting, from limits.memory_mb; default 152). A body of known length reserves its room before it is read; one that finds none is not read from for up to 2 s (at most half of its deadline) and is then refused with 503. Small bodies do not wait behind large ones.

The scenarios of memory.feature fail without the change. "A hedged read is answered by the second target ..." of entry_requests failed in one of three runs, at a load average of about 14; the cause is not known.

--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -16,6 +16,7 @@
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_execute import execute
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS
+from poplarlane.plumbing.memory_account import MemoryAccount
 
 HELD_LIMIT = 300_000
 MALFORMED = b"GET / HTTP/1.1\r\nhost: h\r\n folded: x\r\n\r\n"
@@ -29,7 +30,7 @@
         self.head_timeout_s = self.body_timeout_s = self.idle_timeout_s = 5.0
         self.max_head_bytes = self.max_body_bytes = 10_000
         self.header_names = DEFAULT_HEADERS
-        self.buffered_body_bytes = 0
+        self.memory = MemoryAccount(152_000_000)
         self.time = 1.0
         self.next_id = 1
         self.working = self.requests_by_id = {}
@@ -47,6 +48,9 @@
 
     def caller_closed(self, caller):
         self.gone += [request for request in caller.requests if request.request_id in self.working]
+        held = caller.reserved + caller.unread_bytes
+        held += sum(found.body_bytes + found.buffered_bytes for found in caller.requests)
+        self.memory.release(held)
         caller.requests.clear()
 
     def may_run_pipelined(self, request):
@@ -144,7 +148,7 @@
         assert sorted(shell.started) == sorted(paths), (seed, shell.started, found)
     if any(path == "" for path, _ in found):
         assert is_bad and found[-1][0] == "" and caller.transport.ended, (seed, found)
-    assert not shell.buffered_body_bytes, seed
+    assert not shell.memory.held, seed
     return len(paths)
 
 
--- a/features/steps/entry_fuzz_steps.py
+++ b/features/steps/entry_fuzz_steps.py
@@ -12,6 +12,7 @@
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS
 from poplarlane.plumbing.heads import read_response_head
+from poplarlane.plumbing.memory_account import MemoryAccount
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import TargetConnection
 from poplarlane.settings import EntrySettings
@@ -45,7 +46,7 @@
         self.answer = None
         self.failed = False
         self.parts = b""
-        self.buffered_body_bytes = 0
+        self.memory = MemoryAccount(152_000_000)
 
     def now(self):
         return 1.0
@@ -58,7 +59,7 @@
 
     def request_read(self, request):
         request.request_id = 1
-        self.requests.append((request.head.forwarded, request.body))
+        self.requests.append((request.head.forwarded, b"".join(request.body)))
 
     def may_run_pipelined(self, _request):
         return False
--- a/poplarlane/plumbing/caller_requests.py
+++ b/poplarlane/plumbing/caller_requests.py
@@ -12,6 +12,7 @@
 class CallerRequest:
     """A complete request; responses are written in the order of the requests.
 
+    The body is kept in the parts that were read; each further copy would count as much memory.
     `read_at` is in seconds of the shell's clock. `buffered` holds the part of the response that was
     produced while an earlier response on the connection was incomplete.
     """
@@ -20,6 +21,7 @@
         "caller",
         "head",
         "body",
+        "body_bytes",
         "is_http_11",
         "read_at",
         "request_id",
@@ -27,6 +29,7 @@
         "stream_chunked",
         "source",
         "buffered",
+        "buffered_bytes",
         "is_done",
     )
 
@@ -34,13 +37,15 @@
         self,
         caller: "CallerConnection",
         head: RequestHead,
-        body: bytes,
+        body: list[bytearray],
+        body_bytes: int,
         is_http_11: bool,
         read_at: float,
     ) -> None:
         self.caller = caller
         self.head = head
         self.body = body
+        self.body_bytes = body_bytes
         self.is_http_11 = is_http_11
         self.read_at = read_at
         # 0 until the request has been passed to the reducer.
@@ -50,6 +55,7 @@
         # The exchange whose response is streamed to the caller.
         self.source: Exchange | None = None
         self.buffered: list[bytes] = []
+        self.buffered_bytes = 0
         self.is_done = False
 
     def is_first(self) -> bool:
@@ -64,10 +70,20 @@
 
     def write(self, data: bytes) -> None:
         """Write part of the response, or buffer it while an earlier response is outstanding."""
-        if self.is_first():
-            self.caller.transport.write(data)
+        caller = self.caller
+        if caller.requests[0] is self:
+            caller.transport.write(data)
+            if caller.is_writing_paused:
+                caller.count_unread(caller.transport.get_write_buffer_size())
         else:
             self.buffered.append(data)
+            self.buffered_bytes += len(data)
+            caller.shell.memory.take(len(data))
+
+    def release_buffered(self) -> None:
+        """Take the buffered part of the response out of the memory account."""
+        size, self.buffered_bytes = self.buffered_bytes, 0
+        self.caller.shell.memory.release(size)
 
     def write_body(self, data: bytes) -> None:
         """Write a piece of a streamed body, as a chunk if the response is chunked."""
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -26,8 +26,13 @@
 
 # Chunk headers and extensions of a body may take this many bytes beyond the body itself.
 CHUNK_OVERHEAD_BYTES = 262_144
-# Limit over all callers; 2000 callers with the largest accepted body would take 2 GB.
-MAX_BUFFERED_BODY_BYTES = 67_108_864
+# Larger reads of 256 KB would be held for each caller whose body waits for memory.
+READ_BYTES = 65_536
+# Parts of a body are merged up to this size; small chunks would cost more than their bytes.
+BODY_PART_BYTES = 65_536
+# Time that a body waits for memory before its request is refused, at most half of its deadline.
+MEMORY_WAIT_S = 2.0
+MEMORY_RETRY_AFTER_S = 1.0
 # Pipelined input to buffer; without reading, a disconnect of the caller would go unnoticed.
 MAX_PENDING_INPUT_BYTES = 65_536
 # Time to wait for the caller to close the connection once the last response has been sent.
@@ -64,6 +69,9 @@
         "event",
         "parts",
         "body_bytes",
+        "reserved",
+        "is_awaiting_memory",
+        "unread_bytes",
         "raw_bytes",
         "previous_tail",
         "last_input",
@@ -92,8 +100,13 @@
         self.parser: h11.Connection | None = None
         self.buffer = b""
         self.event: h11.Request | None = None
-        self.parts: list[bytes] = []
+        self.parts: list[bytearray] = []
         self.body_bytes = 0
+        # Bytes of that body in the memory account, and whether it waits for room there.
+        self.reserved = 0
+        self.is_awaiting_memory = False
+        # Bytes of responses in the memory account that the caller has not read in time.
+        self.unread_bytes = 0
         self.raw_bytes = 0
         # The last input, and the last bytes of the input before it.
         self.previous_tail = b""
@@ -123,6 +136,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the caller, or close the connection when the limit is reached."""
         self.transport = transport
+        transport.max_size = READ_BYTES
         peer = transport.get_extra_info("peername")
         self.source = peer[0] if peer else ""
         transport.set_write_buffer_limits(high=self.shell.settings.stream_buffer_bytes)
@@ -140,6 +154,7 @@
     def pause_writing(self) -> None:
         """Apply backpressure: stop reading from the caller and from the streamed target."""
         self.is_writing_paused = True
+        self.count_unread(self.transport.get_write_buffer_size())
         self.transport.pause_reading()
         if self.requests:
             self.requests[0].pause_source()
@@ -147,13 +162,22 @@
     def resume_writing(self) -> None:
         """Resume reading from the streamed target and from the caller."""
         self.is_writing_paused = False
+        self.count_unread(0)
         if self.requests:
             self.requests[0].resume_source()
         self.read_pending()
 
+    def count_unread(self, size: int) -> None:
+        """Count the bytes of responses that the caller does not read in time."""
+        change, self.unread_bytes = size - self.unread_bytes, size
+        if change > 0:
+            self.shell.memory.take(change)
+        elif change:
+            self.shell.memory.release(-change)
+
     def may_read(self) -> bool:
         """Return whether another request may be read now."""
-        if self.closing or self.is_writing_paused:
+        if self.closing or self.is_writing_paused or self.is_awaiting_memory:
             return False
         requests = self.requests
         if not requests:
@@ -278,29 +302,79 @@
         if head.length > limit:
             self.refuse(413, f"body larger than {limit} bytes")
             return False
+        memory = self.shell.memory
+        if memory.held > memory.limit:
+            self.refuse_for_memory()
+            return False
+        if head.length and not memory.try_take(head.length):
+            self.await_memory()
+            return False
+        self.reserved = head.length
         self.expires_at = self.shell.now() + self.shell.body_timeout_s
         if head.chunked:
             self.chunk_sizes = ChunkSizes()
             end = self.last_input.find(HEAD_END)
             if not self.check_chunks(self.last_input[end + len(HEAD_END) :]):
                 return False
-        if head.expects and parser.they_are_waiting_for_100_continue and not self.requests:
+        if head.expects:
+            self.invite_body(parser)
+        return True
+
+    def invite_body(self, parser: h11.Connection) -> None:
+        """Send the interim response that a caller may wait for before it sends the body."""
+        if parser.they_are_waiting_for_100_continue and not self.requests:
             # A 100 cannot be sent before an outstanding response; the caller sends the body anyway.
             self.transport.write(CONTINUE)
-        return True
 
-    def handle_data(self, data: bytes) -> bool:
+    def await_memory(self) -> None:
+        """Stop reading until there is memory for the body, or refuse one that never fits."""
+        memory, head = self.shell.memory, self.head
+        if head.length > memory.large_limit:
+            self.refuse_for_memory()
+            return
+        wait_s = MEMORY_WAIT_S
+        if head.deadline_ms is not None:
+            wait_s = min(wait_s, head.deadline_ms / 2000.0)
+        self.expires_at = self.shell.now() + wait_s
+        self.is_awaiting_memory = True
+        memory.waiting.append(self)
+        self.transport.pause_reading()
+
+    def read_body(self) -> None:
+        """Read a body that waited, once the memory for it is reserved."""
+        self.is_awaiting_memory = False
+        self.reserved = self.head.length
+        self.expires_at = self.shell.now() + self.shell.body_timeout_s
+        if self.head.expects:
+            self.invite_body(self.parser)
+        if not self.is_writing_paused:
+            self.transport.resume_reading()
+        data = self.read_events(self.parser)
+        if data:
+            self.data_received(data)
+
+    def refuse_for_memory(self) -> None:
+        """Refuse a request for lack of memory."""
+        detail = "no memory is left for this request"
+        outcome = NotRun(ResultCode.QUEUE_FULL, detail, retry_after_s=MEMORY_RETRY_AFTER_S)
+        self.shell.malformed(self, outcome)
+
+    def handle_data(self, data: bytearray) -> bool:
         """Collect body bytes; return whether more may be read."""
         self.body_bytes += len(data)
-        self.shell.buffered_body_bytes += len(data)
-        if self.shell.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES:
-            detail = "too many bytes of request bodies are held"
-            self.shell.malformed(self, NotRun(ResultCode.QUEUE_FULL, detail))
-            return False
+        if self.head.chunked:
+            if not self.shell.memory.try_take(len(data)):
+                self.refuse_for_memory()
+                return False
+            self.reserved += len(data)
         if self.body_bytes > self.shell.max_body_bytes:
             self.refuse(413, f"body larger than {self.shell.max_body_bytes} bytes")
             return False
-        self.parts.append(bytes(data))
+        parts = self.parts
+        if parts and len(parts[-1]) + len(data) <= BODY_PART_BYTES:
+            parts[-1] += data
+        else:
+            parts.append(data)
         return True
 
     def handle_end(self, parser: h11.Connection) -> bytes:
@@ -311,8 +385,9 @@
             self.refuse(400, "bare LF at the end of a chunked body")
             return b""
         is_http_11 = self.event.http_version >= b"1.1"
-        body = b"".join(self.parts) if self.parts else b""
-        request = CallerRequest(self, head, body, is_http_11, self.shell.now())
+        request = CallerRequest(
+            self, head, self.parts, self.body_bytes, is_http_11, self.shell.now()
+        )
         self.reset_input()
         self.expires_at = 0.0
         self.close_after = self.close_after or head.close or not is_http_11
@@ -329,6 +404,7 @@
         self.head = None
         self.parts = []
         self.body_bytes = 0
+        self.reserved = 0
         self.raw_bytes = 0
         self.previous_tail = b""
         self.last_input = b""
@@ -341,8 +417,13 @@
     def respond_and_close(self, data: bytes) -> None:
         """Write an error response after the outstanding responses, then close."""
         self.expires_at = 0.0
-        self.shell.buffered_body_bytes -= self.body_bytes
+        if self.is_awaiting_memory:
+            self.is_awaiting_memory = False
+            self.shell.memory.stop_waiting(self)
+        reserved = self.reserved
         self.reset_input()
+        if reserved:
+            self.shell.memory.release(reserved)
         self.buffer = b""
         if self.requests:
             self.pending_refusal = data
@@ -356,7 +437,8 @@
         while requests and requests[0].is_done:
             done = requests.popleft()
             self.has_responded = True
-            self.shell.buffered_body_bytes -= len(done.body)
+            if done.body_bytes:
+                self.shell.memory.release(done.body_bytes)
             if requests:
                 self.write_buffered(requests[0])
         if requests:
@@ -378,7 +460,9 @@
         """Write the buffered part of a response that is next in order, and resume its target."""
         if request.buffered:
             buffered, request.buffered = request.buffered, []
-            self.transport.write(b"".join(buffered))
+            request.release_buffered()
+            for data in buffered:
+                request.write(data)
         if not self.is_writing_paused:
             request.resume_source()
 
@@ -444,5 +528,7 @@
                 self.transport.abort()
             else:
                 self.transport.close()
+        elif self.is_awaiting_memory:
+            self.refuse_for_memory()
         else:
             self.refuse(408, "the request arrived too slowly")
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -37,6 +37,8 @@
 if TYPE_CHECKING:
     from poplarlane.plumbing.entry_shell import EntryShell
 
+# A body up to this size is written together with its head.
+JOINED_BODY_BYTES = 16_384
 NO_BODY_STATUSES = (204, 304)
 # Idle connections of callers stay open this long after the listener has closed.
 IDLE_LINGER_S = 0.25
@@ -74,6 +76,8 @@
     is_head = head.method == b"HEAD"
     data = request_bytes(effect, request, shell)
     exchange = Exchange(effect.attempt_id, effect.request_id, is_head, head.request_id, data)
+    if request.body_bytes > JOINED_BODY_BYTES:
+        exchange.body = request.body
     shell.exchanges[effect.attempt_id] = exchange
     pool = shell.pool(effect.target)
     connection = pool.take(head.request_id)
@@ -88,10 +92,10 @@
 
 
 def request_bytes(effect: SendRequest, request: CallerRequest, shell: "EntryShell") -> bytes:
-    """Encode the request of one attempt, with the time that remains until its deadline."""
+    """Encode a request with the time until its deadline, and with its body if it is small."""
     left_ms = max(0, int((effect.deadline - shell.now()) * 1000.0))
     head = request.head
-    body = request.body
+    body_bytes = request.body_bytes
     names = shell.header_names
     parts = [head.forwarded, b"%b: %d\r\n" % (names.deadline, left_ms)]
     if names.adds_own_headers:
@@ -108,9 +112,10 @@
         parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
     elif head.traceparent:
         parts.append(b"traceparent: %b\r\n" % head.traceparent)
-    if body or head.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
-        parts.append(b"content-length: %d\r\n\r\n" % len(body))
-        parts.append(body)
+    if body_bytes or head.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
+        parts.append(b"content-length: %d\r\n\r\n" % body_bytes)
+        if body_bytes <= JOINED_BODY_BYTES:
+            parts += request.body
     else:
         parts.append(b"\r\n")
     return b"".join(parts)
@@ -261,6 +266,7 @@
     if not request.is_first():
         # The earlier responses on the connection must not be lost to a reset.
         request.buffered = []
+        request.release_buffered()
         execute_refuse(effect, shell)
         return
     del shell.requests_by_id[effect.request_id]
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -42,6 +42,7 @@
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
 from poplarlane.plumbing.heads import read_response_head, service_host
+from poplarlane.plumbing.memory_account import MemoryAccount
 from poplarlane.plumbing.pauses import PauseDetector
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.settings import EntrySettings, seeded_generator
@@ -59,6 +60,7 @@
 # Precise enough, because idle connections are closed seconds before targets close them.
 POOL_SWEEP_INTERVAL_S = 0.5
 FAULT_LOGS_PER_S = 20
+BYTES_PER_MB = 1_000_000
 MAX_CACHED_SOURCES = 4_096
 DEFAULT_CONNECTION_LIMIT = 13
 
@@ -120,7 +122,7 @@
         "body_timeout_s",
         "idle_timeout_s",
         "results",
-        "buffered_body_bytes",
+        "memory",
         "stop_at",
         "faults_logged",
         "faults_logged_second",
@@ -176,8 +178,7 @@
         # Log lines about faults of targets in the current second.
         self.faults_logged = 0
         self.faults_logged_second = 0
-        # Bytes of request bodies buffered for all callers.
-        self.buffered_body_bytes = 0
+        self.memory = MemoryAccount(settings.memory_mb * BYTES_PER_MB)
         self.pauses = PauseDetector()
         # Number of responses by result code.
         self.results: dict[int, int] = {}
@@ -266,9 +267,13 @@
         self.callers.pop(caller.caller_id, None)
         abandoned = list(caller.requests)
         caller.requests.clear()
-        self.buffered_body_bytes -= caller.body_bytes + sum(
-            len(request.body) for request in abandoned
-        )
+        if caller.is_awaiting_memory:
+            caller.is_awaiting_memory = False
+            self.memory.stop_waiting(caller)
+        held = caller.reserved + caller.unread_bytes
+        held += sum(request.body_bytes + request.buffered_bytes for request in abandoned)
+        if held:
+            self.memory.release(held)
         for request in abandoned:
             if self.requests_by_id.pop(request.request_id, None) is not None:
                 self.feed(CallerDisconnected(self.now(), self.random_value(), request.request_id))
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -21,6 +21,7 @@
         "is_head",
         "request_header_id",
         "data",
+        "body",
         "connection",
         "task",
         "head",
@@ -45,6 +46,8 @@
         self.is_head = is_head
         self.request_header_id = request_header_id
         self.data = data
+        # Parts of a body that is written piece by piece after the data.
+        self.body: list[bytearray] = []
         self.connection: TargetConnection | None = None
         self.task: asyncio.Task | None = None
         self.head: ResponseHead | None = None
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import select
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 import h11
@@ -60,6 +61,8 @@
         "skipped_bytes",
         "closed",
         "refused_id",
+        "unsent",
+        "is_writing_paused",
     )
 
     def __init__(self, shell: "EntryShell", pool: "ConnectionPool") -> None:
@@ -86,6 +89,9 @@
         self.closed = False
         # Request ID of the last response if the target refused the request as not run.
         self.refused_id = b""
+        # Parts of the request's body that are still to be written.
+        self.unsent: Iterator[bytearray] | None = None
+        self.is_writing_paused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection in its pool."""
@@ -102,6 +108,27 @@
         self.last_input = b""
         data, exchange.data = exchange.data, b""
         self.transport.write(data)
+        if exchange.body:
+            self.unsent = iter(exchange.body)
+            self.write_body()
+
+    def write_body(self) -> None:
+        """Write parts of the body while the target takes them."""
+        while self.unsent is not None and not self.is_writing_paused and not self.closed:
+            part = next(self.unsent, None)
+            if part is None:
+                self.unsent = None
+            else:
+                self.transport.write(part)
+
+    def pause_writing(self) -> None:
+        """Stop writing parts of the body until the target has taken some."""
+        self.is_writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue to write the body."""
+        self.is_writing_paused = False
+        self.write_body()
 
     def data_received(self, data: bytes) -> None:
         """Check heads and feed input to the parser."""
@@ -254,6 +281,7 @@
             self.reusable
             and head.reusable
             and not trailing
+            and self.unsent is None
             and not self.transport.get_write_buffer_size()
         )
         self.refused_id = head.request_id if head.metadata.not_run else b""
@@ -325,6 +353,7 @@
     def abort(self) -> None:
         """Close the connection at once."""
         self.reusable = False
+        self.unsent = None
         if not self.closed:
             self.closed = True
             self.pool.discard(self)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -167,6 +167,7 @@
         target_idle_ms=settings.target_idle_ms,
         max_caller_connections=settings.max_caller_connections,
         max_requests_in_turn=settings.max_requests_in_turn,
+        memory_mb=settings.memory_mb,
     )
 
 
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -69,6 +69,8 @@
     max_caller_connections: PositiveCount = 2_000
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
+    # Memory of the VM in millions of bytes; the default is that of the smallest one.
+    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
     drain_accept_ms: Milliseconds = 2_000
     drain_limit_ms: Milliseconds = 30_000
     tracing: TracingSettings = msgspec.field(default_factory=TracingSettings)
@@ -109,6 +111,8 @@
     max_caller_connections: PositiveCount = 2_000
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
+    # Memory of the VM in millions of bytes; the default is that of the smallest one.
+    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
     drain_accept_ms: Milliseconds = 2_500
     # Time between the stop signal and SIGKILL.
     grace_s: Annotated[float, Meta(gt=0.0)] = 6.0
