Count responses that are still arriving in the memory account

Cause: a response below hold_answer_bytes is held until it is complete, and many slow ones at once were not counted.

Change: parts of a response beyond 64 KB are counted until it is delivered, streamed, cancelled or failed. Smaller ones are not, which saves time per request. An unused method of MemoryAccount is removed.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -46,3 +46,11 @@
     Then 2 MB are held and another caller's read is refused with 503
     When the caller has read it
     Then no memory is held
+
+  Scenario: A response that arrives slowly counts as held
+    # Guards memory against many responses that are each below the size at which they are streamed.
+    Given a caller's connection with room for a body of 1 MB
+    When 200 KB of the response to its read have arrived
+    Then 200 KB are held
+    When that attempt is cancelled
+    Then no memory is held
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -1,14 +1,17 @@
 """Steps about the memory that is held for callers."""
 
 import tracemalloc
+from functools import partial
 
 from behave import given, then, when
 
 from features.recording_transport import RecordingTransport
 from features.steps.caller_turn_steps import TurnShell, message
-from poplarlane.decisions.requests.entry_effects import SendRequest
+from poplarlane.decisions.requests.entry_effects import CancelAttempt, SendRequest
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_execute import execute
+from poplarlane.plumbing.entry_shell import EntryShell
+from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.memory_account import COPIES, LARGE_SHARE, PROCESS_BYTES, MemoryAccount
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import TargetConnection
@@ -227,3 +230,24 @@
 def step_read(context):
     context.caller.transport.waiting = 0
     context.caller.resume_writing()
+
+
+@when("{size_kb:d} KB of the response to its read have arrived")
+def step_arrived(context, size_kb):
+    shell = context.shell
+    shell.settings.hold_answer_bytes = 262_144
+    shell.release_parts = partial(EntryShell.release_parts, shell)
+    exchange = Exchange(7, 1, False, b"", b"")
+    shell.exchanges = {7: exchange}
+    for _ in range(size_kb):
+        EntryShell.handle_response_data(shell, exchange, b"x" * 1_000)
+
+
+@then("{size_kb:d} KB are held")
+def step_kb_held(context, size_kb):
+    assert context.shell.memory.held == size_kb * 1_000, context.shell.memory.held
+
+
+@when("that attempt is cancelled")
+def step_cancelled(context):
+    execute(CancelAttempt(7), context.shell)
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -179,6 +179,7 @@
     exchange = shell.exchanges.pop(effect.attempt_id, None)
     if exchange is None:
         return
+    shell.release_parts(exchange)
     exchange.cancelled = True
     connection, exchange.connection = exchange.connection, None
     if connection is not None:
@@ -241,6 +242,7 @@
     exchange.streaming_to = request
     for data in buffered:
         request.write_body(data)
+    shell.release_parts(exchange)
     request.stream_from(exchange)
     shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -61,6 +61,8 @@
 POOL_SWEEP_INTERVAL_S = 0.5
 FAULT_LOGS_PER_S = 20
 BYTES_PER_MB = 1_000_000
+# Smaller responses mostly arrive and leave at once; counting them would cost time per request.
+UNCOUNTED_RESPONSE_BYTES = 65_536
 MAX_CACHED_SOURCES = 4_096
 DEFAULT_CONNECTION_LIMIT = 13
 
@@ -346,12 +348,22 @@
             return
         exchange.parts.append(bytes(data))
         exchange.buffered_bytes += len(data)
+        if exchange.buffered_bytes > UNCOUNTED_RESPONSE_BYTES:
+            uncounted = exchange.buffered_bytes - exchange.counted_bytes
+            exchange.counted_bytes += uncounted
+            self.memory.take(uncounted)
         if exchange.buffered_bytes > self.settings.hold_answer_bytes:
             metadata = exchange.head.metadata
             self.feed(
                 ResponseStarted(self.now(), self.random_value(), exchange.attempt_id, metadata)
             )
 
+    def release_parts(self, exchange: Exchange) -> None:
+        """Take the buffered part of a response out of the memory account."""
+        if exchange.counted_bytes:
+            size, exchange.counted_bytes = exchange.counted_bytes, 0
+            self.memory.release(size)
+
     def response_read(self, exchange: Exchange) -> None:
         """Report a complete response; the reducer ignores those of cancelled attempts."""
         metadata = exchange.head.metadata
@@ -365,6 +377,7 @@
             )
         )
         self.exchanges.pop(exchange.attempt_id, None)
+        self.release_parts(exchange)
 
     def interim_read(self, exchange: Exchange, event: h11.InformationalResponse) -> None:
         """Report what an interim response to a request says about its target."""
@@ -379,6 +392,7 @@
     def exchange_failed(self, exchange: Exchange, cause: FailureCause, detail: str) -> None:
         """Report an attempt or a probe that ended without a complete response."""
         self.exchanges.pop(exchange.attempt_id, None)
+        self.release_parts(exchange)
         if exchange.is_probe:
             self.feed(ProbeFailed(self.now(), self.random_value(), exchange.attempt_id))
             return
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -27,6 +27,7 @@
         "head",
         "parts",
         "buffered_bytes",
+        "counted_bytes",
         "streaming_to",
         "cancelled",
         "is_probe",
@@ -53,6 +54,8 @@
         self.head: ResponseHead | None = None
         self.parts: list[bytes] = []
         self.buffered_bytes = 0
+        # Bytes of the buffered parts that are in the memory account.
+        self.counted_bytes = 0
         self.streaming_to = None
         self.cancelled = False
         # A probe has an attempt ID but belongs to no request.
--- a/poplarlane/plumbing/memory_account.py
+++ b/poplarlane/plumbing/memory_account.py
@@ -32,10 +32,6 @@
         self.waiting: deque[CallerConnection] = deque()
         self.is_admitting = False
 
-    def is_full(self) -> bool:
-        """Return whether nothing more may be held."""
-        return self.held > self.limit
-
     def take(self, size: int) -> None:
         """Count bytes that are held whatever the limit is."""
         self.held += size
