Keep room for small bodies beside large bodies in chunks

Cause: a body of unknown length was counted chunk by chunk against the whole limit, so that one of them could take the room that is kept for small bodies.

Change: beyond 64 KB such a body is bounded like other large ones; it is refused with 503 when there is no room, because waiting could leave several such bodies waiting for each other.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -54,3 +54,9 @@
     Then 200 KB are held
     When that attempt is cancelled
     Then no memory is held
+
+  Scenario: A large body in chunks leaves room for small ones
+    # Guards the others: a body of unknown length took the room that is kept for small bodies.
+    Given a caller's connection with room for a body of 1 MB
+    When the caller sends chunks of 50 KB until it is refused
+    Then it got status 503 and another caller's body of 60 KB found room meanwhile
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -251,3 +251,23 @@
 @when("that attempt is cancelled")
 def step_cancelled(context):
     execute(CancelAttempt(7), context.shell)
+
+
+@when("the caller sends chunks of {size_kb:d} KB until it is refused")
+def step_until_refused(context, size_kb):
+    shell, caller = context.shell, context.caller
+    shell.max_body_bytes = 10 * MB
+    caller.data_received(b"POST /b HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n")
+    chunk = b"%x\r\n%b\r\n" % (size_kb * 1_000, b"x" * size_kb * 1_000)
+    context.held_most = 0
+    while not caller.transport.written:
+        caller.data_received(chunk)
+        context.held_most = max(context.held_most, shell.memory.held)
+
+
+@then("it got status 503 and another caller's body of {size_kb:d} KB found room meanwhile")
+def step_room_left(context, size_kb):
+    assert context.caller.transport.written.startswith(b"HTTP/1.1 503")
+    memory = context.shell.memory
+    assert memory.limit - context.held_most >= size_kb * 1_000, (memory.limit, context.held_most)
+    assert memory.held == 0
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -363,7 +363,7 @@
         """Collect body bytes; return whether more may be read."""
         self.body_bytes += len(data)
         if self.head.chunked:
-            if not self.shell.memory.try_take(len(data)):
+            if not self.shell.memory.try_extend(len(data), self.body_bytes):
                 self.refuse_for_memory()
                 return False
             self.reserved += len(data)
--- a/poplarlane/plumbing/memory_account.py
+++ b/poplarlane/plumbing/memory_account.py
@@ -46,6 +46,14 @@
         self.held += size
         return True
 
+    def try_extend(self, size: int, body_bytes: int) -> bool:
+        """Count a part of a body of unknown length, which has `body_bytes` with it, if it fits."""
+        limit = self.limit if body_bytes <= SMALL_BODY_BYTES else self.large_limit
+        if self.held + size > limit:
+            return False
+        self.held += size
+        return True
+
     def release(self, size: int) -> None:
         """Count bytes as no longer held, and admit waiting bodies."""
         self.held -= size
