--- a/features/quarantine_world.py
+++ b/features/quarantine_world.py
@@ -46,7 +46,7 @@
     def fingerprint(self, customer):
         """Compute the digest."""
         Content.computed += 1
-        return fingerprints.digest(customer, "h.example", b"GET", self.path.encode(), self.body)
+        return fingerprints.digest(customer, "h.example", b"GET", self.path.encode(), [self.body])
 
 
 def make_catalogue(targets):
--- a/features/steps/quarantine_path_steps.py
+++ b/features/steps/quarantine_path_steps.py
@@ -204,7 +204,7 @@
 @then("poplarctl quarantine shows the request and its targets at both nodes")
 def step_ctl(context):
     rig = context.rig
-    digest = fingerprints.digest("", HOST, b"GET", DEADLY.encode(), b"")
+    digest = fingerprints.digest("", HOST, b"GET", DEADLY.encode(), [])
     nodes = [f"{address}:{ADMIN_PORT}" for address in rig.addresses]
     command = [binary_path("poplarctl"), "quarantine", *nodes]
     done = subprocess.run(command, capture_output=True, text=True, timeout=20)
--- a/poplarlane/decisions/quarantine/fingerprints.py
+++ b/poplarlane/decisions/quarantine/fingerprints.py
@@ -1,6 +1,7 @@
 """Digests by which nodes recognise the same request."""
 
 import hashlib
+from collections.abc import Sequence
 from typing import Protocol
 
 DIGEST_BYTES = 16
@@ -13,15 +14,19 @@
         """Return the digest of the content as sent by a customer."""
 
 
-def digest(customer: str, host: str, method: bytes, path: bytes, body: bytes) -> bytes:
-    """Return the digest of a request.
+def digest(
+    customer: str, host: str, method: bytes, path: bytes, body: Sequence[bytes | bytearray]
+) -> bytes:
+    """Return the digest of a request, whose body comes in parts of any size.
 
     The hash is cryptographic: nobody can craft a request with the digest of another one to get that
-    refused. Each part is preceded by its length, so that different requests differ in the input.
+    refused. Each field is preceded by its length, so that different requests differ in the input.
     """
     state = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (customer.encode(), host.encode("utf-8", "surrogateescape"), method, path, body):
-        state.update(len(part).to_bytes(8, "big"))
+    for field in (customer.encode(), host.encode("utf-8", "surrogateescape"), method, path):
+        state.update(len(field).to_bytes(8, "big"))
+        state.update(field)
+    for part in body:
         state.update(part)
     return state.digest()
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -42,6 +42,7 @@
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
 from poplarlane.plumbing.heads import read_response_head, service_host
+from poplarlane.plumbing.memory_account import MemoryAccount
 from poplarlane.plumbing.pauses import PauseDetector
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.settings import EntrySettings, seeded_generator
@@ -60,6 +61,9 @@
 # Precise enough, because idle connections are closed seconds before targets close them.
 POOL_SWEEP_INTERVAL_S = 0.5
 FAULT_LOGS_PER_S = 20
+BYTES_PER_MB = 1_000_000
+# Smaller responses mostly arrive and leave at once; counting them would cost time per request.
+UNCOUNTED_RESPONSE_BYTES = 65_536
 MAX_CACHED_SOURCES = 4_096
 DEFAULT_CONNECTION_LIMIT = 13
 
@@ -124,7 +128,7 @@
         "body_timeout_s",
         "idle_timeout_s",
         "results",
-        "buffered_body_bytes",
+        "memory",
         "stop_at",
         "faults_logged",
         "faults_logged_second",
@@ -180,8 +184,7 @@
         # Log lines about faults of targets in the current second.
         self.faults_logged = 0
         self.faults_logged_second = 0
-        # Bytes of request bodies buffered for all callers.
-        self.buffered_body_bytes = 0
+        self.memory = MemoryAccount(settings.memory_mb * BYTES_PER_MB)
         self.pauses = PauseDetector()
         # Number of responses by result code.
         self.results: dict[int, int] = {}
@@ -270,9 +273,13 @@
         self.callers.pop(caller.caller_id, None)
         abandoned = list(caller.requests)
         caller.requests.clear()
-        self.buffered_body_bytes -= caller.body_bytes + sum(
-            len(request.body) for request in abandoned
-        )
+        if caller.is_awaiting_memory:
+            caller.is_awaiting_memory = False
+            self.memory.stop_waiting(caller)
+        held = caller.reserved + caller.unread_bytes
+        held += sum(request.body_bytes + request.buffered_bytes for request in abandoned)
+        if held:
+            self.memory.release(held)
         for request in abandoned:
             if self.requests_by_id.pop(request.request_id, None) is not None:
                 self.feed(CallerDisconnected(self.now(), self.random_value(), request.request_id))
@@ -346,12 +353,22 @@
             return
         exchange.parts.append(bytes(data))
         exchange.buffered_bytes += len(data)
+        if exchange.buffered_bytes > UNCOUNTED_RESPONSE_BYTES:
+            uncounted = exchange.buffered_bytes - exchange.counted_bytes
+            exchange.counted_bytes += uncounted
+            self.memory.take(uncounted)
         if exchange.buffered_bytes > self.settings.hold_answer_bytes:
             metadata = exchange.head.metadata
             self.feed(
                 ResponseStarted(self.now(), self.random_value(), exchange.attempt_id, metadata)
             )
 
+    def release_parts(self, exchange: Exchange) -> None:
+        """Take the buffered part of a response out of the memory account."""
+        if exchange.counted_bytes:
+            size, exchange.counted_bytes = exchange.counted_bytes, 0
+            self.memory.release(size)
+
     def response_read(self, exchange: Exchange) -> None:
         """Report a complete response; the reducer ignores those of cancelled attempts."""
         metadata = exchange.head.metadata
@@ -365,6 +382,7 @@
             )
         )
         self.exchanges.pop(exchange.attempt_id, None)
+        self.release_parts(exchange)
 
     def interim_read(self, exchange: Exchange, event: h11.InformationalResponse) -> None:
         """Report what an interim response to a request says about its target."""
@@ -379,6 +397,7 @@
     def exchange_failed(self, exchange: Exchange, cause: FailureCause, detail: str) -> None:
         """Report an attempt or a probe that ended without a complete response."""
         self.exchanges.pop(exchange.attempt_id, None)
+        self.release_parts(exchange)
         if exchange.is_probe:
             self.feed(ProbeFailed(self.now(), self.random_value(), exchange.attempt_id))
             return
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -21,11 +21,13 @@
         "is_head",
         "request_header_id",
         "data",
+        "body",
         "connection",
         "task",
         "head",
         "parts",
         "buffered_bytes",
+        "counted_bytes",
         "streaming_to",
         "cancelled",
         "is_probe",
@@ -45,11 +47,15 @@
         self.is_head = is_head
         self.request_header_id = request_header_id
         self.data = data
+        # Parts of a body that is written piece by piece after the data.
+        self.body: list[bytearray] = []
         self.connection: TargetConnection | None = None
         self.task: asyncio.Task | None = None
         self.head: ResponseHead | None = None
         self.parts: list[bytes] = []
         self.buffered_bytes = 0
+        # Bytes of the buffered parts that are in the memory account.
+        self.counted_bytes = 0
         self.streaming_to = None
         self.cancelled = False
         # A probe has an attempt ID but belongs to no request.
