Limit what cold targets get from all nodes together

Cause: targets that have just started sustain cold_per_s requests a second from all nodes and crash well above that; nodes used the remaining time of a slow start only as a factor of the expected completion time, and missed records in which nothing else had changed.

Change: cold_per_s and cold_start_s of services, cold_remaining_s of records and X-Cold-Remaining-Ms of probes are kept as deadlines, the newest wins. Each node sends a cold target requests by its static part of the rate, with the permits of named rates; window, ratio and requests are parameters now. A node that does not know the others sends cold targets nothing while the service has a warm one. Settings cold_overage and cold_slack.

--- a/poplarlane/bench/model_targets.py
+++ b/poplarlane/bench/model_targets.py
@@ -56,6 +56,7 @@
         "grey_share",
         "rate_limit_per_s",
         "begun_at",
+        "cold_until",
         "started_at",
     )
 
@@ -86,6 +87,8 @@
         self.rate_limit_per_s: float | None = None
         # When attempts were begun.
         self.begun_at: list[float] = []
+        # End of the time for which it says that it is cold; 0 while it says nothing.
+        self.cold_until = 0.0
         self.started_at = -COLD_S
 
     def change_pace(self, now: float) -> None:
--- a/poplarlane/bench/service_model.py
+++ b/poplarlane/bench/service_model.py
@@ -78,6 +78,9 @@
     fault_ends_at: float = math.inf
     lost_targets: int = 0
     cold_targets: int = 0
+    # Rate that cold targets sustain, and how long they say that they stay cold.
+    cold_per_s: float = 0.0
+    cold_for_s: float = 3.0
     limited_targets: int = 0
     rate_limit_per_s: float = 0.0
     idempotent: bool = True
@@ -165,6 +168,8 @@
         found.in_flight = float(target.running + len(target.waiting))
         found.slowdown = target.slowdown
         found.rate_limit_per_s = target.rate_limit_per_s
+        if target.cold_until:
+            found.cold_s = max(0.0, target.cold_until - self.model.now)
         return found
 
     @singledispatchmethod
@@ -288,10 +293,11 @@
             pattern.idempotent,
         )
         parts = [WeightedService(SERVICE, 1.0)]
+        record = ServiceRecord(SERVICE, "/load", 330, pattern.cold_per_s)
         route = Route("model", HOST, "/", kind, pattern.aim_s, 2, parts)
-        return Configuration(1, [route], [ServiceRecord(SERVICE, "/load", 330)], None)
+        return Configuration(1, [route], [record], None)
 
-    def add_target(self, number: int) -> ModelTarget:
+    def add_target(self, number: int, cold_s: float = 0.0) -> ModelTarget:
         """Add a target to the model and to the directory."""
         record = InstanceRecord(
             f"t{number}",
@@ -303,13 +309,13 @@
             self.pattern.shape.slots,
             False,
             1,
-            0.0,
+            cold_s,
         )
         name = target_name(record)
         generator = random.Random(self.generator.getrandbits(64))
         target = ModelTarget(name, record.data_centre, self.pattern.shape, self.schedule, generator)
         self.targets[name] = target
-        self.directory.update_instance(record)
+        self.directory.update_instance(record, self.now)
         target.change_pace(self.now)
         return target
 
@@ -361,8 +367,12 @@
             self.targets[name].rate_limit_per_s = pattern.rate_limit_per_s
         for name in names[: pattern.lost_targets]:
             self.directory.remove_instance(name.split(".")[0], now)
-        for number in range(pattern.cold_targets):
-            self.add_target(len(self.targets) + number).started_at = now
+        for _ in range(pattern.cold_targets):
+            cold_s = pattern.cold_for_s if pattern.cold_per_s else 0.0
+            target = self.add_target(len(self.targets), cold_s)
+            target.started_at = now
+            if pattern.cold_per_s:
+                target.cold_until = now + cold_s
         if pattern.lost_targets or pattern.cold_targets:
             self.publish()
 
--- a/poplarlane/decisions/choice/completion.py
+++ b/poplarlane/decisions/choice/completion.py
@@ -33,7 +33,7 @@
 def expected_slowdown(load: TargetLoad, slowdowns: Slowdowns, now: float) -> float:
     """Return the slowdown of a target, decayed from its last report towards the mean."""
     slowdown = expected(slowdowns, load.slowdown, now - load.measured_at)
-    return slowdown * COLD_FACTOR if now < load.cold_until else slowdown
+    return slowdown * COLD_FACTOR if now < load.statements.cold_until else slowdown
 
 
 def requests_at_target(load: TargetLoad) -> int:
--- a/poplarlane/decisions/choice/dispatching.py
+++ b/poplarlane/decisions/choice/dispatching.py
@@ -20,6 +20,7 @@
 )
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.choice.routing import choose_target
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health.trials import take_due_trial
 from poplarlane.decisions.probes import probe_rounds
@@ -148,6 +149,8 @@
     if are_paused(targets, now):
         detail = "every target has turned requests away for a time"
         return NotRun(ResultCode.TARGETS_PAUSED, detail, 503, after_s)
+    if cold_permits.all_limited(targets, now):
+        return NotRun(ResultCode.RATE_LIMITED, "every target is cold", 503, after_s)
     return NotRun(ResultCode.RATE_LIMITED, "the targets' rates are used up", 503, after_s)
 
 
--- a/poplarlane/decisions/choice/permissions.py
+++ b/poplarlane/decisions/choice/permissions.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from poplarlane.decisions.choice.rate_limits import has_permit, next_permit_at
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.types import TargetLoad
 
 
@@ -12,12 +13,17 @@
     found = load.statements
     if found.paused_until > now or (found.is_returning and load.outstanding):
         return False
+    if found.cold_until > now and cold_permits.is_limited(load, now):
+        return cold_permits.has_permit(load, now) and has_permit(load, now)
     return has_permit(load, now)
 
 
 def next_send_at(load: TargetLoad, now: float) -> float:
     """Return the earliest instant at which the target may be sent a request; past means now."""
-    return max(load.statements.paused_until, next_permit_at(load, now))
+    at = max(load.statements.paused_until, next_permit_at(load, now))
+    if load.statements.cold_until > now and cold_permits.is_limited(load, now):
+        return max(at, cold_permits.next_permit_at(load, now))
+    return at
 
 
 def first_send_at(loads: Iterable[TargetLoad], now: float) -> float:
--- a/poplarlane/decisions/choice/statements.py
+++ b/poplarlane/decisions/choice/statements.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from poplarlane.decisions.choice import rate_limits
+from poplarlane.decisions.cold import cold_targets
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.requests.drain import mark_leaving
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
@@ -51,6 +52,8 @@
         load.statements.heard_at = state.now
         mark_leaving(state, load.target, source.value, effects)
     observe_pause(state, load, metadata, source, random_value, effects)
+    if metadata.cold_s is not None and source is not Source.INTERIM:
+        cold_targets.observe(state, load, metadata.cold_s, random_value, effects)
     if not metadata.malformed_statements:
         limit_per_s = metadata.rate_limit_per_s
         observe_rate_limit(state, load, limit_per_s, source, random_value, effects)
--- /dev/null
+++ b/poplarlane/decisions/cold/__init__.py
@@ -0,0 +1,1 @@
+"""What targets bear just after their start."""
--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -3,6 +3,7 @@
 from poplarlane.decisions.choice import statements
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.choice.shares import update_shares
+from poplarlane.decisions.cold import cold_targets
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.configuration.route_table import RouteTable
 from poplarlane.decisions.configuration.views import apply_service, close_removed_targets
@@ -25,6 +26,10 @@
     catalogue = event.catalogue
     resized = event.fleet_entries != state.fleet_entries
     state.fleet_entries = max(1, event.fleet_entries)
+    state.now = event.now
+    is_newly_known = event.is_fleet_known != state.is_fleet_known
+    state.is_fleet_known = event.is_fleet_known
+    cold_targets.observe_fleet(state, event.now)
     changed = [
         service_object
         for name, service_object in catalogue.services.items()
@@ -33,6 +38,8 @@
     for service_object in changed:
         apply_service_change(state, service_object, catalogue, event.now, effects)
     state.catalogue.update(catalogue.services)
+    is_divided_anew = resized or is_newly_known
+    cold_targets.apply_catalogue(state, catalogue, is_divided_anew, event.random_value, effects)
     statements.forget_absent(state, event.now)
     set_probe_rate(state, event.now)
     apply_routes(state, catalogue, effects)
@@ -88,7 +95,10 @@
     added = [load for name, load in service.loads.items() if previous.get(name) is not load]
     for load in added:
         warm_up_s = catalogue.warm_up_s.get(load.target.name, 0.0)
-        load.cold_until = now + warm_up_s
+        if service.name in catalogue.cold_per_s:
+            # Permits limit what such a target gets.
+            continue
+        load.statements.cold_until = now + warm_up_s if warm_up_s else 0.0
         if warm_up_s and current is not None:
             health.start_ramp(load, now)
     update_shares(service, effects)
--- a/poplarlane/decisions/configuration/directory.py
+++ b/poplarlane/decisions/configuration/directory.py
@@ -14,18 +14,39 @@
 EXPIRED_ENTRY_GRACE_S = 2.0
 # Copies of the store are some seconds old; what left longer ago is not in them any more.
 KEPT_DEPARTURES_S = 120.0
+# Instances rewrite their records each second; deadlines that differ by less are the same, because a
+# record is up to a second on its way.
+COLD_LATER_S = 0.1
+COLD_EARLIER_S = 1.0
+# Time that a record may have been on its way.
+RECORD_DELAY_S = 2.0
+# A longer time is taken for a mistake.
+MAX_COLD_S = 600.0
 ALLOW_ALL_SELECTORS = {"all": SelectorObject(callers="", targets="")}
 
 
 class ServiceRecord:
-    """The configuration of one service."""
+    """The configuration of one service.
 
-    __slots__ = ("name", "probe_path", "max_connections")
+    A target that has just started sustains `cold_per_s` requests per second from all nodes for
+    `cold_start_s`; 0 means any number.
+    """
+
+    __slots__ = ("name", "probe_path", "max_connections", "cold_per_s", "cold_start_s")
 
-    def __init__(self, name: str, probe_path: str, max_connections: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        probe_path: str,
+        max_connections: int,
+        cold_per_s: float = 0.0,
+        cold_start_s: float = 0.0,
+    ) -> None:
         self.name = name
         self.probe_path = probe_path
         self.max_connections = max_connections
+        self.cold_per_s = cold_per_s
+        self.cold_start_s = cold_start_s
 
 
 class Configuration:
@@ -105,7 +126,15 @@
 class Catalogue:
     """What an entry needs for serving: services with their targets, routes and caller limits."""
 
-    __slots__ = ("services", "routes", "version", "caller_limits", "warm_up_s")
+    __slots__ = (
+        "services",
+        "routes",
+        "version",
+        "caller_limits",
+        "warm_up_s",
+        "cold_per_s",
+        "cold",
+    )
 
     def __init__(
         self,
@@ -119,6 +148,14 @@
         self.caller_limits = configuration.caller_limits
         # Remaining time of the slow start, by target name.
         self.warm_up_s = warm_up_s
+        # Rate that cold targets sustain, by service, where there is one.
+        self.cold_per_s = {
+            record.name: record.cold_per_s
+            for record in configuration.services
+            if record.cold_per_s > 0.0
+        }
+        # End of the cold time and when it was stated, by target name.
+        self.cold: dict[str, tuple[float, float]] = {}
 
 
 class Directory:
@@ -131,6 +168,7 @@
         "grace_until",
         "departures",
         "superseded",
+        "cold",
         "is_disconnected",
         "retry_ratio",
         "policy",
@@ -148,6 +186,8 @@
         # Processes that had left when the store came back from a copy, which may name them as they
         # were before: records up to this sequence do not count.
         self.superseded: dict[str, int] = {}
+        # End of the cold time of targets by their records and when it was stated, by target name.
+        self.cold: dict[str, tuple[float, float]] = {}
         # Whether the platform does not answer this process; other nodes may still pass on changes.
         self.is_disconnected = False
         self.retry_ratio = retry_ratio
@@ -160,7 +200,7 @@
         self.configuration = found
         return True
 
-    def update_instance(self, found: InstanceRecord) -> bool:
+    def update_instance(self, found: InstanceRecord, now: float = -math.inf) -> bool:
         """Record an instance; return whether this changes what callers see.
 
         Instances rewrite their entries every second or two, mostly without a change.
@@ -173,7 +213,34 @@
         held = self.instances.get(found.instance)
         self.instances[found.instance] = found
         was_expired = self.expired.pop(found.instance, None) is not None
-        return was_expired or held is None or not held.is_equivalent(found)
+        is_colder = self.update_cold(held, found, now)
+        return was_expired or is_colder or held is None or not held.is_equivalent(found)
+
+    def update_cold(self, held: InstanceRecord | None, found: InstanceRecord, now: float) -> bool:
+        """Record how long a target stays cold; return whether the end has changed.
+
+        A record that was read before is not a new statement.
+        """
+        name = target_name(found)
+        is_same = held is not None and target_name(held) == name
+        if is_same and held.sequence and found.sequence <= held.sequence:
+            return False
+        known = self.cold.get(name)
+        if not found.warm_up_s and known is None:
+            return False
+        until = now + min(found.warm_up_s, MAX_COLD_S)
+        before = now if known is None else max(known[0], now)
+        if before - COLD_EARLIER_S <= until <= before + COLD_LATER_S:
+            return False
+        # An earlier end may have been written before what the target has said since.
+        heard_at = now - RECORD_DELAY_S if until < before else now
+        self.cold[name] = (until, heard_at)
+        return found.service in self.cold_services()
+
+    def cold_services(self) -> set[str]:
+        """Return the services whose cold targets sustain only a certain rate."""
+        services = self.configuration.services if self.configuration is not None else []
+        return {service.name for service in services if service.cold_per_s > 0.0}
 
     def remove_instance(self, instance: str, now: float) -> None:
         """Remove an instance, after a grace period if an outage may have expired its entry."""
@@ -191,7 +258,7 @@
             if instance not in listed:
                 self.remove_instance(instance, now)
         for record in found:
-            self.update_instance(record)
+            self.update_instance(record, now)
 
     def mark_disconnected(self) -> None:
         """Record that the platform does not answer."""
@@ -219,6 +286,9 @@
         ended = [name for name, (_, until) in self.expired.items() if now >= until]
         for name in ended:
             del self.expired[name]
+        for name, (until, _) in list(self.cold.items()):
+            if until < now - KEPT_DEPARTURES_S:
+                del self.cold[name]
         for name, (_, left_at) in list(self.departures.items()):
             if now - left_at > KEPT_DEPARTURES_S:
                 del self.departures[name]
@@ -247,7 +317,10 @@
             name: self.service_object(record, targets[name], slots.get(name, 1))
             for name, record in records.items()
         }
-        return Catalogue(services, configuration, warm_up_s)
+        catalogue = Catalogue(services, configuration, warm_up_s)
+        if catalogue.cold_per_s:
+            catalogue.cold = dict(self.cold)
+        return catalogue
 
     def service_object(
         self, record: ServiceRecord, targets: dict[str, TargetObject], slots: int
--- a/poplarlane/decisions/probes/probe_rounds.py
+++ b/poplarlane/decisions/probes/probe_rounds.py
@@ -6,6 +6,7 @@
 """
 
 from poplarlane.decisions.choice import completion
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health.trials import usable_targets
 from poplarlane.decisions.requests.entry_effects import ProbeTarget, SetTimer
@@ -66,9 +67,20 @@
     rotated.sort(
         key=lambda load: estimated_cost(load, slots, service_time_s, new_connection_s, now)
     )
+    if service.cold_until > now:
+        offer_cold_target(rotated, now)
     return rotated
 
 
+def offer_cold_target(ranked: list[TargetLoad], now: float) -> None:
+    """Let a cold target with a permit be probed beside the best one, because permits soon lapse."""
+    for index, load in enumerate(ranked):
+        if index > 1 and cold_permits.is_limited(load, now):
+            ranked.insert(1, ranked.pop(index))
+        if index > 0 and cold_permits.is_limited(load, now):
+            return
+
+
 def estimated_cost(
     load: TargetLoad, slots: int, service_time_s: float, new_connection_s: float, now: float
 ) -> float:
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -6,6 +6,7 @@
 )
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.requests import request_log
@@ -45,6 +46,7 @@
     health.observe_sent(load, attempt_id, now)
     load.sent_since_measured += 1
     rate_limits.take_permit(load, now)
+    cold_permits.take_permit(load, now)
     effects.append(
         SendRequest(
             request.request_id,
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -132,6 +132,7 @@
     multiple of the normal service time; without one, `running` is None. `rate_limit_per_s` is the
     rate that the target takes from all entries together, None if the response names none;
     `retry_after_s` is the time for which a target that turns a request away wants no other;
+    `cold_s` is the time for which it stays cold;
     `malformed_statements` lists the headers of that kind that could not be parsed.
     """
 
@@ -147,6 +148,7 @@
         "instance",
         "rate_limit_per_s",
         "retry_after_s",
+        "cold_s",
         "malformed_statements",
     )
 
@@ -162,6 +164,7 @@
         self.instance = ""
         self.rate_limit_per_s: float | None = None
         self.retry_after_s: float | None = None
+        self.cold_s: float | None = None
         self.malformed_statements: tuple[str, ...] = ()
 
 
@@ -261,10 +264,11 @@
 class CatalogueChanged(EntryEvent):
     """A new catalogue, and the number of entries in the fleet.
 
-    `is_confirmed` means that the catalogue was read from the store after the last process pause.
+    `is_confirmed` means that the catalogue was read from the store after the last process pause,
+    `is_fleet_known` that the number is known from other nodes and not only the least expected.
     """
 
-    __slots__ = ("catalogue", "fleet_entries", "is_confirmed")
+    __slots__ = ("catalogue", "fleet_entries", "is_confirmed", "is_fleet_known")
 
     def __init__(
         self,
@@ -273,9 +277,11 @@
         catalogue: Catalogue,
         fleet_entries: int,
         is_confirmed: bool = False,
+        is_fleet_known: bool = True,
     ) -> None:
         super().__init__(now, random_value)
         self.is_confirmed = is_confirmed
+        self.is_fleet_known = is_fleet_known
         self.catalogue = catalogue
         self.fleet_entries = fleet_entries
 
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -12,6 +12,7 @@
 from poplarlane.decisions.choice.policies import Policy
 from poplarlane.decisions.choice.slowdowns import Slowdowns
 from poplarlane.decisions.choice.subsets import TargetGroup
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.route_table import RouteTable
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
@@ -54,9 +55,10 @@
     DRAIN_LIMIT = 4
     VIEW_LIMIT = 5
     PROBE_END = 6
-    # RECHECK belongs to a service and PROBE_LIMIT to a probe; the others to requests.
+    # RECHECK and WARM_CHECK belong to a service and PROBE_LIMIT to a probe; others to requests.
     RECHECK = 7
     GIVE_UP = 9
+    WARM_CHECK = 10
     PROBE_LIMIT = 8
 
 
@@ -92,6 +94,9 @@
         "slowdowns",
         "number",
         "recheck_at",
+        "cold_per_s",
+        "cold_until",
+        "warm_check_at",
     )
 
     def __init__(self, name: str) -> None:
@@ -124,6 +129,11 @@
         # (0: not scheduled).
         self.number = 0
         self.recheck_at = 0.0
+        # Requests per second that a cold target bears from all nodes; 0 without a limit.
+        self.cold_per_s = 0.0
+        # Latest end of the cold time of a limited target, and the next check for warm ones.
+        self.cold_until = -math.inf
+        self.warm_check_at = -math.inf
 
 
 class Request:
@@ -274,6 +284,10 @@
         "members",
         "leaving",
         "fleet_entries",
+        "is_fleet_known",
+        "most_entries",
+        "most_entries_at",
+        "cold_tolerance",
         "entry_rank",
         "requests",
         "attempts",
@@ -326,6 +340,11 @@
         self.members: dict[str, tuple[int, bool]] = {}
         self.leaving: set[str] = set()
         self.fleet_entries = 1
+        # Whether this node has heard of the others, and the largest number known lately.
+        self.is_fleet_known = True
+        self.most_entries = 1
+        self.most_entries_at = -math.inf
+        self.cold_tolerance = cold_permits.cold_tolerance()
         self.entry_rank = 0
         self.requests: dict[int, Request] = {}
         self.attempts: dict[int, Attempt] = {}
--- a/poplarlane/decisions/requests/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -3,6 +3,7 @@
 import heapq
 
 from poplarlane.decisions.admission import limits
+from poplarlane.decisions.cold import cold_targets
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.health import health
 from poplarlane.decisions.probes.probe_events import (
@@ -81,6 +82,10 @@
             fail_probe(state, number, now, random_value, effects)
     elif kind is TimerKind.RECHECK:
         recheck_queue(state, state.services_by_number[number], now, random_value, effects)
+    elif kind is TimerKind.WARM_CHECK:
+        service = state.services_by_number[number]
+        cold_targets.check_warm(state, service, effects)
+        dispatch_waiting(state, service, now, random_value, effects)
     elif number in state.requests:
         request_timer(state, state.requests[number], kind, now, random_value, effects)
 
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -30,5 +30,6 @@
     signature=b"x-server-signature",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    cold=b"x-cold-remaining-ms",
     adds_own_headers=False,
 )
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -50,6 +50,8 @@
     name: str
     health_path: str = ""
     max_connections: int = 100
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class LimitsDocument(msgspec.Struct):
@@ -112,7 +114,13 @@
             return f"route {route.name!r}: {translated}"
         routes.append(translated)
     services = [
-        ServiceRecord(service.name, service.health_path, service.max_connections)
+        ServiceRecord(
+            service.name,
+            service.health_path,
+            service.max_connections,
+            max(0.0, service.cold_per_s),
+            max(0.0, service.cold_start_s),
+        )
         for service in found.services
     ]
     return Configuration(found.version, routes, services, limits_of(found.limits))
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -31,6 +31,8 @@
 # A node that is not serving by then asks other nodes, because the store may be unavailable.
 RELAY_START_DELAY_S = 0.3
 RELAY_RETRY_INTERVAL_S = 2.0
+# Until then a new node does not know how many others there are.
+FLEET_KNOWN_S = 2.0
 
 
 class Translation:
@@ -237,7 +239,7 @@
         found = None if change.deleted else self.translation.instance_of(item)
         if found is None:
             self.directory.remove_instance(item.name, self.shell.now())
-        elif not self.directory.update_instance(found):
+        elif not self.directory.update_instance(found, self.shell.now()):
             return False
         state = "gone" if found is None else "leaving" if found.leaving else "ready"
         log("instance_changed", instance=item.name, state=state, revision=item.revision)
@@ -275,7 +277,8 @@
         is_waiting = self.listed_at and not state.ready
         # A new node hears of the others after it began to serve with the least number of nodes.
         is_resized = state.ready and is_fleet_resized(state.fleet_entries, self.known_fleet())
-        if has_expired or is_waiting or is_resized:
+        is_newly_known = state.ready and self.is_fleet_known() != state.is_fleet_known
+        if has_expired or is_waiting or is_resized or is_newly_known:
             self.publish()
 
     def known_fleet(self) -> int:
@@ -284,6 +287,14 @@
             return self.fleet_entries
         return fleet_size(self.relay.state, self.fleet_entries)
 
+    def is_fleet_known(self) -> bool:
+        """Return whether this node has had time to hear of the others, and has."""
+        if self.make_relay is None:
+            return True
+        if self.relay is None or self.shell.now() - self.relay.state.started_at < FLEET_KNOWN_S:
+            return False
+        return bool(self.relay.state.members or self.relay.state.reported_fleet_size)
+
     def may_serve(self) -> bool:
         """Return whether all kinds are known to be current, or confirming that timed out."""
         if not self.listed_at:
@@ -301,6 +312,7 @@
         shell = self.shell
         now, random_value = shell.now(), shell.random_value()
         is_first = not shell.state.ready
-        shell.feed(CatalogueChanged(now, random_value, catalogue, fleet, is_confirmed))
+        is_known = self.is_fleet_known()
+        shell.feed(CatalogueChanged(now, random_value, catalogue, fleet, is_confirmed, is_known))
         if is_first:
             shell.loop.call_soon(self.start_relay)
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -42,6 +42,7 @@
         "signature",
         "rate_limit",
         "leaving",
+        "cold",
         "adds_own_headers",
         "request_dropped",
         "response_dropped",
@@ -59,6 +60,7 @@
         signature: bytes = b"",
         rate_limit: bytes = b"x-rate-limit",
         leaving: bytes = b"x-leaving",
+        cold: bytes = b"",
         adds_own_headers: bool = True,
     ) -> None:
         self.request_id = request_id
@@ -71,6 +73,7 @@
         self.signature = signature
         self.rate_limit = rate_limit
         self.leaving = leaving
+        self.cold = cold
         self.adds_own_headers = adds_own_headers
         # Set by the entry for each attempt, or meant for the entry only.
         dropped = {b"content-length", b"expect", b"x-attempt", b"x-caller-labels", deadline}
@@ -89,6 +92,13 @@
     metadata.retry_after_s = read_decimal(metadata, RETRY_AFTER, value, metadata.retry_after_s)
 
 
+def read_cold(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
+    """Set the time for which the target stays cold, given in milliseconds."""
+    before = metadata.cold_s
+    found_ms = read_decimal(metadata, name, value, before)
+    metadata.cold_s = None if found_ms is None else found_ms / 1000.0
+
+
 def read_decimal(
     metadata: ResponseMetadata, name: bytes, value: bytes, before: float | None
 ) -> float | None:
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -13,6 +13,7 @@
     DEFAULT_HEADERS,
     RETRY_AFTER,
     HeaderNames,
+    read_cold,
     read_leaving,
     read_rate_limit,
     read_retry_after,
@@ -279,6 +280,8 @@
             read_rate_limit(metadata, lower, value)
         elif lower == names.leaving:
             read_leaving(metadata, lower, value)
+        elif lower == names.cold:
+            read_cold(metadata, lower, value)
         elif lower == RETRY_AFTER and status == UNAVAILABLE:
             read_retry_after(metadata, value)
         elif lower == names.request_id:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from poplarlane.decisions.cold.cold_permits import cold_tolerance
+from poplarlane.decisions.cold.cold_targets import limited_targets
 from poplarlane.decisions.configuration.directory import Directory
 from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
@@ -66,6 +68,8 @@
         "probes_per_target_s",
         "extra_sends",
         "extra_sends_window_s",
+        "cold_overage",
+        "cold_slack",
     }
 )
 # Time for the last responses to reach their callers before the platform kills the process.
@@ -139,6 +143,7 @@
     state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
     state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
     state.extra_sends_window_s = settings.extra_sends_window_s
+    state.cold_tolerance = cold_tolerance(settings.cold_overage, settings.cold_slack)
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
@@ -287,12 +292,14 @@
         for target, load in service.loads.items():
             held = load.statements
             paused_s = max(0.0, held.paused_until - now)
-            if held.rate_limit_per_s is None and not paused_s and not load.leaving:
+            cold_s = max(0.0, held.cold_until - now)
+            if held.rate_limit_per_s is None and not paused_s and not load.leaving and not cold_s:
                 continue
             found.setdefault(name, {})[target] = {
                 "leaving": load.leaving,
                 "rate_limit_per_s": held.rate_limit_per_s,
                 "paused_s": round(paused_s, 3),
+                "cold_s": round(cold_s, 3),
             }
     return found
 
@@ -315,6 +322,7 @@
         metrics.set("rate_limited_targets", {"service": name}, limited)
         paused = sum(load.statements.paused_until > shell.now() for load in service.loads.values())
         metrics.set("paused_targets", {"service": name}, paused)
+        metrics.set("cold_targets", {"service": name}, limited_targets(service, shell.now()))
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -95,36 +95,71 @@
         self.probe_path = probe_path
 
 
-class TargetStatements:
+class Tolerance:
+    """What targets bear in a window, as a multiple of a rate and requests on top of that.
+
+    A permit to send one request lapses after `permit_valid_s`.
+    """
+
+    __slots__ = ("window_s", "ratio", "requests", "permit_valid_s")
+
+    def __init__(
+        self, window_s: float, ratio: float, requests: float, permit_valid_s: float
+    ) -> None:
+        self.window_s = window_s
+        self.ratio = ratio
+        self.requests = requests
+        self.permit_valid_s = permit_valid_s
+
+
+class Permits:
+    """This node's part of a rate that a target takes from all nodes together."""
+
+    __slots__ = ("rate_limit_per_s", "permit_interval_s", "next_permit_at", "heard_at")
+
+    def __init__(self) -> None:
+        # Requests per second that the target takes from all nodes together; None without a limit.
+        self.rate_limit_per_s: float | None = None
+        # Under a limit, this node may send one request at a time, at instants this far apart.
+        self.permit_interval_s = 0.0
+        self.next_permit_at = -math.inf
+        # Instant of the last response that made a statement.
+        self.heard_at = -math.inf
+
+
+class TargetStatements(Permits):
     """What a target process says about itself in its responses, in force until it is withdrawn.
 
     A statement binds a node without the store, so it outlives changes of the catalogue.
     """
 
     __slots__ = (
-        "rate_limit_per_s",
-        "permit_interval_s",
-        "next_permit_at",
         "paused_until",
         "is_returning",
         "is_limit_on_probes",
-        "heard_at",
+        "cold_until",
+        "cold_heard_at",
+        "cold_permits",
+        "is_cold_held",
+        "is_cold",
     )
 
     def __init__(self) -> None:
-        # Requests per second that the target takes from all nodes together; None without a limit.
-        self.rate_limit_per_s: float | None = None
-        # Under a limit, this node may send one request at a time, at instants this far apart.
-        self.permit_interval_s = 0.0
-        self.next_permit_at = -math.inf
+        super().__init__()
         # Until then the target wants nothing from this node; afterwards it gets one request at a
         # time until it has taken one.
         self.paused_until = -math.inf
         self.is_returning = False
         # Whether responses to probes carry the limit too; only then does one without it end it.
         self.is_limit_on_probes = False
-        # Instant of the last response that made a statement.
-        self.heard_at = -math.inf
+        # End of the time in which the target is cold, and when it was last stated.
+        self.cold_until = -math.inf
+        self.cold_heard_at = -math.inf
+        # Permits for the time in which it is cold, and whether this node may not use them yet.
+        self.cold_permits = Permits()
+        self.is_cold_held = False
+        # Whether the log shows the target as cold.
+        self.is_cold = False
 
 
 class TargetLoad:
@@ -177,7 +212,6 @@
         "slowdown",
         "measured_at",
         "sent_since_measured",
-        "cold_until",
         "probes_in_flight",
         "statements",
     )
@@ -239,8 +273,6 @@
         self.slowdown = 1.0
         self.measured_at = -math.inf
         self.sent_since_measured = 0
-        # End of the target's warm-up after its start.
-        self.cold_until = 0.0
         self.probes_in_flight = 0
         self.statements = TargetStatements()
 
