Evacuate data centres by objects of the store

Cause: there was no way to ask that the targets of a data centre get no new requests before work is done on it.

Change: nodes with the setting evacuate_within_s follow the kind evacuations as they follow the others; targets of a data centre that has an object leave the catalogue as leaving ones do. Log lines evacuation_started, evacuation_ended, evacuation_without_targets, evacuation_leaves_no_target; /status and the gauge evacuated_data_centres.

--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -38,6 +38,7 @@
     for service_object in changed:
         apply_service_change(state, service_object, catalogue, event.now, effects)
     state.catalogue.update(catalogue.services)
+    log_evacuations(state, catalogue, effects)
     is_divided_anew = resized or is_newly_known
     cold_targets.apply_catalogue(state, catalogue, is_divided_anew, event.random_value, effects)
     statements.forget_absent(state, event.now)
@@ -60,6 +61,24 @@
     return effects
 
 
+def log_evacuations(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> None:
+    """Log the evacuations that have started and ended, and what they leave nothing of."""
+    before, state.evacuated = state.evacuated, catalogue.evacuated
+    if before == state.evacuated:
+        return
+    for name in sorted(state.evacuated - before):
+        if name in catalogue.data_centres:
+            effects.append(Log("evacuation_started", "warning", {"data_centre": name}))
+        else:
+            effects.append(Log("evacuation_without_targets", "warning", {"data_centre": name}))
+    for name in sorted(before - state.evacuated):
+        effects.append(Log("evacuation_ended", "warning", {"data_centre": name}))
+    empty = [name for name, found in catalogue.services.items() if not found.targets]
+    if state.evacuated and empty:
+        fields = {"services": ",".join(sorted(empty))}
+        effects.append(Log("evacuation_leaves_no_target", "error", fields))
+
+
 def apply_routes(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> None:
     """Apply the routes of a newer configuration; an older version never replaces a newer one."""
     current = state.routes
--- a/poplarlane/decisions/configuration/directory.py
+++ b/poplarlane/decisions/configuration/directory.py
@@ -7,6 +7,7 @@
 import math
 
 from poplarlane.decisions.configuration.route_table import Route
+from poplarlane.decisions.evacuations.evacuations import Evacuations
 from poplarlane.objects import LimitsObject, SelectorObject, ServiceObject, TargetObject
 from poplarlane.types import CallerLimits
 
@@ -134,6 +135,8 @@
         "warm_up_s",
         "cold_per_s",
         "cold",
+        "evacuated",
+        "data_centres",
     )
 
     def __init__(
@@ -156,6 +159,9 @@
         }
         # End of the cold time and when it was stated, by target name.
         self.cold: dict[str, tuple[float, float]] = {}
+        # Evacuated data centres, and while there are any, those that have targets.
+        self.evacuated: frozenset[str] = frozenset()
+        self.data_centres: frozenset[str] = frozenset()
 
 
 class Directory:
@@ -169,6 +175,7 @@
         "departures",
         "superseded",
         "cold",
+        "evacuations",
         "is_disconnected",
         "retry_ratio",
         "policy",
@@ -188,6 +195,7 @@
         self.superseded: dict[str, int] = {}
         # End of the cold time of targets by their records and when it was stated, by target name.
         self.cold: dict[str, tuple[float, float]] = {}
+        self.evacuations = Evacuations()
         # Whether the platform does not answer this process; other nodes may still pass on changes.
         self.is_disconnected = False
         self.retry_ratio = retry_ratio
@@ -293,7 +301,8 @@
             if now - left_at > KEPT_DEPARTURES_S:
                 del self.departures[name]
                 self.superseded.pop(name, None)
-        return bool(ended)
+        has_ended = self.evacuations.purge(now)
+        return bool(ended) or has_ended
 
     def catalogue(self) -> Catalogue | None:
         """Build the catalogue for the entry; None before the first configuration."""
@@ -305,8 +314,10 @@
         slots: dict[str, int] = {}
         warm_up_s = {}
         expired = [found for found, _ in self.expired.values()]
-        for found in [*expired, *self.instances.values()]:
-            if found.leaving or found.service not in records:
+        listed = [*expired, *self.instances.values()]
+        evacuated = self.evacuations.active()
+        for found in listed:
+            if found.leaving or found.service not in records or found.data_centre in evacuated:
                 continue
             name = target_name(found)
             targets[found.service][name] = target_object(found, records[found.service])
@@ -320,6 +331,9 @@
         catalogue = Catalogue(services, configuration, warm_up_s)
         if catalogue.cold_per_s:
             catalogue.cold = dict(self.cold)
+        if evacuated:
+            catalogue.evacuated = evacuated
+            catalogue.data_centres = frozenset(found.data_centre for found in listed)
         return catalogue
 
     def service_object(
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -288,6 +288,7 @@
         "most_entries",
         "most_entries_at",
         "cold_tolerance",
+        "evacuated",
         "entry_rank",
         "requests",
         "attempts",
@@ -345,6 +346,8 @@
         self.most_entries = 1
         self.most_entries_at = -math.inf
         self.cold_tolerance = cold_permits.cold_tolerance()
+        # Data centres whose targets get no new requests.
+        self.evacuated: frozenset[str] = frozenset()
         self.entry_rank = 0
         self.requests: dict[int, Request] = {}
         self.attempts: dict[int, Attempt] = {}
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -78,6 +78,9 @@
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
     targets = reachable_targets(service, event.labels)
+    if state.evacuated and not targets and not service.loads:
+        detail = "every target is leaving or in an evacuated data centre"
+        return refuse_arrival(event, state, ResultCode.NO_TARGET, detail)
     if targets is None:
         return refuse_arrival(event, state, ResultCode.NOT_ALLOWED, "no selector allows this")
     if not targets:
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -15,6 +15,7 @@
 OBJECTS_PATH = "/-/objects/"
 CONFIGURATION_KIND = "config"
 INSTANCES_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 GONE_STATUS = 410
 # Rises by one each time the store comes back from a copy that misses acknowledged writes.
 ERA_HEADER = b"store-era"
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -44,6 +44,7 @@
         "configuration_of",
         "instance_of",
         "version_of",
+        "evacuations_kind",
     )
 
     def __init__(
@@ -53,12 +54,15 @@
         configuration_of: Callable[[StoredObject], Configuration | str],
         instance_of: Callable[[StoredObject], InstanceRecord | None],
         version_of: Callable[[StoredObject], int],
+        evacuations_kind: str = "",
     ) -> None:
         self.configuration_kind = configuration_kind
         self.configuration_name = configuration_name
         self.configuration_of = configuration_of
         self.instance_of = instance_of
         self.version_of = version_of
+        # Kind of the objects that are named after evacuated data centres.
+        self.evacuations_kind = evacuations_kind
 
 
 class DirectorySync:
@@ -77,6 +81,8 @@
         "unconfirmed_kinds",
         "listed_at",
         "instances_era",
+        "evacuations_era",
+        "required_listed_at",
     )
 
     def __init__(
@@ -94,8 +100,12 @@
         self.unconfirmed_kinds: set[str] = set()
         # Time at which all kinds had been listed for the first time; 0 before.
         self.listed_at = 0.0
+        # The same for all kinds but evacuations.
+        self.required_listed_at = 0.0
         # Era of the store from which the instances were last read; None before the first list.
         self.instances_era: int | None = None
+        # The same for evacuations.
+        self.evacuations_era: int | None = None
         # Relay between nodes; None where every node follows the store itself.
         self.relay: Relay | None = None
         # Creates the relay, which a node needs only once it serves; None without a relay.
@@ -171,7 +181,12 @@
         self.listed_kinds.add(kind)
         if len(self.listed_kinds) == len(self.followers):
             self.listed_at = self.listed_at or self.shell.now()
-        if kind == self.translation.configuration_kind:
+        required = {found.kind for found in self.followers} - {self.translation.evacuations_kind}
+        if required <= self.listed_kinds:
+            self.required_listed_at = self.required_listed_at or self.shell.now()
+        if kind == self.translation.evacuations_kind:
+            self.replace_evacuations(items)
+        elif kind == self.translation.configuration_kind:
             for item in items:
                 self.update_configuration(item)
         else:
@@ -199,6 +214,9 @@
 
     def apply_changes(self, kind: str, changes: list[ObjectChange]) -> None:
         """Process changes from the store or from another node."""
+        if kind == self.translation.evacuations_kind:
+            self.change_evacuations(changes)
+            return
         if kind != self.translation.configuration_kind:
             self.observe_era(kind)
         has_changed = False
@@ -212,10 +230,40 @@
         if has_changed:
             self.publish()
 
+    def replace_evacuations(self, items: list[StoredObject]) -> None:
+        """Process a complete list of evacuations."""
+        found = {item.name: item.revision for item in items}
+        is_restored = self.observe_evacuations_era()
+        self.directory.evacuations.replace(found, is_restored, self.shell.now())
+
+    def change_evacuations(self, changes: list[ObjectChange]) -> None:
+        """Process changes of evacuations."""
+        is_restored = self.observe_evacuations_era()
+        evacuations = self.directory.evacuations
+        for change in changes:
+            item = change.item
+            log("evacuation_changed", data_centre=item.name, deleted=change.deleted)
+            if change.deleted:
+                evacuations.remove(item.name, is_restored, self.shell.now())
+            else:
+                evacuations.write(item.name, item.revision, is_restored)
+        self.publish()
+
+    def observe_evacuations_era(self) -> bool:
+        """Return whether the store has come back from a copy since evacuations were last read."""
+        era = self.era_held(self.translation.evacuations_kind)
+        before = self.evacuations_era
+        self.evacuations_era = max(era, before or 0)
+        return before is not None and era > before
+
+    def era_held(self, kind: str) -> int:
+        """Return the era of the objects of a kind."""
+        revisions = [found.revision for found in self.followers if found.kind == kind]
+        return era_of(max(revisions, default=0))
+
     def observe_era(self, kind: str) -> None:
         """Prepare the directory for instances of a store that has come back from a copy."""
-        revisions = [found.revision for found in self.followers if found.kind == kind]
-        era = era_of(max(revisions, default=0))
+        era = self.era_held(kind)
         if self.instances_era is not None and era > self.instances_era:
             self.directory.mark_restored(self.shell.now())
         self.instances_era = max(era, self.instances_era or 0)
@@ -273,6 +321,7 @@
         """Drop targets that did not return after an outage of the store."""
         self.shell.loop.call_later(EXPIRY_CHECK_INTERVAL_S, self.check_expired_targets)
         has_expired = self.directory.purge_expired(self.shell.now())
+        self.allow_without_evacuations()
         state = self.shell.state
         is_waiting = self.listed_at and not state.ready
         # A new node hears of the others after it began to serve with the least number of nodes.
@@ -281,6 +330,14 @@
         if has_expired or is_waiting or is_resized or is_newly_known:
             self.publish()
 
+    def allow_without_evacuations(self) -> None:
+        """Let a node serve whose evacuations cannot be read although all other kinds can."""
+        since = self.required_listed_at
+        if self.listed_at or not since or self.shell.now() - since <= CONFIRMATION_TIMEOUT_S:
+            return
+        log("evacuations_unknown", "error", waited_s=CONFIRMATION_TIMEOUT_S)
+        self.listed_at = since
+
     def known_fleet(self) -> int:
         """Return the number of nodes, as far as this node knows."""
         if self.relay is None:
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -191,19 +191,28 @@
         STORE_MAX_TIMEOUT_FACTOR,
     )
     translation = Translation(
-        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of, version_of
+        store.CONFIGURATION_KIND,
+        CONFIGURATION_NAME,
+        configuration_of,
+        instance_of,
+        version_of,
+        store.EVACUATIONS_KIND,
     )
     ratio = settings.extra_send_ratio * EXTRA_SENDS_SHARE
     keeper = DirectorySync(
         shell, Directory(ratio, settings.policy), translation, settings.fleet_size
     )
-    wait_ms = round(settings.apply_limit_s * WATCH_WAIT_FRACTION * 1000.0)
-    group_s = settings.apply_limit_s * BATCH_DELAY_FRACTION
+    limit_s = change_limit_s(settings)
+    wait_ms = round(limit_s * WATCH_WAIT_FRACTION * 1000.0)
+    group_s = limit_s * BATCH_DELAY_FRACTION
     seeds = [split_address(seed)[0] for seed in settings.seeds]
     # Other nodes supply what a stale list lacks. Seeds list current state: they are asked first.
     has_others = bool(settings.exchange_ports)
     allow_stale_list = settings.bootstrap and has_others and settings.listen_address not in seeds
-    for kind in (store.CONFIGURATION_KIND, store.INSTANCES_KIND):
+    kinds = [store.CONFIGURATION_KIND, store.INSTANCES_KIND]
+    if settings.evacuate_within_s is not None:
+        kinds.append(store.EVACUATIONS_KIND)
+    for kind in kinds:
         follower = ObjectFollower(
             client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
         )
@@ -215,6 +224,13 @@
     return keeper
 
 
+def change_limit_s(settings: NodeSettings) -> float:
+    """Return the time within which a change of any kind has to be in force."""
+    if settings.evacuate_within_s is None:
+        return settings.apply_limit_s
+    return min(settings.apply_limit_s, settings.evacuate_within_s)
+
+
 def make_relay(
     settings: NodeSettings, keeper: DirectorySync, generator: random.Random, seeds: list[str]
 ) -> "Relay":
@@ -224,7 +240,8 @@
 
     local_member = Member(settings.name, settings.listen_address, settings.data_centre, 0.0)
     port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
-    state = RelayState(local_member, clock(), seeds, settings.apply_limit_s, settings.bootstrap)
+    limit_s = change_limit_s(settings)
+    state = RelayState(local_member, clock(), seeds, limit_s, settings.bootstrap)
     relay = Relay(
         state,
         port,
@@ -270,6 +287,7 @@
         "leaving_targets": sorted(state.leaving),
         "fleet_entries": state.fleet_entries,
         "statements": target_statements(shell),
+        "evacuated_data_centres": sorted(state.evacuated),
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -326,6 +344,7 @@
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    metrics.set("evacuated_data_centres", {}, len(shell.state.evacuated))
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -104,6 +104,8 @@
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
     # Time within which every node has to apply an accepted change.
     apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
+    # Time within which an evacuation is in force; without it evacuations are not followed.
+    evacuate_within_s: Annotated[float, Meta(gt=0.0)] | None = None
     # What a cold target bears in any one second: a multiple of its rate, and requests on top.
     cold_overage: Annotated[float, Meta(gt=0.0)] = 1.5
     cold_slack: Annotated[float, Meta(ge=0.0)] = 8.0
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -364,6 +364,10 @@
             self.store.forget_history()
         for name, entry in switches.get("entries", {}).items():
             self.store.put("servers", name, entry.get("spec"), entry.get("status"))
+        for name in switches.get("evacuate", []):
+            self.store.put("evacuations", name, {})
+        for name in switches.get("end_evacuation", []):
+            self.store.delete("evacuations", name)
         for name in switches.get("delete", []):
             self.store.delete("servers", name)
         for name in switches.get("drain", []):
