--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -77,6 +77,16 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
+def object_path(kind: str, name: str) -> str:
+    """Return the path of one object; names may hold any character."""
+    return f"{OBJECTS_PATH}{quote(kind)}/{quote(name, safe='')}"
+
+
+def encode_object(name: str, spec: object) -> bytes:
+    """Encode an object for a write."""
+    return msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+
+
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path that waits for changes after a revision."""
     return f"{OBJECTS_PATH}{quote(kind)}?watch={number_of(revision)}&wait_ms={wait_ms}"
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -172,6 +172,8 @@
     platform_port: Port
     operator: str = "unknown"
     agents: list[PeerSettings] = []
+    # The store of the users' platform; only `evacuate` and `restore` need it.
+    store: SocketAddress | Literal[""] = ""
     # Used for VMs without an admin port in the platform's VM list.
     agent_admin_port: Port | None = None
     timeout_ms: Milliseconds = 5_000
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -93,7 +93,10 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a list or a watch."""
-        kind = exchange.path.removeprefix(OBJECTS_PREFIX)
+        kind, _, name = exchange.path.removeprefix(OBJECTS_PREFIX).partition("/")
+        if name:
+            self.handle_write(exchange, kind, name)
+            return
         verb = "watch" if "watch" in exchange.query else "list"
         self.calls[verb] = self.calls.get(verb, 0) + 1
         if self.is_down:
@@ -105,6 +108,19 @@
         else:
             self.watch(exchange, kind)
 
+    def handle_write(self, exchange: Exchange, kind: str, name: str) -> None:
+        """Write or delete one object."""
+        if self.is_down:
+            self.reply(exchange, 503, {"error": "down"})
+        elif exchange.method == "PUT":
+            self.put(kind, name, json.loads(exchange.body)["spec"])
+            self.reply(exchange, 200, {"revision": self.revision})
+        elif exchange.method == "DELETE" and name in self.objects.get(kind, {}):
+            self.delete(kind, name)
+            self.reply(exchange, 200, {"revision": self.revision})
+        else:
+            self.reply(exchange, 404, {"error": "no such object"})
+
     def watch(self, exchange: Exchange, kind: str) -> None:
         """Answer a watch at once, or when something changes, or when its wait has passed."""
         after = int(exchange.query["watch"])
