Keep the requests of a route in its allowed regions

Cause: some routes may be served only by targets of certain regions.

Change: allowed_regions of routes; the regions of data centres come from the setting zones. Whatever chooses a target gets the reachable ones of these regions only. A data centre without a region is never allowed. A node without services that have a cold rate is not published anew when it has heard of the others.

--- a/poplarlane/decisions/configuration/route_table.py
+++ b/poplarlane/decisions/configuration/route_table.py
@@ -21,7 +21,8 @@
     """Services and request options for one host and path prefix.
 
     The timeout is `kind.deadline_ms`. An answer within `latency_objective_s` has its full value.
-    `max_attempts` is the largest number of targets that one request may run on.
+    `max_attempts` is the largest number of targets that one request may run on. Requests go only to
+    targets in `allowed_regions`; None allows all.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "latency_objective_s",
         "max_attempts",
         "services",
+        "allowed_regions",
     )
 
     def __init__(
@@ -43,6 +45,7 @@
         latency_objective_s: float,
         max_attempts: int,
         services: list[WeightedService],
+        allowed_regions: frozenset[str] | None = None,
     ) -> None:
         self.name = name
         self.host = host
@@ -51,6 +54,7 @@
         self.latency_objective_s = latency_objective_s
         self.max_attempts = max_attempts
         self.services = services
+        self.allowed_regions = allowed_regions
 
 
 class RouteTable:
--- a/poplarlane/decisions/configuration/views.py
+++ b/poplarlane/decisions/configuration/views.py
@@ -216,6 +216,7 @@
         ):
             load = TargetLoad(target, 2.0 * delay_s(state, placement.data_centre))
         load.target = target
+        load.region = state.region_of.get(placement.data_centre, "")
         load.statements = state.statements.setdefault(name, load.statements)
         load.leaving = name in state.leaving
         loads[name] = load
--- a/poplarlane/decisions/probes/probe_events.py
+++ b/poplarlane/decisions/probes/probe_events.py
@@ -102,14 +102,14 @@
     """Choose a target by the results of the round, or start another round."""
     request.awaiting_probes = False
     request.pending_probes.clear()
-    targets = reachable_targets(request.service, request.labels)
+    targets = reachable_targets(request.service, request.labels, request.regions)
     if request.attempts:
         hedge(state, request, now, random_value, effects)
         return
     if not targets:
         if request.state is RequestState.QUEUED:
             limits.remove_queued(request.service.limits, request)
-        finish_refused(state, request, unreachable_refusal(targets), effects)
+        finish_refused(state, request, unreachable_refusal(targets, request.regions), effects)
         return
     load = choose(request, targets, now, random_value)
     if needs_another_round(request, load, targets, now):
@@ -133,6 +133,9 @@
         return
     limits.remove_queued(request.service.limits, request)
     outcome = NotRun(ResultCode.OVERLOADED, "no target had room in time")
+    if request.regions is not None:
+        detail = "no target in the allowed regions had room in time"
+        outcome = NotRun(ResultCode.NO_TARGET_AT_HOME, detail)
     finish_refused(state, request, outcome, effects)
 
 
@@ -166,7 +169,7 @@
     service.recheck_at = 0.0
     measured = type(service.policy) is Measured
     for request in queueing.dispatch_order(service, now)[:MAX_QUEUED_PROBING] if measured else []:
-        targets = reachable_targets(service, request.labels)
+        targets = reachable_targets(service, request.labels, request.regions)
         if targets and first_send_at(targets, now) > now:
             continue
         if targets and not request.awaiting_probes:
--- a/poplarlane/decisions/repeats/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -105,7 +105,7 @@
     if not request.attempts or not may_be_hedged(request):
         return
     first = request.attempts[0].load
-    targets = reachable_targets(service, request.labels) or []
+    targets = reachable_targets(service, request.labels, request.regions) or []
     others = [load for load in targets if load is not first]
     if type(service.policy) is Measured:
         hedge_measured(state, request, others, now, random_value, effects)
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -70,8 +70,12 @@
     request.state = RequestState.QUEUED
 
 
-def unreachable_refusal(targets: list[TargetLoad] | None) -> NotRun:
+def unreachable_refusal(
+    targets: list[TargetLoad] | None, regions: frozenset[str] | None = None
+) -> NotRun:
     """Return the refusal of a queued request that can no longer be sent."""
+    if regions is not None:
+        return NotRun(ResultCode.NO_TARGET_AT_HOME, "no target in the allowed regions")
     if targets is None:
         return NotRun(ResultCode.NOT_ALLOWED, "no selector allows this")
     return NotRun(ResultCode.NO_TARGET, "every target is leaving")
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -35,6 +35,9 @@
 LCG_MASK = (1 << 64) - 1
 
 
+ReachableKey = str | tuple[str, frozenset[str]]
+
+
 class RequestState(IntEnum):
     """States of a request; a REFUSED or UNKNOWN one may be sent again."""
 
@@ -109,8 +112,9 @@
         self.policy: Policy
         self.access: Access
         self.loads: dict[str, TargetLoad] = {}
-        # Cache of usable targets by the caller's labels header; None if no selector allows any.
-        self.reachable: dict[str, list[TargetLoad] | None] = {}
+        # Cache of usable targets by the caller's labels header, and by allowed regions if there are
+        # any; None if no selector allows any.
+        self.reachable: dict[ReachableKey, list[TargetLoad] | None] = {}
         # Usable targets by the set of target names that one selector allows.
         self.groups: dict[frozenset[str], TargetGroup] = {}
         self.limits: ServiceLimits
@@ -170,6 +174,7 @@
         "probed",
         "pending_probes",
         "may_use_old_reports",
+        "regions",
     )
 
     def __init__(
@@ -223,6 +228,8 @@
         self.pending_probes: set[int] = set()
         # Whether its targets cannot be probed now, so that old load reports have to do.
         self.may_use_old_reports = False
+        # Regions whose targets it may be sent to; None allows all.
+        self.regions: frozenset[str] | None = None
 
 
 class Attempt:
@@ -316,6 +323,7 @@
         "probe_allowance",
         "probes_per_target_s",
         "data_centre",
+        "region_of",
         "other_data_centre_s",
         "extra_sends",
         "extra_sends_window_s",
@@ -383,6 +391,8 @@
         # The entry's own data centre, and the one-way delay assumed to others without a known one.
         self.data_centre = ""
         self.other_data_centre_s = 0.0
+        # Region of each data centre.
+        self.region_of: dict[str, str] = {}
         # Retries and hedges that the fleet may send per service and window beyond the ratio.
         self.extra_sends = 0.0
         self.extra_sends_window_s = 10.0
@@ -418,10 +428,13 @@
     return (random_value * LCG_MULTIPLIER + LCG_INCREMENT) & LCG_MASK
 
 
-def reachable_targets(service: ServiceState, text: str) -> list[TargetLoad] | None:
+def reachable_targets(
+    service: ServiceState, text: str, regions: frozenset[str] | None = None
+) -> list[TargetLoad] | None:
     """Return the targets that a caller may reach and that are not leaving; None if denied."""
+    key = text if regions is None else (text, regions)
     try:
-        return service.reachable[text]
+        return service.reachable[key]
     except KeyError:
         pass
     labels = parse_labels(text)
@@ -432,7 +445,9 @@
     usable = [service.groups[names] for names in groups if names in service.groups]
     chosen = {load.target.name: load for group in usable for load in group.subset}
     found = [load for _, load in sorted(chosen.items())] if groups else None
+    if found and regions is not None:
+        found = [load for load in found if load.region in regions]
     if len(service.reachable) >= MAX_CACHED_ACCESSES:
         service.reachable.clear()
-    service.reachable[text] = found
+    service.reachable[key] = found
     return found
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -77,10 +77,14 @@
         service = state.hosts.get(event.host)
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
-    targets = reachable_targets(service, event.labels)
+    regions = route.allowed_regions if route is not None else None
+    targets = reachable_targets(service, event.labels, regions)
     if state.evacuated and not targets and not service.loads:
         detail = "every target is leaving or in an evacuated data centre"
         return refuse_arrival(event, state, ResultCode.NO_TARGET, detail)
+    if regions is not None and not targets and (targets is not None or not service.loads):
+        detail = "no target in the allowed regions"
+        return refuse_arrival(event, state, ResultCode.NO_TARGET_AT_HOME, detail)
     if targets is None:
         return refuse_arrival(event, state, ResultCode.NOT_ALLOWED, "no selector allows this")
     if not targets:
@@ -172,6 +176,7 @@
                 request.deadline, event.now + given_ms / 1000.0 - CALLER_RESERVE_S
             )
         request.max_attempts = route.max_attempts
+        request.regions = route.allowed_regions
         known_s = service.service_time_s.get(kind.name, 0.0)
         request.service_time_s = (
             known_s or route.latency_objective_s * completion.INITIAL_SERVICE_TIME_SHARE
@@ -226,7 +231,7 @@
         group = request.labels + "/" + request.kind.name if measured else request.labels
         if group in blocked:
             continue
-        targets = reachable_targets(service, request.labels)
+        targets = reachable_targets(service, request.labels, request.regions)
         load = choose(request, targets, now, random_value) if targets else None
         if load is not None:
             limits.remove_queued(bounds, request)
@@ -236,7 +241,7 @@
             blocked.add(group)
         else:
             limits.remove_queued(bounds, request)
-            finish_refused(state, request, unreachable_refusal(targets), effects)
+            finish_refused(state, request, unreachable_refusal(targets, request.regions), effects)
 
 
 @reduce.register
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -289,7 +289,7 @@
 ) -> bool:
     """Retry a request if that is safe and within the budget; return whether it was retried."""
     service = request.service
-    targets = reachable_targets(service, request.labels)
+    targets = reachable_targets(service, request.labels, request.regions)
     decision = retries.RetryDecision.NO
     if targets and barred_refusal(request, targets, now) is None:
         decision = retries.decide_retry(service.retry_budget, request, outcome, now)
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -42,6 +42,7 @@
     target_latency_s: float | None = None
     priority: int = 2
     max_attempts: int = 1
+    allowed_regions: list[str] | None = None
 
 
 class ServiceDocument(msgspec.Struct):
@@ -162,6 +163,7 @@
         latency_objective_s,
         max(1, route.max_attempts),
         parts,
+        frozenset(route.allowed_regions) if route.allowed_regions else None,
     )
 
 
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -326,7 +326,11 @@
         is_waiting = self.listed_at and not state.ready
         # A new node hears of the others after it began to serve with the least number of nodes.
         is_resized = state.ready and is_fleet_resized(state.fleet_entries, self.known_fleet())
-        is_newly_known = state.ready and self.is_fleet_known() != state.is_fleet_known
+        is_newly_known = (
+            state.ready
+            and self.is_fleet_known() != state.is_fleet_known
+            and bool(self.directory.cold_services())
+        )
         if has_expired or is_waiting or is_resized or is_newly_known:
             self.publish()
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -123,6 +123,7 @@
     apply_node_settings(state, settings)
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
+    state.region_of = {settings.data_centre: settings.region, **(settings.zones or {})}
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -83,6 +83,8 @@
 
     data_centre: Name
     region: Name
+    # Region of each data centre.
+    zones: dict[str, str] | None = None
     front: SocketAddress
     ready: SocketAddress
     ready_path: str
--- a/poplarlane/types.py
+++ b/poplarlane/types.py
@@ -212,6 +212,7 @@
         "slowdown",
         "measured_at",
         "sent_since_measured",
+        "region",
         "probes_in_flight",
         "statements",
     )
@@ -273,6 +274,8 @@
         self.slowdown = 1.0
         self.measured_at = -math.inf
         self.sent_since_measured = 0
+        # Region of the target's data centre; empty if it is not known.
+        self.region = ""
         self.probes_in_flight = 0
         self.statements = TargetStatements()
 
