--- a/features/cold_targets.feature
+++ b/features/cold_targets.feature
@@ -124,3 +124,20 @@
       | 5, 7          | none   | 1         |
       | 9999999999    | none   | 1         |
       | 5 and again 5 | none   | 1         |
+
+  Scenario Outline: Targets that crash above their cold rate, with a real node
+    # Guards the whole path: what targets say, the permits and the refusals.
+    Given a node whose <count> targets of "reads" sustain 4.5 requests a second while they are cold
+    When all of them say that they are cold for 3 s, and 60 callers send reads
+    Then no target has crashed, and each caller was answered by a target or refused as not run
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario: Targets that were not protected crash
+    # Guards the stand-in: a check that cannot fail shows nothing.
+    Given a node whose 1 targets of "reads" sustain any number of requests, and crash while they are cold
+    When all of them say that they are cold for 3 s, and 60 callers send reads
+    Then a target has crashed
--- a/features/steps/cold_target_steps.py
+++ b/features/steps/cold_target_steps.py
@@ -1,13 +1,16 @@
 """Steps about targets that are cold after a start."""
 
 import random
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
 from features.node_world import NOW, arrive, make_directory, make_instance, make_state, metadata
 from features.steps import rate_limit_steps
+from features.steps.node_path_steps import NodeRig
 from features.steps.rate_limit_steps import play
 from poplarlane.bench.model_targets import TargetShape
+from poplarlane.bench.processes import Launcher
 from poplarlane.bench.service_model import Pattern, ServiceModel
 from poplarlane.decisions.choice import permissions, rate_limits, statements
 from poplarlane.decisions.choice.statements import Source
@@ -406,3 +409,64 @@
         assert until < NOW, until
     else:
         assert abs(until - NOW - float(cold_s)) < 1e-6, until
+
+
+class ColdRig(NodeRig):
+    """Hold a node whose services have a cold rate."""
+
+    cold_per_s = 0.0
+
+    def configuration(self, version, routes):
+        """Build a configuration whose services name the rate that cold targets sustain."""
+        found = super().configuration(version, routes)
+        if self.cold_per_s:
+            for service in found["services"]:
+                service["cold_per_s"] = self.cold_per_s
+        return found
+
+
+def start_cold(context, count, cold_per_s):
+    """Start a node, and targets that crash above their cold rate."""
+    context.rig = ColdRig(context.resources.enter_context(Launcher()))
+    context.rig.cold_per_s = cold_per_s
+    context.rig.start({"reads": count, "books": 1})
+
+
+@given(
+    'a node whose {count:d} targets of "reads" sustain {rate:g} requests a second while they '
+    "are cold"
+)
+def step_real(context, count, rate):
+    start_cold(context, count, rate)
+
+
+@given(
+    'a node whose {count:d} targets of "reads" sustain any number of requests, and crash while '
+    "they are cold"
+)
+def step_real_unprotected(context, count):
+    start_cold(context, count, 0.0)
+
+
+@when("all of them say that they are cold for {cold_s:d} s, and {callers:d} callers send reads")
+def step_real_reads(context, cold_s, callers):
+    rig = context.rig
+    names = rig.names["reads"]
+    rig.control(targets={name: {"cold_per_s": RATE_PER_S, "cold_s": cold_s} for name in names})
+    rig.control(register=names)
+    with ThreadPoolExecutor(callers) as pool:
+        sends = [
+            pool.submit(rig.send, "GET", "/views/1", f"cold-{number}") for number in range(callers)
+        ]
+    context.statuses = [send.result()[0] for send in sends]
+
+
+@then("no target has crashed, and each caller was answered by a target or refused as not run")
+def step_none_crashed(context):
+    assert context.rig.ledger()["crashed"] == []
+    assert set(context.statuses) <= {200, 503} and 200 in context.statuses, context.statuses
+
+
+@then("a target has crashed")
+def step_crashed(context):
+    assert context.rig.ledger()["crashed"], context.statuses
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -18,6 +18,9 @@
 OBJECTS_PREFIX = "/-/objects/"
 MAX_WAIT_MS = 30_000
 KEPT_EVENTS = 1_000
+# A cold target bears this multiple of its rate and some requests more in a second.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 8
 # The next request of a caller is often on its way by then.
 LATE_COPY_S = 0.006
 
@@ -174,6 +177,12 @@
         self.probes = 0
         # When requests reached it, those that it refused included.
         self.arrivals: list[float] = []
+        # Rate that it sustains while it is cold, above which it crashes; 0: any.
+        self.cold_per_s = 0.0
+        self.cold_until = 0.0
+        self.has_crashed = False
+        # Number of times that it wrote its entry.
+        self.sequence = 0
         self.server = HttpServer(self.handle)
 
     def load(self) -> str:
@@ -181,13 +190,35 @@
         slots = self.fleet.settings.slots
         return f"{min(self.running, slots)},{max(0, self.running - slots)},{slots},{self.slowdown}"
 
+    @property
+    def cold_s(self) -> float:
+        """Return how long the target stays cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
+    @cold_s.setter
+    def cold_s(self, value: float) -> None:
+        self.cold_until = asyncio.get_running_loop().time() + value
+
+    def is_overrun(self) -> bool:
+        """Return whether a cold target got more requests in a second than it bears."""
+        if not self.cold_per_s or not self.cold_s:
+            return False
+        since = asyncio.get_running_loop().time() - 1.0
+        recent = sum(at > since for at in self.arrivals)
+        return recent > COLD_OVERAGE * self.cold_per_s + COLD_SLACK
+
     def handle(self, exchange: Exchange) -> None:
         """Answer a probe, refuse a request for another instance, or work."""
+        if self.has_crashed:
+            exchange.drop()
+            return
         headers = [("x-server-load", self.load()), ("x-instance-id", self.name)]
         if self.mode != "interim":
             headers += self.statements.items()
         if exchange.path == self.fleet.settings.probe_path:
             self.probes += 1
+            if self.cold_until:
+                headers.append(("x-cold-remaining-ms", str(round(self.cold_s * 1000.0))))
             if self.probe_mode:
                 self.answer_endlessly(self.probe_mode, exchange, headers)
             else:
@@ -199,6 +230,10 @@
             exchange.reply(421, headers, b"")
             return
         self.arrivals.append(asyncio.get_running_loop().time())
+        if self.is_overrun():
+            self.has_crashed = True
+            exchange.drop()
+            return
         if self.mode == "interim":
             self.answer_interim(exchange)
         if self.mode == "refusal-copy" and self.refused_id:
@@ -303,6 +338,7 @@
 
     def register(self, state: str = "ready") -> None:
         """Write the target's entry into the store."""
+        self.sequence += 1
         host, port = self.address.rsplit(":", 1)
         settings = self.fleet.settings
         spec = {
@@ -311,7 +347,10 @@
             "born": settings.born_ms,
         }
         self.fleet.store.put(
-            "servers", self.name, spec, {"state": state, "sequence": 1, "cold_remaining_s": 0}
+            "servers",
+            self.name,
+            spec,
+            {"state": state, "sequence": self.sequence, "cold_remaining_s": self.cold_s},
         )
 
 
@@ -356,6 +395,7 @@
                 "deadlines_ms": self.deadlines_ms,
                 "probes": {name: target.probes for name, target in self.targets.items()},
                 "arrivals": {name: target.arrivals for name, target in self.targets.items()},
+                "crashed": [name for name, found in self.targets.items() if found.has_crashed],
                 "endless": sum(len(target.endless) for target in self.targets.values()),
                 "calls": self.store.calls,
             }
