Draw cold targets in the interleavings; odd cold rates, and when the nodes are known

Cause: permits of cold targets were not part of the drawn interleavings; a rate of null refused the whole configuration, and one of 1e308 made the intervals between permits 0 s; whether a node knows the others was read from a clock that does not count suspensions.

Change: null counts as no limit, rates above a million as a million; the relay's clock decides. Targets of the interleavings turn cold and warm.

--- a/features/cold_targets.feature
+++ b/features/cold_targets.feature
@@ -80,6 +80,17 @@
       | 1    | may not |
       | 2    | may     |
 
+  Scenario Outline: When a node knows the others
+    # Guards the first seconds of a node, and a clock that does not count suspensions.
+    Given a node whose exchange started <age> s ago and that has heard of <members> others
+    Then it <knows> the number of nodes
+
+    Examples:
+      | age | members | knows         |
+      | 1.9 | 3       | does not know |
+      | 2.1 | 0       | does not know |
+      | 2.1 | 3       | knows         |
+
   Scenario: A partition hides most of the nodes
     # Guards both sides of a partition, each of which would take the whole rate.
     Given a node that knew 190 nodes, with a cold target
@@ -125,6 +136,22 @@
       | 9999999999    | none   | 1         |
       | 5 and again 5 | none   | 1         |
 
+  Scenario Outline: Rates in the configuration
+    # Guards the whole configuration against one odd value, and permits against intervals of 0 s.
+    When a service of the configuration sustains <value> requests a second while its targets are cold
+    Then <result>
+
+    Examples:
+      | value | result                                 |
+      | 4.5   | its cold targets get 4.5 a second      |
+      | 0     | its cold targets are not limited       |
+      | null  | its cold targets are not limited       |
+      | -3    | its cold targets are not limited       |
+      | 1e308 | its cold targets get 1000000 a second  |
+      | 1e400 | the configuration cannot be used       |
+      | "4.5" | the configuration cannot be used       |
+      | [4.5] | the configuration cannot be used       |
+
   Scenario Outline: Targets that crash above their cold rate, with a real node
     # Guards the whole path: what targets say, the permits and the refusals.
     Given a node whose <count> targets of "reads" sustain 4.5 requests a second while they are cold
--- a/features/node_interleaving.feature
+++ b/features/node_interleaving.feature
@@ -22,3 +22,4 @@
       | leaving in answers is missed | which said that it leaves |
       | pauses are missed           | which turned the node away  |
       | rates are missed            | beyond the rate             |
+      | cold targets are missed     | which is cold               |
--- a/features/node_interleaving.py
+++ b/features/node_interleaving.py
@@ -13,6 +13,7 @@
 
 from features.node_world import NOW, SLOTS
 from poplarlane.decisions.choice import rate_limits
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.directory import (
     Catalogue,
     Configuration,
@@ -61,6 +62,7 @@
 STEPS = 160
 NODES = 4
 SLOW_RATE_PER_S = 0.8
+COLD_PER_S = 4.0
 READ = RequestKind("read", frozenset(), "/", True, Priority.NORMAL, DEADLINE_S * 1000.0, True)
 WRITE = RequestKind("write", frozenset(), "/", False, Priority.HIGH, DEADLINE_S * 1000.0, False)
 
@@ -87,11 +89,15 @@
         self.rate_per_s: float | None = None
         # Requests sent to the target since it named the rate.
         self.sent_at: list[float] = []
+        # End of the time in which it is cold, and the requests sent to it while it was.
+        self.cold_until = -math.inf
+        self.sent_cold_at: list[float] = []
 
     def check(self, name: str, now: float) -> None:
         """Check a request that the node sends to the target."""
         assert not self.leaves, f"a request goes to {name}, which said that it leaves"
         assert now >= self.paused_until, f"a request goes to {name}, which turned the node away"
+        self.check_cold(name, now)
         if self.rate_per_s is None:
             return
         self.sent_at.append(now)
@@ -102,6 +108,18 @@
         most = 1 + (window_s + rate_limits.PERMIT_VALID_S) / interval_s
         assert recent <= most, f"{recent} requests go to {name}, beyond the rate that it named"
 
+    def check_cold(self, name: str, now: float) -> None:
+        """Check a request to a target that may be cold against this node's part."""
+        if now >= self.cold_until:
+            return
+        self.sent_cold_at.append(now)
+        tolerance = cold_permits.cold_tolerance()
+        share = rate_limits.used_share(COLD_PER_S, NODES, tolerance)
+        interval_s = NODES / (share * COLD_PER_S)
+        recent = sum(now - at < tolerance.window_s for at in self.sent_cold_at)
+        most = 1 + (tolerance.window_s + tolerance.permit_valid_s) / interval_s
+        assert recent <= most, f"{recent} requests go to {name}, which is cold"
+
 
 class Sending:
     """Hold one attempt on its way to or at a target."""
@@ -118,6 +136,8 @@
 
     def __init__(self, seed: int, weaken: Callable[["World", EntryEvent], None] | None) -> None:
         self.generator = random.Random(f"interleaving/{seed}")
+        # Draws what targets say of being cold, and leaves the other draws as they are.
+        self.cold_generator = random.Random(f"cold/{seed}")
         self.weaken = weaken
         self.now = NOW
         self.version = 1
@@ -142,7 +162,7 @@
             Route(kind.name, HOST, f"/{kind.name}/", kind, 0.4, MAX_ATTEMPTS, parts)
             for kind in (READ, WRITE)
         ]
-        services = [ServiceRecord(name, "/load", 330) for name in SERVICES]
+        services = [ServiceRecord(name, "/load", 330, COLD_PER_S) for name in SERVICES]
         return Configuration(version, routes, services, None)
 
     def add_instance(self, service: str) -> None:
@@ -350,6 +370,10 @@
             said.rate_per_s = None
             said.sent_at.clear()
         metadata.rate_limit_per_s = said.rate_per_s
+        if self.cold_generator.random() < 0.03:
+            said.cold_until = self.now + self.cold_generator.choice((0.0, 0.1, 0.6, 1.5))
+        if said.cold_until > -math.inf:
+            metadata.cold_s = max(0.0, said.cold_until - self.now)
 
     def caller_leaves(self) -> None:
         """Let a caller close its connection."""
@@ -466,6 +490,11 @@
     event_metadata(event).rate_limit_per_s = None
 
 
+def miss_cold(world: World, event: EntryEvent) -> None:
+    """Overlook that a target says that it is cold."""
+    event_metadata(event).cold_s = None
+
+
 def lose_deadlines(world: World, event: EntryEvent) -> None:
     """Drop every timer, so that silence is never answered."""
     world.state.timers.clear()
@@ -483,6 +512,7 @@
     "leaving in answers is missed": miss_leaving,
     "pauses are missed": miss_pauses,
     "rates are missed": miss_rates,
+    "cold targets are missed": miss_cold,
 }
 
 
--- a/features/steps/cold_target_steps.py
+++ b/features/steps/cold_target_steps.py
@@ -1,13 +1,17 @@
 """Steps about targets that are cold after a start."""
 
+import json
 import random
 from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 from behave import given, then, when
 
 from features.node_world import NOW, arrive, make_directory, make_instance, make_state, metadata
 from features.steps import rate_limit_steps
+from features.steps.node_exchange_steps import KeeperRig
 from features.steps.node_path_steps import NodeRig
+from features.steps.platform_translation_steps import CONFIGURATION
 from features.steps.rate_limit_steps import play
 from poplarlane.bench.model_targets import TargetShape
 from poplarlane.bench.processes import Launcher
@@ -17,12 +21,16 @@
 from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.directory import Configuration, ServiceRecord
 from poplarlane.decisions.effects import Count, Log
+from poplarlane.decisions.membership import relays
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests.entry_effects import ProbeTarget
 from poplarlane.decisions.requests.entry_events import CatalogueChanged, ProbeAnswered, TimerFired
 from poplarlane.decisions.requests.requests import dispatch_waiting
+from poplarlane.platform import store
 from poplarlane.platform.headers import PLATFORM_HEADERS
+from poplarlane.platform.translation import configuration_of
 from poplarlane.plumbing.heads import read_response_head
+from poplarlane.plumbing.pauses import clock
 from poplarlane.types import Permits, Verdict
 
 RATE_PER_S = 4.5
@@ -339,6 +347,21 @@
     publish(context, NOW + 2.0, nodes)
 
 
+@given("a node whose exchange started {age:g} s ago and that has heard of {members:d} others")
+def step_exchange(context, age, members):
+    context.keeper = KeeperRig().keeper
+    context.keeper.make_relay = lambda: None
+    state = context.keeper.relay.state
+    state.started_at = clock() - age
+    for number in range(members):
+        relays.record_member(state, relays.Member(f"n-{number}", f"10.0.1.{number}", "dc", clock()))
+
+
+@then("it {knows} the number of nodes")
+def step_knows_others(context, knows):
+    assert context.keeper.is_fleet_known() == (knows == "knows")
+
+
 @given("a node that knew {nodes:d} nodes, with a cold target")
 def step_knew(context, nodes):
     cold_state(context, 2)
@@ -411,6 +434,37 @@
         assert abs(until - NOW - float(cold_s)) < 1e-6, until
 
 
+@when(
+    "a service of the configuration sustains {value} requests a second while its targets are cold"
+)
+def step_configured(context, value):
+    document = json.loads(json.dumps(CONFIGURATION))
+    document["services"][0]["cold_per_s"] = "VALUE"
+    body = json.dumps({"metadata": {"name": "main"}, "spec": document})
+    item = store.stored_object(msgspec.Raw(body.replace('"VALUE"', value).encode()))
+    context.found = "unreadable" if item is None else configuration_of(item)
+
+
+@then("its cold targets get {rate:g} a second")
+def step_cold_rate(context, rate):
+    assert context.found.services[0].cold_per_s == rate
+    found = Permits()
+    found.heard_at = 0.0
+    rate_limits.set_rate(found, rate, 24, 7, cold_permits.cold_tolerance())
+    # A lapsed permit of long ago leads to one that has not lapsed.
+    assert rate_limits.first_permit_at(found, 1e9, 0.5) >= 1e9 - 0.5 - 1e-6
+
+
+@then("its cold targets are not limited")
+def step_cold_unlimited(context):
+    assert context.found.services[0].cold_per_s == 0.0
+
+
+@then("the configuration cannot be used")
+def step_unusable(context):
+    assert isinstance(context.found, str), context.found
+
+
 class ColdRig(NodeRig):
     """Hold a node whose services have a cold rate."""
 
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -20,6 +20,8 @@
 ROUTE_TYPES = (SAFE, "unsafe")
 # For routes without `timeout_s`: long enough that only callers' deadlines bound the wait.
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
+# No target gets as many requests; bounds what intervals between permits are computed from.
+MAX_COLD_PER_S = 1e6
 
 
 class SplitDocument(msgspec.Struct):
@@ -51,8 +53,8 @@
     name: str
     health_path: str = ""
     max_connections: int = 100
-    cold_per_s: float = 0.0
-    cold_start_s: float = 0.0
+    cold_per_s: float | None = None
+    cold_start_s: float | None = None
 
 
 class LimitsDocument(msgspec.Struct):
@@ -89,7 +91,7 @@
     """
 
     state: str
-    cold_remaining_s: float = 0.0
+    cold_remaining_s: float | None = None
     sequence: int = 0
 
 
@@ -119,8 +121,8 @@
             service.name,
             service.health_path,
             service.max_connections,
-            max(0.0, service.cold_per_s),
-            max(0.0, service.cold_start_s),
+            min(MAX_COLD_PER_S, max(0.0, service.cold_per_s or 0.0)),
+            max(0.0, service.cold_start_s or 0.0),
         )
         for service in found.services
     ]
@@ -200,7 +202,7 @@
         found.info.slots,
         found.status.state == DRAINING,
         found.born,
-        max(0.0, found.status.cold_remaining_s),
+        max(0.0, found.status.cold_remaining_s or 0.0),
         found.status.sequence,
     )
 
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -21,6 +21,7 @@
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.pauses import clock
 from poplarlane.relay_messages import FleetDigest
 from poplarlane.store_objects import ObjectChange, StoredObject, era_of
 
@@ -352,7 +353,7 @@
         """Return whether this node has had time to hear of the others, and has."""
         if self.make_relay is None:
             return True
-        if self.relay is None or self.shell.now() - self.relay.state.started_at < FLEET_KNOWN_S:
+        if self.relay is None or clock() - self.relay.state.started_at < FLEET_KNOWN_S:
             return False
         return bool(self.relay.state.members or self.relay.state.reported_fleet_size)
 
