--- a/poplarlane/decisions/choice/permissions.py
+++ b/poplarlane/decisions/choice/permissions.py
@@ -15,7 +15,8 @@
         return False
     if found.cold_until > now and cold_permits.is_limited(load, now):
         return cold_permits.has_permit(load, now) and has_permit(load, now)
-    return has_permit(load, now)
+    # Few targets name a rate; this runs for each target of a service several times a request.
+    return found.rate_limit_per_s is None or has_permit(load, now)
 
 
 def next_send_at(load: TargetLoad, now: float) -> float:
--- a/poplarlane/decisions/cold/cold_permits.py
+++ b/poplarlane/decisions/cold/cold_permits.py
@@ -42,7 +42,7 @@
 
 def take_permit(load: TargetLoad, now: float) -> None:
     """Use a permit for a request that is being sent to a target, if it is limited."""
-    if load.statements.cold_until > now and is_limited(load, now):
+    if is_limited(load, now):
         rate_limits.use_permit(load.statements.cold_permits, now, PERMIT_VALID_S)
 
 
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -46,7 +46,8 @@
     health.observe_sent(load, attempt_id, now)
     load.sent_since_measured += 1
     rate_limits.take_permit(load, now)
-    cold_permits.take_permit(load, now)
+    if load.statements.cold_until > now:
+        cold_permits.take_permit(load, now)
     effects.append(
         SendRequest(
             request.request_id,
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -27,6 +27,7 @@
     REFUSED_AFTER_WAIT = "refused after a wait"
     RATE_USED_UP = "refused: rates named by targets used up"
     TARGETS_PAUSED = "refused: targets turned requests away"
+    NO_TARGET_AT_HOME = "refused: no capacity in the allowed regions"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -42,6 +43,7 @@
 STATEMENT_CAUSES = {
     "rate_limited": Cause.RATE_USED_UP,
     "targets_paused": Cause.TARGETS_PAUSED,
+    "no_target_at_home": Cause.NO_TARGET_AT_HOME,
 }
 
 Key = tuple[str, str, Cause]
