--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -97,6 +97,21 @@
       | the evacuation of "dc-b" is ended | lists it           | nothing | it lists the same again                        | nothing |
       | the evacuation of "dc-b" is ended | lists nothing      | nothing | "dc-b" is written in era 2                     | "dc-b"  |
 
+  Scenario Outline: A link between two data centres is cut while a third one reaches both
+    # Guards the data centre that hears nothing of the node that follows the store for all.
+    Given <nodes> nodes in 3 data centres with 3 seeds
+    When the exchange has run for 5 s
+    And the link between the data centres of the first two seeds is cut for <time> s
+    And the store tells the nodes that follow it of a change
+    And the exchange has run for 1 s
+    Then all <nodes> nodes have the change
+
+    Examples:
+      | nodes | time |
+      | 24    | 2.5  |
+      | 24    | 8.0  |
+      | 190   | 8.0  |
+
   Scenario Outline: A data centre is emptied under a surge
     # Guards the callers of the data centres that are left.
     Given a fleet of 24 nodes and 18 targets in 3 data centres
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -37,8 +37,9 @@
     def send(self, name, payload):
         """Queue a message for a node, named or by its address, unless either is cut off."""
         receiver = self.fleet.by_address.get(name, name)
-        if not self.fleet.cut & {self.name, receiver}:
-            self.fleet.queue.append((name, payload))
+        if self.fleet.cut & {self.name, receiver} or self.fleet.is_cut(self.name, name):
+            return
+        self.fleet.queue.append((name, payload))
 
 
 class AnyName:
@@ -59,6 +60,8 @@
         self.cut = set()
         self.relays = {}
         self.by_address = {}
+        # Pairs of data centres between which messages are lost.
+        self.cut_links = set()
         # Nodes that the store turns away, and those that it was asked by.
         self.denied = set()
         self.asked = set()
@@ -100,6 +103,14 @@
                     self.ask_store(name, relay)
                     self.deliver()
 
+    def is_cut(self, sender, receiver):
+        """Return whether messages between two nodes are lost."""
+        name = self.by_address.get(receiver, receiver)
+        if name not in self.relays or not self.cut_links:
+            return False
+        places = [self.relays[found].state.me.data_centre for found in (sender, name)]
+        return frozenset(places) in self.cut_links
+
     def ask_store(self, name, relay):
         """Let a node that follows the store hear that nothing is new."""
         if relay.following:
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -427,6 +427,12 @@
     apply(context, revision_in(2, 81), (revision_in(2, 80), False))
 
 
+@when("the link between the data centres of the first two seeds is cut for {time_s:g} s")
+def step_cut_link(context, time_s):
+    context.fleet.cut_links.add(frozenset(["dc-0", "dc-1"]))
+    context.fleet.run(time_s)
+
+
 @given("a fleet of 24 nodes and 18 targets in 3 data centres")
 def step_fleet(context):
     context.targets = 18
