Follow a kind that the store lists as empty at revision 0

Cause: a store that has never held an evacuation may count its revisions from 0. A follower takes 0 for not listed: it listed without a pause, and the relay asked other nodes for the kind four times a second.

Change: such a list is repeated each second, and a kind that the store has listed as empty is fetched from another node only if one announces objects.

--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -97,6 +97,12 @@
       | the evacuation of "dc-b" is ended | lists it           | nothing | it lists the same again                        | nothing |
       | the evacuation of "dc-b" is ended | lists nothing      | nothing | "dc-b" is written in era 2                     | "dc-b"  |
 
+  Scenario: A store that has never held an evacuation
+    # Guards the store against lists without a pause, if it counts the revisions of each kind from 0.
+    Given a follower whose store lists nothing at revision 0
+    When it runs for 0.3 s
+    Then it has listed once and its listener knows that nothing is evacuated
+
   Scenario Outline: A link between two data centres is cut while a third one reaches both
     # Guards the data centre that hears nothing of the node that follows the store for all.
     Given <nodes> nodes in 3 data centres with 3 seeds
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -1,5 +1,6 @@
 """Steps about data centres that operators evacuate."""
 
+import asyncio
 import random
 from types import SimpleNamespace
 
@@ -34,6 +35,7 @@
 from poplarlane.outcomes import NotRun
 from poplarlane.platform import store
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.platform_client import PlatformResponse
 from poplarlane.store_objects import ObjectChange, StoredObject, revision_in
 from poplarlane.types import Verdict
 
@@ -427,6 +429,45 @@
     apply(context, revision_in(2, 81), (revision_in(2, 80), False))
 
 
+@given("a follower whose store lists nothing at revision 0")
+def step_never_held(context):
+    context.lists = []
+
+    class EmptyClient:
+        """Answer each list with nothing."""
+
+        async def read(self, operation, _path, _wait_s=0.0):
+            """Answer a call."""
+            assert operation == "list"
+            await asyncio.sleep(0)
+            return PlatformResponse(200, b'{"items":[],"current_rev":0}', {})
+
+    listener = SimpleNamespace(
+        store_call_finished=lambda _kind, _succeeded: None,
+        confirmed=lambda _kind: None,
+        listed=lambda _kind, items: context.lists.append(items),
+    )
+    context.follower = ObjectFollower(
+        EmptyClient(), store, EVACUATIONS, listener, 100, random.Random(1)
+    )
+
+
+@when("it runs for {time_s:g} s")
+def step_follower_runs(context, time_s):
+    async def run():
+        context.follower.start()
+        context.follower.set_enabled(True)
+        await asyncio.sleep(time_s)
+        context.follower.close()
+
+    asyncio.run(run())
+
+
+@then("it has listed once and its listener knows that nothing is evacuated")
+def step_listed_once(context):
+    assert context.lists == [[]], len(context.lists)
+
+
 @when("the link between the data centres of the first two seeds is cut for {time_s:g} s")
 def step_cut_link(context, time_s):
     context.fleet.cut_links.add(frozenset(["dc-0", "dc-1"]))
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -27,6 +27,8 @@
 # Pages of one list; a store that times out may also be slow to list a whole kind.
 MAX_PAGES = 1_000
 POLL_WAIT_MS = 1
+# A list of revision 0 cannot be continued by a watch. It is repeated at this interval.
+EMPTY_LIST_PAUSE_S = 1.0
 
 
 class StoreApi(Protocol):
@@ -269,6 +271,8 @@
             self.listener.listed(self.kind, items)
         if not allow_stale:
             self.mark_current()
+        if not revision:
+            await asyncio.sleep(EMPTY_LIST_PAUSE_S)
         return True
 
     def mark_current(self) -> None:
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -263,6 +263,9 @@
         """Fetch announced changes that did not arrive: from another node, then from the store."""
         for kind, follower in self.followers.items():
             known = follower.known_revision()
+            if not known and follower.is_current and not self.is_announced(kind, now):
+                # The store has listed the kind as empty at revision 0.
+                continue
             version = follower.newest_version()
             source = relay_fetches.fetch_source(
                 self.state, kind, known, self.random_value(), now, version
@@ -274,6 +277,10 @@
             if not self.following and relay_fetches.is_repeated_fetch(self.state, kind):
                 follower.poll_once()
 
+    def is_announced(self, kind: str, now: float) -> bool:
+        """Return whether another node has announced objects of a kind."""
+        return relay_fetches.most_recent_announcer(self.state, kind, 0, now) is not None
+
     def check_current(self, now: float) -> None:
         """Mark kinds as current if heartbeats of other nodes confirm it, else poll the store."""
         for kind, follower in self.followers.items():
