--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -3,6 +3,7 @@
 from poplarlane.decisions.choice import statements
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.choice.shares import update_shares
+from poplarlane.decisions.cold import cold_targets
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.configuration.route_table import RouteTable
 from poplarlane.decisions.configuration.views import apply_service, close_removed_targets
@@ -25,6 +26,10 @@
     catalogue = event.catalogue
     resized = event.fleet_entries != state.fleet_entries
     state.fleet_entries = max(1, event.fleet_entries)
+    state.now = event.now
+    is_newly_known = event.is_fleet_known != state.is_fleet_known
+    state.is_fleet_known = event.is_fleet_known
+    cold_targets.observe_fleet(state, event.now)
     changed = [
         service_object
         for name, service_object in catalogue.services.items()
@@ -33,6 +38,9 @@
     for service_object in changed:
         apply_service_change(state, service_object, catalogue, event.now, effects)
     state.catalogue.update(catalogue.services)
+    log_evacuations(state, catalogue, effects)
+    is_divided_anew = resized or is_newly_known
+    cold_targets.apply_catalogue(state, catalogue, is_divided_anew, event.random_value, effects)
     statements.forget_absent(state, event.now)
     set_probe_rate(state, event.now)
     apply_routes(state, catalogue, effects)
@@ -53,6 +61,24 @@
     return effects
 
 
+def log_evacuations(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> None:
+    """Log the evacuations that have started and ended, and what they leave nothing of."""
+    before, state.evacuated = state.evacuated, catalogue.evacuated
+    if before == state.evacuated:
+        return
+    for name in sorted(state.evacuated - before):
+        if name in catalogue.data_centres:
+            effects.append(Log("evacuation_started", "warning", {"data_centre": name}))
+        else:
+            effects.append(Log("evacuation_without_targets", "warning", {"data_centre": name}))
+    for name in sorted(before - state.evacuated):
+        effects.append(Log("evacuation_ended", "warning", {"data_centre": name}))
+    empty = [name for name, found in catalogue.services.items() if not found.targets]
+    if state.evacuated and empty:
+        fields = {"services": ",".join(sorted(empty))}
+        effects.append(Log("evacuation_leaves_no_target", "error", fields))
+
+
 def apply_routes(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> None:
     """Apply the routes of a newer configuration; an older version never replaces a newer one."""
     current = state.routes
@@ -88,7 +114,10 @@
     added = [load for name, load in service.loads.items() if previous.get(name) is not load]
     for load in added:
         warm_up_s = catalogue.warm_up_s.get(load.target.name, 0.0)
-        load.cold_until = now + warm_up_s
+        if service.name in catalogue.cold_per_s:
+            # Permits limit what such a target gets.
+            continue
+        load.statements.cold_until = now + warm_up_s if warm_up_s else 0.0
         if warm_up_s and current is not None:
             health.start_ramp(load, now)
     update_shares(service, effects)
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -6,6 +6,7 @@
 )
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.requests import request_log
@@ -45,6 +46,8 @@
     health.observe_sent(load, attempt_id, now)
     load.sent_since_measured += 1
     rate_limits.take_permit(load, now)
+    if load.statements.cold_until > now:
+        cold_permits.take_permit(load, now)
     effects.append(
         SendRequest(
             request.request_id,
@@ -68,8 +71,12 @@
     request.state = RequestState.QUEUED
 
 
-def unreachable_refusal(targets: list[TargetLoad] | None) -> NotRun:
+def unreachable_refusal(
+    targets: list[TargetLoad] | None, regions: frozenset[str] | None = None
+) -> NotRun:
     """Return the refusal of a queued request that can no longer be sent."""
+    if regions is not None:
+        return NotRun(ResultCode.NO_TARGET_AT_HOME, "no target in the allowed regions")
     if targets is None:
         return NotRun(ResultCode.NOT_ALLOWED, "no selector allows this")
     return NotRun(ResultCode.NO_TARGET, "every target is leaving")
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -12,6 +12,7 @@
 from poplarlane.decisions.choice.policies import Policy
 from poplarlane.decisions.choice.slowdowns import Slowdowns
 from poplarlane.decisions.choice.subsets import TargetGroup
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.route_table import RouteTable
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
@@ -36,6 +37,9 @@
 LCG_MASK = (1 << 64) - 1
 
 
+ReachableKey = str | tuple[str, frozenset[str]]
+
+
 class RequestState(IntEnum):
     """States of a request; a REFUSED or UNKNOWN one may be sent again."""
 
@@ -56,10 +60,11 @@
     DRAIN_LIMIT = 4
     VIEW_LIMIT = 5
     PROBE_END = 6
-    # RECHECK belongs to a service and PROBE_LIMIT to a probe; the others to requests.
     TRIAL_LIMIT = 10
+    # RECHECK and WARM_CHECK belong to a service and PROBE_LIMIT to a probe; others to requests.
     RECHECK = 7
     GIVE_UP = 9
+    WARM_CHECK = 12
     PROBE_LIMIT = 8
     DRAIN_REFUSAL = 11
 
@@ -103,6 +108,9 @@
         "slowdowns",
         "number",
         "recheck_at",
+        "cold_per_s",
+        "cold_until",
+        "warm_check_at",
     )
 
     def __init__(self, name: str) -> None:
@@ -115,8 +123,9 @@
         self.policy: Policy
         self.access: Access
         self.loads: dict[str, TargetLoad] = {}
-        # Cache of usable targets by the caller's labels header; None if no selector allows any.
-        self.reachable: dict[str, list[TargetLoad] | None] = {}
+        # Cache of usable targets by the caller's labels header, and by allowed regions if there are
+        # any; None if no selector allows any.
+        self.reachable: dict[ReachableKey, list[TargetLoad] | None] = {}
         # Usable targets by the set of target names that one selector allows.
         self.groups: dict[frozenset[str], TargetGroup] = {}
         self.limits: ServiceLimits
@@ -135,6 +144,11 @@
         # (0: not scheduled).
         self.number = 0
         self.recheck_at = 0.0
+        # Requests per second that a cold target bears from all nodes; 0 without a limit.
+        self.cold_per_s = 0.0
+        # Latest end of the cold time of a limited target, and the next check for warm ones.
+        self.cold_until = -math.inf
+        self.warm_check_at = -math.inf
 
 
 class Request:
@@ -174,6 +188,7 @@
         "content",
         "customer",
         "fingerprint",
+        "regions",
     )
 
     def __init__(
@@ -231,6 +246,8 @@
         self.content: Content | None = None
         self.customer = ""
         self.fingerprint = b""
+        # Regions whose targets it may be sent to; None allows all.
+        self.regions: frozenset[str] | None = None
 
 
 class Attempt:
@@ -292,6 +309,11 @@
         "members",
         "leaving",
         "fleet_entries",
+        "is_fleet_known",
+        "most_entries",
+        "most_entries_at",
+        "cold_tolerance",
+        "evacuated",
         "entry_rank",
         "requests",
         "attempts",
@@ -319,6 +341,7 @@
         "probe_allowance",
         "probes_per_target_s",
         "data_centre",
+        "region_of",
         "other_data_centre_s",
         "extra_sends",
         "extra_sends_window_s",
@@ -345,6 +368,13 @@
         self.members: dict[str, tuple[int, bool]] = {}
         self.leaving: set[str] = set()
         self.fleet_entries = 1
+        # Whether this node has heard of the others, and the largest number known lately.
+        self.is_fleet_known = True
+        self.most_entries = 1
+        self.most_entries_at = -math.inf
+        self.cold_tolerance = cold_permits.cold_tolerance()
+        # Data centres whose targets get no new requests.
+        self.evacuated: frozenset[str] = frozenset()
         self.entry_rank = 0
         self.requests: dict[int, Request] = {}
         self.attempts: dict[int, Attempt] = {}
@@ -380,6 +410,8 @@
         # The entry's own data centre, and the one-way delay assumed to others without a known one.
         self.data_centre = ""
         self.other_data_centre_s = 0.0
+        # Region of each data centre.
+        self.region_of: dict[str, str] = {}
         # Retries and hedges that the fleet may send per service and window beyond the ratio.
         self.extra_sends = 0.0
         self.extra_sends_window_s = 10.0
@@ -416,10 +448,13 @@
     return (random_value * LCG_MULTIPLIER + LCG_INCREMENT) & LCG_MASK
 
 
-def reachable_targets(service: ServiceState, text: str) -> list[TargetLoad] | None:
+def reachable_targets(
+    service: ServiceState, text: str, regions: frozenset[str] | None = None
+) -> list[TargetLoad] | None:
     """Return the targets that a caller may reach and that are not leaving; None if denied."""
+    key = text if regions is None else (text, regions)
     try:
-        return service.reachable[text]
+        return service.reachable[key]
     except KeyError:
         pass
     labels = parse_labels(text)
@@ -430,7 +465,9 @@
     usable = [service.groups[names] for names in groups if names in service.groups]
     chosen = {load.target.name: load for group in usable for load in group.subset}
     found = [load for _, load in sorted(chosen.items())] if groups else None
+    if found and regions is not None:
+        found = [load for load in found if load.region in regions]
     if len(service.reachable) >= MAX_CACHED_ACCESSES:
         service.reachable.clear()
-    service.reachable[text] = found
+    service.reachable[key] = found
     return found
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -21,6 +21,7 @@
 OBJECTS_PATH = "/-/objects/"
 CONFIGURATION_KIND = "config"
 INSTANCES_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 GONE_STATUS = 410
 # Rises by one each time the store comes back from a copy that misses acknowledged writes.
 ERA_HEADER = b"store-era"
@@ -104,6 +105,17 @@
         return name.encode("utf-8", "surrogatepass")
 
 
+def object_path(kind: str, name: str = "") -> str:
+    """Return the path of one object, or the one to create objects at; names hold any character."""
+    path = OBJECTS_PATH + quote(kind)
+    return f"{path}/{quote(name_bytes(name), safe='')}" if name else path
+
+
+def encode_object(name: str, spec: object) -> bytes:
+    """Encode an object for a write."""
+    return msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+
+
 def watch_path(kind: str, revision: int, wait_ms: int) -> str:
     """Return the path that waits for changes after a revision."""
     return f"{OBJECTS_PATH}{quote(kind)}?watch={number_of(revision)}&wait_ms={wait_ms}"
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -23,6 +23,8 @@
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
 # str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
 PORT = re.compile(r"[0-9]{1,5}")
+# No target gets as many requests; bounds what intervals between permits are computed from.
+MAX_COLD_PER_S = 1e6
 
 
 class SplitDocument(msgspec.Struct):
@@ -45,6 +47,7 @@
     target_latency_s: float | None = None
     priority: int = 2
     max_attempts: int = 1
+    allowed_regions: list[str] | None = None
 
 
 class ServiceDocument(msgspec.Struct):
@@ -53,6 +56,8 @@
     name: str
     health_path: str = ""
     max_connections: int = 100
+    cold_per_s: float | None = None
+    cold_start_s: float | None = None
 
 
 class LimitsDocument(msgspec.Struct):
@@ -89,7 +94,7 @@
     """
 
     state: str
-    cold_remaining_s: float = 0.0
+    cold_remaining_s: float | None = None
     sequence: int = 0
 
 
@@ -115,7 +120,13 @@
             return f"route {route.name!r}: {translated}"
         routes.append(translated)
     services = [
-        ServiceRecord(service.name, service.health_path, service.max_connections)
+        ServiceRecord(
+            service.name,
+            service.health_path,
+            service.max_connections,
+            min(MAX_COLD_PER_S, max(0.0, service.cold_per_s or 0.0)),
+            max(0.0, service.cold_start_s or 0.0),
+        )
         for service in found.services
     ]
     return Configuration(found.version, routes, services, limits_of(found.limits))
@@ -157,6 +168,7 @@
         latency_objective_s,
         max(1, route.max_attempts),
         parts,
+        frozenset(route.allowed_regions) if route.allowed_regions else None,
     )
 
 
@@ -198,7 +210,7 @@
         found.info.slots,
         found.status.state == DRAINING,
         found.born,
-        max(0.0, found.status.cold_remaining_s),
+        max(0.0, found.status.cold_remaining_s or 0.0),
         found.status.sequence,
     )
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -7,6 +7,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from poplarlane.decisions.cold.cold_permits import cold_tolerance
+from poplarlane.decisions.cold.cold_targets import limited_targets
 from poplarlane.decisions.configuration.directory import Directory
 from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
@@ -70,6 +72,8 @@
         "probes_per_target_s",
         "extra_sends",
         "extra_sends_window_s",
+        "cold_overage",
+        "cold_slack",
     }
 )
 # Time for the last responses to reach their callers before the platform kills the process.
@@ -126,6 +130,7 @@
     state.quarantine.enabled = True
     state.quarantine.has_peers = bool(settings.exchange_ports)
     state.fleet.add(QuarantineSection(state))
+    state.region_of = {settings.data_centre: settings.region, **(settings.zones or {})}
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -146,6 +151,7 @@
     state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
     state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
     state.extra_sends_window_s = settings.extra_sends_window_s
+    state.cold_tolerance = cold_tolerance(settings.cold_overage, settings.cold_slack)
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
@@ -194,19 +200,28 @@
         STORE_MAX_TIMEOUT_FACTOR,
     )
     translation = Translation(
-        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of, version_of
+        store.CONFIGURATION_KIND,
+        CONFIGURATION_NAME,
+        configuration_of,
+        instance_of,
+        version_of,
+        store.EVACUATIONS_KIND,
     )
     ratio = settings.extra_send_ratio * EXTRA_SENDS_SHARE
     keeper = DirectorySync(
         shell, Directory(ratio, settings.policy), translation, settings.fleet_size
     )
-    wait_ms = round(settings.apply_limit_s * WATCH_WAIT_FRACTION * 1000.0)
-    group_s = settings.apply_limit_s * BATCH_DELAY_FRACTION
+    limit_s = change_limit_s(settings)
+    wait_ms = round(limit_s * WATCH_WAIT_FRACTION * 1000.0)
+    group_s = limit_s * BATCH_DELAY_FRACTION
     seeds = [split_address(seed)[0] for seed in settings.seeds]
     # Other nodes supply what a stale list lacks. Seeds list current state: they are asked first.
     has_others = bool(settings.exchange_ports)
     allow_stale_list = settings.bootstrap and has_others and settings.listen_address not in seeds
-    for kind in (store.CONFIGURATION_KIND, store.INSTANCES_KIND):
+    kinds = [store.CONFIGURATION_KIND, store.INSTANCES_KIND]
+    if settings.evacuate_within_s is not None:
+        kinds.append(store.EVACUATIONS_KIND)
+    for kind in kinds:
         follower = ObjectFollower(
             client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
         )
@@ -218,6 +233,13 @@
     return keeper
 
 
+def change_limit_s(settings: NodeSettings) -> float:
+    """Return the time within which a change of any kind has to be in force."""
+    if settings.evacuate_within_s is None:
+        return settings.apply_limit_s
+    return min(settings.apply_limit_s, settings.evacuate_within_s)
+
+
 def make_relay(
     settings: NodeSettings, keeper: DirectorySync, generator: random.Random, seeds: list[str]
 ) -> "Relay":
@@ -227,7 +249,8 @@
 
     local_member = Member(settings.name, settings.listen_address, settings.data_centre, 0.0)
     port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
-    state = RelayState(local_member, clock(), seeds, settings.apply_limit_s, settings.bootstrap)
+    limit_s = change_limit_s(settings)
+    state = RelayState(local_member, clock(), seeds, limit_s, settings.bootstrap)
     relay = Relay(
         state,
         port,
@@ -282,6 +305,7 @@
         "unreadable": [
             item for found in shell.link.unreadable_objects() for item in found.document()
         ],
+        "evacuated_data_centres": sorted(state.evacuated),
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -304,12 +328,14 @@
         for target, load in service.loads.items():
             held = load.statements
             paused_s = max(0.0, held.paused_until - now)
-            if held.rate_limit_per_s is None and not paused_s and not load.leaving:
+            cold_s = max(0.0, held.cold_until - now)
+            if held.rate_limit_per_s is None and not paused_s and not load.leaving and not cold_s:
                 continue
             found.setdefault(name, {})[target] = {
                 "leaving": load.leaving,
                 "rate_limit_per_s": held.rate_limit_per_s,
                 "paused_s": round(paused_s, 3),
+                "cold_s": round(cold_s, 3),
             }
     return found
 
@@ -353,12 +379,14 @@
         metrics.set("rate_limited_targets", {"service": name}, limited)
         paused = sum(load.statements.paused_until > shell.now() for load in service.loads.values())
         metrics.set("paused_targets", {"service": name}, paused)
+        metrics.set("cold_targets", {"service": name}, limited_targets(service, shell.now()))
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
     now = shell.now()
     convicted = sum(item.is_convicted(now) for item in shell.state.quarantine.items.values())
     metrics.set("quarantined", {}, convicted)
+    metrics.set("evacuated_data_centres", {}, len(shell.state.evacuated))
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -29,6 +29,7 @@
     TARGETS_PAUSED = "refused: targets turned requests away"
     QUARANTINED = "refused: in quarantine"
     CRASHES_TARGETS = "crashed its targets"
+    NO_TARGET_AT_HOME = "refused: no capacity in the allowed regions"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -45,6 +46,7 @@
     "rate_limited": Cause.RATE_USED_UP,
     "targets_paused": Cause.TARGETS_PAUSED,
     "quarantined": Cause.QUARANTINED,
+    "no_target_at_home": Cause.NO_TARGET_AT_HOME,
 }
 
 Key = tuple[str, str, Cause]
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -85,6 +85,8 @@
 
     data_centre: Name
     region: Name
+    # Region of each data centre.
+    zones: dict[str, str] | None = None
     front: SocketAddress
     ready: SocketAddress
     ready_path: str
@@ -106,6 +108,11 @@
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
     # Time within which every node has to apply an accepted change.
     apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
+    # Time within which an evacuation is in force; without it evacuations are not followed.
+    evacuate_within_s: Annotated[float, Meta(gt=0.0)] | None = None
+    # What a cold target bears in any one second: a multiple of its rate, and requests on top.
+    cold_overage: Annotated[float, Meta(gt=0.0)] = 1.5
+    cold_slack: Annotated[float, Meta(ge=0.0)] = 8.0
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
@@ -171,6 +178,8 @@
     platform_port: Port
     operator: str = "unknown"
     agents: list[PeerSettings] = []
+    # The store of the users' platform; only `evacuate` and `restore` need it.
+    store: SocketAddress | Literal[""] = ""
     # Used for VMs without an admin port in the platform's VM list.
     agent_admin_port: Port | None = None
     timeout_ms: Milliseconds = 5_000
