Customers' keys: requests need one, and only its digest is held

Cause: the configuration may name customers with API keys; requests without a valid key must not run, and no key may reach a target, a log or another node.

Change: the platform's customers and public routes become Customer and Route.is_public. Requests get 401 (1215) after the check of the route; a node that may have missed a change answers 503 (1216). The key is checked again before each send, and when a configuration comes into force. A confirmation counts from the start of the call, so that a response that waited while the process was suspended confirms nothing. Errors of the parser no longer quote input.

The rig of features/steps/node_exchange_steps.py uses the real state of a node, because the sync now writes to it.

--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -17,6 +17,7 @@
 from poplarlane.decisions.configuration.directory import Directory
 from poplarlane.decisions.configuration.object_deltas import apply_delta, delta_between
 from poplarlane.decisions.membership import relays
+from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.platform import store
 from poplarlane.plumbing.directory_sync import DirectorySync, Translation
 from poplarlane.plumbing.object_follower import ObjectFollower
@@ -114,7 +115,7 @@
         self.fed = []
         self.now = 100.0
         shell = SimpleNamespace(
-            state=SimpleNamespace(ready=False),
+            state=EntryState("node-1", 1),
             now=lambda: self.now,
             random_value=lambda: 7,
             feed=self.fed.append,
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -22,7 +22,7 @@
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-server-|x-expected-instance|x-not-executed|x-instance-id|/-/objects"
     r"|cold_remaining_s|target_latency_s|traffic_split|route_type|POPLARLANE_BOOT|current_rev"
-    r"|more_pages|max_header_bytes",
+    r"|more_pages|max_header_bytes|x-api-key|api_keys|tenant",
     re.IGNORECASE,
 )
 OWN_FOLDERS = ("platform", "standins")
@@ -56,6 +56,9 @@
         {"name": "s1", "health_path": "/healthz", "max_connections": 328},
         {"name": "s2", "health_path": "/healthz", "max_connections": 328},
     ],
+    "tenants": [
+        {"name": "c1", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 142, "burst": 142}
+    ],
     "limits": {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -6,6 +6,8 @@
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.configuration.route_table import RouteTable
 from poplarlane.decisions.configuration.views import apply_service, close_removed_targets
+from poplarlane.decisions.customers.keys import CustomerTable
+from poplarlane.decisions.customers.revocations import refuse_removed_keys
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.health import health
 from poplarlane.decisions.reducer import reduce
@@ -35,7 +37,8 @@
     state.catalogue.update(catalogue.services)
     statements.forget_absent(state, event.now)
     set_probe_rate(state, event.now)
-    apply_routes(state, catalogue, effects)
+    if apply_routes(state, catalogue, effects):
+        refuse_removed_keys(state, event.now, effects)
     if not state.ready:
         state.ready = True
         if state.accepting:
@@ -53,12 +56,16 @@
     return effects
 
 
-def apply_routes(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> None:
-    """Apply the routes of a newer configuration; an older version never replaces a newer one."""
+def apply_routes(state: EntryState, catalogue: Catalogue, effects: list[Effect]) -> bool:
+    """Apply the routes and customers of a newer configuration; return whether it is newer.
+
+    An older version never replaces a newer one.
+    """
     current = state.routes
     if current is not None and catalogue.version <= current.version:
-        return
+        return False
     state.routes = RouteTable(catalogue.version, catalogue.routes)
+    state.customers = CustomerTable(catalogue.customers)
     if catalogue.caller_limits is not None:
         effects.append(SetCallerLimits(catalogue.caller_limits))
     fields = {
@@ -66,7 +73,10 @@
         "previous": current.version if current is not None else 0,
         "routes": len(catalogue.routes),
     }
+    if catalogue.customers:
+        fields["customers"] = len(catalogue.customers)
     effects.append(Log("configuration_applied", "info", fields))
+    return True
 
 
 def apply_service_change(
--- a/poplarlane/decisions/configuration/directory.py
+++ b/poplarlane/decisions/configuration/directory.py
@@ -7,6 +7,7 @@
 import math
 
 from poplarlane.decisions.configuration.route_table import Route
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.objects import LimitsObject, SelectorObject, ServiceObject, TargetObject
 from poplarlane.types import CallerLimits
 
@@ -31,7 +32,7 @@
 class Configuration:
     """One version of the configuration."""
 
-    __slots__ = ("version", "routes", "services", "caller_limits")
+    __slots__ = ("version", "routes", "services", "caller_limits", "customers")
 
     def __init__(
         self,
@@ -39,11 +40,13 @@
         routes: list[Route],
         services: list[ServiceRecord],
         caller_limits: CallerLimits | None,
+        customers: list[Customer] | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.caller_limits = caller_limits
+        self.customers = customers or []
 
 
 class InstanceRecord:
@@ -105,7 +108,7 @@
 class Catalogue:
     """What an entry needs for serving: services with their targets, routes and caller limits."""
 
-    __slots__ = ("services", "routes", "version", "caller_limits", "warm_up_s")
+    __slots__ = ("services", "routes", "version", "caller_limits", "customers", "warm_up_s")
 
     def __init__(
         self,
@@ -117,6 +120,7 @@
         self.version = configuration.version
         self.routes = configuration.routes
         self.caller_limits = configuration.caller_limits
+        self.customers = configuration.customers
         # Remaining time of the slow start, by target name.
         self.warm_up_s = warm_up_s
 
--- a/poplarlane/decisions/configuration/route_table.py
+++ b/poplarlane/decisions/configuration/route_table.py
@@ -32,6 +32,7 @@
         "latency_objective_s",
         "max_attempts",
         "services",
+        "is_public",
     )
 
     def __init__(
@@ -43,6 +44,7 @@
         latency_objective_s: float,
         max_attempts: int,
         services: list[WeightedService],
+        is_public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -51,6 +53,8 @@
         self.latency_objective_s = latency_objective_s
         self.max_attempts = max_attempts
         self.services = services
+        # Whether requests need no customer's key.
+        self.is_public = is_public
 
 
 class RouteTable:
--- /dev/null
+++ b/poplarlane/decisions/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: their keys, and the quotas that all nodes enforce together."""
--- a/poplarlane/decisions/membership/relay_fetches.py
+++ b/poplarlane/decisions/membership/relay_fetches.py
@@ -5,6 +5,8 @@
 revisions may hold different content.
 """
 
+import math
+
 from poplarlane.decisions.membership.relays import (
     HEARTBEAT_TIMEOUT_S,
     MEMBER_TIMEOUT_S,
@@ -52,6 +54,25 @@
     return bool(known) and max(known) <= revision
 
 
+def confirmed_by_others_at(
+    state: RelayState, kind: str, revision: int, version: int, since: float, now: float
+) -> float:
+    """Return when the store last confirmed to other nodes that nothing newer of a kind exists.
+
+    Heartbeats received before `since` do not count; -inf without a confirmation.
+    """
+    if not is_confirmed_current(state, kind, revision, now, version):
+        return -math.inf
+    return max(
+        (
+            heartbeat.contact_at
+            for heartbeat in state.heartbeats.values()
+            if heartbeat.received_at >= since and is_fresh(state, heartbeat, now)
+        ),
+        default=-math.inf,
+    )
+
+
 def fetch_source(
     state: RelayState,
     kind: str,
--- a/poplarlane/decisions/repeats/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -4,6 +4,7 @@
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.dispatching import choose, choose_measured
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.customers.key_checks import send_refusal
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.probes import probe_rounds
 from poplarlane.decisions.reducer import reduce
@@ -104,6 +105,8 @@
         return
     if not request.attempts or not may_be_hedged(request):
         return
+    if request.customer is not None and send_refusal(state, request, now) is not None:
+        return
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels) or []
     others = [load for load in targets if load is not first]
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -6,6 +6,7 @@
 )
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.customers import key_checks
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.requests import request_log
@@ -30,8 +31,13 @@
 
 def send(
     state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
-) -> Attempt:
-    """Send a request to a target as a new attempt."""
+) -> None:
+    """Send a request to a target as a new attempt, or refuse it if its key has been removed."""
+    if request.customer is not None:
+        refusal = key_checks.send_refusal(state, request, now)
+        if refusal is not None:
+            finish_refused(state, request, refusal, effects)
+            return
     attempt_id = state.next_attempt_id
     state.next_attempt_id = attempt_id + 1
     attempt = Attempt(attempt_id, request, load)
@@ -54,9 +60,9 @@
             request.retried,
             request.hedged_above or (request.hedge and state.hedged_reads),
             request.deadline,
+            request.customer.name if request.customer is not None else "",
         )
     )
-    return attempt
 
 
 def enqueue(state: EntryState, request: Request, effects: list[Effect]) -> None:
@@ -108,7 +114,7 @@
     if certain and (request.possibly_started or request.hedged):
         outcome = OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
         certain = False
-    if certain and not outcome.retry_after_s:
+    if certain and not outcome.retry_after_s and outcome.status != key_checks.UNAUTHORIZED:
         after_s = admission.request_retry_after_s(request)
         outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
     if type(request.service.policy) is Measured:
--- a/poplarlane/decisions/requests/entry_effects.py
+++ b/poplarlane/decisions/requests/entry_effects.py
@@ -7,7 +7,7 @@
 
 
 class SendRequest(Effect):
-    """Send a request to a target as one attempt."""
+    """Send a request to a target as one attempt; `customer` is empty for those of none."""
 
     __slots__ = (
         "request_id",
@@ -17,6 +17,7 @@
         "retried",
         "hedged_above",
         "deadline",
+        "customer",
     )
 
     def __init__(
@@ -28,6 +29,7 @@
         retried: bool,
         hedged_above: bool,
         deadline: float,
+        customer: str = "",
     ) -> None:
         self.request_id = request_id
         self.attempt_id = attempt_id
@@ -36,6 +38,7 @@
         self.retried = retried
         self.hedged_above = hedged_above
         self.deadline = deadline
+        self.customer = customer
 
 
 class CancelAttempt(Effect):
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -22,7 +22,8 @@
     """A complete request has arrived.
 
     `labels` is empty and `deadline_ms` None from untrusted sources. `hedged_above` means that a
-    process further up the call chain hedges this read; `trace_id` is the caller's request id.
+    process further up the call chain hedges this read; `trace_id` is the caller's request id,
+    `key_digest` the digest of a customer's key.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "retried",
         "hedged_above",
         "trace_id",
+        "key_digest",
     )
 
     def __init__(
@@ -52,6 +54,7 @@
         retried: bool,
         hedged_above: bool = False,
         trace_id: str = "",
+        key_digest: bytes = b"",
     ) -> None:
         self.now = now
         self.random_value = random_value
@@ -65,6 +68,7 @@
         self.retried = retried
         self.hedged_above = hedged_above
         self.trace_id = trace_id
+        self.key_digest = key_digest
 
 
 class RequestMalformed(EntryEvent):
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -13,6 +13,7 @@
 from poplarlane.decisions.choice.slowdowns import Slowdowns
 from poplarlane.decisions.choice.subsets import TargetGroup
 from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.customers.keys import Customer, CustomerTable
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
 from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
@@ -160,6 +161,8 @@
         "probed",
         "pending_probes",
         "may_use_old_reports",
+        "key_digest",
+        "customer",
     )
 
     def __init__(
@@ -213,6 +216,10 @@
         self.pending_probes: set[int] = set()
         # Whether its targets cannot be probed now, so that old load reports have to do.
         self.may_use_old_reports = False
+        # Digest of the caller's key, and the customer that it belongs to; None on public routes and
+        # without customers.
+        self.key_digest = b""
+        self.customer: Customer | None = None
 
 
 class Attempt:
@@ -306,6 +313,10 @@
         "extra_sends_window_s",
         "statements",
         "fleet",
+        "customers",
+        "confirmed_at",
+        "apply_limit_s",
+        "reached_nodes_needed",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -369,6 +380,14 @@
         self.statements: dict[str, TargetStatements] = {}
         # What this node shares with the others.
         self.fleet = FleetState()
+        self.customers = CustomerTable([])
+        # When the store, or a node that follows it, last confirmed the configuration, and the time
+        # within which an accepted change has to be in force.
+        self.confirmed_at = math.inf
+        self.apply_limit_s = math.inf
+        # Number of nodes that were known when the configuration was last confirmed; 0 without
+        # other nodes.
+        self.reached_nodes_needed = 0
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/requests/pauses.py
+++ b/poplarlane/decisions/requests/pauses.py
@@ -32,6 +32,8 @@
     effects: list[Effect] = [Log("paused", "warning", {"gap_ms": round(event.gap_s * 1000)})]
     # Quotas and levels from before the pause are out of date.
     state.fleet.digest_at = -math.inf
+    if state.confirmed_at < math.inf:
+        state.confirmed_at = -math.inf
     if not state.ready:
         return effects
     state.view_nonce += 1
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -11,6 +11,8 @@
 from poplarlane.decisions.choice.dispatching import await_permission, choose, dispatch
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.configuration.route_table import Route, choose_service
+from poplarlane.decisions.customers import key_checks
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
@@ -67,11 +69,15 @@
     state.now = event.now
     if not state.ready:
         return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
-    route = None
+    route = customer = None
     if state.routes is not None:
         route = state.routes.find(event.host, event.path)
         if route is None:
-            return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+            return refuse_unrouted(event, state)
+        if state.customers.by_name:
+            customer = key_checks.find_customer(state, route, event.key_digest, event.now)
+            if isinstance(customer, NotRun):
+                return refuse_arrival(event, state, customer.code, customer.detail, customer.status)
         service = state.services.get(choose_service(route, event.random_value))
     else:
         service = state.hosts.get(event.host)
@@ -83,6 +89,8 @@
     if not targets:
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
+    if customer is not None:
+        set_customer(request, customer, event.key_digest)
     measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
     if decision is None:
@@ -114,6 +122,22 @@
     return effects
 
 
+def set_customer(request: Request, customer: Customer, key_digest: bytes) -> None:
+    """Record the customer of a request; its priority takes precedence over that of the route."""
+    request.customer = customer
+    request.key_digest = key_digest
+    if customer.priority is not None:
+        request.priority = customer.priority
+
+
+def refuse_unrouted(event: RequestArrived, state: EntryState) -> list[Effect]:
+    """Refuse a request without a route, unless a newer configuration may have one."""
+    if state.customers.by_name and not key_checks.is_confirmed(state, event.now):
+        detail = "no route leads there, but the configuration may be out of date"
+        return refuse_arrival(event, state, ResultCode.CONFIGURATION_UNCONFIRMED, detail)
+    return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+
+
 def refuse_arrival(
     event: RequestArrived, state: EntryState, code: ResultCode, detail: str, status: int = 503
 ) -> list[Effect]:
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -15,6 +15,7 @@
 )
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.choice.statements import Source
+from poplarlane.decisions.customers.key_checks import send_refusal
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.reducer import reduce
@@ -288,6 +289,8 @@
     effects: list[Effect],
 ) -> bool:
     """Retry a request if that is safe and within the budget; return whether it was retried."""
+    if request.customer is not None and refuse_retry(state, request, outcome, now, effects):
+        return request.request_id not in state.requests
     service = request.service
     targets = reachable_targets(service, request.labels)
     decision = retries.RetryDecision.NO
@@ -318,6 +321,20 @@
     return True
 
 
+def refuse_retry(
+    state: EntryState,
+    request: Request,
+    outcome: RequestFailure,
+    now: float,
+    effects: list[Effect],
+) -> bool:
+    """Return whether the key does not allow a retry; refuse the request if nothing has run it."""
+    refusal = send_refusal(state, request, now)
+    if refusal is not None and isinstance(outcome, NotRun):
+        finish_refused(state, request, refusal, effects)
+    return refusal is not None
+
+
 def retry_failed_response(
     state: EntryState,
     attempt: Attempt,
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -30,5 +30,7 @@
     signature=b"x-server-signature",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    key=b"x-api-key",
+    customer=b"x-tenant-id",
     adds_own_headers=False,
 )
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from poplarlane.platform.key_digests import replace_keys
 from poplarlane.store_objects import (
     ObjectChange,
     ObjectPage,
@@ -114,4 +115,4 @@
     except msgspec.MsgspecError:
         return None
     revision = revision_in(era, found.metadata.revision)
-    return StoredObject(found.metadata.name, revision, found.spec, found.status)
+    return StoredObject(found.metadata.name, revision, replace_keys(found.spec), found.status)
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -10,6 +10,8 @@
     ServiceRecord,
 )
 from poplarlane.decisions.configuration.route_table import Route, WeightedService, priority_of_rank
+from poplarlane.decisions.customers.keys import Customer
+from poplarlane.platform.key_digests import read_digest
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import CallerLimits, RequestKind
 
@@ -42,6 +44,7 @@
     target_latency_s: float | None = None
     priority: int = 2
     max_attempts: int = 1
+    public: bool = False
 
 
 class ServiceDocument(msgspec.Struct):
@@ -61,6 +64,16 @@
     idle_timeout_s: float
 
 
+class TenantDocument(msgspec.Struct):
+    """A customer; its keys are digests after the store's responses have been decoded."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class ConfigurationDocument(msgspec.Struct):
     """A version of the configuration."""
 
@@ -68,6 +81,7 @@
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument | None = None
+    tenants: list[TenantDocument] | None = None
 
 
 class InstanceInfo(msgspec.Struct):
@@ -115,7 +129,11 @@
         ServiceRecord(service.name, service.health_path, service.max_connections)
         for service in found.services
     ]
-    return Configuration(found.version, routes, services, limits_of(found.limits))
+    customers = [customer_of(tenant) for tenant in found.tenants or []]
+    for customer in customers:
+        if not customer.name.isprintable() or not customer.name:
+            return f"tenant {customer.name!r}: the name cannot be sent in a header"
+    return Configuration(found.version, routes, services, limits_of(found.limits), customers)
 
 
 def version_of(item: StoredObject) -> int:
@@ -154,6 +172,18 @@
         latency_objective_s,
         max(1, route.max_attempts),
         parts,
+        route.public,
+    )
+
+
+def customer_of(tenant: TenantDocument) -> Customer:
+    """Convert a customer."""
+    return Customer(
+        tenant.name,
+        [read_digest(key) for key in tenant.api_keys],
+        None if tenant.priority is None else priority_of_rank(tenant.priority),
+        max(0.0, tenant.rate_per_s or 0.0),
+        max(0.0, tenant.burst or 0.0),
     )
 
 
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -1,6 +1,7 @@
 """Server side of an entry: connections from callers, with one h11 parser per request."""
 
 import asyncio
+import re
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,15 @@
 }
 
 
+# The parser quotes the line that it refuses, which may hold a customer's key.
+QUOTED_INPUT = re.compile(r":? *(bytearray\(|b['\"]).*", re.DOTALL)
+
+
+def parser_fault(error: h11.RemoteProtocolError) -> str:
+    """Return the text of a parser's error without the input that it quotes."""
+    return QUOTED_INPUT.sub("", str(error))
+
+
 class CallerConnection(asyncio.Protocol):
     """Read the requests of one caller and write the responses in the order of the requests.
 
@@ -236,7 +246,7 @@
                 else:
                     break
         except h11.RemoteProtocolError as error:
-            self.refuse(error.error_status_hint, str(error))
+            self.refuse(error.error_status_hint, parser_fault(error))
             return b""
         shell = self.shell
         if self.raw_bytes > shell.max_body_bytes + shell.max_head_bytes + CHUNK_OVERHEAD_BYTES:
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -1,5 +1,6 @@
 """Synchronise a directory with a store and pass its catalogues to the entry of this process."""
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,8 @@
     InstanceRecord,
     target_name,
 )
+from poplarlane.decisions.customers.key_checks import is_confirmed
+from poplarlane.decisions.membership.relay_fetches import confirmed_by_others_at
 from poplarlane.decisions.membership.relays import (
     CONFIRMATION_TIMEOUT_S,
     fleet_size,
@@ -21,6 +24,7 @@
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
+from poplarlane.plumbing.pauses import clock
 from poplarlane.relay_messages import FleetDigest
 from poplarlane.store_objects import ObjectChange, StoredObject, era_of
 
@@ -31,6 +35,8 @@
 # A node that is not serving by then asks other nodes, because the store may be unavailable.
 RELAY_START_DELAY_S = 0.3
 RELAY_RETRY_INTERVAL_S = 2.0
+# Heartbeats that other nodes sent while this process was suspended have arrived by then.
+BACKLOG_S = 0.3
 
 
 class Translation:
@@ -75,6 +81,7 @@
         "unconfirmed_kinds",
         "listed_at",
         "instances_era",
+        "heartbeats_count_from",
     )
 
     def __init__(
@@ -98,6 +105,8 @@
         self.relay: Relay | None = None
         # Creates the relay, which a node needs only once it serves; None without a relay.
         self.make_relay: Callable[[], Relay] | None = None
+        # Earlier heartbeats may have been sent long before they were received.
+        self.heartbeats_count_from = 0.0
 
     def start(self) -> None:
         """Start all followers; the relay follows after a delay, or once the node serves."""
@@ -160,6 +169,7 @@
     def send(self, message: EntryHello | EntryReport) -> None:
         """Poll the store when the entry has to confirm its view after a pause; ignore the rest."""
         if isinstance(message, EntryHello) and self.shell.state.unconfirmed_until:
+            self.heartbeats_count_from = clock() + BACKLOG_S
             self.unconfirmed_kinds = {follower.kind for follower in self.followers}
             for follower in self.followers:
                 follower.poll_once()
@@ -252,6 +262,8 @@
                 self.shell.loop.call_soon(self.publish, True)
         if self.relay is not None:
             self.relay.store_call_finished(kind, succeeded)
+        if succeeded:
+            self.note_confirmation(kind)
         before = self.reachable.get(kind)
         self.reachable[kind] = succeeded
         if before is None or before == succeeded:
@@ -265,11 +277,46 @@
     def confirmed(self, kind: str) -> None:
         """Publish a kind whose objects are known to be up to date."""
         log("kind_current", kind=kind)
+        self.note_confirmation(kind)
         self.publish()
 
+    def note_confirmation(self, kind: str) -> None:
+        """Record that the store has confirmed the configuration by a call."""
+        if kind == self.translation.configuration_kind:
+            for follower in self.followers:
+                if follower.kind == kind and follower.is_current:
+                    self.confirm_as_of(follower.called_at)
+
+    def confirm_as_of(self, at: float) -> None:
+        """Pass to the entry when the configuration was confirmed; `at` counts suspensions."""
+        state = self.shell.state
+        confirmed_at = self.shell.now() - (clock() - at)
+        if state.confirmed_at == math.inf or confirmed_at > state.confirmed_at:
+            state.confirmed_at = confirmed_at
+
+    def check_confirmation(self) -> None:
+        """Take confirmations of other nodes, and count the nodes that may know of changes."""
+        state, kind = self.shell.state, self.translation.configuration_kind
+        if self.relay is None:
+            # Until a node that has a relay hears of the others, it cannot tell what they know.
+            state.reached_nodes_needed = 2 if self.make_relay is not None else 0
+            return
+        found = [follower for follower in self.followers if follower.kind == kind]
+        if found and found[0].is_current:
+            revision, version = found[0].known_revision(), found[0].newest_version()
+            since = self.heartbeats_count_from
+            relays = self.relay.state
+            at = confirmed_by_others_at(relays, kind, revision, version, since, clock())
+            self.confirm_as_of(at)
+        nodes = len(self.relay.state.members) + 1
+        if not is_confirmed(state, self.shell.now()):
+            nodes = max(nodes, state.reached_nodes_needed)
+        state.reached_nodes_needed = nodes
+
     def check_expired_targets(self) -> None:
         """Drop targets that did not return after an outage of the store."""
         self.shell.loop.call_later(EXPIRY_CHECK_INTERVAL_S, self.check_expired_targets)
+        self.check_confirmation()
         has_expired = self.directory.purge_expired(self.shell.now())
         state = self.shell.state
         is_waiting = self.listed_at and not state.ready
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -104,6 +104,8 @@
     if names.expected_instance and effect.target.instance:
         instance = effect.target.instance.encode("ascii", "replace")
         parts.append(b"%b: %b\r\n" % (names.expected_instance, instance))
+    if effect.customer and names.customer:
+        parts.append(b"%b: %b\r\n" % (names.customer, effect.customer.encode("utf-8")))
     if request.span is not None:
         traceparent = shell.tracer.traceparent(request.span)
         parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -312,6 +312,7 @@
                 head.retried,
                 head.hedged_above,
                 head.request_id.decode("latin-1"),
+                head.key_digest,
             )
         )
 
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -42,6 +42,8 @@
         "signature",
         "rate_limit",
         "leaving",
+        "key",
+        "customer",
         "adds_own_headers",
         "request_dropped",
         "response_dropped",
@@ -59,6 +61,8 @@
         signature: bytes = b"",
         rate_limit: bytes = b"x-rate-limit",
         leaving: bytes = b"x-leaving",
+        key: bytes = b"",
+        customer: bytes = b"",
         adds_own_headers: bool = True,
     ) -> None:
         self.request_id = request_id
@@ -71,14 +75,28 @@
         self.signature = signature
         self.rate_limit = rate_limit
         self.leaving = leaving
+        # The customer's key that callers send, and the customer's name that targets get.
+        self.key = key
+        self.customer = customer
         self.adds_own_headers = adds_own_headers
         # Set by the entry for each attempt, or meant for the entry only.
         dropped = {b"content-length", b"expect", b"x-attempt", b"x-caller-labels", deadline}
         dropped.add(expected_instance or deadline)
+        dropped.update(spellings(key), spellings(customer))
         self.request_dropped = HOP_BY_HOP | dropped
         self.response_dropped = HOP_BY_HOP | {b"content-length", not_run}
 
 
+def spellings(name: bytes) -> set[bytes]:
+    """List the names that targets may take for this one, because some read `_` as `-`."""
+    found = {b""}
+    for part in re.split(rb"(-)", name):
+        found = {
+            head + end for head in found for end in ((b"-", b"_") if part == b"-" else (part,))
+        }
+    return found - {b""}
+
+
 def read_rate_limit(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
     """Set the rate that the target takes."""
     metadata.rate_limit_per_s = read_decimal(metadata, name, value, metadata.rate_limit_per_s)
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -7,6 +7,7 @@
 import json
 import re
 
+from poplarlane.decisions.customers.keys import MALFORMED_KEY, digest_of_key
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
 from poplarlane.plumbing.header_names import (
@@ -30,9 +31,11 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     501: b"Not Implemented",
     502: b"Bad Gateway",
@@ -99,6 +102,7 @@
         "retried",
         "hedged_above",
         "request_id",
+        "key_digest",
         "traceparent",
         "length",
         "chunked",
@@ -118,6 +122,8 @@
         self.retried = False
         self.hedged_above = False
         self.request_id = b""
+        # Digest of the customer's key; empty without one.
+        self.key_digest = b""
         self.traceparent = b""
         self.length = 0
         self.chunked = False
@@ -153,6 +159,9 @@
                 head.chunked = True
             elif lower == b"expect":
                 head.expects = True
+            elif lower == names.key:
+                # Two keys are as good as none, because targets might take either.
+                head.key_digest = MALFORMED_KEY if head.key_digest else digest_of_key(value)
             elif trusted:
                 read_trusted_header(head, lower, value, names)
                 if lower == b"x-caller-labels":
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol, TypeVar
@@ -16,6 +17,7 @@
 from poplarlane.change_encoding import changes_between
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
+from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient, PlatformResponse
 from poplarlane.store_objects import ObjectChange, ObjectPage, StoredObject, era_of
 
@@ -93,6 +95,7 @@
         "batch_delay_s",
         "era",
         "version_of",
+        "called_at",
     )
 
     def __init__(
@@ -139,6 +142,9 @@
         # Returns the version of an object, which its writer raises with each change, or 0. A store
         # that comes back from a copy cannot replace an object by an older version.
         self.version_of: Callable[[StoredObject], int] | None = None
+        # When the last call was made, on the clock that counts suspensions. Its response may have
+        # waited in the socket while this process was suspended.
+        self.called_at = -math.inf
 
     def start(self) -> None:
         """List in the background; `set_enabled` decides whether a watch follows."""
@@ -246,6 +252,7 @@
         allow_stale, self.allow_stale_list = self.allow_stale_list, False
         for _ in range(MAX_PAGES):
             path = self.store_api.list_path(self.kind, after, allow_stale)
+            self.called_at = clock()
             response = await self.client.read("list", path)
             page = self.decoded(response, self.store_api.decode_page)
             if page is None:
@@ -284,6 +291,7 @@
         wait_ms = self.wait_ms if may_wait else POLL_WAIT_MS
         asked = self.revision
         path = self.store_api.watch_path(self.kind, asked, wait_ms)
+        self.called_at = clock()
         response = await self.client.read("watch", path, wait_ms / 1000.0)
         if self.is_history_gone(response, asked):
             self.observe_era(response)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,6 +1,7 @@
 """Composition root: builds every daemon from its settings."""
 
 import ipaddress
+import math
 import random
 import secrets
 import time
@@ -119,6 +120,7 @@
     apply_node_settings(state, settings)
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
+    state.confirmed_at = -math.inf
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -139,6 +141,7 @@
     state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
     state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
     state.extra_sends_window_s = settings.extra_sends_window_s
+    state.apply_limit_s = settings.apply_limit_s
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
