Customers' quotas: counted over all nodes, shares decided at the root

Cause: a customer must not run more than its quota over all nodes together, and a node that sees a request a minute can neither hold a share of it nor ask for each request.

Change: section customers of the fleet digests. Nodes count used and asked requests; the root keeps a token bucket for each customer and tells the share of arrivals to admit, which nodes apply by error diffusion. Reports repeat the last two differences. Silent nodes are charged with the larger of their last use and their part of the quota; a node without a digest admits at most that from a bucket of one request. A part that was cut off starts without tokens, a fleet that restarts with none but what has been gained since. Requests beyond the quota get 429 (1217) after the check of the key; requests that never ran are credited. Settings quota_window_s, quota_overage, quota_slack.

--- /dev/null
+++ b/features/customer_quotas.feature
@@ -0,0 +1,62 @@
+Feature: Customers are limited to their quotas over all nodes together
+  A customer that takes more than its quota takes it from the others.
+
+  Scenario: No window exceeds the bound, whatever fails
+    # Guards the bound of every window with delays, losses, partitions, restarts, suspensions,
+    # surges and changed limits.
+    Then in 24 drawn trials no window of a customer exceeds its bound
+
+  Scenario Outline: The trials find faults that are put in by hand
+    # Guards against trials that would pass whatever the nodes do.
+    When <fault>
+    Then a window of a drawn trial exceeds its bound
+
+    Examples:
+      | fault                                    |
+      | silent nodes are not charged             |
+      | isolated nodes are not limited           |
+      | buckets are full after a restart         |
+
+  Scenario: Requests within the quota are hardly ever refused
+    Given 40 nodes and customers that use 1 / 1.6 of their quotas
+    When 20 seconds pass in the model
+    Then less than 0.5% of the requests are refused, and at most 1 of a small customer
+
+  Scenario: A surge gets the quota, and no other customer pays for it
+    Given 40 nodes and customers that use 1 / 1.6 of their quotas
+    When "c0" sends 7.5 times as much for 6 seconds
+    Then it gets 0.9 to 1.1 of its quota in that time
+    And less than 0.5% of the requests of the other customers are refused
+
+  Scenario: Lost reports do not hide use
+    # Guards against a quota that grows with the loss of messages.
+    When two of three reports in a row are lost
+    Then the receiver counts all requests once, also if the last one arrives twice
+
+  Scenario: A report or digest of a full size fits into a message
+    When a node has counted requests of 1000 customers with names of 30 bytes
+    Then its report and its digest are smaller than a section may be
+    And the requests of all customers are reported in the end
+
+  Scenario: A request beyond the quota gets 429 after the check of its key
+    Given a node whose customer "c1" has used up its quota
+    When a request of "c1" arrives with a valid key
+    Then it is refused with status 429 and code 1217 and a time to come back
+    When a request of "c1" arrives with an unknown key
+    Then it is refused with status 401 and code 1215
+
+  Scenario Outline: The quota is charged once for each request of a caller
+    Given a node that counts the requests of "c1"
+    When a request of "c1" <way>
+    Then <used> requests count as used
+
+    Examples:
+      | way                                       | used |
+      | is answered                               | 1    |
+      | is retried after a refusal of its target  | 1    |
+      | is hedged                                 | 1    |
+      | finds no target                           | 0    |
+      | is refused by all targets                 | 0    |
+      | is abandoned before it is sent            | 0    |
+      | is abandoned while it runs                | 1    |
+      | fails after it was sent                   | 1    |
--- /dev/null
+++ b/features/steps/customer_quota_steps.py
@@ -0,0 +1,264 @@
+"""Steps about customers' quotas, in virtual time and at one node."""
+
+from contextlib import ExitStack
+from unittest.mock import patch
+
+import quota_trials
+from behave import given, then, when
+from customer_key_steps import arrive, choose_now, customer, new_state, refusals
+from node_world import NOW, metadata
+from quota_model import TOLERANCE, ModelFleet, customers_of
+
+from poplarlane.decisions.customers import quotas, section
+from poplarlane.decisions.customers.keys import CustomerTable, digest_of_key
+from poplarlane.decisions.customers.members import LostTable
+from poplarlane.decisions.customers.section import CustomersSection
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.repeats.hedging import hedge
+from poplarlane.decisions.requests.entry_effects import SendRequest
+from poplarlane.decisions.requests.entry_events import (
+    AttemptFailed,
+    AttemptSent,
+    CallerDisconnected,
+    FailureCause,
+    ResponseCompleted,
+)
+from poplarlane.decisions.requests.entry_state import EntryState
+from poplarlane.plumbing.fleet_exchange import MAX_SECTION_BYTES
+
+FAULTS = {
+    "silent nodes are not charged": [
+        (LostTable, "charged_per_s", lambda *_: 0.0),
+        (CustomersSection, "charge_silence", lambda *_: None),
+    ],
+    "isolated nodes are not limited": [(quotas, "isolated_refusal", lambda *_: None)],
+    "buckets are full after a restart": [
+        (CustomersSection, "first_tokens", lambda _self, found, _now: found.burst),
+        (section, "START_S", 0.0),
+    ],
+}
+# Trials in which a surge and a fault coincide, out of the first 200.
+TRIALS = range(24)
+MOST_TRIALS = 120
+
+
+@then("in {count:d} drawn trials no window of a customer exceeds its bound")
+def step_trials(context, count):
+    for seed in range(count):
+        fleet, trial = quota_trials.run_trial(seed)
+        worst, name, began_at = fleet.worst_window()
+        assert worst <= 1.0, f"seed {seed}: {worst:.3f} of {name} from {began_at:.2f}: {trial}"
+
+
+@when("{fault} are not {rest}")
+def step_fault(context, fault, rest):
+    context.faults = FAULTS[f"{fault} are not {rest}"]
+
+
+@when("buckets are full after a restart")
+def step_full(context):
+    context.faults = FAULTS["buckets are full after a restart"]
+
+
+@then("a window of a drawn trial exceeds its bound")
+def step_found(context):
+    with ExitStack() as stack:
+        for place, name, replacement in context.faults:
+            stack.enter_context(patch.object(place, name, replacement))
+        for seed in range(MOST_TRIALS):
+            if quota_trials.run_trial(seed)[0].worst_window()[0] > 1.0:
+                context.found = seed
+                return
+    raise AssertionError(f"no window over the bound in {MOST_TRIALS} trials")
+
+
+@given("{nodes:d} nodes and customers that use 1 / 1.6 of their quotas")
+def step_fleet(context, nodes):
+    context.model = ModelFleet(3, nodes, customers_of([142, 40, 12, 3, 1]), loss=0.01)
+    context.model.run(5.0)
+
+
+@when("{time_s:d} seconds pass in the model")
+def step_pass(context, time_s):
+    context.model.run(5.0 + time_s)
+
+
+@when('"{name}" sends {factor:g} times as much for {time_s:d} seconds')
+def step_surge(context, name, factor, time_s):
+    model = context.model
+    model.set_demand(5.0, name, model.demand[name] * factor)
+    model.run(5.0 + time_s)
+
+
+@then("less than {percent:g}% of the requests are refused, and at most {few:d} of a small customer")
+def step_hardly(context, percent, few):
+    model = context.model
+    refused = {
+        name: round(model.refused_share(name, 2.0, 25.0) * len(model.arrived[name]))
+        for name in model.ran
+    }
+    arrived = sum(len(times) for times in model.arrived.values())
+    assert sum(refused.values()) < percent / 100.0 * arrived, (refused, arrived)
+    # A share would say nothing about customers with some dozen requests.
+    assert all(refused[name] <= few for name in ("c3", "c4")), refused
+
+
+@then("it gets {least:g} to {most:g} of its quota in that time")
+def step_gets(context, least, most):
+    found = context.model.table.by_name["c0"]
+    ran = sum(at >= 5.0 for at in context.model.ran["c0"])
+    share = ran / (found.rate_per_s * 6.0 + found.burst)
+    assert least <= share <= most, share
+
+
+@then("less than {percent:g}% of the requests of the other customers are refused")
+def step_others(context, percent):
+    for name in list(context.model.ran)[1:]:
+        share = context.model.refused_share(name, 2.0, 11.0)
+        assert share < percent / 100.0, (name, share)
+
+
+def new_section(name, customers, bootstrap=True):
+    """Create the section of a node."""
+    state = EntryState(name, 1)
+    state.customers = CustomerTable(customers)
+    return CustomersSection(state, TOLERANCE, bootstrap, 7)
+
+
+@when("two of three reports in a row are lost")
+def step_lost(context):
+    customers = customers_of([100])
+    child, context.parent = new_section("child", customers), new_section("parent", customers)
+    context.parent.merge_report("child", child.take_report(1.0), 1.0)
+    reports = []
+    for number in range(3):
+        for _ in range(number + 1):
+            child.admit(customers[0], 5, 1.1 + number)
+        reports.append(child.take_report(1.2 + number))
+    context.parent.merge_report("child", reports[2], 4.0)
+    context.parent.merge_report("child", reports[2], 4.1)
+    context.parent.merge_report("child", reports[1], 4.2)
+
+
+@then("the receiver counts all requests once, also if the last one arrives twice")
+def step_counted(context):
+    assert context.parent.pending["c0"][1] == 6, context.parent.pending
+
+
+@when("a node has counted requests of {count:d} customers with names of {length:d} bytes")
+def step_many(context, count, length):
+    customers = customers_of([50.0] * count)
+    for number, found in enumerate(customers):
+        found.name = f"{number:0{length}d}"
+    context.customers = customers
+    context.section, context.root = new_section("n", customers), new_section("r", customers)
+    context.root.make_digest(0.0)
+    for found in customers:
+        for _ in range(3):
+            context.section.admit(found, 5, 1.0)
+
+
+@then("its report and its digest are smaller than a section may be")
+def step_small(context):
+    for number in range(10):
+        report = context.section.take_report(1.0 + number)
+        assert len(report) < MAX_SECTION_BYTES, len(report)
+        context.root.merge_report("n", report, 1.0 + number)
+    assert len(context.root.make_digest(11.0)) < MAX_SECTION_BYTES
+
+
+@then("the requests of all customers are reported in the end")
+def step_all(context):
+    assert not context.section.pending
+    assert len(context.root.buckets) == len(context.customers)
+
+
+@given('a node whose customer "{name}" has used up its quota')
+def step_used_up(context, name):
+    context.state = limited_state(name)
+    usage = quotas.Usage(NOW, 0)
+    usage.share = usage.late_share = 0.0
+    context.state.quotas.usages[name] = usage
+
+
+@given('a node that counts the requests of "{name}"')
+def step_counts(context, name):
+    context.state = limited_state(name)
+
+
+def limited_state(name):
+    """Create the state of a node that is the root of its fleet, with a customer and its quota."""
+    state = new_state([customer(["key-1"], None, 100.0, 100.0, name)], targets=2)
+    state.quotas = CustomersSection(state, TOLERANCE, True, 7)
+    state.fleet.digest_at = state.quotas.digest_at = NOW
+    return state
+
+
+@when('a request of "{name}" arrives with a valid key')
+def step_valid(context, name):
+    context.effects = arrive(context.state, digest_of_key(b"key-1"))
+
+
+@when('a request of "{name}" arrives with an unknown key')
+def step_unknown(context, name):
+    context.effects = arrive(context.state, digest_of_key(b"other"))
+
+
+@then("it is refused with status {status:d} and code {code:d} and a time to come back")
+def step_later(context, status, code):
+    (found,) = refusals(context.effects)
+    assert (found.status, int(found.code)) == (status, code)
+    assert quotas.MIN_RETRY_AFTER_S <= found.retry_after_s <= 2.0 * quotas.MAX_RETRY_AFTER_S
+
+
+@when('a request of "{name}" {way}')
+def step_way(context, name, way):
+    state = context.state
+    if way == "finds no target":
+        for service in state.services.values():
+            service.service_time_s["read"] = 60.0
+    effects = arrive(state, digest_of_key(b"key-1"))
+    if way == "is abandoned before it is sent":
+        reduce(CallerDisconnected(NOW, 5, 1), state)
+        return
+    effects += choose_now(state)
+    attempts = [item.attempt_id for item in effects if isinstance(item, SendRequest)]
+    if not attempts:
+        return
+    reduce(AttemptSent(NOW, 0, attempts[0]), state)
+    if way == "is abandoned while it runs":
+        reduce(CallerDisconnected(NOW, 5, 1), state)
+    elif way == "fails after it was sent":
+        cause = FailureCause.CLOSED_BEFORE_ANSWER
+        reduce(AttemptFailed(NOW, 5, attempts[0], cause, "x"), state)
+    elif way == "is hedged":
+        hedge(state, state.requests[1], NOW + 0.4, 5, effects)
+        choose_now(state, NOW + 0.4)
+    else:
+        answer(state, attempts[0], way)
+
+
+def answer(state, attempt_id, way):
+    """Answer an attempt, and the further ones if all targets refuse."""
+    for _ in range(4):
+        found = metadata(1.0, 0)
+        if way != "is answered":
+            found.status, found.not_run = 503, True
+        effects = reduce(ResponseCompleted(NOW, 5, attempt_id, found), state)
+        effects += choose_now(state)
+        sends = [item.attempt_id for item in effects if isinstance(item, SendRequest)]
+        if not sends:
+            break
+        attempt_id = sends[0]
+        reduce(AttemptSent(NOW, 0, attempt_id), state)
+        if way == "is retried after a refusal of its target":
+            way = "is answered"
+    for request in list(state.requests.values()):
+        from poplarlane.decisions.probes.probe_events import refuse_queued
+
+        refuse_queued(state, request, NOW, [])
+
+
+@then("{used:d} requests count as used")
+def step_used(context, used):
+    assert context.state.quotas.pending["c1"][0] == used, context.state.quotas.pending
--- /dev/null
+++ b/poplarlane/decisions/customers/buckets.py
@@ -0,0 +1,109 @@
+"""Token buckets of customers at the root of the fleet, and the shares that follow from them."""
+
+import math
+
+from poplarlane.decisions.customers.keys import Customer
+from poplarlane.decisions.customers.quota_messages import ListedCustomer
+from poplarlane.decisions.customers.rates import DecayingRate, DemandWindow
+
+# Time in which a surplus or deficit of tokens is used up. The messages that carry the counts and
+# shares take up to 0.8 s, and a shorter time would make the shares oscillate.
+BALANCE_S = 1.0
+# Use that is not known here yet: reports and digests take this long.
+DELAY_S = 0.4
+USE_RATE_S = 2.0
+# A customer is not limited while its tokens last this long at its demand: a few requests that
+# arrive together say little about the demand of a small customer.
+CERTAIN_S = 0.6
+# Part of the tolerance of the bound that tokens may fall below zero in normal operation, so that
+# chance does not limit small customers; the rest is for the time until a surge is known everywhere.
+CUSHION_SLACK_SHARE = 0.5
+CUSHION_OVERAGE_SHARE = 0.05
+# A share that falls by more than this is sent at once.
+URGENT_FALL = 0.15
+# The same for a share that rises, in absolute terms, after a surge has ended.
+URGENT_RISE = 0.3
+# A customer without use for this long needs no bucket.
+IDLE_PER_S = 0.01
+
+
+class Tolerance:
+    """By how much the use in any window may exceed the quota."""
+
+    __slots__ = ("window_s", "overage", "slack")
+
+    def __init__(self, window_s: float, overage: float, slack: float) -> None:
+        self.window_s = window_s
+        self.overage = overage
+        self.slack = slack
+
+    def cushion(self, customer: Customer) -> float:
+        """Return how far tokens may fall below zero before the customer is limited to its rate."""
+        allowed = customer.rate_per_s * self.window_s + customer.burst
+        return self.slack * CUSHION_SLACK_SHARE + allowed * self.overage * CUSHION_OVERAGE_SHARE
+
+
+class Bucket:
+    """The tokens of one customer; negative after a surge that was known too late."""
+
+    __slots__ = ("customer", "tokens", "at", "demand", "use", "share", "limited_since")
+
+    def __init__(self, customer: Customer, tokens: float, now: float) -> None:
+        self.customer = customer
+        self.tokens = min(tokens, customer.burst)
+        self.at = now
+        self.demand = DemandWindow(now)
+        self.use = DecayingRate(now, USE_RATE_S)
+        # The admitted share that the nodes were last told.
+        self.share = 1.0
+        # Since when the share is below 1; infinite in the past while it is not.
+        self.limited_since = -math.inf
+
+    def refill(self, customer: Customer, charged_per_s: float, now: float) -> None:
+        """Add the tokens since the last call, less what silent nodes may have used.
+
+        Their part of the burst is kept back for them as well.
+        """
+        gained = (customer.rate_per_s - charged_per_s) * max(0.0, now - self.at)
+        part = max(0.0, 1.0 - charged_per_s / customer.rate_per_s)
+        self.tokens = min(customer.burst * part, self.tokens + gained)
+        self.customer = customer
+        self.at = now
+
+    def count(self, used: int, asked: int, now: float) -> None:
+        """Take the tokens of admitted requests."""
+        self.tokens -= used
+        self.use.add(used, now)
+        self.demand.add(asked, now)
+
+    def due_share(self, tolerance: Tolerance, charged_per_s: float, now: float) -> float:
+        """Return the share of arrivals to admit from now on."""
+        demand_per_s = self.demand.per_s(now)
+        if demand_per_s <= 0.0:
+            return 1.0
+        rate_per_s = self.customer.rate_per_s
+        excess_per_s = max(0.0, demand_per_s * self.share - rate_per_s)
+        part = max(0.0, 1.0 - charged_per_s / rate_per_s)
+        tokens = self.tokens - excess_per_s * DELAY_S + tolerance.cushion(self.customer) * part
+        if tokens >= demand_per_s * CERTAIN_S:
+            return 1.0
+        allowed_per_s = rate_per_s - charged_per_s + tokens / BALANCE_S
+        return min(1.0, max(0.0, allowed_per_s / demand_per_s))
+
+    def set_share(self, share: float, now: float) -> None:
+        """Record the share that the nodes are told."""
+        if share >= 1.0:
+            self.limited_since = -math.inf
+        elif self.share >= 1.0:
+            self.limited_since = now
+        self.share = share
+
+    def listed(self, now: float) -> ListedCustomer:
+        """Return the bucket as digests carry it."""
+        return ListedCustomer(
+            self.customer.name,
+            round(self.share, 4),
+            round(self.tokens, 2),
+            round(self.use.value(now), 3),
+            round(self.demand.per_s(now), 3),
+        )
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -6,7 +6,7 @@
 )
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.policies import Measured
-from poplarlane.decisions.customers import key_checks
+from poplarlane.decisions.customers import charges, key_checks
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.requests import request_log
@@ -117,6 +117,8 @@
     if certain and not outcome.retry_after_s and outcome.status != key_checks.UNAUTHORIZED:
         after_s = admission.request_retry_after_s(request)
         outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
+    if certain and request.is_charged:
+        charges.credit_unrun(state, request, state.now)
     if type(request.service.policy) is Measured:
         request_log.request_refused(state, request, outcome, effects)
     cancel_attempts(state, request, effects)
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
 from poplarlane.decisions.access.selectors import Access
@@ -22,6 +23,9 @@
 from poplarlane.outcomes import RequestFailure
 from poplarlane.types import Priority, RequestKind, TargetLoad, TargetStatements
 
+if TYPE_CHECKING:
+    from poplarlane.decisions.customers.section import CustomersSection
+
 MAX_CACHED_ACCESSES = 1_024
 # Limits the log lines about malformed input, so that a flood of it does not slow other callers.
 MALFORMED_LOGS_PER_S = 20
@@ -163,6 +167,7 @@
         "may_use_old_reports",
         "key_digest",
         "customer",
+        "is_charged",
     )
 
     def __init__(
@@ -220,6 +225,8 @@
         # without customers.
         self.key_digest = b""
         self.customer: Customer | None = None
+        # Whether the customer's quota was charged for it.
+        self.is_charged = False
 
 
 class Attempt:
@@ -314,6 +321,7 @@
         "statements",
         "fleet",
         "customers",
+        "quotas",
         "confirmed_at",
         "apply_limit_s",
         "reached_nodes_needed",
@@ -381,6 +389,8 @@
         # What this node shares with the others.
         self.fleet = FleetState()
         self.customers = CustomerTable([])
+        # The section that counts and limits the use of quotas; None without an exchange.
+        self.quotas: CustomersSection | None = None
         # When the store, or a node that follows it, last confirmed the configuration, and the time
         # within which an accepted change has to be in force.
         self.confirmed_at = math.inf
--- a/poplarlane/decisions/requests/request_log.py
+++ b/poplarlane/decisions/requests/request_log.py
@@ -97,7 +97,7 @@
 def common_fields(state: EntryState, request: Request) -> dict[str, object]:
     """Return the fields that every line about a request has."""
     service = request.service
-    return {
+    fields: dict[str, object] = {
         "id": request.trace_id,
         "route": request.kind.name,
         "service": service.name,
@@ -109,6 +109,9 @@
         "queued": service.limits.queued,
         "budget": round(service.retry_budget.tokens, 1),
     }
+    if request.customer is not None:
+        fields["customer"] = request.customer.name
+    return fields
 
 
 def target_fields(load: TargetLoad, now: float) -> dict[str, object]:
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -11,7 +11,7 @@
 from poplarlane.decisions.choice.dispatching import await_permission, choose, dispatch
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.configuration.route_table import Route, choose_service
-from poplarlane.decisions.customers import key_checks
+from poplarlane.decisions.customers import charges, key_checks
 from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.reducer import reduce
@@ -89,22 +89,28 @@
     if not targets:
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
+    effects: list[Effect] = []
     if customer is not None:
         set_customer(request, customer, event.key_digest)
+        excess = charges.charge(state, customer, event.random_value, event.now, effects)
+        if excess is not None:
+            return effects + refuse_excess(event, state, request, excess)
+        request.is_charged = True
     measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
     if decision is None:
         decision = admission.admit(service.policy, service, request, event.now)
     if isinstance(decision, NotRun):
-        refused: list[Effect] = [RefuseRequest(event.request_id, decision, False, state.draining)]
+        if customer is not None:
+            charges.credit_unrun(state, request, event.now)
+        effects.append(RefuseRequest(event.request_id, decision, False, state.draining))
         if measured:
-            request_log.request_refused(state, request, decision, refused)
-        return refused
+            request_log.request_refused(state, request, decision, effects)
+        return effects
     state.requests[request.request_id] = request
     retries.observe_request(service.retry_budget, request.attempt)
     if service.hedge_budget is not service.retry_budget:
         retries.observe_request(service.hedge_budget, request.attempt)
-    effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
     if measured:
@@ -130,6 +136,16 @@
         request.priority = customer.priority
 
 
+def refuse_excess(
+    event: RequestArrived, state: EntryState, request: Request, outcome: NotRun
+) -> list[Effect]:
+    """Refuse a request beyond its customer's quota."""
+    effects: list[Effect] = [RefuseRequest(event.request_id, outcome, False, state.draining)]
+    if event.trace_id:
+        request_log.request_refused(state, request, outcome, effects)
+    return effects
+
+
 def refuse_unrouted(event: RequestArrived, state: EntryState) -> list[Effect]:
     """Refuse a request without a route, unless a newer configuration may have one."""
     if state.customers.by_name and not key_checks.is_confirmed(state, event.now):
@@ -272,6 +288,8 @@
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
     observe_abandoned(request, None, event.now)
+    if not request.possibly_started:
+        charges.credit_unrun(state, request, event.now)
     cancel_attempts(state, request, effects)
     remove_request(state, request, effects)
     effects.append(Count("caller_left_total", 1.0, {"service": service.name}))
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.customers.buckets import Tolerance
+from poplarlane.decisions.customers.section import CustomersSection
 from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
     WATCH_WAIT_FRACTION,
@@ -73,6 +75,8 @@
 NODE_EXIT_RESERVE_S = 0.4
 # Some JSON parsers represent integers beyond 53 bits inexactly.
 PROCESS_BITS = 52
+# Distinguishes the processes that use the same name one after the other.
+EPOCH_BITS = 32
 
 
 class Network:
@@ -121,6 +125,7 @@
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
     state.confirmed_at = -math.inf
+    add_quotas(state, settings)
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -134,6 +139,14 @@
     return shell, AdminServer(metrics, pages), ready
 
 
+def add_quotas(state: EntryState, settings: NodeSettings) -> None:
+    """Add the section that counts and limits the use of customers' quotas."""
+    tolerance = Tolerance(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
+    epoch = secrets.randbits(EPOCH_BITS)
+    state.quotas = CustomersSection(state, tolerance, settings.bootstrap, epoch)
+    state.fleet.add(state.quotas)
+
+
 def apply_node_settings(state: EntryState, settings: NodeSettings) -> None:
     """Apply the settings that may change while a node runs."""
     state.drain_accept_s = settings.drain_accept_ms / 1000.0
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -104,6 +104,10 @@
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
     # Time within which every node has to apply an accepted change.
     apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
+    # In any window a customer's requests may exceed its quota by the overage and the slack.
+    quota_window_s: Annotated[float, Meta(gt=0.0)] = 5.0
+    quota_overage: Annotated[float, Meta(ge=0.0)] = 0.1
+    quota_slack: Annotated[float, Meta(ge=0.0)] = 20.0
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
