--- /dev/null
+++ b/features/customer_path.feature
@@ -0,0 +1,18 @@
+Feature: Customers' keys and quotas with real processes
+  Two nodes that exchange messages, the stand-in for the platform's store, and its targets.
+
+  Scenario: A removed key is refused everywhere in time, and no key leaves the nodes
+    # Guards the whole path of a key: store, relay, both nodes, targets, logs and status pages.
+    Given two nodes with the customers "c1" and "c2"
+    When each node gets a request with the key "first-secret" and one without a key
+    Then the first ran at a target with the name "c1" and no key, the other got 401
+    When the configuration no longer has the key "first-secret"
+    Then both nodes refuse it with 401 within 2.5 s and take "other-secret"
+    And poplarctl customers shows both customers with a recent digest at both nodes
+    And neither log nor status page of the nodes holds a key
+
+  Scenario: A customer that sends too much through both nodes is limited to its quota
+    Given two nodes with the customers "c1" and "c2"
+    When 160 requests of "c2" are sent through both nodes
+    Then between 10 and 53 of them ran, and the others got 429 with a time to come back
+    And requests of "c1" are served
--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -60,3 +60,23 @@
       | is abandoned before it is sent            | 0    |
       | is abandoned while it runs                | 1    |
       | fails after it was sent                   | 1    |
+
+  Scenario Outline: An operator is told why a request was refused because of its customer
+    Then poplarctl explain <text> names the code <code> and needs no settings
+
+    Examples:
+      | text           | code |
+      | 401            | 1215 |
+      | 429            | 1217 |
+      | 1216           | 1216 |
+      | quota_exceeded | 1217 |
+
+  Scenario: The log lines of a refusal lead to its cause
+    Given the log line of a request that got 429 with the cause "isolated"
+    When poplarctl trace reads it
+    Then it names the customer, the cause and what to look at
+
+  Scenario: Metrics have few series with many customers
+    # Guards against a label value for each customer of a large configuration.
+    Given a node that got requests of 300 customers
+    Then its metrics name 99 customers and count the others together
--- a/features/steps/customer_quota_steps.py
+++ b/features/steps/customer_quota_steps.py
@@ -1,6 +1,10 @@
 """Steps about customers' quotas, in virtual time and at one node."""
 
+import json
+import subprocess
+import tempfile
 from contextlib import ExitStack
+from pathlib import Path
 from unittest.mock import patch
 
 import quota_trials
@@ -9,10 +13,13 @@
 from node_world import NOW, metadata
 from quota_model import TOLERANCE, ModelFleet, customers_of
 
+from poplarlane.bench.processes import binary_path
 from poplarlane.decisions.customers import quotas, section
 from poplarlane.decisions.customers.keys import CustomerTable, digest_of_key
 from poplarlane.decisions.customers.members import LostTable
 from poplarlane.decisions.customers.section import CustomersSection
+from poplarlane.decisions.customers.usage_report import request_counts
+from poplarlane.decisions.effects import Log
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
 from poplarlane.decisions.requests.entry_effects import SendRequest
@@ -25,6 +32,7 @@
 )
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.plumbing.fleet_exchange import MAX_SECTION_BYTES
+from poplarlane.programs.ctl.trace_command import trace
 
 FAULTS = {
     "silent nodes are not charged": [
@@ -262,3 +270,55 @@
 @then("{used:d} requests count as used")
 def step_used(context, used):
     assert context.state.quotas.pending["c1"][0] == used, context.state.quotas.pending
+
+
+@then("poplarctl explain {text} names the code {code} and needs no settings")
+def step_explain(context, text, code):
+    command = [binary_path("poplarctl"), "explain", text]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 0 and done.stdout.startswith(code), done
+
+
+@given('the log line of a request that got 429 with the cause "{cause}"')
+def step_line(context, cause):
+    state = limited_state("c1")
+    state.fleet.digest_at = -1_000.0
+    state.reached_nodes_needed = 500
+    (logged,) = [item for item in arrive(state, digest_of_key(b"key-1")) if isinstance(item, Log)]
+    fields = " ".join(
+        f"{key}={json.dumps(value) if ' ' in str(value) else value}"
+        for key, value in logged.fields.items()
+    )
+    context.line = f"time=2026-01-01T00:00:00 process=n event={logged.event} {fields}"
+    assert cause in context.line, context.line
+
+
+@when("poplarctl trace reads it")
+def step_trace(context):
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "node.log"
+        path.write_text(context.line)
+        context.report = trace("t", [str(path)])
+
+
+@then("it names the customer, the cause and what to look at")
+def step_named(context):
+    text = "\n".join(context.report.lines)
+    assert "customer=c1" in text and "isolated" in text and "poplarctl customers" in text, text
+
+
+@given("a node that got requests of {count:d} customers")
+def step_customers(context, count):
+    customers = customers_of([1.0 + number for number in range(count)])
+    context.section = new_section("n", customers)
+    context.section.make_digest(NOW)
+    for found in customers:
+        context.section.admit(found, 5, NOW)
+
+
+@then("its metrics name {count:d} customers and count the others together")
+def step_labels(context, count):
+    counts = request_counts(context.section)
+    labels = {label for label, _ in counts}
+    assert len(labels) == count + 1 and "other" in labels, labels
+    assert sum(counts.values()) == len(context.section.usages)
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.customers import usage_report
 from poplarlane.decisions.customers.buckets import Tolerance
 from poplarlane.decisions.customers.section import CustomersSection
 from poplarlane.decisions.membership.relays import (
@@ -292,7 +293,20 @@
             for name, service in state.services.items()
         },
         "results": {str(int(code)): count for code, count in shell.results.items()},
-    }
+    } | quota_status(shell)
+
+
+def quota_status(shell: EntryShell) -> dict:
+    """Describe the customers and their quotas; empty without customers."""
+    state = shell.state
+    if state.quotas is None or not state.customers.by_name:
+        return {}
+    now = shell.now()
+    found = usage_report.describe(state.quotas, now)
+    found["configuration_age_s"] = (
+        round(now - state.confirmed_at, 3) if state.confirmed_at > -math.inf else None
+    )
+    return {"quotas": found}
 
 
 def target_statements(shell: EntryShell) -> dict:
@@ -334,6 +348,12 @@
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    quotas = shell.state.quotas
+    if quotas is not None and shell.state.customers.by_name:
+        for (customer, outcome), count in usage_report.request_counts(quotas).items():
+            metrics.set("customer_requests", {"customer": customer, "outcome": outcome}, count)
+        limited = sum(usage.share < 1.0 for usage in quotas.usages.values())
+        metrics.set("limited_customers", {}, limited)
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
--- a/poplarlane/programs/ctl/explain_command.py
+++ b/poplarlane/programs/ctl/explain_command.py
@@ -6,6 +6,7 @@
 from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
 from poplarlane.objects import ServiceObject
 from poplarlane.plumbing.ctl_client import PlatformClient, PlatformFailure
+from poplarlane.programs.ctl.code_explanations import explanation_lines
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, check_name, common_options
 from poplarlane.programs.ctl.object_commands import not_found, read_accepted
 from poplarlane.programs.ctl.reports import (
@@ -21,14 +22,19 @@
     """Show which selectors allow a caller to reach which targets, and why."""
 
     name = "explain"
-    description = "Explain why a caller with these labels may or may not reach targets"
-    arguments = [argument("service", "Service name")]
+    description = "Explain why a caller may or may not reach targets, or what 401 or 429 means"
+    arguments = [argument("service", "Service name; or 401, 429 or a result code")]
     options = [
         *common_options(),
         option("caller", None, "Labels of the caller: kind=kiosk,site=brasov", False, default=""),
         option("target", None, "Only this target", flag=False),
     ]
 
+    def checked_report(self) -> Report:
+        """Explain a status or result code without the platform, or a service with it."""
+        lines = explanation_lines(self.argument("service"))
+        return success_report(lines, explanation=lines) if lines else super().checked_report()
+
     async def report(self, settings: CtlSettings, client: PlatformClient) -> Report:
         """Read the service and evaluate its selectors."""
         caller = parse_labels(self.option("caller"))
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -27,6 +27,7 @@
     REFUSED_AFTER_WAIT = "refused after a wait"
     RATE_USED_UP = "refused: rates named by targets used up"
     TARGETS_PAUSED = "refused: targets turned requests away"
+    QUOTA = "refused: the customer's quota is used up"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -42,6 +43,7 @@
 STATEMENT_CAUSES = {
     "rate_limited": Cause.RATE_USED_UP,
     "targets_paused": Cause.TARGETS_PAUSED,
+    "quota_exceeded": Cause.QUOTA,
 }
 
 Key = tuple[str, str, Cause]
--- a/poplarlane/programs/ctl/trace_command.py
+++ b/poplarlane/programs/ctl/trace_command.py
@@ -6,6 +6,7 @@
 
 from poplarlane.bench.processes import parse_fields
 from poplarlane.outcomes import ResultCode
+from poplarlane.programs.ctl.code_explanations import explanation_lines
 from poplarlane.programs.ctl.command import CtlCommand, UsageError
 from poplarlane.programs.ctl.reports import Report, error_report, success_report
 
@@ -44,7 +45,8 @@
         return error_report(ResultCode.CHANGE_FAILED, [text])
     found.sort(key=lambda fields: fields.get("time", ""))
     cause = min(found, key=cause_rank)
-    lines = [f"cause: {show(cause)}", *(show(fields) for fields in found)]
+    lines = [f"cause: {show(cause)}", *explanation_lines(cause.get("code", ""))]
+    lines += [show(fields) for fields in found]
     return success_report(lines, cause=cause, story=found)
 
 
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -201,6 +201,9 @@
         """Run a request for the time of work at the present pace."""
         self.fleet.ledger.setdefault(request_id, []).append(self.name)
         self.fleet.deadlines_ms[request_id] = exchange.headers.get("x-deadline-ms", "")
+        names = ("x-tenant-id", "x-api-key")
+        found = {name: exchange.headers[name] for name in names if name in exchange.headers}
+        self.fleet.customers[request_id] = found
         self.running += 1
         loop = asyncio.get_running_loop()
 
@@ -309,6 +312,8 @@
         self.cancelled: list[str] = []
         # What each request was told of the time that it has.
         self.deadlines_ms: dict[str, str] = {}
+        # The customer named in each request, and the key, which no target may get.
+        self.customers: dict[str, dict[str, str]] = {}
         self.targets: dict[str, SignedTarget] = {}
         for name, placed in settings.targets.items():
             self.targets[name] = SignedTarget(self, name, placed.service, placed.address)
@@ -342,6 +347,7 @@
                 "arrivals": {name: target.arrivals for name, target in self.targets.items()},
                 "endless": sum(len(target.endless) for target in self.targets.values()),
                 "calls": self.store.calls,
+                "customers": self.customers,
             }
             exchange.reply_json(200, document)
         elif exchange.path == "/_control":
