Quotas: a node's own limit between digests holds for limited customers too

Cause: the share of a digest may be too high when a surge has just begun; if the root is cut off then, nodes apply it for up to a second.

Change: the limit of what a node admits between two digests applies to all customers. The test starts its fleet with bootstrap, as a fleet that starts for the first time does.

--- a/features/steps/customer_path_steps.py
+++ b/features/steps/customer_path_steps.py
@@ -62,6 +62,8 @@
             "exchange_ports": EXCHANGE_PORTS,
             "seeds": [f"{found}:{EXCHANGE_PORTS[0]}" for found in self.addresses],
             "fleet_size": 2,
+            # Without it a new fleet assumes that the quotas have just been used up.
+            "bootstrap": True,
             "apply_limit_s": APPLY_LIMIT_S,
         }
         return NodeRig.node_settings(self) | changes
--- a/poplarlane/decisions/customers/quotas.py
+++ b/poplarlane/decisions/customers/quotas.py
@@ -97,16 +97,28 @@
     refusal = None
     if around.is_isolated:
         refusal = isolated_refusal(usage, customer, around, random_value, now)
-    elif (share := current_share(usage, around)) < 1.0:
-        refusal = share_refusal(usage, customer, share, random_value)
-    elif usage.since_digest >= local_limit(usage, customer, around):
-        refusal = refuse(usage, "local", MIN_RETRY_AFTER_S, random_value)
+    else:
+        refusal = connected_refusal(usage, customer, around, random_value)
     if refusal is None:
         usage.used += 1
         usage.since_digest += 1
     return refusal
 
 
+def connected_refusal(
+    usage: Usage, customer: Customer, around: Circumstances, random_value: int
+) -> NotRun | None:
+    """Admit by the share of the last digest, and no more than the node may before the next."""
+    share = current_share(usage, around)
+    if share < 1.0:
+        refusal = share_refusal(usage, customer, share, random_value)
+        if refusal is not None:
+            return refusal
+    if usage.since_digest >= local_limit(usage, customer, around):
+        return refuse(usage, "local", MIN_RETRY_AFTER_S, random_value)
+    return None
+
+
 def current_share(usage: Usage, around: Circumstances) -> float:
     """Return the share to admit; while the next digest is late, tokens may be used up."""
     return usage.share if around.age_s <= LATE_DIGEST_S else usage.late_share
