Customers: nodes exchange digests also without quotas; tests of a store outage and a suspension

Cause: a node without digests takes itself to be cut off and would refuse known keys while the store is away. With customers that have no quotas no digests were sent.

Change: the section is active as soon as there are customers. customer_path covers an outage of the store and a node that is suspended while a key is removed.

--- a/features/customer_path.feature
+++ b/features/customer_path.feature
@@ -16,3 +16,17 @@
     When 160 requests of "c2" are sent through both nodes
     Then between 10 and 53 of them ran, and the others got 429 with a time to come back
     And requests of "c1" are served
+
+  Scenario: While the store is away for everybody, known keys are served and no other is refused for good
+    # Guards callers whose key the nodes cannot have heard of yet.
+    Given two nodes with the customers "c1" and "c2"
+    When the store is away for longer than a change may take
+    Then both nodes take "first-secret", and answer an unknown key with 503 and code 1216
+    When the store is back
+    Then both nodes answer an unknown key with 401 again
+
+  Scenario: A node that was suspended while a key was removed does not take it
+    # Guards against a table of keys from before a suspension.
+    Given two nodes with the customers "c1" and "c2"
+    When one node is suspended for 4 s and the key "first-secret" is removed meanwhile
+    Then no request with the key runs there after it goes on
--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -85,3 +85,8 @@
     # Guards the first moments of a fleet, in which every node is the root of its own tree.
     When 3 nodes start for the first time and each gets 70 requests of a customer in 0.45 s
     Then no more than its burst run
+
+  Scenario: Nodes with customers but no quotas take part in the exchange
+    # Guards known keys during an outage of the store: without digests a node counts as cut off.
+    Given a node whose customers have no quotas
+    Then it sends reports and digests, and limits nobody
--- a/features/steps/customer_path_steps.py
+++ b/features/steps/customer_path_steps.py
@@ -1,6 +1,7 @@
 """Steps with two real nodes, customers, and the stand-in for the platform's store and targets."""
 
 import json
+import signal
 import subprocess
 import time
 import urllib.request
@@ -175,3 +176,55 @@
 @then('requests of "c1" are served')
 def step_served(context):
     assert {context.rig.ask(n % 2, f"c1-{n}", "first-secret")[0] for n in range(10)} == {200}
+
+
+@when("the store is away for longer than a change may take")
+def step_away(context):
+    context.rig.control(down=True)
+    time.sleep(APPLY_LIMIT_S + 1.0)
+
+
+@then('both nodes take "{key}", and answer an unknown key with 503 and code 1216')
+def step_away_answers(context, key):
+    rig = context.rig
+    assert [rig.ask(number, f"away-{number}", key)[0] for number in range(2)] == [200, 200]
+    unknown = [rig.ask(number, "unknown", "no-such-key") for number in range(2)]
+    found = [(status, headers["x-poplar-result"]) for status, headers in unknown]
+    assert found == [(503, "1216")] * 2, found
+
+
+@when("the store is back")
+def step_back(context):
+    context.rig.control(down=False)
+
+
+@then("both nodes answer an unknown key with 401 again")
+def step_again(context):
+    for number in range(2):
+        wait_until(
+            lambda number=number: context.rig.ask(number, "again", "no-such-key")[0] == 401,
+            "a confirmed configuration",
+        )
+
+
+@when('one node is suspended for {time_s:d} s and the key "{key}" is removed meanwhile')
+def step_suspend(context, time_s, key):
+    rig = context.rig
+    rig.nodes[1].signal(signal.SIGSTOP)
+    time.sleep(0.5)
+    rig.control(configuration=rig.configuration(6, rig.usual_routes(), removed=(key,)))
+    time.sleep(time_s - 0.5)
+    context.ran_before = set(rig.ledger()["ran"])
+    context.removed = key
+    rig.nodes[1].signal(signal.SIGCONT)
+
+
+@then("no request with the key runs there after it goes on")
+def step_none_runs(context):
+    rig = context.rig
+    until = time.monotonic() + 2.0
+    answers = []
+    while time.monotonic() < until:
+        answers.append(rig.ask(1, f"resumed-{len(answers)}", context.removed)[0])
+    assert answers and not set(rig.ledger()["ran"]) - context.ran_before, answers
+    assert set(answers) <= {401, 503} and answers[-1] == 401, answers
--- a/features/steps/customer_quota_steps.py
+++ b/features/steps/customer_quota_steps.py
@@ -346,3 +346,15 @@
 def step_start_bound(context):
     (found,) = context.customers
     assert context.ran <= found.burst, context.ran
+
+
+@given("a node whose customers have no quotas")
+def step_no_quotas(context):
+    context.section = new_section("n", customers_of([0.0]))
+
+
+@then("it sends reports and digests, and limits nobody")
+def step_takes_part(context):
+    found = context.section
+    assert found.is_active() and found.take_report(NOW) and found.make_digest(NOW)
+    assert all(found.admit(customers_of([0.0])[0], 5, NOW) is None for _ in range(100))
--- a/poplarlane/decisions/customers/keys.py
+++ b/poplarlane/decisions/customers/keys.py
@@ -37,11 +37,10 @@
 class CustomerTable:
     """The customers of the configuration in force, by name and by the digests of their keys."""
 
-    __slots__ = ("by_name", "by_digest", "has_quotas")
+    __slots__ = ("by_name", "by_digest")
 
     def __init__(self, customers: list[Customer]) -> None:
         self.by_name = {customer.name: customer for customer in customers}
-        self.has_quotas = any(customer.rate_per_s for customer in customers)
         self.by_digest: dict[bytes, tuple[bytes, Customer]] = {}
         for customer in customers:
             for digest in customer.key_digests:
--- a/poplarlane/decisions/customers/section.py
+++ b/poplarlane/decisions/customers/section.py
@@ -197,8 +197,12 @@
     # The section's part in the exchange.
 
     def is_active(self) -> bool:
-        """Return whether any customer has a quota."""
-        return self.state.customers.has_quotas
+        """Return whether there are customers.
+
+        Those without quotas count too: digests tell a node whether it is cut off from the others,
+        which may know of removed keys.
+        """
+        return bool(self.state.customers.by_name)
 
     def is_urgent(self, now: float) -> bool:
         """Return whether a surge has to be known before the next interval."""
