--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -348,9 +348,8 @@
     context.rig = EvacuationRig()
     context.rig.list_required()
     context.rig.list_evacuations(30, [])
-    context.rig.keeper.shell.state = SimpleNamespace(
-        ready=True, unconfirmed_until=0.0, fleet_entries=24, is_fleet_known=False
-    )
+    state = context.rig.keeper.shell.state
+    state.ready, state.fleet_entries, state.is_fleet_known = True, 24, False
 
 
 @when('another node passes on at revision {revision:d} that "{name}" is evacuated')
--- a/poplarlane/decisions/configuration/directory.py
+++ b/poplarlane/decisions/configuration/directory.py
@@ -7,6 +7,7 @@
 import math
 
 from poplarlane.decisions.configuration.route_table import Route
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.evacuations.evacuations import Evacuations
 from poplarlane.objects import LimitsObject, SelectorObject, ServiceObject, TargetObject
 from poplarlane.types import CallerLimits
@@ -53,7 +54,7 @@
 class Configuration:
     """One version of the configuration."""
 
-    __slots__ = ("version", "routes", "services", "caller_limits")
+    __slots__ = ("version", "routes", "services", "caller_limits", "customers")
 
     def __init__(
         self,
@@ -61,11 +62,13 @@
         routes: list[Route],
         services: list[ServiceRecord],
         caller_limits: CallerLimits | None,
+        customers: list[Customer] | None = None,
     ) -> None:
         self.version = version
         self.routes = routes
         self.services = services
         self.caller_limits = caller_limits
+        self.customers = customers or []
 
 
 class InstanceRecord:
@@ -137,6 +140,7 @@
         "cold",
         "evacuated",
         "data_centres",
+        "customers",
     )
 
     def __init__(
@@ -149,6 +153,7 @@
         self.version = configuration.version
         self.routes = configuration.routes
         self.caller_limits = configuration.caller_limits
+        self.customers = configuration.customers
         # Remaining time of the slow start, by target name.
         self.warm_up_s = warm_up_s
         # Rate that cold targets sustain, by service, where there is one.
--- a/poplarlane/decisions/configuration/route_table.py
+++ b/poplarlane/decisions/configuration/route_table.py
@@ -34,6 +34,7 @@
         "max_attempts",
         "services",
         "allowed_regions",
+        "is_public",
     )
 
     def __init__(
@@ -46,6 +47,7 @@
         max_attempts: int,
         services: list[WeightedService],
         allowed_regions: frozenset[str] | None = None,
+        is_public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -55,6 +57,8 @@
         self.max_attempts = max_attempts
         self.services = services
         self.allowed_regions = allowed_regions
+        # Whether requests need no customer's key.
+        self.is_public = is_public
 
 
 class RouteTable:
--- a/poplarlane/decisions/quarantine/fingerprints.py
+++ b/poplarlane/decisions/quarantine/fingerprints.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from poplarlane.decisions.customers.keys import Customer
+
 DIGEST_BYTES = 16
 
 
@@ -35,12 +37,13 @@
     """What a digest needs of a request; `fingerprint` is empty until it was computed."""
 
     content: Content | None
-    customer: str
+    customer: Customer | None
     fingerprint: bytes
 
 
 def fingerprint(request: Held) -> bytes:
     """Return the digest of a request, computed once; empty if the content is not known."""
     if not request.fingerprint and request.content is not None:
-        request.fingerprint = request.content.fingerprint(request.customer)
+        name = request.customer.name if request.customer is not None else ""
+        request.fingerprint = request.content.fingerprint(name)
     return request.fingerprint
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -25,6 +25,8 @@
     `labels` is empty and `deadline_ms` None from untrusted sources. `hedged_above` means that a
     process further up the call chain hedges this read; `trace_id` is the caller's request id.
     `content` gives the digest of the request if it is needed.
+    process further up the call chain hedges this read; `trace_id` is the caller's request id,
+    `key_digest` the digest of a customer's key.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "hedged_above",
         "trace_id",
         "content",
+        "key_digest",
     )
 
     def __init__(
@@ -56,6 +59,7 @@
         hedged_above: bool = False,
         trace_id: str = "",
         content: Content | None = None,
+        key_digest: bytes = b"",
     ) -> None:
         self.now = now
         self.random_value = random_value
@@ -70,6 +74,7 @@
         self.hedged_above = hedged_above
         self.trace_id = trace_id
         self.content = content
+        self.key_digest = key_digest
 
 
 class RequestMalformed(EntryEvent):
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
 from poplarlane.decisions.access.selectors import Access
@@ -14,6 +15,7 @@
 from poplarlane.decisions.choice.subsets import TargetGroup
 from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.customers.keys import Customer, CustomerTable
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
 from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
@@ -24,6 +26,9 @@
 from poplarlane.outcomes import RequestFailure
 from poplarlane.types import Priority, RequestKind, TargetLoad, TargetStatements
 
+if TYPE_CHECKING:
+    from poplarlane.decisions.customers.section import CustomersSection
+
 MAX_CACHED_ACCESSES = 1_024
 # Limits the log lines about malformed input, so that a flood of it does not slow other callers.
 MALFORMED_LOGS_PER_S = 20
@@ -186,9 +191,11 @@
         "pending_probes",
         "may_use_old_reports",
         "content",
-        "customer",
         "fingerprint",
         "regions",
+        "key_digest",
+        "customer",
+        "is_charged",
     )
 
     def __init__(
@@ -242,12 +249,17 @@
         self.pending_probes: set[int] = set()
         # Whether its targets cannot be probed now, so that old load reports have to do.
         self.may_use_old_reports = False
-        # What the caller sent, who it is, and the digest of both once it was needed.
+        # What the caller sent, and the digest of it and of the customer once it was needed.
         self.content: Content | None = None
-        self.customer = ""
         self.fingerprint = b""
         # Regions whose targets it may be sent to; None allows all.
         self.regions: frozenset[str] | None = None
+        # Digest of the caller's key, and the customer that it belongs to; None on public routes and
+        # without customers.
+        self.key_digest = b""
+        self.customer: Customer | None = None
+        # Whether the customer's quota was charged for it.
+        self.is_charged = False
 
 
 class Attempt:
@@ -348,6 +360,12 @@
         "statements",
         "fleet",
         "quarantine",
+        "customers",
+        "quotas",
+        "confirmed_at",
+        "apply_limit_s",
+        "reached_nodes_needed",
+        "strict_revocation",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -421,6 +439,18 @@
         # What this node shares with the others.
         self.fleet = FleetState()
         self.quarantine = Quarantine()
+        self.customers = CustomerTable([])
+        # The section that counts and limits the use of quotas; None without an exchange.
+        self.quotas: CustomersSection | None = None
+        # When the store, or a node that follows it, last confirmed the configuration, and the time
+        # within which an accepted change has to be in force.
+        self.confirmed_at = math.inf
+        self.apply_limit_s = math.inf
+        # Number of nodes that were known when the configuration was last confirmed; 0 without
+        # other nodes.
+        self.reached_nodes_needed = 0
+        # Whether a node that may have missed the removal of a key refuses all keys.
+        self.strict_revocation = False
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -11,6 +11,8 @@
 from poplarlane.decisions.choice.dispatching import await_permission, choose, dispatch
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.configuration.route_table import Route, choose_service
+from poplarlane.decisions.customers import charges, key_checks
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.effects import Count, Effect, Log
 from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.reducer import reduce
@@ -68,11 +70,15 @@
     state.now = event.now
     if not state.ready:
         return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
-    route = None
+    route = customer = None
     if state.routes is not None:
         route = state.routes.find(event.host, event.path)
         if route is None:
-            return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+            return refuse_unrouted(event, state)
+        if state.customers.by_name:
+            customer = key_checks.find_customer(state, route, event.key_digest, event.now)
+            if isinstance(customer, NotRun):
+                return refuse_arrival(event, state, customer.code, customer.detail, customer.status)
         service = state.services.get(choose_service(route, event.random_value))
     else:
         service = state.hosts.get(event.host)
@@ -91,14 +97,22 @@
     if not targets:
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
-    measured = type(service.policy) is Measured
     effects: list[Effect] = []
+    if customer is not None:
+        set_customer(request, customer, event.key_digest)
+        excess = charges.charge(state, customer, event.random_value, event.now, effects)
+        if excess is not None:
+            return effects + refuse_excess(event, state, request, excess)
+        request.is_charged = True
+    measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
     if decision is None and state.quarantine.items:
         decision = enforcement.refusal_at_arrival(state, request, event.now, effects)
     if decision is None:
         decision = admission.admit(service.policy, service, request, event.now)
     if isinstance(decision, NotRun):
+        if customer is not None:
+            charges.credit_unrun(state, request, event.now)
         effects.append(RefuseRequest(event.request_id, decision, False, state.draining))
         if measured:
             request_log.request_refused(state, request, decision, effects)
@@ -128,6 +142,32 @@
     return effects
 
 
+def set_customer(request: Request, customer: Customer, key_digest: bytes) -> None:
+    """Record the customer of a request; its priority takes precedence over that of the route."""
+    request.customer = customer
+    request.key_digest = key_digest
+    if customer.priority is not None:
+        request.priority = customer.priority
+
+
+def refuse_excess(
+    event: RequestArrived, state: EntryState, request: Request, outcome: NotRun
+) -> list[Effect]:
+    """Refuse a request beyond its customer's quota."""
+    effects: list[Effect] = [RefuseRequest(event.request_id, outcome, False, state.draining)]
+    if event.trace_id:
+        request_log.request_refused(state, request, outcome, effects)
+    return effects
+
+
+def refuse_unrouted(event: RequestArrived, state: EntryState) -> list[Effect]:
+    """Refuse a request without a route, unless a newer configuration may have one."""
+    if state.customers.by_name and not key_checks.is_confirmed(state, event.now):
+        detail = "no route leads there, but the configuration may be out of date"
+        return refuse_arrival(event, state, ResultCode.CONFIGURATION_UNCONFIRMED, detail)
+    return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+
+
 def refuse_arrival(
     event: RequestArrived, state: EntryState, code: ResultCode, detail: str, status: int = 503
 ) -> list[Effect]:
@@ -264,6 +304,8 @@
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
     observe_abandoned(request, None, event.now)
+    if not request.possibly_started:
+        charges.credit_unrun(state, request, event.now)
     cancel_attempts(state, request, effects)
     remove_request(state, request, effects)
     effects.append(Count("caller_left_total", 1.0, {"service": service.name}))
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -31,5 +31,7 @@
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
     cold=b"x-cold-remaining-ms",
+    key=b"x-api-key",
+    customer=b"x-tenant-id",
     adds_own_headers=False,
 )
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -7,6 +7,7 @@
 
 from poplarlane.error_text import error_text
 from poplarlane.json_slices import array_items, object_members, text_of
+from poplarlane.platform.key_digests import replace_keys
 from poplarlane.store_objects import (
     ERA_SHIFT,
     ChangeBatch,
@@ -215,7 +216,7 @@
     name, revision = found.metadata.name, revision_in(era, found.metadata.revision)
     if not name:
         return UnreadableObject(name, revision, "empty name")
-    return StoredObject(name, revision, found.spec, found.status)
+    return StoredObject(name, revision, replace_keys(found.spec), found.status)
 
 
 def within_limits(
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -324,6 +324,7 @@
                 head.hedged_above,
                 head.request_id.decode("latin-1"),
                 request,
+                head.key_digest,
             )
         )
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,6 +1,7 @@
 """Composition root: builds every daemon from its settings."""
 
 import ipaddress
+import math
 import random
 import secrets
 import time
@@ -10,6 +11,9 @@
 from poplarlane.decisions.cold.cold_permits import cold_tolerance
 from poplarlane.decisions.cold.cold_targets import limited_targets
 from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.customers import usage_report
+from poplarlane.decisions.customers.buckets import Tolerance
+from poplarlane.decisions.customers.section import CustomersSection
 from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
     WATCH_WAIT_FRACTION,
@@ -80,6 +84,8 @@
 NODE_EXIT_RESERVE_S = 0.4
 # Some JSON parsers represent integers beyond 53 bits inexactly.
 PROCESS_BITS = 52
+# Distinguishes the processes that use the same name one after the other.
+EPOCH_BITS = 32
 
 
 class Network:
@@ -131,6 +137,8 @@
     state.quarantine.has_peers = bool(settings.exchange_ports)
     state.fleet.add(QuarantineSection(state))
     state.region_of = {settings.data_centre: settings.region, **(settings.zones or {})}
+    state.confirmed_at = -math.inf
+    add_quotas(state, settings)
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -144,6 +152,14 @@
     return shell, AdminServer(metrics, pages), ready
 
 
+def add_quotas(state: EntryState, settings: NodeSettings) -> None:
+    """Add the section that counts and limits the use of customers' quotas."""
+    tolerance = Tolerance(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
+    epoch = secrets.randbits(EPOCH_BITS)
+    state.quotas = CustomersSection(state, tolerance, settings.bootstrap, epoch)
+    state.fleet.add(state.quotas)
+
+
 def apply_node_settings(state: EntryState, settings: NodeSettings) -> None:
     """Apply the settings that may change while a node runs."""
     state.drain_accept_s = settings.drain_accept_ms / 1000.0
@@ -152,6 +168,8 @@
     state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
     state.extra_sends_window_s = settings.extra_sends_window_s
     state.cold_tolerance = cold_tolerance(settings.cold_overage, settings.cold_slack)
+    state.apply_limit_s = settings.apply_limit_s
+    state.strict_revocation = settings.strict_revocation
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
@@ -317,7 +335,20 @@
             for name, service in state.services.items()
         },
         "results": {str(int(code)): count for code, count in shell.results.items()},
-    }
+    } | quota_status(shell)
+
+
+def quota_status(shell: EntryShell) -> dict:
+    """Describe the customers and their quotas; empty without customers."""
+    state = shell.state
+    if state.quotas is None or not state.customers.by_name:
+        return {}
+    now = shell.now()
+    found = usage_report.describe(state.quotas, now)
+    found["configuration_age_s"] = (
+        round(now - state.confirmed_at, 3) if state.confirmed_at > -math.inf else None
+    )
+    return {"quotas": found}
 
 
 def target_statements(shell: EntryShell) -> dict:
@@ -387,6 +418,12 @@
     convicted = sum(item.is_convicted(now) for item in shell.state.quarantine.items.values())
     metrics.set("quarantined", {}, convicted)
     metrics.set("evacuated_data_centres", {}, len(shell.state.evacuated))
+    quotas = shell.state.quotas
+    if quotas is not None and shell.state.customers.by_name:
+        for (customer, outcome), count in usage_report.request_counts(quotas).items():
+            metrics.set("customer_requests", {"customer": customer, "outcome": outcome}, count)
+        limited = sum(usage.share < 1.0 for usage in quotas.usages.values())
+        metrics.set("limited_customers", {}, limited)
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
--- a/poplarlane/programs/ctl/losses.py
+++ b/poplarlane/programs/ctl/losses.py
@@ -30,6 +30,7 @@
     QUARANTINED = "refused: in quarantine"
     CRASHES_TARGETS = "crashed its targets"
     NO_TARGET_AT_HOME = "refused: no capacity in the allowed regions"
+    QUOTA = "refused: the customer's quota is used up"
     NO_BUDGET = "no budget for a repeat"
     CUT = "cut by its target"
     NO_ANSWER = "no answer by the deadline"
@@ -47,6 +48,7 @@
     "targets_paused": Cause.TARGETS_PAUSED,
     "quarantined": Cause.QUARANTINED,
     "no_target_at_home": Cause.NO_TARGET_AT_HOME,
+    "quota_exceeded": Cause.QUOTA,
 }
 
 Key = tuple[str, str, Cause]
--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -12,6 +12,7 @@
     SetLabelCommand,
     SetSelectorCommand,
 )
+from poplarlane.programs.ctl.customers_command import CustomersCommand
 from poplarlane.programs.ctl.evacuation_commands import EvacuateCommand, RestoreCommand
 from poplarlane.programs.ctl.explain_command import ExplainCommand
 from poplarlane.programs.ctl.fleet_commands import StatusCommand, WaitCommand
@@ -46,6 +47,7 @@
     UnreadableCommand,
     EvacuateCommand,
     RestoreCommand,
+    CustomersCommand,
 )
 
 
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -106,6 +106,8 @@
     extra_sends_window_s: Annotated[float, Meta(gt=0.0)] = 10.0
     probes_per_target_s: Annotated[float, Meta(ge=0.0)] = 0.0
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
+    # Whether a node that may have missed the removal of a key refuses the keys that it knows.
+    strict_revocation: bool = False
     # Time within which every node has to apply an accepted change.
     apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
     # Time within which an evacuation is in force; without it evacuations are not followed.
@@ -113,6 +115,10 @@
     # What a cold target bears in any one second: a multiple of its rate, and requests on top.
     cold_overage: Annotated[float, Meta(gt=0.0)] = 1.5
     cold_slack: Annotated[float, Meta(ge=0.0)] = 8.0
+    # In any window a customer's requests may exceed its quota by the overage and the slack.
+    quota_window_s: Annotated[float, Meta(gt=0.0)] = 5.0
+    quota_overage: Annotated[float, Meta(ge=0.0)] = 0.1
+    quota_slack: Annotated[float, Meta(ge=0.0)] = 20.0
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
