--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -15,14 +15,18 @@
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.platform import store, translation
 from poplarlane.platform.headers import PLATFORM_HEADERS, read_load
-from poplarlane.plumbing.heads import NOT_RUN_STATUSES, read_response_head
+from poplarlane.plumbing.heads import (
+    NOT_RUN_STATUSES,
+    read_request_head,
+    read_response_head,
+)
 from poplarlane.store_objects import StoredObject
 
 PACKAGE = Path(__file__).resolve().parents[2] / "poplarlane"
 PLATFORM_NAMES = re.compile(
     r"x-attempt-id|x-server-|x-expected-instance|x-not-executed|x-instance-id|/-/objects"
     r"|cold_remaining_s|target_latency_s|traffic_split|route_type|POPLARLANE_BOOT|current_rev"
-    r"|more_pages|max_header_bytes",
+    r"|more_pages|max_header_bytes|x-api-key|api_keys|tenant",
     re.IGNORECASE,
 )
 OWN_FOLDERS = ("platform", "standins")
@@ -56,6 +60,9 @@
         {"name": "s1", "health_path": "/healthz", "max_connections": 328},
         {"name": "s2", "health_path": "/healthz", "max_connections": 328},
     ],
+    "tenants": [
+        {"name": "c1", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 142, "burst": 142}
+    ],
     "limits": {
         "max_header_bytes": 16384,
         "max_body_bytes": 67108864,
@@ -181,6 +188,16 @@
     assert (found.running, found.waiting, found.slowdown) == (wanted, waiting, slowdown)
 
 
+@then('the deadline header "{value}" gives {deadline} ms')
+def step_deadline(context, value, deadline):
+    headers = [(b"host", b"a.example"), (b"x-deadline-ms", value.encode())]
+    head = read_request_head(b"GET", b"/", headers, True, PLATFORM_HEADERS)
+    if deadline == "no":
+        assert head.fault and head.deadline_ms is None, head.deadline_ms
+    else:
+        assert not head.fault and head.deadline_ms == float(deadline), head.fault
+
+
 @then("for {cases:d} drawn entries, translation gives a usable instance or none and never fails")
 def step_entries(context, cases):
     entry = {"spec": ENTRY_SPEC, "status": ENTRY_STATUS}
@@ -192,7 +209,9 @@
         document = document if isinstance(document, dict) else {}
         item = StoredObject("i-1", 3, document.get("spec"), document.get("status"))
         found = translation.instance_of(item)
-        if found is not None:
+        if isinstance(found, str):
+            assert found
+        elif found is not None:
             assert translation.is_ip(found.address) and 0 < found.port < 65_536, found.address
             assert found.slots >= 1 and isinstance(found.service, str)
             assert isinstance(found.started_ms, int) and found.warm_up_s >= 0.0
--- a/poplarlane/decisions/repeats/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -4,8 +4,10 @@
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.dispatching import choose, choose_measured
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.customers.key_checks import send_refusal
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.probes import probe_rounds
+from poplarlane.decisions.quarantine.enforcement import is_suspect
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -104,8 +106,13 @@
         return
     if not request.attempts or not may_be_hedged(request):
         return
+    # A second copy of a request that crashes targets would end another target.
+    if state.quarantine.items and is_suspect(state, request):
+        return
+    if request.customer is not None and send_refusal(state, request, now) is not None:
+        return
     first = request.attempts[0].load
-    targets = reachable_targets(service, request.labels) or []
+    targets = reachable_targets(service, request.labels, request.regions) or []
     others = [load for load in targets if load is not first]
     if type(service.policy) is Measured:
         hedge_measured(state, request, others, now, random_value, effects)
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -6,6 +6,8 @@
 )
 from poplarlane.decisions.choice import rate_limits
 from poplarlane.decisions.choice.policies import Measured
+from poplarlane.decisions.cold import cold_permits
+from poplarlane.decisions.customers import charges, key_checks
 from poplarlane.decisions.effects import Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.requests import request_log
@@ -30,8 +32,13 @@
 
 def send(
     state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
-) -> Attempt:
-    """Send a request to a target as a new attempt."""
+) -> None:
+    """Send a request to a target as a new attempt, or refuse it if its key has been removed."""
+    if request.customer is not None:
+        refusal = key_checks.send_refusal(state, request, now)
+        if refusal is not None:
+            finish_refused(state, request, refusal, effects)
+            return
     attempt_id = state.next_attempt_id
     state.next_attempt_id = attempt_id + 1
     attempt = Attempt(attempt_id, request, load)
@@ -45,6 +52,8 @@
     health.observe_sent(load, attempt_id, now)
     load.sent_since_measured += 1
     rate_limits.take_permit(load, now)
+    if load.statements.cold_until > now:
+        cold_permits.take_permit(load, now)
     effects.append(
         SendRequest(
             request.request_id,
@@ -54,9 +63,9 @@
             request.retried,
             request.hedged_above or (request.hedge and state.hedged_reads),
             request.deadline,
+            request.customer.name if request.customer is not None else "",
         )
     )
-    return attempt
 
 
 def enqueue(state: EntryState, request: Request, effects: list[Effect]) -> None:
@@ -68,8 +77,12 @@
     request.state = RequestState.QUEUED
 
 
-def unreachable_refusal(targets: list[TargetLoad] | None) -> NotRun:
+def unreachable_refusal(
+    targets: list[TargetLoad] | None, regions: frozenset[str] | None = None
+) -> NotRun:
     """Return the refusal of a queued request that can no longer be sent."""
+    if regions is not None:
+        return NotRun(ResultCode.NO_TARGET_AT_HOME, "no target in the allowed regions")
     if targets is None:
         return NotRun(ResultCode.NOT_ALLOWED, "no selector allows this")
     return NotRun(ResultCode.NO_TARGET, "every target is leaving")
@@ -108,9 +121,11 @@
     if certain and (request.possibly_started or request.hedged):
         outcome = OutcomeUnknown(ResultCode.OUTCOME_UNKNOWN, outcome.detail)
         certain = False
-    if certain and not outcome.retry_after_s:
+    if certain and not outcome.retry_after_s and outcome.status != key_checks.UNAUTHORIZED:
         after_s = admission.request_retry_after_s(request)
         outcome = NotRun(outcome.code, outcome.detail, outcome.status, after_s)
+    if certain and request.is_charged:
+        charges.credit_unrun(state, request, state.now)
     if type(request.service.policy) is Measured:
         request_log.request_refused(state, request, outcome, effects)
     cancel_attempts(state, request, effects)
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -4,6 +4,7 @@
 
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.events import Event
+from poplarlane.decisions.quarantine.fingerprints import Content
 from poplarlane.messages import ViewUpdate
 from poplarlane.outcomes import RequestFailure
 
@@ -23,6 +24,9 @@
 
     `labels` is empty and `deadline_ms` None from untrusted sources. `hedged_above` means that a
     process further up the call chain hedges this read; `trace_id` is the caller's request id.
+    `content` gives the digest of the request if it is needed.
+    process further up the call chain hedges this read; `trace_id` is the caller's request id,
+    `key_digest` the digest of a customer's key.
     """
 
     __slots__ = (
@@ -36,6 +40,8 @@
         "retried",
         "hedged_above",
         "trace_id",
+        "content",
+        "key_digest",
     )
 
     def __init__(
@@ -52,6 +58,8 @@
         retried: bool,
         hedged_above: bool = False,
         trace_id: str = "",
+        content: Content | None = None,
+        key_digest: bytes = b"",
     ) -> None:
         self.now = now
         self.random_value = random_value
@@ -65,6 +73,8 @@
         self.retried = retried
         self.hedged_above = hedged_above
         self.trace_id = trace_id
+        self.content = content
+        self.key_digest = key_digest
 
 
 class RequestMalformed(EntryEvent):
@@ -132,6 +142,7 @@
     multiple of the normal service time; without one, `running` is None. `rate_limit_per_s` is the
     rate that the target takes from all entries together, None if the response names none;
     `retry_after_s` is the time for which a target that turns a request away wants no other;
+    `cold_s` is the time for which it stays cold;
     `malformed_statements` lists the headers of that kind that could not be parsed.
     """
 
@@ -147,6 +158,7 @@
         "instance",
         "rate_limit_per_s",
         "retry_after_s",
+        "cold_s",
         "malformed_statements",
     )
 
@@ -162,6 +174,7 @@
         self.instance = ""
         self.rate_limit_per_s: float | None = None
         self.retry_after_s: float | None = None
+        self.cold_s: float | None = None
         self.malformed_statements: tuple[str, ...] = ()
 
 
@@ -208,6 +221,17 @@
         self.probe_id = probe_id
 
 
+class ProcessChecked(EntryEvent):
+    """A check found that a target's process is gone, or did not find it."""
+
+    __slots__ = ("target_name", "is_gone")
+
+    def __init__(self, now: float, random_value: int, target_name: str, is_gone: bool) -> None:
+        super().__init__(now, random_value)
+        self.target_name = target_name
+        self.is_gone = is_gone
+
+
 class ResponseStarted(AttemptResponse):
     """A response turned out too large to buffer."""
 
@@ -261,10 +285,11 @@
 class CatalogueChanged(EntryEvent):
     """A new catalogue, and the number of entries in the fleet.
 
-    `is_confirmed` means that the catalogue was read from the store after the last process pause.
+    `is_confirmed` means that the catalogue was read from the store after the last process pause,
+    `is_fleet_known` that the number is known from other nodes and not only the least expected.
     """
 
-    __slots__ = ("catalogue", "fleet_entries", "is_confirmed")
+    __slots__ = ("catalogue", "fleet_entries", "is_confirmed", "is_fleet_known")
 
     def __init__(
         self,
@@ -273,9 +298,11 @@
         catalogue: Catalogue,
         fleet_entries: int,
         is_confirmed: bool = False,
+        is_fleet_known: bool = True,
     ) -> None:
         super().__init__(now, random_value)
         self.is_confirmed = is_confirmed
+        self.is_fleet_known = is_fleet_known
         self.catalogue = catalogue
         self.fleet_entries = fleet_entries
 
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -3,6 +3,7 @@
 import heapq
 import math
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from poplarlane.decisions.access.labels import InvalidLabels, parse_labels
 from poplarlane.decisions.access.selectors import Access
@@ -12,15 +13,22 @@
 from poplarlane.decisions.choice.policies import Policy
 from poplarlane.decisions.choice.slowdowns import Slowdowns
 from poplarlane.decisions.choice.subsets import TargetGroup
+from poplarlane.decisions.cold import cold_permits
 from poplarlane.decisions.configuration.route_table import RouteTable
+from poplarlane.decisions.customers.keys import Customer, CustomerTable
 from poplarlane.decisions.fleet.sections import FleetState
 from poplarlane.decisions.health.health import ServiceHealth
 from poplarlane.decisions.probes.probe_allowance import ProbeTokenBucket
+from poplarlane.decisions.quarantine.convictions import Quarantine
+from poplarlane.decisions.quarantine.fingerprints import Content
 from poplarlane.decisions.repeats.retries import Budget
 from poplarlane.objects import ServiceObject
 from poplarlane.outcomes import RequestFailure
 from poplarlane.types import Priority, RequestKind, TargetLoad, TargetStatements
 
+if TYPE_CHECKING:
+    from poplarlane.decisions.customers.section import CustomersSection
+
 MAX_CACHED_ACCESSES = 1_024
 # Limits the log lines about malformed input, so that a flood of it does not slow other callers.
 MALFORMED_LOGS_PER_S = 20
@@ -34,6 +42,9 @@
 LCG_MASK = (1 << 64) - 1
 
 
+ReachableKey = str | tuple[str, frozenset[str]]
+
+
 class RequestState(IntEnum):
     """States of a request; a REFUSED or UNKNOWN one may be sent again."""
 
@@ -54,11 +65,13 @@
     DRAIN_LIMIT = 4
     VIEW_LIMIT = 5
     PROBE_END = 6
-    # RECHECK belongs to a service and PROBE_LIMIT to a probe; the others to requests.
+    TRIAL_LIMIT = 10
+    # RECHECK and WARM_CHECK belong to a service and PROBE_LIMIT to a probe; others to requests.
     RECHECK = 7
     GIVE_UP = 9
+    WARM_CHECK = 12
     PROBE_LIMIT = 8
-    DRAIN_REFUSAL = 10
+    DRAIN_REFUSAL = 11
 
 
 # Kinds of timers that belong to a request and end with it.
@@ -69,6 +82,7 @@
         TimerKind.PROBE_END,
         TimerKind.GIVE_UP,
         TimerKind.DRAIN_REFUSAL,
+        TimerKind.TRIAL_LIMIT,
     }
 )
 
@@ -100,6 +114,9 @@
         "number",
         "recheck_at",
         "has_mixed_priorities",
+        "cold_per_s",
+        "cold_until",
+        "warm_check_at",
     )
 
     def __init__(self, name: str) -> None:
@@ -112,8 +129,9 @@
         self.policy: Policy
         self.access: Access
         self.loads: dict[str, TargetLoad] = {}
-        # Cache of usable targets by the caller's labels header; None if no selector allows any.
-        self.reachable: dict[str, list[TargetLoad] | None] = {}
+        # Cache of usable targets by the caller's labels header, and by allowed regions if there are
+        # any; None if no selector allows any.
+        self.reachable: dict[ReachableKey, list[TargetLoad] | None] = {}
         # Usable targets by the set of target names that one selector allows.
         self.groups: dict[frozenset[str], TargetGroup] = {}
         self.limits: ServiceLimits
@@ -134,6 +152,11 @@
         self.recheck_at = 0.0
         # Whether its routes differ in priority.
         self.has_mixed_priorities = False
+        # Requests per second that a cold target bears from all nodes; 0 without a limit.
+        self.cold_per_s = 0.0
+        # Latest end of the cold time of a limited target, and the next check for warm ones.
+        self.cold_until = -math.inf
+        self.warm_check_at = -math.inf
 
 
 class Request:
@@ -171,6 +194,12 @@
         "pending_probes",
         "may_use_old_reports",
         "poll_at",
+        "content",
+        "fingerprint",
+        "regions",
+        "key_digest",
+        "customer",
+        "is_charged",
     )
 
     def __init__(
@@ -226,6 +255,17 @@
         self.may_use_old_reports = False
         # While it is queued, when it probes targets again.
         self.poll_at = 0.0
+        # What the caller sent, and the digest of it and of the customer once it was needed.
+        self.content: Content | None = None
+        self.fingerprint = b""
+        # Regions whose targets it may be sent to; None allows all.
+        self.regions: frozenset[str] | None = None
+        # Digest of the caller's key, and the customer that it belongs to; None on public routes and
+        # without customers.
+        self.key_digest = b""
+        self.customer: Customer | None = None
+        # Whether the customer's quota was charged for it.
+        self.is_charged = False
 
 
 class Attempt:
@@ -287,6 +327,11 @@
         "members",
         "leaving",
         "fleet_entries",
+        "is_fleet_known",
+        "most_entries",
+        "most_entries_at",
+        "cold_tolerance",
+        "evacuated",
         "entry_rank",
         "requests",
         "attempts",
@@ -314,11 +359,19 @@
         "probe_allowance",
         "probes_per_target_s",
         "data_centre",
+        "region_of",
         "other_data_centre_s",
         "extra_sends",
         "extra_sends_window_s",
         "statements",
         "fleet",
+        "quarantine",
+        "customers",
+        "quotas",
+        "confirmed_at",
+        "apply_limit_s",
+        "reached_nodes_needed",
+        "strict_revocation",
     )
 
     def __init__(self, name: str, incarnation: int) -> None:
@@ -339,6 +392,13 @@
         self.members: dict[str, tuple[int, bool]] = {}
         self.leaving: set[str] = set()
         self.fleet_entries = 1
+        # Whether this node has heard of the others, and the largest number known lately.
+        self.is_fleet_known = True
+        self.most_entries = 1
+        self.most_entries_at = -math.inf
+        self.cold_tolerance = cold_permits.cold_tolerance()
+        # Data centres whose targets get no new requests.
+        self.evacuated: frozenset[str] = frozenset()
         self.entry_rank = 0
         self.requests: dict[int, Request] = {}
         self.attempts: dict[int, Attempt] = {}
@@ -374,6 +434,8 @@
         # The entry's own data centre, and the one-way delay assumed to others without a known one.
         self.data_centre = ""
         self.other_data_centre_s = 0.0
+        # Region of each data centre.
+        self.region_of: dict[str, str] = {}
         # Retries and hedges that the fleet may send per service and window beyond the ratio.
         self.extra_sends = 0.0
         self.extra_sends_window_s = 10.0
@@ -382,6 +444,19 @@
         self.statements: dict[str, TargetStatements] = {}
         # What this node shares with the others.
         self.fleet = FleetState()
+        self.quarantine = Quarantine()
+        self.customers = CustomerTable([])
+        # The section that counts and limits the use of quotas; None without an exchange.
+        self.quotas: CustomersSection | None = None
+        # When the store, or a node that follows it, last confirmed the configuration, and the time
+        # within which an accepted change has to be in force.
+        self.confirmed_at = math.inf
+        self.apply_limit_s = math.inf
+        # Number of nodes that were known when the configuration was last confirmed; 0 without
+        # other nodes.
+        self.reached_nodes_needed = 0
+        # Whether a node that may have missed the removal of a key refuses all keys.
+        self.strict_revocation = False
 
 
 def add_timer(state: EntryState, at: float, kind: TimerKind, request_id: int = 0) -> bool:
@@ -409,10 +484,13 @@
     return (random_value * LCG_MULTIPLIER + LCG_INCREMENT) & LCG_MASK
 
 
-def reachable_targets(service: ServiceState, text: str) -> list[TargetLoad] | None:
+def reachable_targets(
+    service: ServiceState, text: str, regions: frozenset[str] | None = None
+) -> list[TargetLoad] | None:
     """Return the targets that a caller may reach and that are not leaving; None if denied."""
+    key = text if regions is None else (text, regions)
     try:
-        return service.reachable[text]
+        return service.reachable[key]
     except KeyError:
         pass
     labels = parse_labels(text)
@@ -423,7 +501,9 @@
     usable = [service.groups[names] for names in groups if names in service.groups]
     chosen = {load.target.name: load for group in usable for load in group.subset}
     found = [load for _, load in sorted(chosen.items())] if groups else None
+    if found and regions is not None:
+        found = [load for load in found if load.region in regions]
     if len(service.reachable) >= MAX_CACHED_ACCESSES:
         service.reachable.clear()
-    service.reachable[text] = found
+    service.reachable[key] = found
     return found
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -11,7 +11,10 @@
 from poplarlane.decisions.choice.dispatching import await_permission, choose, dispatch
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.configuration.route_table import Route, choose_service
+from poplarlane.decisions.customers import charges, key_checks
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.effects import Count, Effect, Log
+from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.repeats.hedging import send_pending_hedges
@@ -67,40 +70,63 @@
     state.now = event.now
     if not state.ready:
         return refuse_arrival(event, state, ResultCode.NOT_READY, "no complete view yet")
-    route = None
+    route = customer = None
     if state.routes is not None:
         route = state.routes.find(event.host, event.path)
         if route is None:
-            return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+            return refuse_unrouted(event, state)
+        if state.customers.by_name:
+            customer = key_checks.find_customer(state, route, event.key_digest, event.now)
+            if isinstance(customer, NotRun):
+                return refuse_arrival(event, state, customer.code, customer.detail, customer.status)
         service = state.services.get(choose_service(route, event.random_value))
     else:
         service = state.hosts.get(event.host)
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
-    targets = reachable_targets(service, event.labels)
+    regions = route.allowed_regions if route is not None else None
+    targets = reachable_targets(service, event.labels, regions)
+    if state.evacuated and not targets and not service.loads:
+        detail = "every target is leaving or in an evacuated data centre"
+        return refuse_arrival(event, state, ResultCode.NO_TARGET, detail)
+    if regions is not None and not targets and (targets is not None or not service.loads):
+        detail = "no target in the allowed regions"
+        return refuse_arrival(event, state, ResultCode.NO_TARGET_AT_HOME, detail)
     if targets is None:
         return refuse_arrival(event, state, ResultCode.NOT_ALLOWED, "no selector allows this")
     if not targets:
         return refuse_arrival(event, state, ResultCode.NO_TARGET, "every target is leaving")
     request = new_request(event, service, route)
+    effects: list[Effect] = []
+    if customer is not None:
+        set_customer(request, customer, event.key_digest)
+        excess = charges.charge(state, customer, event.random_value, event.now, effects)
+        if excess is not None:
+            return effects + refuse_excess(event, state, request, excess)
+        request.is_charged = True
     measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
+    if decision is None and state.quarantine.items:
+        decision = enforcement.refusal_at_arrival(state, request, event.now, effects)
     if decision is None:
         decision = admission.admit(service.policy, service, request, event.now)
     if isinstance(decision, NotRun):
-        refused: list[Effect] = [RefuseRequest(event.request_id, decision, False, state.draining)]
+        if customer is not None:
+            charges.credit_unrun(state, request, event.now)
+        effects.append(RefuseRequest(event.request_id, decision, False, state.draining))
         if measured:
-            request_log.request_refused(state, request, decision, refused)
-        return refused
+            request_log.request_refused(state, request, decision, effects)
+        return effects
     state.requests[request.request_id] = request
     retries.observe_request(service.retry_budget, request.attempt)
     if service.hedge_budget is not service.retry_budget:
         retries.observe_request(service.hedge_budget, request.attempt)
-    effects: list[Effect] = []
     if add_timer(state, request.deadline, TimerKind.DEADLINE, request.request_id):
         effects.append(SetTimer(state.timer_at))
     if state.draining:
         schedule_drain_refusal(state, request, event.now, effects)
+    if state.quarantine.items and enforcement.hold_for_trial(state, request, event.now, effects):
+        return effects
     if measured:
         dispatch(state, request, targets, event.now, event.random_value, effects)
     elif decision is limits.ADMIT:
@@ -116,6 +142,32 @@
     return effects
 
 
+def set_customer(request: Request, customer: Customer, key_digest: bytes) -> None:
+    """Record the customer of a request; its priority takes precedence over that of the route."""
+    request.customer = customer
+    request.key_digest = key_digest
+    if customer.priority is not None:
+        request.priority = customer.priority
+
+
+def refuse_excess(
+    event: RequestArrived, state: EntryState, request: Request, outcome: NotRun
+) -> list[Effect]:
+    """Refuse a request beyond its customer's quota."""
+    effects: list[Effect] = [RefuseRequest(event.request_id, outcome, False, state.draining)]
+    if event.trace_id:
+        request_log.request_refused(state, request, outcome, effects)
+    return effects
+
+
+def refuse_unrouted(event: RequestArrived, state: EntryState) -> list[Effect]:
+    """Refuse a request without a route, unless a newer configuration may have one."""
+    if state.customers.by_name and not key_checks.is_confirmed(state, event.now):
+        detail = "no route leads there, but the configuration may be out of date"
+        return refuse_arrival(event, state, ResultCode.CONFIGURATION_UNCONFIRMED, detail)
+    return refuse_arrival(event, state, ResultCode.NO_ROUTE, "no route leads there", 404)
+
+
 def refuse_arrival(
     event: RequestArrived, state: EntryState, code: ResultCode, detail: str, status: int = 503
 ) -> list[Effect]:
@@ -157,6 +209,7 @@
         event.hedged_above,
     )
     request.trace_id = event.trace_id
+    request.content = event.content
     if route is not None:
         request.arrived_at = event.now
         elapsed_s = 0.0
@@ -171,6 +224,7 @@
                 request.deadline, event.now + given_ms / 1000.0 - CALLER_RESERVE_S
             )
         request.max_attempts = route.max_attempts
+        request.regions = route.allowed_regions
         known_s = service.service_time_s.get(kind.name, 0.0)
         request.service_time_s = (
             known_s or route.latency_objective_s * completion.INITIAL_SERVICE_TIME_SHARE
@@ -225,7 +279,7 @@
         group = request.labels + "/" + request.kind.name if measured else request.labels
         if group in blocked:
             continue
-        targets = reachable_targets(service, request.labels)
+        targets = reachable_targets(service, request.labels, request.regions)
         load = choose(request, targets, now, random_value) if targets else None
         if load is not None:
             limits.remove_queued(bounds, request)
@@ -235,7 +289,7 @@
             blocked.add(group)
         else:
             limits.remove_queued(bounds, request)
-            finish_refused(state, request, unreachable_refusal(targets), effects)
+            finish_refused(state, request, unreachable_refusal(targets, request.regions), effects)
 
 
 @reduce.register
@@ -250,6 +304,8 @@
     if request.state is RequestState.QUEUED:
         limits.remove_queued(service.limits, request)
     observe_abandoned(request, None, event.now)
+    if not request.possibly_started:
+        charges.credit_unrun(state, request, event.now)
     cancel_attempts(state, request, effects)
     remove_request(state, request, effects)
     effects.append(Count("caller_left_total", 1.0, {"service": service.name}))
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -15,9 +15,12 @@
 )
 from poplarlane.decisions.choice.policies import Measured
 from poplarlane.decisions.choice.statements import Source
+from poplarlane.decisions.customers.key_checks import send_refusal
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.overload.rejections import has_free_slots, return_after_s
+from poplarlane.decisions.quarantine import crashes
+from poplarlane.decisions.quarantine.fingerprints import fingerprint
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
 from poplarlane.decisions.requests import request_log
@@ -58,6 +61,8 @@
 
 SERVER_ERROR = 500
 MISDIRECTED_REQUEST = 421
+REQUEST_TIMEOUT = 408
+TOO_MANY_REQUESTS = 429
 FAILURE_CODES = {
     FailureCause.CLOSED_BEFORE_ANSWER: ResultCode.OUTCOME_UNKNOWN,
     FailureCause.ANSWER_TRUNCATED: ResultCode.ANSWER_TRUNCATED,
@@ -76,6 +81,8 @@
     metadata = event.metadata
     effects: list[Effect] = []
     observe_response(state, attempt, metadata, event.now, event.random_value, effects)
+    if state.quarantine.items and shows_survival(metadata):
+        state.quarantine.record_answer(fingerprint(request), event.now)
     end_attempt(state, attempt)
     if request.streaming is attempt:
         effects.append(FinishStream(request.request_id, attempt.attempt_id))
@@ -134,6 +141,15 @@
     return metadata.not_run and metadata.status == MISDIRECTED_REQUEST
 
 
+def shows_survival(metadata: ResponseMetadata) -> bool:
+    """Return whether a target has run a request and survived it.
+
+    A target that refuses a request without saying so, or fails, may not have run all of it.
+    """
+    is_refusal = metadata.not_run or metadata.status in (REQUEST_TIMEOUT, TOO_MANY_REQUESTS)
+    return metadata.status < SERVER_ERROR and not is_refusal
+
+
 def update_service_time(attempt: Attempt, latency_s: float) -> None:
     """Update the service time of the request kind, and the contention, from a success."""
     request = attempt.request
@@ -243,9 +259,10 @@
     state.now = event.now
     request = attempt.request
     effects: list[Effect] = []
+    suspicion = crashes.suspect(state, attempt, event.cause, effects)
     if event.cause is FailureCause.CONNECT_FAILED:
         health.observe_unreachable(attempt.load, event.now)
-    else:
+    elif suspicion is None:
         health.observe_failure(attempt.load, event.now)
     end_attempt(state, attempt)
     labels = {"service": request.service.name, "cause": event.cause.name.lower()}
@@ -253,6 +270,8 @@
     outcome = failure_outcome(attempt, event)
     if request.streaming is attempt:
         finish_refused(state, request, outcome, effects)
+    elif suspicion and not request.attempts and crashes.must_wait(state, suspicion):
+        crashes.wait_for_checks(state, suspicion, outcome)
     else:
         send_again_or_finish(state, attempt, outcome, event.now, event.random_value, effects)
     changed = health.review(request.service.health, request.service.limits.loads, event.now)
@@ -300,8 +319,10 @@
     effects: list[Effect],
 ) -> bool:
     """Retry a request if that is safe and within the budget; return whether it was retried."""
+    if request.customer is not None and refuse_retry(state, request, outcome, now, effects):
+        return request.request_id not in state.requests
     service = request.service
-    targets = reachable_targets(service, request.labels)
+    targets = reachable_targets(service, request.labels, request.regions)
     decision = retries.RetryDecision.NO
     if targets and barred_refusal(request, targets, now) is None:
         decision = retries.decide_retry(service.retry_budget, request, outcome, now)
@@ -330,6 +351,20 @@
     return True
 
 
+def refuse_retry(
+    state: EntryState,
+    request: Request,
+    outcome: RequestFailure,
+    now: float,
+    effects: list[Effect],
+) -> bool:
+    """Return whether the key does not allow a retry; refuse the request if nothing has run it."""
+    refusal = send_refusal(state, request, now)
+    if refusal is not None and isinstance(outcome, NotRun):
+        finish_refused(state, request, refusal, effects)
+    return refusal is not None
+
+
 def retry_failed_response(
     state: EntryState,
     attempt: Attempt,
--- a/poplarlane/decisions/requests/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -3,6 +3,7 @@
 import heapq
 
 from poplarlane.decisions.admission import limits
+from poplarlane.decisions.cold import cold_targets
 from poplarlane.decisions.effects import Effect, Log
 from poplarlane.decisions.health import health
 from poplarlane.decisions.probes.probe_events import (
@@ -11,6 +12,7 @@
     recheck_queue,
     refuse_queued,
 )
+from poplarlane.decisions.quarantine.enforcement import trial_limit_passed
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
 from poplarlane.decisions.requests.attempts import finish_refused
@@ -81,6 +83,10 @@
             fail_probe(state, number, now, random_value, effects)
     elif kind is TimerKind.RECHECK:
         recheck_queue(state, state.services_by_number[number], now, random_value, effects)
+    elif kind is TimerKind.WARM_CHECK:
+        service = state.services_by_number[number]
+        cold_targets.check_warm(state, service, effects)
+        dispatch_waiting(state, service, now, random_value, effects)
     elif number in state.requests:
         request_timer(state, state.requests[number], kind, now, random_value, effects)
 
@@ -103,6 +109,8 @@
         refuse_queued(state, request, now, effects)
     elif kind is TimerKind.DRAIN_REFUSAL:
         refuse_unsent(state, request, now, effects)
+    elif kind is TimerKind.TRIAL_LIMIT:
+        trial_limit_passed(state, request, now, effects)
     else:
         deadline_passed(state, request, now, random_value, effects)
 
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -11,6 +11,8 @@
     ServiceRecord,
 )
 from poplarlane.decisions.configuration.route_table import Route, WeightedService, priority_of_rank
+from poplarlane.decisions.customers.keys import Customer
+from poplarlane.platform.key_digests import read_digest
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import CallerLimits, RequestKind
 
@@ -23,6 +25,8 @@
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
 # str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
 PORT = re.compile(r"[0-9]{1,5}")
+# No target gets as many requests; bounds what intervals between permits are computed from.
+MAX_COLD_PER_S = 1e6
 
 
 class SplitDocument(msgspec.Struct):
@@ -45,6 +49,8 @@
     target_latency_s: float | None = None
     priority: int = 2
     max_attempts: int = 1
+    allowed_regions: list[str] | None = None
+    public: bool = False
 
 
 class ServiceDocument(msgspec.Struct):
@@ -53,6 +59,8 @@
     name: str
     health_path: str = ""
     max_connections: int = 100
+    cold_per_s: float | None = None
+    cold_start_s: float | None = None
 
 
 class LimitsDocument(msgspec.Struct):
@@ -64,6 +72,16 @@
     idle_timeout_s: float
 
 
+class TenantDocument(msgspec.Struct):
+    """A customer; its keys are digests after the store's responses have been decoded."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class ConfigurationDocument(msgspec.Struct):
     """A version of the configuration."""
 
@@ -71,6 +89,7 @@
     routes: list[RouteDocument]
     services: list[ServiceDocument]
     limits: LimitsDocument | None = None
+    tenants: list[TenantDocument] | None = None
 
 
 class InstanceInfo(msgspec.Struct):
@@ -89,7 +108,7 @@
     """
 
     state: str
-    cold_remaining_s: float = 0.0
+    cold_remaining_s: float | None = None
     sequence: int = 0
 
 
@@ -115,10 +134,20 @@
             return f"route {route.name!r}: {translated}"
         routes.append(translated)
     services = [
-        ServiceRecord(service.name, service.health_path, service.max_connections)
+        ServiceRecord(
+            service.name,
+            service.health_path,
+            service.max_connections,
+            min(MAX_COLD_PER_S, max(0.0, service.cold_per_s or 0.0)),
+            max(0.0, service.cold_start_s or 0.0),
+        )
         for service in found.services
     ]
-    return Configuration(found.version, routes, services, limits_of(found.limits))
+    customers = [customer_of(tenant) for tenant in found.tenants or []]
+    for customer in customers:
+        if not customer.name.isprintable() or not customer.name:
+            return f"tenant {customer.name!r}: the name cannot be sent in a header"
+    return Configuration(found.version, routes, services, limits_of(found.limits), customers)
 
 
 def version_of(item: StoredObject) -> int:
@@ -157,6 +186,19 @@
         latency_objective_s,
         max(1, route.max_attempts),
         parts,
+        frozenset(route.allowed_regions) if route.allowed_regions else None,
+        route.public,
+    )
+
+
+def customer_of(tenant: TenantDocument) -> Customer:
+    """Convert a customer."""
+    return Customer(
+        tenant.name,
+        [read_digest(key) for key in tenant.api_keys],
+        None if tenant.priority is None else priority_of_rank(tenant.priority),
+        max(0.0, tenant.rate_per_s or 0.0),
+        max(0.0, tenant.burst or 0.0),
     )
 
 
@@ -172,16 +214,21 @@
     )
 
 
-def instance_of(item: StoredObject) -> InstanceRecord | None:
-    """Convert an instance record; None when it is invalid or the instance cannot be used."""
+def instance_of(item: StoredObject) -> InstanceRecord | str | None:
+    """Convert an instance record; return the reason as text when it is invalid.
+
+    None stands for an instance in a state in which it cannot be used.
+    """
     try:
         found = msgspec.convert(merge_status(item), InstanceDocument)
-    except (msgspec.ValidationError, TypeError):
-        return None
-    if found.status.state not in (READY, DRAINING) or found.info.slots < 1:
-        return None
+    except (msgspec.ValidationError, TypeError) as error:
+        return str(error)
+    if found.info.slots < 1:
+        return f"{found.info.slots} slots"
     address, _, port = found.address.rpartition(":")
     if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_ip(address):
+        return f"{found.address!r} is not an IP address and a port"
+    if found.status.state not in (READY, DRAINING):
         return None
     return InstanceRecord(
         item.name,
@@ -193,7 +240,7 @@
         found.info.slots,
         found.status.state == DRAINING,
         found.born,
-        max(0.0, found.status.cold_remaining_s),
+        max(0.0, found.status.cold_remaining_s or 0.0),
         found.status.sequence,
     )
 
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -8,6 +8,7 @@
 from poplarlane.decisions.effects import Count, Effect, Log, Observe
 from poplarlane.decisions.requests.entry_effects import (
     CancelAttempt,
+    CheckProcess,
     CutAnswer,
     DeliverAnswer,
     FinishStream,
@@ -25,18 +26,22 @@
     StopAccepting,
     StreamAnswer,
 )
-from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause
+from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause, ProcessChecked
+from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.caller_requests import CallerRequest
 from poplarlane.plumbing.exchanges import Exchange
 from poplarlane.plumbing.heads import ResponseHead, error_response
+from poplarlane.plumbing.process_checks import is_process_gone
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import CONNECT_TIMEOUT_S, TargetConnection
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.entry_shell import EntryShell
 
+# A body up to this size is written together with its head.
+JOINED_BODY_BYTES = 16_384
 NO_BODY_STATUSES = (204, 304)
 # Idle connections of callers stay open this long after the listener has closed.
 IDLE_LINGER_S = 0.25
@@ -74,6 +79,8 @@
     is_head = head.method == b"HEAD"
     data = request_bytes(effect, request, shell)
     exchange = Exchange(effect.attempt_id, effect.request_id, is_head, head.request_id, data)
+    if request.body_bytes > JOINED_BODY_BYTES:
+        exchange.body = request.body
     shell.exchanges[effect.attempt_id] = exchange
     pool = shell.pool(effect.target)
     connection = pool.take(head.request_id)
@@ -88,10 +95,10 @@
 
 
 def request_bytes(effect: SendRequest, request: CallerRequest, shell: "EntryShell") -> bytes:
-    """Encode the request of one attempt, with the time that remains until its deadline."""
+    """Encode a request with the time until its deadline, and with its body if it is small."""
     left_ms = max(0, int((effect.deadline - shell.now()) * 1000.0))
     head = request.head
-    body = request.body
+    body_bytes = request.body_bytes
     names = shell.header_names
     parts = [head.forwarded, b"%b: %d\r\n" % (names.deadline, left_ms)]
     if names.adds_own_headers:
@@ -103,14 +110,17 @@
     if names.expected_instance and effect.target.instance:
         instance = effect.target.instance.encode("ascii", "replace")
         parts.append(b"%b: %b\r\n" % (names.expected_instance, instance))
+    if effect.customer and names.customer:
+        parts.append(b"%b: %b\r\n" % (names.customer, effect.customer.encode("utf-8")))
     if request.span is not None:
         traceparent = shell.tracer.traceparent(request.span)
         parts.append(b"traceparent: %b\r\n" % traceparent.encode("ascii"))
     elif head.traceparent:
         parts.append(b"traceparent: %b\r\n" % head.traceparent)
-    if body or head.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
-        parts.append(b"content-length: %d\r\n\r\n" % len(body))
-        parts.append(body)
+    if body_bytes or head.method not in (b"GET", b"HEAD", b"OPTIONS", b"DELETE"):
+        parts.append(b"content-length: %d\r\n\r\n" % body_bytes)
+        if body_bytes <= JOINED_BODY_BYTES:
+            parts += request.body
     else:
         parts.append(b"\r\n")
     return b"".join(parts)
@@ -168,12 +178,33 @@
     exchange.task.add_done_callback(shell.tasks.discard)
 
 
+@execute.register(CheckProcess)
+def execute_check(effect: CheckProcess, shell: "EntryShell") -> None:
+    """Check whether the process of a target is gone, in the background."""
+    task = shell.loop.create_task(check_process(effect, shell))
+    shell.tasks.add(task)
+    task.add_done_callback(shell.tasks.discard)
+
+
+async def check_process(effect: CheckProcess, shell: "EntryShell") -> None:
+    """Report whether the process of a target is gone; requests wait for the report."""
+    target = effect.target
+    source = shell.settings.listen_address
+    try:
+        is_gone = await is_process_gone(target, effect.may_probe, shell.header_names, source)
+    except Exception as error:
+        is_gone = False
+        log("process_check_failed", "error", target=target.name, reason=error_text(error))
+    shell.feed(ProcessChecked(shell.now(), shell.random_value(), target.name, is_gone))
+
+
 @execute.register(CancelAttempt)
 def execute_cancel(effect: CancelAttempt, shell: "EntryShell") -> None:
     """Close the connection of an attempt, so that its target can cancel the work."""
     exchange = shell.exchanges.pop(effect.attempt_id, None)
     if exchange is None:
         return
+    shell.release_parts(exchange)
     exchange.cancelled = True
     connection, exchange.connection = exchange.connection, None
     if connection is not None:
@@ -236,6 +267,7 @@
     exchange.streaming_to = request
     for data in buffered:
         request.write_body(data)
+    shell.release_parts(exchange)
     request.stream_from(exchange)
     shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
 
@@ -261,6 +293,7 @@
     if not request.is_first():
         # The earlier responses on the connection must not be lost to a reset.
         request.buffered = []
+        request.release_buffered()
         execute_refuse(effect, shell)
         return
     del shell.requests_by_id[effect.request_id]
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -7,12 +7,14 @@
 import json
 import re
 
+from poplarlane.decisions.customers.keys import MALFORMED_KEY, digest_of_key
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
 from poplarlane.plumbing.header_names import (
     DEFAULT_HEADERS,
     RETRY_AFTER,
     HeaderNames,
+    read_cold,
     read_leaving,
     read_rate_limit,
     read_retry_after,
@@ -26,13 +28,17 @@
 NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Some callers send milliseconds with a fraction.
+DEADLINE_MS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,20})?")
 POPLAR_PREFIX = b"x-poplar-"
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     501: b"Not Implemented",
     502: b"Bad Gateway",
@@ -99,6 +105,7 @@
         "retried",
         "hedged_above",
         "request_id",
+        "key_digest",
         "traceparent",
         "length",
         "chunked",
@@ -118,6 +125,8 @@
         self.retried = False
         self.hedged_above = False
         self.request_id = b""
+        # Digest of the customer's key; empty without one.
+        self.key_digest = b""
         self.traceparent = b""
         self.length = 0
         self.chunked = False
@@ -153,6 +162,9 @@
                 head.chunked = True
             elif lower == b"expect":
                 head.expects = True
+            elif lower == names.key:
+                # Two keys are as good as none, because targets might take either.
+                head.key_digest = MALFORMED_KEY if head.key_digest else digest_of_key(value)
             elif trusted:
                 read_trusted_header(head, lower, value, names)
                 if lower == b"x-caller-labels":
@@ -185,13 +197,16 @@
         head.retried = value == b"1"
     elif lower == b"x-poplar-hedged":
         head.hedged_above = value == b"1"
-    elif lower in (names.deadline, b"x-attempt"):
-        if not value.isdigit() or len(value) > 9:
+    elif lower == names.deadline:
+        if DEADLINE_MS.fullmatch(value):
+            head.deadline_ms = float(value)
+        else:
             head.fault = f"{lower.decode()} is not a number"
-        elif lower == b"x-attempt":
+    elif lower == b"x-attempt":
+        if value.isdigit() and len(value) <= 9:
             head.attempt = max(1, int(value))
         else:
-            head.deadline_ms = float(value)
+            head.fault = f"{lower.decode()} is not a number"
 
 
 def use_absolute_form(head: RequestHead) -> None:
@@ -279,6 +294,8 @@
             read_rate_limit(metadata, lower, value)
         elif lower == names.leaving:
             read_leaving(metadata, lower, value)
+        elif lower == names.cold:
+            read_cold(metadata, lower, value)
         elif lower == RETRY_AFTER and status == UNAVAILABLE:
             read_retry_after(metadata, value)
         elif lower == names.request_id:
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -42,8 +42,6 @@
 # A node without members repeats its hello sooner, because its connections are still opening.
 INITIAL_HELLO_INTERVAL_S = 0.03
 STARTUP_PERIOD_S = 2.0
-# Consecutive failed calls after which other nodes are told that the store does not respond.
-LOST_AFTER_FAILURES = 2
 
 
 class Relay:
@@ -263,6 +261,9 @@
         """Fetch announced changes that did not arrive: from another node, then from the store."""
         for kind, follower in self.followers.items():
             known = follower.known_revision()
+            if not known and follower.is_current and not self.is_announced(kind, now):
+                # The store has listed the kind as empty at revision 0.
+                continue
             version = follower.newest_version()
             source = relay_fetches.fetch_source(
                 self.state, kind, known, self.random_value(), now, version
@@ -274,6 +275,10 @@
             if not self.following and relay_fetches.is_repeated_fetch(self.state, kind):
                 follower.poll_once()
 
+    def is_announced(self, kind: str, now: float) -> bool:
+        """Return whether another node has announced objects of a kind."""
+        return relay_fetches.most_recent_announcer(self.state, kind, 0, now) is not None
+
     def check_current(self, now: float) -> None:
         """Mark kinds as current if heartbeats of other nodes confirm it, else poll the store."""
         for kind, follower in self.followers.items():
@@ -302,7 +307,7 @@
                 self.heartbeat_due = 0.0
         elif (
             self.following
-            and failures >= LOST_AFTER_FAILURES
+            and failures >= relays.LOST_AFTER_FAILURES
             and self.contact_at.get(kind, 0.0) > 0.0
         ):
             self.contact_at[kind] = 0.0
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -1,18 +1,27 @@
 """Composition root: builds every daemon from its settings."""
 
 import ipaddress
+import math
 import random
 import secrets
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
+from poplarlane.decisions.cold.cold_permits import cold_tolerance
+from poplarlane.decisions.cold.cold_targets import limited_targets
 from poplarlane.decisions.configuration.directory import Directory
+from poplarlane.decisions.customers import usage_report
+from poplarlane.decisions.customers.buckets import Tolerance
+from poplarlane.decisions.customers.section import CustomersSection
 from poplarlane.decisions.membership.relays import (
     BATCH_DELAY_FRACTION,
     WATCH_WAIT_FRACTION,
     Member,
     RelayState,
 )
+from poplarlane.decisions.quarantine.convictions import most_important
+from poplarlane.decisions.quarantine.section import QuarantineSection
 from poplarlane.decisions.requests.entry_handlers import ENTRY_HANDLERS
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.metrics import AdminRequest, AdminResponse, AdminServer, Metrics, json_response
@@ -67,12 +76,16 @@
         "probes_per_target_s",
         "extra_sends",
         "extra_sends_window_s",
+        "cold_overage",
+        "cold_slack",
     }
 )
 # Time for the last responses to reach their callers before the platform kills the process.
 NODE_EXIT_RESERVE_S = 0.4
 # Some JSON parsers represent integers beyond 53 bits inexactly.
 PROCESS_BITS = 52
+# Distinguishes the processes that use the same name one after the other.
+EPOCH_BITS = 32
 
 
 class Network:
@@ -120,6 +133,12 @@
     apply_node_settings(state, settings)
     state.other_data_centre_s = settings.other_data_centre_delay_ms / 1000.0
     state.data_centre = settings.data_centre
+    state.quarantine.enabled = True
+    state.quarantine.has_peers = bool(settings.exchange_ports)
+    state.fleet.add(QuarantineSection(state))
+    state.region_of = {settings.data_centre: settings.region, **(settings.zones or {})}
+    state.confirmed_at = -math.inf
+    add_quotas(state, settings)
     metrics = Metrics(defer_load=True)
     networks = [Network(text) for text in settings.trusted_sources]
     entry = entry_settings(settings)
@@ -133,6 +152,14 @@
     return shell, AdminServer(metrics, pages), ready
 
 
+def add_quotas(state: EntryState, settings: NodeSettings) -> None:
+    """Add the section that counts and limits the use of customers' quotas."""
+    tolerance = Tolerance(settings.quota_window_s, settings.quota_overage, settings.quota_slack)
+    epoch = secrets.randbits(EPOCH_BITS)
+    state.quotas = CustomersSection(state, tolerance, settings.bootstrap, epoch)
+    state.fleet.add(state.quotas)
+
+
 def apply_node_settings(state: EntryState, settings: NodeSettings) -> None:
     """Apply the settings that may change while a node runs."""
     state.drain_accept_s = settings.drain_accept_ms / 1000.0
@@ -140,6 +167,9 @@
     state.probes_per_target_s = settings.probes_per_target_s * PROBE_RATE_SHARE
     state.extra_sends = settings.extra_sends * EXTRA_SENDS_SHARE
     state.extra_sends_window_s = settings.extra_sends_window_s
+    state.cold_tolerance = cold_tolerance(settings.cold_overage, settings.cold_slack)
+    state.apply_limit_s = settings.apply_limit_s
+    state.strict_revocation = settings.strict_revocation
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
@@ -168,6 +198,7 @@
         target_idle_ms=settings.target_idle_ms,
         max_caller_connections=settings.max_caller_connections,
         max_requests_in_turn=settings.max_requests_in_turn,
+        memory_mb=settings.memory_mb,
     )
 
 
@@ -187,19 +218,28 @@
         STORE_MAX_TIMEOUT_FACTOR,
     )
     translation = Translation(
-        store.CONFIGURATION_KIND, CONFIGURATION_NAME, configuration_of, instance_of, version_of
+        store.CONFIGURATION_KIND,
+        CONFIGURATION_NAME,
+        configuration_of,
+        instance_of,
+        version_of,
+        store.EVACUATIONS_KIND,
     )
     ratio = settings.extra_send_ratio * EXTRA_SENDS_SHARE
     keeper = DirectorySync(
         shell, Directory(ratio, settings.policy), translation, settings.fleet_size
     )
-    wait_ms = round(settings.apply_limit_s * WATCH_WAIT_FRACTION * 1000.0)
-    group_s = settings.apply_limit_s * BATCH_DELAY_FRACTION
+    limit_s = change_limit_s(settings)
+    wait_ms = round(limit_s * WATCH_WAIT_FRACTION * 1000.0)
+    group_s = limit_s * BATCH_DELAY_FRACTION
     seeds = [split_address(seed)[0] for seed in settings.seeds]
     # Other nodes supply what a stale list lacks. Seeds list current state: they are asked first.
     has_others = bool(settings.exchange_ports)
     allow_stale_list = settings.bootstrap and has_others and settings.listen_address not in seeds
-    for kind in (store.CONFIGURATION_KIND, store.INSTANCES_KIND):
+    kinds = [store.CONFIGURATION_KIND, store.INSTANCES_KIND]
+    if settings.evacuate_within_s is not None:
+        kinds.append(store.EVACUATIONS_KIND)
+    for kind in kinds:
         follower = ObjectFollower(
             client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
         )
@@ -211,6 +251,13 @@
     return keeper
 
 
+def change_limit_s(settings: NodeSettings) -> float:
+    """Return the time within which a change of any kind has to be in force."""
+    if settings.evacuate_within_s is None:
+        return settings.apply_limit_s
+    return min(settings.apply_limit_s, settings.evacuate_within_s)
+
+
 def make_relay(
     settings: NodeSettings, keeper: DirectorySync, generator: random.Random, seeds: list[str]
 ) -> "Relay":
@@ -220,7 +267,8 @@
 
     local_member = Member(settings.name, settings.listen_address, settings.data_centre, 0.0)
     port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
-    state = RelayState(local_member, clock(), seeds, settings.apply_limit_s, settings.bootstrap)
+    limit_s = change_limit_s(settings)
+    state = RelayState(local_member, clock(), seeds, limit_s, settings.bootstrap)
     relay = Relay(
         state,
         port,
@@ -271,6 +319,11 @@
         "leaving_targets": sorted(state.leaving),
         "fleet_entries": state.fleet_entries,
         "statements": target_statements(shell),
+        "quarantine": quarantined_requests(shell),
+        "unreadable": [
+            item for found in shell.link.unreadable_objects() for item in found.document()
+        ],
+        "evacuated_data_centres": sorted(state.evacuated),
         "in_flight": len(state.requests),
         "callers": len(shell.callers),
         "connections": {
@@ -282,7 +335,20 @@
             for name, service in state.services.items()
         },
         "results": {str(int(code)): count for code, count in shell.results.items()},
-    }
+    } | quota_status(shell)
+
+
+def quota_status(shell: EntryShell) -> dict:
+    """Describe the customers and their quotas; empty without customers."""
+    state = shell.state
+    if state.quotas is None or not state.customers.by_name:
+        return {}
+    now = shell.now()
+    found = usage_report.describe(state.quotas, now)
+    found["configuration_age_s"] = (
+        round(now - state.confirmed_at, 3) if state.confirmed_at > -math.inf else None
+    )
+    return {"quotas": found}
 
 
 def target_statements(shell: EntryShell) -> dict:
@@ -293,21 +359,44 @@
         for target, load in service.loads.items():
             held = load.statements
             paused_s = max(0.0, held.paused_until - now)
-            if held.rate_limit_per_s is None and not paused_s and not load.leaving:
+            cold_s = max(0.0, held.cold_until - now)
+            if held.rate_limit_per_s is None and not paused_s and not load.leaving and not cold_s:
                 continue
             found.setdefault(name, {})[target] = {
                 "leaving": load.leaving,
                 "rate_limit_per_s": held.rate_limit_per_s,
                 "paused_s": round(paused_s, 3),
+                "cold_s": round(cold_s, 3),
             }
     return found
 
 
+def quarantined_requests(shell: EntryShell) -> list[dict]:
+    """Describe the requests that have crashed targets, those in quarantine first."""
+    now = shell.now()
+    return [
+        {
+            "digest": item.digest.hex(),
+            "route": item.route,
+            "targets": sorted(item.crashes),
+            "state": item.state(now),
+            "terms": item.terms,
+            "ends_in_s": round(max(0.0, item.ends_at() - now), 1) if item.terms else 0.0,
+        }
+        for item in most_important(shell.state.quarantine.items.values())
+    ]
+
+
 def update_gauges(shell: EntryShell) -> None:
     """Export the entry's own counters as gauges."""
     metrics = shell.metrics
     metrics.set("requests_in_flight", {}, len(shell.state.requests))
     metrics.set("caller_connections", {}, len(shell.callers))
+    unreadable = Counter()
+    for found in shell.link.unreadable_objects():
+        unreadable[found.kind] += len(found.by_name)
+    for kind, count in unreadable.items():
+        metrics.set("unreadable_objects", {"kind": kind}, count)
     for code, count in shell.results.items():
         metrics.set("answers", {"code": str(int(code))}, count)
     for name, service in shell.state.services.items():
@@ -321,9 +410,20 @@
         metrics.set("rate_limited_targets", {"service": name}, limited)
         paused = sum(load.statements.paused_until > shell.now() for load in service.loads.values())
         metrics.set("paused_targets", {"service": name}, paused)
+        metrics.set("cold_targets", {"service": name}, limited_targets(service, shell.now()))
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    now = shell.now()
+    convicted = sum(item.is_convicted(now) for item in shell.state.quarantine.items.values())
+    metrics.set("quarantined", {}, convicted)
+    metrics.set("evacuated_data_centres", {}, len(shell.state.evacuated))
+    quotas = shell.state.quotas
+    if quotas is not None and shell.state.customers.by_name:
+        for (customer, outcome), count in usage_report.request_counts(quotas).items():
+            metrics.set("customer_requests", {"customer": customer, "outcome": outcome}, count)
+        limited = sum(usage.share < 1.0 for usage in quotas.usages.values())
+        metrics.set("limited_customers", {}, limited)
     routes = shell.state.routes
     if routes is not None:
         metrics.set("configuration_version", {}, routes.version)
--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -12,6 +12,8 @@
     SetLabelCommand,
     SetSelectorCommand,
 )
+from poplarlane.programs.ctl.customers_command import CustomersCommand
+from poplarlane.programs.ctl.evacuation_commands import EvacuateCommand, RestoreCommand
 from poplarlane.programs.ctl.explain_command import ExplainCommand
 from poplarlane.programs.ctl.fleet_commands import StatusCommand, WaitCommand
 from poplarlane.programs.ctl.losses_command import LossesCommand
@@ -21,8 +23,10 @@
     GetCommand,
     HistoryCommand,
 )
+from poplarlane.programs.ctl.quarantine_command import QuarantineCommand
 from poplarlane.programs.ctl.reports import error_report, show, usage_error
 from poplarlane.programs.ctl.trace_command import TraceCommand
+from poplarlane.programs.ctl.unreadable_command import UnreadableCommand
 
 VERSION = "0.1.0"
 COMMANDS = (
@@ -39,6 +43,11 @@
     WaitCommand,
     TraceCommand,
     LossesCommand,
+    QuarantineCommand,
+    UnreadableCommand,
+    EvacuateCommand,
+    RestoreCommand,
+    CustomersCommand,
 )
 
 
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -69,6 +69,8 @@
     max_caller_connections: PositiveCount = 2_000
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
+    # Memory of the VM in millions of bytes; the default is that of the smallest one.
+    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
     drain_accept_ms: Milliseconds = 2_000
     drain_limit_ms: Milliseconds = 30_000
     tracing: TracingSettings = msgspec.field(default_factory=TracingSettings)
@@ -83,6 +85,8 @@
 
     data_centre: Name
     region: Name
+    # Region of each data centre.
+    zones: dict[str, str] | None = None
     front: SocketAddress
     ready: SocketAddress
     ready_path: str
@@ -102,13 +106,26 @@
     extra_sends_window_s: Annotated[float, Meta(gt=0.0)] = 10.0
     probes_per_target_s: Annotated[float, Meta(ge=0.0)] = 0.0
     other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
+    # Whether a node that may have missed the removal of a key refuses the keys that it knows.
+    strict_revocation: bool = False
     # Time within which every node has to apply an accepted change.
     apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
+    # Time within which an evacuation is in force; without it evacuations are not followed.
+    evacuate_within_s: Annotated[float, Meta(gt=0.0)] | None = None
+    # What a cold target bears in any one second: a multiple of its rate, and requests on top.
+    cold_overage: Annotated[float, Meta(gt=0.0)] = 1.5
+    cold_slack: Annotated[float, Meta(ge=0.0)] = 8.0
+    # In any window a customer's requests may exceed its quota by the overage and the slack.
+    quota_window_s: Annotated[float, Meta(gt=0.0)] = 5.0
+    quota_overage: Annotated[float, Meta(ge=0.0)] = 0.1
+    quota_slack: Annotated[float, Meta(ge=0.0)] = 20.0
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
+    # Memory of the VM in millions of bytes; the default is that of the smallest one.
+    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
     drain_accept_ms: Milliseconds = 2_500
     # Time between the stop signal and SIGKILL.
     grace_s: Annotated[float, Meta(gt=0.0)] = 6.0
@@ -167,6 +184,8 @@
     platform_port: Port
     operator: str = "unknown"
     agents: list[PeerSettings] = []
+    # The store of the users' platform; only `evacuate` and `restore` need it.
+    store: SocketAddress | Literal[""] = ""
     # Used for VMs without an admin port in the platform's VM list.
     agent_admin_port: Port | None = None
     timeout_ms: Milliseconds = 5_000
@@ -205,10 +224,11 @@
 
 
 class SignedTargetSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """One target of the signed fleet."""
+    """One target of the signed fleet; another process may serve it (`is_external`)."""
 
     service: str
     address: SocketAddress
+    is_external: bool = False
 
 
 class SignedFleetSettings(Settings, kw_only=True):
@@ -223,6 +243,9 @@
     slots: PositiveCount = 6
     work_ms: float = 20.0
     born_ms: int = 1_000
+    # The process exits `deadly_ms` after it got a request whose path starts with this.
+    deadly_prefix: str = ""
+    deadly_ms: float = 40.0
 
 
 class ProxyRoute(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 from poplarlane.settings import SignedFleetSettings, settings_from_arguments
@@ -18,6 +19,9 @@
 OBJECTS_PREFIX = "/-/objects/"
 MAX_WAIT_MS = 30_000
 KEPT_EVENTS = 1_000
+# A cold target bears this multiple of its rate and some requests more in a second.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 8
 # The next request of a caller is often on its way by then.
 LATE_COPY_S = 0.006
 
@@ -105,7 +109,10 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a list or a watch."""
-        kind = exchange.path.removeprefix(OBJECTS_PREFIX)
+        kind, _, name = exchange.path.removeprefix(OBJECTS_PREFIX).partition("/")
+        if name or exchange.method == "POST":
+            self.handle_write(exchange, kind, name)
+            return
         verb = "watch" if "watch" in exchange.query else "list"
         self.calls[verb] = self.calls.get(verb, 0) + 1
         if self.is_down:
@@ -117,6 +124,30 @@
         else:
             self.watch(exchange, kind)
 
+    def handle_write(self, exchange: Exchange, kind: str, name: str) -> None:
+        """Write or delete one object."""
+        if self.is_down:
+            self.reply(exchange, 503, {"error": "down"})
+        elif exchange.method == "POST":
+            document = json.loads(exchange.body)
+            self.create(exchange, kind, document["metadata"]["name"], document["spec"])
+        elif exchange.method == "PUT" and name in self.objects.get(kind, {}):
+            self.put(kind, name, json.loads(exchange.body)["spec"])
+            self.reply(exchange, 200, {"revision": self.revision})
+        elif exchange.method == "DELETE" and name in self.objects.get(kind, {}):
+            self.delete(kind, name)
+            self.reply(exchange, 200, {"revision": self.revision})
+        else:
+            self.reply(exchange, 404, {"error": "no such object"})
+
+    def create(self, exchange: Exchange, kind: str, name: str, spec: Any) -> None:
+        """Create an object unless it exists."""
+        if name in self.objects.get(kind, {}):
+            self.reply(exchange, 409, {"object": self.objects[kind][name]})
+            return
+        self.put(kind, name, spec)
+        self.reply(exchange, 200, {"revision": self.revision})
+
     def watch(self, exchange: Exchange, kind: str) -> None:
         """Answer a watch at once, or when something changes, or when its wait has passed."""
         after = int(exchange.query["watch"])
@@ -170,6 +201,12 @@
         self.probes = 0
         # When requests reached it, those that it refused included.
         self.arrivals: list[float] = []
+        # Rate that it sustains while it is cold, above which it crashes; 0: any.
+        self.cold_per_s = 0.0
+        self.cold_until = 0.0
+        self.has_crashed = False
+        # Number of times that it wrote its entry.
+        self.sequence = 0
         self.server = HttpServer(self.handle)
 
     def load(self) -> str:
@@ -177,13 +214,35 @@
         slots = self.fleet.settings.slots
         return f"{min(self.running, slots)},{max(0, self.running - slots)},{slots},{self.slowdown}"
 
+    @property
+    def cold_s(self) -> float:
+        """Return how long the target stays cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
+    @cold_s.setter
+    def cold_s(self, value: float) -> None:
+        self.cold_until = asyncio.get_running_loop().time() + value
+
+    def is_overrun(self) -> bool:
+        """Return whether a cold target got more requests in a second than it bears."""
+        if not self.cold_per_s or not self.cold_s:
+            return False
+        since = asyncio.get_running_loop().time() - 1.0
+        recent = sum(at > since for at in self.arrivals)
+        return recent > COLD_OVERAGE * self.cold_per_s + COLD_SLACK
+
     def handle(self, exchange: Exchange) -> None:
         """Answer a probe, refuse a request for another instance, or work."""
+        if self.has_crashed:
+            exchange.drop()
+            return
         headers = [("x-server-load", self.load()), ("x-instance-id", self.name)]
         if self.mode != "interim":
             headers += self.statements.items()
         if exchange.path == self.fleet.settings.probe_path:
             self.probes += 1
+            if self.cold_until:
+                headers.append(("x-cold-remaining-ms", str(round(self.cold_s * 1000.0))))
             if self.probe_mode:
                 self.answer_endlessly(self.probe_mode, exchange, headers)
             else:
@@ -195,6 +254,10 @@
             exchange.reply(421, headers, b"")
             return
         self.arrivals.append(asyncio.get_running_loop().time())
+        if self.is_overrun():
+            self.has_crashed = True
+            exchange.drop()
+            return
         if self.mode == "interim":
             self.answer_interim(exchange)
         if self.mode == "refusal-copy" and self.refused_id:
@@ -210,9 +273,16 @@
             self.work(exchange, headers, request_id)
 
     def work(self, exchange: Exchange, headers: list, request_id: str) -> None:
-        """Run a request for the time of work at the present pace."""
+        """Run a request for the time of work at the present pace, or exit because of it."""
+        settings = self.fleet.settings
+        if settings.deadly_prefix and exchange.path.startswith(settings.deadly_prefix):
+            asyncio.get_running_loop().call_later(settings.deadly_ms / 1000.0, os._exit, 1)
+            return
         self.fleet.ledger.setdefault(request_id, []).append(self.name)
         self.fleet.deadlines_ms[request_id] = exchange.headers.get("x-deadline-ms", "")
+        names = ("x-tenant-id", "x-api-key")
+        found = {name: exchange.headers[name] for name in names if name in exchange.headers}
+        self.fleet.customers[request_id] = found
         self.running += 1
         loop = asyncio.get_running_loop()
 
@@ -299,6 +369,7 @@
 
     def register(self, state: str = "ready") -> None:
         """Write the target's entry into the store."""
+        self.sequence += 1
         host, port = self.address.rsplit(":", 1)
         settings = self.fleet.settings
         spec = {
@@ -307,7 +378,10 @@
             "born": settings.born_ms,
         }
         self.fleet.store.put(
-            "servers", self.name, spec, {"state": state, "sequence": 1, "cold_remaining_s": 0}
+            "servers",
+            self.name,
+            spec,
+            {"state": state, "sequence": self.sequence, "cold_remaining_s": self.cold_s},
         )
 
 
@@ -321,6 +395,8 @@
         self.cancelled: list[str] = []
         # What each request was told of the time that it has.
         self.deadlines_ms: dict[str, str] = {}
+        # The customer named in each request, and the key, which no target may get.
+        self.customers: dict[str, dict[str, str]] = {}
         self.targets: dict[str, SignedTarget] = {}
         for name, placed in settings.targets.items():
             self.targets[name] = SignedTarget(self, name, placed.service, placed.address)
@@ -328,9 +404,10 @@
 
     async def start(self) -> Any:
         """Listen everywhere and fill the store."""
-        for target in self.targets.values():
+        for name, target in self.targets.items():
             host, port = target.address.rsplit(":", 1)
-            await target.server.listen(host, int(port))
+            if not self.settings.targets[name].is_external:
+                await target.server.listen(host, int(port))
             target.register()
         if self.settings.configuration:
             self.store.put("config", "main", self.settings.configuration)
@@ -339,7 +416,8 @@
         async def stop() -> None:
             self.server.close()
             for target in self.targets.values():
-                target.server.close()
+                if target.server.listener is not None:
+                    target.server.close()
 
         return stop
 
@@ -352,8 +430,10 @@
                 "deadlines_ms": self.deadlines_ms,
                 "probes": {name: target.probes for name, target in self.targets.items()},
                 "arrivals": {name: target.arrivals for name, target in self.targets.items()},
+                "crashed": [name for name, found in self.targets.items() if found.has_crashed],
                 "endless": sum(len(target.endless) for target in self.targets.values()),
                 "calls": self.store.calls,
+                "customers": self.customers,
             }
             exchange.reply_json(200, document)
         elif exchange.path == "/_control":
@@ -379,6 +459,10 @@
             self.store.forget_history()
         for name, entry in switches.get("entries", {}).items():
             self.store.put("servers", name, entry.get("spec"), entry.get("status"))
+        for name in switches.get("evacuate", []):
+            self.store.put("evacuations", name, {})
+        for name in switches.get("end_evacuation", []):
+            self.store.delete("evacuations", name)
         for name in switches.get("delete", []):
             self.store.delete("servers", name)
         for name in switches.get("drain", []):
