Quarantine: send a request that waits for its trial only once

With policies other than `measured`, admission queues a request when all targets are full. hold_for_trial left it in that queue, so it was sent from there without a trial as well as by its trial, and resume() queued it a second time. A write ran twice.

Take the request out of the queue when it starts to wait for its trial.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -93,6 +93,19 @@
     When the target of the trial crashes
     Then the conviction has a term of 60 s
 
+  Scenario Outline: A write that waits for its trial is sent once, though its targets are full
+    # Guards against a write that ran twice: it was in the queue already when its trial started.
+    Given a node with 2 targets and the policy <policy>
+    When a write is convicted, its term ends and it arrives while all targets are full
+    And the targets have room again
+    Then only one copy of the write was sent, and only once
+
+    Examples:
+      | policy            |
+      | adaptive          |
+      | least_outstanding |
+      | measured          |
+
   Scenario: An answer in the trial ends the quarantine
     Given a node with 8 targets
     When a deadly read is convicted and 31 s pass
--- a/features/quarantine_world.py
+++ b/features/quarantine_world.py
@@ -67,10 +67,10 @@
 class QuarantineNode:
     """One node; its requests, what it sent where, and what its callers got."""
 
-    def __init__(self, targets=8, name="node", has_peers=False):
+    def __init__(self, targets=8, name="node", has_peers=False, policy="measured"):
         self.now = NOW
         self.state = EntryState(name, 1)
-        self.state.policy_name = "measured"
+        self.state.policy_name = policy
         self.state.probes_per_target_s = 6_000.0
         self.state.extra_sends = 8_100.0
         self.state.quarantine.enabled = True
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -138,6 +138,11 @@
 @given("a node with 2 targets that are full")
 def step_full(context):
     node = context.node = QuarantineNode(2)
+    fill(node)
+
+
+def fill(node):
+    """Send other reads until the targets are full."""
     number = 1_000
     while True:
         node.arrive(number, f"/other/{number}")
@@ -370,6 +375,40 @@
     assert round(item.ends_at() - node.now) == 60 and not node.at_work, item.ends_at()
 
 
+@given("a node with {targets:d} targets and the policy {policy}")
+def step_policy(context, targets, policy):
+    context.node = QuarantineNode(targets, policy=policy)
+
+
+@when("a write is convicted, its term ends and it arrives while all targets are full")
+def step_write_full(context):
+    node = context.node
+    for number in (1, 2):
+        node.arrive(number, "/book")
+        node.crash_with(number)
+        node.now += CRASH_DELAY_S
+    assert node.item("/book").is_convicted(node.now)
+    node.wait(31.0)
+    fill(node)
+    node.sends.clear()
+    for number in (11, 12):
+        node.arrive(number, "/book")
+    assert not node.targets_of(11) and not node.targets_of(12)
+
+
+@when("the targets have room again")
+def step_room(context):
+    node = context.node
+    for _, number in list(node.at_work.values()):
+        node.answer(number)
+
+
+@then("only one copy of the write was sent, and only once")
+def step_sent_once(context):
+    sent = [number for number, _ in context.node.sends if number in (11, 12)]
+    assert sent == [11], context.node.sends
+
+
 @when("the trial is answered")
 def step_trial_answered(context):
     context.node.arrive(11)
--- a/poplarlane/decisions/quarantine/enforcement.py
+++ b/poplarlane/decisions/quarantine/enforcement.py
@@ -74,6 +74,8 @@
     if item is None or not item.is_on_trial(now):
         return False
     known = state.quarantine
+    # Admission may have queued it already, from where it would be sent besides its trial.
+    limits.remove_queued(request.service.limits, request)
     request.state = RequestState.QUEUED
     known.waiting.setdefault(item.digest, []).append(request.request_id)
     if add_timer(state, now + TRIAL_WAIT_S, TimerKind.TRIAL_LIMIT, request.request_id):
