Quarantine: send waiting copies once a trial has been answered

Copies that wait for a trial were only taken up by a permission. After an answer had ended the quarantine they still waited for the rest of 0.5 s and were refused with 1214, although the request was known to be innocent.

Send them when a request is acquitted, by an answer at this node or by a digest. Copies that start together get different random values, so that they do not all choose the same target.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -112,6 +112,21 @@
     And the trial is answered
     Then the end of the quarantine is logged and a repeat is sent
 
+  Scenario: Copies that wait are sent once the trial is answered
+    # Guards against refusals of an innocent read 0.5 s after its innocence was shown.
+    Given a node with 8 targets
+    When a deadly read is convicted and 31 s pass
+    And three copies arrive
+    And the copy on trial is answered
+    Then the other two copies are at work
+
+  Scenario: Copies that wait are sent once another node has been answered
+    Given a node with 8 targets that asks the root for trials
+    When a deadly read is convicted and 31 s pass
+    And three copies arrive
+    And the root says that the read was answered
+    Then all three copies are at work
+
   Scenario: The crash of a convicted request is not held against its target
     Given a node with 8 targets
     When a deadly read is convicted by two crashes
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -415,6 +415,41 @@
     context.node.answer(11)
 
 
+@given("a node with 8 targets that asks the root for trials")
+def step_peers(context):
+    context.node = QuarantineNode(8, has_peers=True)
+
+
+@when("the copy on trial is answered")
+def step_copy_answered(context):
+    node = context.node
+    ((_, number),) = node.at_work.values()
+    node.now += 0.02
+    node.answer(number)
+
+
+@when("the root says that the read was answered")
+def step_root_answered(context):
+    node, root = context.node, QuarantineNode(name="root")
+    assert not node.at_work
+    root.now = node.now
+    report = node.section.take_report(node.now)
+    root.section.merge_report("node", report, root.now)
+    root.state.quarantine.record_answer(Content(DEADLY).fingerprint(""), root.now)
+    digest = root.section.make_digest(root.now)
+    node.apply(node.section.adopt_digest(digest, 0.0, node.now))
+
+
+@then("the other two copies are at work")
+def step_two_at_work(context):
+    assert len({number for _, number in context.node.at_work.values()}) == 2, context.node.outcomes
+
+
+@then("all three copies are at work")
+def step_three_at_work(context):
+    assert len({number for _, number in context.node.at_work.values()}) == 3, context.node.outcomes
+
+
 @then("the end of the quarantine is logged and a repeat is sent")
 def step_ended(context):
     node = context.node
--- a/poplarlane/decisions/quarantine/enforcement.py
+++ b/poplarlane/decisions/quarantine/enforcement.py
@@ -19,6 +19,7 @@
     RequestState,
     TimerKind,
     add_timer,
+    next_random_value,
     reachable_targets,
 )
 from poplarlane.outcomes import NotRun, OutcomeUnknown, ResultCode
@@ -123,10 +124,23 @@
     return None
 
 
+def resume_acquitted(state: EntryState, now: float, effects: list[Effect]) -> None:
+    """Send the requests that wait for a trial which is no longer needed."""
+    known = state.quarantine
+    for digest in list(known.waiting):
+        item = known.items.get(digest)
+        if item is None or item.terms:
+            continue
+        while (request := next_waiting(state, digest)) is not None:
+            resume(state, request, now, effects)
+
+
 def resume(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
     """Choose a target for a request that was held back."""
     targets = reachable_targets(request.service, request.labels)
-    random_value = int.from_bytes(fingerprint(request)[:8], "big")
+    # Copies of one request that are sent at the same moment must not choose the same target.
+    seed = int.from_bytes(fingerprint(request)[:8], "big") ^ request.request_id
+    random_value = next_random_value(seed)
     if not targets:
         finish_refused(state, request, unreachable_refusal(targets), effects)
     elif type(request.service.policy) is Measured:
@@ -165,6 +179,8 @@
             announce(item, effects)
             if item.is_convicted(now):
                 end_copies(state, item, now, effects)
+    if known.waiting:
+        resume_acquitted(state, now, effects)
     for item in known.take_expired(now):
         log_end(item, "forgotten", effects)
 
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -17,7 +17,7 @@
 from poplarlane.decisions.choice.statements import Source
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
-from poplarlane.decisions.quarantine import crashes
+from poplarlane.decisions.quarantine import crashes, enforcement
 from poplarlane.decisions.quarantine.fingerprints import fingerprint
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
@@ -94,6 +94,8 @@
     elif not retry_failed_response(state, attempt, metadata, event, effects):
         observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, metadata, effects)
+    if state.quarantine.waiting:
+        enforcement.resume_acquitted(state, event.now, effects)
     dispatch_waiting(
         state, request.service, event.now, next_random_value(event.random_value), effects
     )
