Quarantine: a new root allows trials of convictions that expired later

The root allowed no trial in its first 5 s, because an earlier root might have allowed one.

Wait only for convictions that had expired, or were about to, when the root began; no earlier root can have allowed a trial of the others.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -201,3 +201,9 @@
     Then one node has sent one copy
     When the root ends and a copy arrives at each of 10 other nodes within the lease
     Then no further copy has been sent
+
+  Scenario: A doubtful conviction is tried when its term of 2 s ends
+    # Guards against a first root that waits for trials which no earlier root can have allowed.
+    Given 24 nodes that exchange evidence, with good messages
+    When two reads share their crashes and copies of one arrive from the end of the term on
+    Then a copy is at work within 0.5 s
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -670,6 +670,29 @@
     assert len(fleet_sends(context.fleet)) == 1, fleet_sends(context.fleet)
 
 
+@when("two reads share their crashes and copies of one arrive from the end of the term on")
+def step_doubtful(context):
+    fleet = context.fleet
+    other = Content("/other").fingerprint("")
+    *_, first, second = fleet.nodes.values()
+    for node, target in ((first, "i-1.1"), (second, "i-2.1")):
+        node.state.quarantine.record_crash(other, "read", target, fleet.now)
+        see_crash(node, target)
+        fleet.now += 0.05
+    fleet.run(0.5)
+    ends = [node.item().ends_at() for node in fleet.nodes.values()]
+    assert max(ends) - fleet.now < 2.0, ends
+    fleet.run(max(ends) - fleet.now + 0.1)
+    for number, node in enumerate(list(fleet.nodes.values())[5:10]):
+        node.arrive_now(number + 1)
+
+
+@then("a copy is at work within {time_s:g} s")
+def step_tried(context, time_s):
+    context.fleet.run(time_s)
+    assert len(fleet_sends(context.fleet)) == 1, fleet_sends(context.fleet)
+
+
 @when("the root ends and a copy arrives at each of 10 other nodes within the lease")
 def step_root_ends(context):
     fleet = context.fleet
--- a/poplarlane/decisions/quarantine/section.py
+++ b/poplarlane/decisions/quarantine/section.py
@@ -124,14 +124,16 @@
         """Allow one node per request a trial.
 
         A new root does not know the trials of the one before, so it waits until those have ended.
+        A conviction that expired after the new root began cannot have been tried before.
         """
         self.grants = {digest: found for digest, found in self.grants.items() if found[1] > now}
         asks, self.asks = self.asks, {}
-        if now - self.root_since < TRIAL_LEASE_S:
-            return
+        is_new = now - self.root_since < TRIAL_LEASE_S
         for digest, node in asks.items():
             item = self.state.quarantine.items.get(digest)
-            if item is not None and item.is_on_trial(now) and digest not in self.grants:
+            if item is None or not item.is_on_trial(now) or digest in self.grants:
+                continue
+            if not is_new or item.ends_at() > self.root_since + ROOT_GAP_S:
                 self.grants[digest] = (node, now + TRIAL_LEASE_S)
 
     def adopt_digest(self, payload: bytes, age_s: float, now: float) -> list[Effect]:
