Fleet exchange: drop the messages that waited during a suspension

Digests carry no time at which they were sent, and age_s is always 0. A node that was suspended read digests of the past from its socket as if they were new: it counted as not isolated, and could start a trial whose time was over.

A node that took neither a step nor a message for DIGEST_TIMEOUT_S drops reports and digests for the next 0.2 s. This does not cover messages that are late on the network or in a suspended relay.

--- a/features/fleet_digests.feature
+++ b/features/fleet_digests.feature
@@ -38,6 +38,15 @@
     And one node is cut off for 1.5 seconds
     Then that node is isolated and the others are not
 
+  Scenario: Digests that waited while a node was suspended are not taken for news
+    # Guards against quotas and trials of the past, which such a digest would put into force.
+    Given 30 nodes in 3 data centres that count what they see
+    When 1.5 seconds pass
+    And one node is suspended for 3 seconds and reads what came meanwhile
+    Then that node is isolated and the others are not
+    When 1 seconds pass
+    Then no node that is left is isolated
+
   Scenario: A malformed section costs neither the digest nor the other sections
     Given a node that counts
     When it receives a digest with a malformed section and a good one
--- a/features/steps/fleet_digest_steps.py
+++ b/features/steps/fleet_digest_steps.py
@@ -13,6 +13,7 @@
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.plumbing import relay as relay_module
 from poplarlane.plumbing.fleet_exchange import FleetExchange
+from poplarlane.plumbing.relay import Relay
 from poplarlane.relay_messages import DECODER, FleetDigest, FleetReport
 
 
@@ -152,6 +153,46 @@
     context.fleet.run(time_s)
 
 
+@when("one node is suspended for {time_s:g} seconds and reads what came meanwhile")
+def step(context, time_s):
+    context.cut = list(context.nodes)[-1]
+    fleet, held = context.fleet, []
+    relay = fleet.relays[context.cut]
+    with (
+        patch.object(Relay, "received", hold_for(relay, held)),
+        patch.object(Relay, "step", skip_for(relay)),
+    ):
+        fleet.run(time_s)
+    assert any(isinstance(DECODER.decode(payload), FleetDigest) for payload in held)
+    with patch.object(relay_module, "clock", lambda: fleet.now):
+        for payload in held:
+            relay.received(b"", payload)
+
+
+def hold_for(suspended, held):
+    """Return a method that keeps the messages for one relay."""
+    original = Relay.received
+
+    def received(relay, identity, payload):
+        if relay is suspended:
+            held.append(payload)
+        else:
+            original(relay, identity, payload)
+
+    return received
+
+
+def skip_for(suspended):
+    """Return a method that leaves out the steps of one relay."""
+    original = Relay.step
+
+    def step_others(relay, now):
+        if relay is not suspended:
+            original(relay, now)
+
+    return step_others
+
+
 @then("that node is isolated and the others are not")
 def step(context):
     now = context.fleet.now
--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of reports and digests between the nodes of the fleet."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -8,7 +9,7 @@
 
 from poplarlane import relay_messages
 from poplarlane.decisions.fleet import tree
-from poplarlane.decisions.fleet.sections import FleetState
+from poplarlane.decisions.fleet.sections import DIGEST_TIMEOUT_S, FleetState
 from poplarlane.decisions.fleet.tree import Child
 from poplarlane.decisions.membership import relays
 from poplarlane.decisions.membership.relays import is_in_data_centre as is_near
@@ -22,6 +23,9 @@
 # Least time between two messages that a section asked to send at once.
 URGENT_INTERVAL_S = 0.02
 MAX_SECTION_BYTES = 16_384
+# After a suspension the buffers of the sockets hold messages of the past, without their age. All
+# messages are dropped for this long; sections tolerate lost ones, and new ones follow.
+STALE_PERIOD_S = 0.2
 
 DigestHandler = Callable[[FleetDigest], None]
 
@@ -46,6 +50,8 @@
         "timer",
         "digest_root",
         "digest_sequence",
+        "active_at",
+        "stale_until",
     )
 
     def __init__(
@@ -70,9 +76,24 @@
         # Root and number of the newest digest that was adopted.
         self.digest_root = ""
         self.digest_sequence = 0
+        # When this node last took a step or a message, and until when messages may be out of date.
+        self.active_at = math.inf
+        self.stale_until = 0.0
+
+    def note_activity(self, now: float) -> None:
+        """Record that this node runs, and whether it was suspended before."""
+        if now - self.active_at > DIGEST_TIMEOUT_S:
+            self.stale_until = now + STALE_PERIOD_S
+        self.active_at = now
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether a message that is read now may have waited during a suspension."""
+        self.note_activity(now)
+        return now < self.stale_until
 
     def step(self, now: float) -> None:
         """Drop silent children and send what is due."""
+        self.note_activity(now)
         for name in tree.drop_silent(self.children, now):
             for section in self.fleet.sections.values():
                 section.member_lost(name, self.now())
@@ -164,6 +185,8 @@
 
     def report_received(self, message: FleetReport, now: float) -> None:
         """Merge the report of a child; reports of the node that this one reports to are dropped."""
+        if self.is_stale(now):
+            return
         sender = message.sender.name
         if sender == self.recipient and sender not in self.children:
             return
@@ -180,6 +203,8 @@
 
     def digest_received(self, message: FleetDigest) -> None:
         """Adopt a digest of the node that this one reports to, and pass it on."""
+        if self.is_stale(self.relay.clock()):
+            return
         if not self.fleet.is_active() and not self.children:
             # This node has not reported lately, so its place in the tree may have changed.
             self.recipient = tree.report_recipient(self.relay.state, self.relay.clock())
