Quarantine: evidence ends at nodes that get no requests

Old evidence is dropped when a request arrives, a check ends, or a digest with the section comes. A root without evidence sends digests without the section, so a node that had missed the last one, and gets no requests, kept its evidence and reported it every 0.25 s for ever.

Settle the evidence with each digest, whatever sections it has.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -207,3 +207,16 @@
     Given 24 nodes that exchange evidence, with good messages
     When two reads share their crashes and copies of one arrive from the end of the term on
     Then a copy is at work within 0.5 s
+
+  Scenario Outline: The exchange ends after the evidence
+    # Guards against nodes without requests that report old evidence to each other for ever.
+    Given 24 nodes that exchange evidence, with <faults> messages
+    When one node sees a crash and 20 seconds pass
+    Then no node holds evidence, and none sends any more
+
+    Examples:
+      | faults   |
+      | good     |
+      | repeated |
+      | delayed  |
+      | lost     |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -693,6 +693,23 @@
     assert len(fleet_sends(context.fleet)) == 1, fleet_sends(context.fleet)
 
 
+@when("one node sees a crash and {time_s:g} seconds pass")
+def step_one_crash(context, time_s):
+    *_, node = context.fleet.nodes.values()
+    see_crash(node, "i-1.1")
+    context.fleet.run(time_s)
+
+
+@then("no node holds evidence, and none sends any more")
+def step_silent(context):
+    nodes = context.fleet.nodes
+    holding = [name for name, node in nodes.items() if node.state.quarantine.items]
+    assert not holding, holding
+    sent = [node.exchange.sequence for node in nodes.values()]
+    context.fleet.run(2.0)
+    assert [node.exchange.sequence for node in nodes.values()] == sent
+
+
 @when("the root ends and a copy arrives at each of 10 other nodes within the lease")
 def step_root_ends(context):
     fleet = context.fleet
--- a/poplarlane/decisions/fleet/digests.py
+++ b/poplarlane/decisions/fleet/digests.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from poplarlane.decisions.effects import Effect, Log
+from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests.entry_events import FleetDigestReceived
 from poplarlane.decisions.requests.entry_state import EntryState
@@ -28,4 +29,7 @@
         except msgspec.MsgspecError as error:
             fields = {"section": name, "root": event.root, "reason": str(error)}
             effects.append(Log("fleet_section_malformed", "warning", fields))
+    if state.quarantine.items:
+        # A root without evidence sends none, and this node may get no request that ends its own.
+        enforcement.settle(state, event.now, effects)
     return effects
