Callers: end connections that stop reading with input behind the response

When a response was complete and input for the next request had arrived, no time limit was set, because reading the input sets one.

Set the idle time-out in this state too. As for idle connections, a caller that still takes bytes is left alone, and one that takes none is closed.

--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -98,6 +98,25 @@
     And the read is answered after the stop and its caller takes nothing of it
     Then the connection ends within 7 s
 
+  Scenario Outline: A caller that stops reading and has sent <more> does not keep its connection
+    # Guards connections and memory: with input behind the answer no time limit was set.
+    Given a caller's connection that may have 1 requests in turn
+    When the caller sends a read and <more>, and takes nothing of its answer
+    Then the connection ends within 11 s
+
+    Examples:
+      | more               |
+      | half another read  |
+      | another read       |
+
+  Scenario: A caller that reads slowly gets its next answer on the same connection
+    # Guards LOST: the limit of a caller that stops reading must not end one that reads.
+    Given a caller's connection that may have 1 requests in turn
+    When the caller sends a read and half another read, and takes nothing of its answer
+    And it reads the answer for 20 s and sends the other half
+    Then 2 reads are worked on
+    And the connection is still open
+
   Scenario: A node serves further reads on the connection they were sent on
     Given a node with 2 targets of the service "reads" and 1 of "books"
     And targets that work for 200 ms
--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -365,6 +365,25 @@
     context.caller.transport.waiting = 100_000
 
 
+@when("the caller sends a read and {more}, and takes nothing of its answer")
+def step_takes_nothing_more(context, more):
+    following = message("GET", "/1")
+    context.rest = following[20:] if more.startswith("half") else b""
+    context.caller.data_received(message("GET", "/0") + following[: -len(context.rest) or None])
+    # The transport calls this as soon as its buffer is full.
+    context.caller.pause_writing()
+    context.shell.answer(context.caller.requests[0])
+    context.caller.transport.waiting = 100_000
+
+
+@when("it reads the answer for {duration_s:d} s and sends the other half")
+def step_reads_slowly(context, duration_s):
+    pass_time(context, duration_s, taken_per_s=4_000)
+    context.caller.resume_writing()
+    pass_time(context, 1, taken_per_s=4_000)
+    context.caller.data_received(context.rest)
+
+
 @when("the caller has read the answer")
 def step_answer_read(context):
     context.caller.transport.waiting = 0
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -370,7 +370,7 @@
         elif self.close_after:
             self.linger()
             return
-        elif not self.is_reading():
+        elif not self.is_reading() or self.is_unread():
             self.expires_at = self.shell.now() + self.shell.idle_timeout_s
         self.read_pending()
 
@@ -424,6 +424,10 @@
         """Return whether no request is outstanding or partly read."""
         return not self.requests and not self.is_reading()
 
+    def is_unread(self) -> bool:
+        """Return whether the input behind the last response waits until the caller reads that."""
+        return not self.requests and self.parser is None and self.is_writing_paused
+
     def expire(self) -> None:
         """Handle the deadline: close an idle connection or refuse a slow request."""
         self.expires_at = 0.0
@@ -434,7 +438,7 @@
                 self.expires_at = self.shell.now() + LINGER_S
             else:
                 self.transport.abort()
-        elif self.is_idle():
+        elif self.is_idle() or self.is_unread():
             if self.is_flushing():
                 self.expires_at = self.shell.now() + FLUSH_CHECK_S
                 return
