Quarantine: forget waiting requests whose callers have left

The number of a request that waited for a trial was removed when its trial began, when it was refused after 0.5 s, or when it was acquitted. If its caller left before, the number stayed; at an isolated node, which gets no trials, the list grew with each such caller.

Drop ended requests from the lists when the evidence is settled.

The new scenario failed before the change (200 numbers after 200 callers); 47 of 47 scenarios of quarantine.feature pass with it.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -127,6 +127,13 @@
     And the root says that the read was answered
     Then all three copies are at work
 
+  Scenario: Callers that leave while they wait for a trial take no memory
+    # Guards memory: the numbers of their requests were kept until a trial began.
+    Given a node with 8 targets that asks the root for trials
+    When a deadly read is convicted and 31 s pass
+    And 200 callers send a copy and leave one after the other
+    Then at most 1 of their requests is remembered
+
   Scenario: The crash of a convicted request is not held against its target
     Given a node with 8 targets
     When a deadly read is convicted by two crashes
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -11,6 +11,7 @@
 from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.quarantine.convictions import MAX_ITEMS
 from poplarlane.decisions.requests.entry_events import (
+    CallerDisconnected,
     InterimReceived,
 )
 from poplarlane.outcomes import NotRun, OutcomeUnknown
@@ -420,6 +421,20 @@
     context.node = QuarantineNode(8, has_peers=True)
 
 
+@when("{count:d} callers send a copy and leave one after the other")
+def step_callers_leave(context, count):
+    node = context.node
+    for number in range(1_000, 1_000 + count):
+        node.arrive(number)
+        node.feed(CallerDisconnected(node.now, 3, number))
+
+
+@then("at most {limit:d} of their requests is remembered")
+def step_remembered(context, limit):
+    waiting = context.node.state.quarantine.waiting.values()
+    assert sum(len(found) for found in waiting) <= limit, waiting
+
+
 @when("the copy on trial is answered")
 def step_copy_answered(context):
     node = context.node
--- a/poplarlane/decisions/quarantine/enforcement.py
+++ b/poplarlane/decisions/quarantine/enforcement.py
@@ -169,7 +169,8 @@
 def settle(state: EntryState, now: float, effects: list[Effect]) -> None:
     """Enforce new convictions on this node, and end those that are over."""
     known = state.quarantine
-    known.waiting = {digest: found for digest, found in known.waiting.items() if found}
+    if known.waiting:
+        drop_ended(state)
     known.find_shared()
     for item in known.items.values():
         if not item.terms:
@@ -185,6 +186,16 @@
         log_end(item, "forgotten", effects)
 
 
+def drop_ended(state: EntryState) -> None:
+    """Forget the requests that waited for a trial and have ended, as when their caller left."""
+    waiting = {}
+    for digest, numbers in state.quarantine.waiting.items():
+        live = [number for number in numbers if number in state.requests]
+        if live:
+            waiting[digest] = live
+    state.quarantine.waiting = waiting
+
+
 def announce(item: Item, effects: list[Effect]) -> None:
     """Log a conviction, and count it at the nodes that saw one of the crashes."""
     item.is_announced = True
