Quarantine: a process check sends one probe

A check takes one probe from the allowance, but repeated the probe on each of up to four connections. A target that is full and resets connections, which is the usual reason for a check that is unclear, got four probes for each.

Probe on the first connection only; the others show whether the address still accepts connections, which is what they are repeated for.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -22,6 +22,12 @@
     Then the read got 1300 with status 502
     And a repeat is sent
 
+  Scenario: A check of a full target sends no more than the one probe that was allowed
+    # Guards full targets against probes beyond their allowance, at each request that they reset.
+    Given a target that accepts connections and resets them
+    When its process is checked
+    Then it is not gone, and got 1 probe
+
   Scenario: A target that leaves has not crashed
     Given a node with 8 targets
     When a read is at work at a target that announces to leave and closes
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,6 +1,8 @@
 """Steps about requests that crash their targets."""
 
+import asyncio
 import random
+import socket
 
 import msgspec
 from behave import given, then, when
@@ -16,6 +18,10 @@
 )
 from poplarlane.outcomes import NotRun, OutcomeUnknown
 from poplarlane.plumbing.fleet_exchange import MAX_SECTION_BYTES
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS
+from poplarlane.plumbing.process_checks import is_process_gone
+from poplarlane.plumbing.resets import reset
+from poplarlane.types import Target
 
 # A deadly request crashes its target about 40 ms after it got it.
 CRASH_DELAY_S = 0.04
@@ -120,6 +126,38 @@
         node.check(target, is_gone=False)
 
 
+@given("a target that accepts connections and resets them")
+def step_resetting(context):
+    context.probes = 0
+
+    async def accept(reader, writer):
+        try:
+            async with asyncio.timeout(0.02):
+                context.probes += bool(await reader.read(1_000))
+        except TimeoutError:
+            pass
+        reset(writer.transport)
+
+    context.accept = accept
+
+
+@when("its process is checked")
+def step_check_process(context):
+    async def check():
+        server = await asyncio.start_server(context.accept, "127.0.0.1", 0, family=socket.AF_INET)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            target = Target("i-1.1", "127.0.0.1", port, "", {}, "i-1.1", "/healthz")
+            context.is_gone = await is_process_gone(target, True, DEFAULT_HEADERS, "127.0.0.1")
+
+    asyncio.run(check())
+
+
+@then("it is not gone, and got {count:d} probe")
+def step_probes(context, count):
+    assert not context.is_gone and context.probes == count, context.probes
+
+
 @when("a read is at work at a target that announces to leave and closes")
 def step_leaving(context):
     node = context.node
--- a/poplarlane/plumbing/process_checks.py
+++ b/poplarlane/plumbing/process_checks.py
@@ -31,7 +31,7 @@
 
     A connection that is accepted and then reset, or not answered in time, proves nothing: targets
     that are full and broken links behave like that. A process that ends does so too for a moment,
-    so such a check is repeated.
+    so such a check is repeated, without the probe: the allowance of probes was charged for one.
     """
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
@@ -40,6 +40,7 @@
                 finding = await check_once(target, may_probe, names, source)
                 if finding is not Finding.UNCLEAR:
                     return finding is Finding.GONE
+                may_probe = False
     except TimeoutError:
         pass
     return False
