Quarantine: trials and evidence share the room of one message

Evidence took up to 14,000 bytes and up to 32 asks or grants followed, so long names of nodes made a payload larger than the 16,384 bytes above which the exchange drops a section: neither evidence nor trials got out. 32 asks with names of 60 characters made 16,549 bytes, with 200 characters 21,029.

Leave out the least important evidence that has no room beside them.

Both new cases failed before the change; 50 of 50 scenarios of quarantine.feature pass with it.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -173,6 +173,17 @@
     When a deadly read is convicted and 2000 others are each beside one crash
     Then at most 256 items are held, in at most 16384 bytes, and the deadly one is among them
 
+  Scenario Outline: Trials and a flood of evidence fit into one message
+    # Guards against a payload that the exchange drops whole, with the evidence and the trials.
+    Given a node with 8 targets that asks the root for trials
+    When 256 reads are each beside one crash and nodes with long names ask for 32 trials
+    Then the <payload> has at most 16384 bytes and all asks or trials
+
+    Examples:
+      | payload |
+      | report  |
+      | digest  |
+
   Scenario: False convictions are rare and short
     # Seeded; prints what was found. An innocent read is convicted if its retry meets the deadly one.
     Then of 600 reads beside crashes at most 40 are convicted wrongly, each for at most 2 s
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -12,6 +12,7 @@
 from features.quarantine_world import DEADLY, Content, QuarantineNode
 from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.quarantine.convictions import MAX_ITEMS
+from poplarlane.decisions.quarantine.messages import REPORTS, VERDICTS
 from poplarlane.decisions.requests.entry_events import (
     CallerDisconnected,
     InterimReceived,
@@ -593,6 +594,32 @@
     assert other.item().is_convicted(other.now)
 
 
+@when("{items:d} reads are each beside one crash and nodes with long names ask for {asks:d} trials")
+def step_full_message(context, items, asks):
+    node = context.node
+    for number in range(items):
+        digest = number.to_bytes(16, "big")
+        name = f"some-service-{number:04d}.1764950000000"
+        node.state.quarantine.record_crash(digest, "read", name, node.now)
+        if number < asks:
+            node.section.asks[digest] = "n" * 200
+            node.section.grants[digest] = ("n" * 200, node.now + 5.0)
+
+
+@then("the {payload} has at most {size:d} bytes and all asks or trials")
+def step_fits(context, payload, size):
+    section, now = context.node.section, context.node.now
+    if payload == "report":
+        data = section.take_report(now)
+        found = REPORTS.decode(data)
+        listed = found.asks
+    else:
+        data = section.make_digest(now)
+        found = VERDICTS.decode(data)
+        listed = found.grants
+    assert len(data) <= size and len(listed) == 32 and found.evidence, (len(data), len(listed))
+
+
 def innocents_convicted(seed):
     """Return the terms of innocent reads convicted, of 100 that were beside 20 deadly ones.
 
--- a/poplarlane/decisions/quarantine/messages.py
+++ b/poplarlane/decisions/quarantine/messages.py
@@ -12,8 +12,9 @@
 )
 from poplarlane.decisions.quarantine.fingerprints import DIGEST_BYTES
 
-# The exchange drops larger sections; the rest is for asks and grants.
 MAX_ITEMS_BYTES = 14_000
+# The exchange drops sections above 16,384 bytes; the rest is for the frames of the lists.
+MAX_PAYLOAD_BYTES = 16_200
 MAX_ASKS = 32
 MAX_AGE_MS = 3_600_000
 NO_ANSWER = -1
@@ -86,13 +87,16 @@
     )
 
 
-def limited_evidence(items: list[Item], now: float) -> list[Evidence]:
-    """Describe the most important items that a message has room for."""
+def limited_evidence(
+    items: list[Item], others: list[Ask] | list[Grant], now: float
+) -> list[Evidence]:
+    """Describe the most important items that a message has room for beside asks or grants."""
     found, size = [], 0
+    room = min(MAX_ITEMS_BYTES, MAX_PAYLOAD_BYTES - len(ENCODER.encode(others)))
     for item in most_important(items):
         evidence = evidence_of(item, now)
         size += len(ENCODER.encode(evidence))
-        if size > MAX_ITEMS_BYTES or len(found) >= MAX_ITEMS:
+        if size > room or len(found) >= MAX_ITEMS:
             break
         found.append(evidence)
     return found
--- a/poplarlane/decisions/quarantine/section.py
+++ b/poplarlane/decisions/quarantine/section.py
@@ -62,7 +62,7 @@
         changed = [known.items[digest] for digest in known.changed if digest in known.items]
         asks = [Ask(digest, node) for digest, node in self.asks.items()][:MAX_ASKS]
         self.asks.clear()
-        return ENCODER.encode(Report(limited_evidence(changed, now), asks))
+        return ENCODER.encode(Report(limited_evidence(changed, asks, now), asks))
 
     def merge_report(self, sender: str, payload: bytes, now: float) -> None:
         """Merge the evidence of a child."""
@@ -109,9 +109,9 @@
         grants = [
             Grant(digest, node, round((until - now) * 1000.0))
             for digest, (node, until) in self.grants.items()
-        ]
-        evidence = limited_evidence(list(known.items.values()), now)
-        return ENCODER.encode(Verdicts(evidence, grants[:MAX_ASKS]))
+        ][:MAX_ASKS]
+        evidence = limited_evidence(list(known.items.values()), grants, now)
+        return ENCODER.encode(Verdicts(evidence, grants))
 
     def collect_asks(self) -> None:
         """Add the asks of this node to those of its children."""
