--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -22,6 +22,12 @@
     Then the read got 1300 with status 502
     And a repeat is sent
 
+  Scenario: A check of a full target sends no more than the one probe that was allowed
+    # Guards full targets against probes beyond their allowance, at each request that they reset.
+    Given a target that accepts connections and resets them
+    When its process is checked
+    Then it is not gone, and got 1 probe
+
   Scenario: A target that leaves has not crashed
     Given a node with 8 targets
     When a read is at work at a target that announces to leave and closes
@@ -93,12 +99,47 @@
     When the target of the trial crashes
     Then the conviction has a term of 60 s
 
+  Scenario Outline: A write that waits for its trial is sent once, though its targets are full
+    # Guards against a write that ran twice: it was in the queue already when its trial started.
+    Given a node with 2 targets and the policy <policy>
+    When a write is convicted, its term ends and it arrives while all targets are full
+    And the targets have room again
+    Then only one copy of the write was sent, and only once
+
+    Examples:
+      | policy            |
+      | adaptive          |
+      | least_outstanding |
+      | measured          |
+
   Scenario: An answer in the trial ends the quarantine
     Given a node with 8 targets
     When a deadly read is convicted and 31 s pass
     And the trial is answered
     Then the end of the quarantine is logged and a repeat is sent
 
+  Scenario: Copies that wait are sent once the trial is answered
+    # Guards against refusals of an innocent read 0.5 s after its innocence was shown.
+    Given a node with 8 targets
+    When a deadly read is convicted and 31 s pass
+    And three copies arrive
+    And the copy on trial is answered
+    Then the other two copies are at work
+
+  Scenario: Copies that wait are sent once another node has been answered
+    Given a node with 8 targets that asks the root for trials
+    When a deadly read is convicted and 31 s pass
+    And three copies arrive
+    And the root says that the read was answered
+    Then all three copies are at work
+
+  Scenario: Callers that leave while they wait for a trial take no memory
+    # Guards memory: the numbers of their requests were kept until a trial began.
+    Given a node with 8 targets that asks the root for trials
+    When a deadly read is convicted and 31 s pass
+    And 200 callers send a copy and leave one after the other
+    Then at most 1 of their requests is remembered
+
   Scenario: The crash of a convicted request is not held against its target
     Given a node with 8 targets
     When a deadly read is convicted by two crashes
@@ -132,6 +173,17 @@
     When a deadly read is convicted and 2000 others are each beside one crash
     Then at most 256 items are held, in at most 16384 bytes, and the deadly one is among them
 
+  Scenario Outline: Trials and a flood of evidence fit into one message
+    # Guards against a payload that the exchange drops whole, with the evidence and the trials.
+    Given a node with 8 targets that asks the root for trials
+    When 256 reads are each beside one crash and nodes with long names ask for 32 trials
+    Then the <payload> has at most 16384 bytes and all asks or trials
+
+    Examples:
+      | payload |
+      | report  |
+      | digest  |
+
   Scenario: False convictions are rare and short
     # Seeded; prints what was found. An innocent read is convicted if its retry meets the deadly one.
     Then of 600 reads beside crashes at most 40 are convicted wrongly, each for at most 2 s
@@ -173,3 +225,22 @@
     Then one node has sent one copy
     When the root ends and a copy arrives at each of 10 other nodes within the lease
     Then no further copy has been sent
+
+  Scenario: A doubtful conviction is tried when its term of 2 s ends
+    # Guards against a first root that waits for trials which no earlier root can have allowed.
+    Given 24 nodes that exchange evidence, with good messages
+    When two reads share their crashes and copies of one arrive from the end of the term on
+    Then a copy is at work within 0.5 s
+
+  Scenario Outline: The exchange ends after the evidence
+    # Guards against nodes without requests that report old evidence to each other for ever.
+    Given 24 nodes that exchange evidence, with <faults> messages
+    When one node sees a crash and 20 seconds pass
+    Then no node holds evidence, and none sends any more
+
+    Examples:
+      | faults   |
+      | good     |
+      | repeated |
+      | delayed  |
+      | lost     |
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,6 +1,8 @@
 """Steps about requests that crash their targets."""
 
+import asyncio
 import random
+import socket
 
 import msgspec
 from behave import given, then, when
@@ -10,11 +12,17 @@
 from features.quarantine_world import DEADLY, Content, QuarantineNode
 from poplarlane.decisions.quarantine import enforcement
 from poplarlane.decisions.quarantine.convictions import MAX_ITEMS
+from poplarlane.decisions.quarantine.messages import REPORTS, VERDICTS
 from poplarlane.decisions.requests.entry_events import (
+    CallerDisconnected,
     InterimReceived,
 )
 from poplarlane.outcomes import NotRun, OutcomeUnknown
 from poplarlane.plumbing.fleet_exchange import MAX_SECTION_BYTES
+from poplarlane.plumbing.header_names import DEFAULT_HEADERS
+from poplarlane.plumbing.process_checks import is_process_gone
+from poplarlane.plumbing.resets import reset
+from poplarlane.types import Target
 
 # A deadly request crashes its target about 40 ms after it got it.
 CRASH_DELAY_S = 0.04
@@ -119,6 +127,38 @@
         node.check(target, is_gone=False)
 
 
+@given("a target that accepts connections and resets them")
+def step_resetting(context):
+    context.probes = 0
+
+    async def accept(reader, writer):
+        try:
+            async with asyncio.timeout(0.02):
+                context.probes += bool(await reader.read(1_000))
+        except TimeoutError:
+            pass
+        reset(writer.transport)
+
+    context.accept = accept
+
+
+@when("its process is checked")
+def step_check_process(context):
+    async def check():
+        server = await asyncio.start_server(context.accept, "127.0.0.1", 0, family=socket.AF_INET)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            target = Target("i-1.1", "127.0.0.1", port, "", {}, "i-1.1", "/healthz")
+            context.is_gone = await is_process_gone(target, True, DEFAULT_HEADERS, "127.0.0.1")
+
+    asyncio.run(check())
+
+
+@then("it is not gone, and got {count:d} probe")
+def step_probes(context, count):
+    assert not context.is_gone and context.probes == count, context.probes
+
+
 @when("a read is at work at a target that announces to leave and closes")
 def step_leaving(context):
     node = context.node
@@ -138,6 +178,11 @@
 @given("a node with 2 targets that are full")
 def step_full(context):
     node = context.node = QuarantineNode(2)
+    fill(node)
+
+
+def fill(node):
+    """Send other reads until the targets are full."""
     number = 1_000
     while True:
         node.arrive(number, f"/other/{number}")
@@ -370,12 +415,95 @@
     assert round(item.ends_at() - node.now) == 60 and not node.at_work, item.ends_at()
 
 
+@given("a node with {targets:d} targets and the policy {policy}")
+def step_policy(context, targets, policy):
+    context.node = QuarantineNode(targets, policy=policy)
+
+
+@when("a write is convicted, its term ends and it arrives while all targets are full")
+def step_write_full(context):
+    node = context.node
+    for number in (1, 2):
+        node.arrive(number, "/book")
+        node.crash_with(number)
+        node.now += CRASH_DELAY_S
+    assert node.item("/book").is_convicted(node.now)
+    node.wait(31.0)
+    fill(node)
+    node.sends.clear()
+    for number in (11, 12):
+        node.arrive(number, "/book")
+    assert not node.targets_of(11) and not node.targets_of(12)
+
+
+@when("the targets have room again")
+def step_room(context):
+    node = context.node
+    for _, number in list(node.at_work.values()):
+        node.answer(number)
+
+
+@then("only one copy of the write was sent, and only once")
+def step_sent_once(context):
+    sent = [number for number, _ in context.node.sends if number in (11, 12)]
+    assert sent == [11], context.node.sends
+
+
 @when("the trial is answered")
 def step_trial_answered(context):
     context.node.arrive(11)
     context.node.answer(11)
 
 
+@given("a node with 8 targets that asks the root for trials")
+def step_peers(context):
+    context.node = QuarantineNode(8, has_peers=True)
+
+
+@when("{count:d} callers send a copy and leave one after the other")
+def step_callers_leave(context, count):
+    node = context.node
+    for number in range(1_000, 1_000 + count):
+        node.arrive(number)
+        node.feed(CallerDisconnected(node.now, 3, number))
+
+
+@then("at most {limit:d} of their requests is remembered")
+def step_remembered(context, limit):
+    waiting = context.node.state.quarantine.waiting.values()
+    assert sum(len(found) for found in waiting) <= limit, waiting
+
+
+@when("the copy on trial is answered")
+def step_copy_answered(context):
+    node = context.node
+    ((_, number),) = node.at_work.values()
+    node.now += 0.02
+    node.answer(number)
+
+
+@when("the root says that the read was answered")
+def step_root_answered(context):
+    node, root = context.node, QuarantineNode(name="root")
+    assert not node.at_work
+    root.now = node.now
+    report = node.section.take_report(node.now)
+    root.section.merge_report("node", report, root.now)
+    root.state.quarantine.record_answer(Content(DEADLY).fingerprint(""), root.now)
+    digest = root.section.make_digest(root.now)
+    node.apply(node.section.adopt_digest(digest, 0.0, node.now))
+
+
+@then("the other two copies are at work")
+def step_two_at_work(context):
+    assert len({number for _, number in context.node.at_work.values()}) == 2, context.node.outcomes
+
+
+@then("all three copies are at work")
+def step_three_at_work(context):
+    assert len({number for _, number in context.node.at_work.values()}) == 3, context.node.outcomes
+
+
 @then("the end of the quarantine is logged and a repeat is sent")
 def step_ended(context):
     node = context.node
@@ -466,6 +594,32 @@
     assert other.item().is_convicted(other.now)
 
 
+@when("{items:d} reads are each beside one crash and nodes with long names ask for {asks:d} trials")
+def step_full_message(context, items, asks):
+    node = context.node
+    for number in range(items):
+        digest = number.to_bytes(16, "big")
+        name = f"some-service-{number:04d}.1764950000000"
+        node.state.quarantine.record_crash(digest, "read", name, node.now)
+        if number < asks:
+            node.section.asks[digest] = "n" * 200
+            node.section.grants[digest] = ("n" * 200, node.now + 5.0)
+
+
+@then("the {payload} has at most {size:d} bytes and all asks or trials")
+def step_fits(context, payload, size):
+    section, now = context.node.section, context.node.now
+    if payload == "report":
+        data = section.take_report(now)
+        found = REPORTS.decode(data)
+        listed = found.asks
+    else:
+        data = section.make_digest(now)
+        found = VERDICTS.decode(data)
+        listed = found.grants
+    assert len(data) <= size and len(listed) == 32 and found.evidence, (len(data), len(listed))
+
+
 def innocents_convicted(seed):
     """Return the terms of innocent reads convicted, of 100 that were beside 20 deadly ones.
 
@@ -596,6 +750,46 @@
     assert len(fleet_sends(context.fleet)) == 1, fleet_sends(context.fleet)
 
 
+@when("two reads share their crashes and copies of one arrive from the end of the term on")
+def step_doubtful(context):
+    fleet = context.fleet
+    other = Content("/other").fingerprint("")
+    *_, first, second = fleet.nodes.values()
+    for node, target in ((first, "i-1.1"), (second, "i-2.1")):
+        node.state.quarantine.record_crash(other, "read", target, fleet.now)
+        see_crash(node, target)
+        fleet.now += 0.05
+    fleet.run(0.5)
+    ends = [node.item().ends_at() for node in fleet.nodes.values()]
+    assert max(ends) - fleet.now < 2.0, ends
+    fleet.run(max(ends) - fleet.now + 0.1)
+    for number, node in enumerate(list(fleet.nodes.values())[5:10]):
+        node.arrive_now(number + 1)
+
+
+@then("a copy is at work within {time_s:g} s")
+def step_tried(context, time_s):
+    context.fleet.run(time_s)
+    assert len(fleet_sends(context.fleet)) == 1, fleet_sends(context.fleet)
+
+
+@when("one node sees a crash and {time_s:g} seconds pass")
+def step_one_crash(context, time_s):
+    *_, node = context.fleet.nodes.values()
+    see_crash(node, "i-1.1")
+    context.fleet.run(time_s)
+
+
+@then("no node holds evidence, and none sends any more")
+def step_silent(context):
+    nodes = context.fleet.nodes
+    holding = [name for name, node in nodes.items() if node.state.quarantine.items]
+    assert not holding, holding
+    sent = [node.exchange.sequence for node in nodes.values()]
+    context.fleet.run(2.0)
+    assert [node.exchange.sequence for node in nodes.values()] == sent
+
+
 @when("the root ends and a copy arrives at each of 10 other nodes within the lease")
 def step_root_ends(context):
     fleet = context.fleet
--- a/poplarlane/decisions/quarantine/enforcement.py
+++ b/poplarlane/decisions/quarantine/enforcement.py
@@ -19,6 +19,7 @@
     RequestState,
     TimerKind,
     add_timer,
+    next_random_value,
     reachable_targets,
 )
 from poplarlane.outcomes import NotRun, OutcomeUnknown, ResultCode
@@ -74,6 +75,8 @@
     if item is None or not item.is_on_trial(now):
         return False
     known = state.quarantine
+    # Admission may have queued it already, from where it would be sent besides its trial.
+    limits.remove_queued(request.service.limits, request)
     request.state = RequestState.QUEUED
     known.waiting.setdefault(item.digest, []).append(request.request_id)
     if add_timer(state, now + TRIAL_WAIT_S, TimerKind.TRIAL_LIMIT, request.request_id):
@@ -121,10 +124,23 @@
     return None
 
 
+def resume_acquitted(state: EntryState, now: float, effects: list[Effect]) -> None:
+    """Send the requests that wait for a trial which is no longer needed."""
+    known = state.quarantine
+    for digest in list(known.waiting):
+        item = known.items.get(digest)
+        if item is None or item.terms:
+            continue
+        while (request := next_waiting(state, digest)) is not None:
+            resume(state, request, now, effects)
+
+
 def resume(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
     """Choose a target for a request that was held back."""
     targets = reachable_targets(request.service, request.labels)
-    random_value = int.from_bytes(fingerprint(request)[:8], "big")
+    # Copies of one request that are sent at the same moment must not choose the same target.
+    seed = int.from_bytes(fingerprint(request)[:8], "big") ^ request.request_id
+    random_value = next_random_value(seed)
     if not targets:
         finish_refused(state, request, unreachable_refusal(targets), effects)
     elif type(request.service.policy) is Measured:
@@ -153,7 +169,8 @@
 def settle(state: EntryState, now: float, effects: list[Effect]) -> None:
     """Enforce new convictions on this node, and end those that are over."""
     known = state.quarantine
-    known.waiting = {digest: found for digest, found in known.waiting.items() if found}
+    if known.waiting:
+        drop_ended(state)
     known.find_shared()
     for item in known.items.values():
         if not item.terms:
@@ -163,10 +180,22 @@
             announce(item, effects)
             if item.is_convicted(now):
                 end_copies(state, item, now, effects)
+    if known.waiting:
+        resume_acquitted(state, now, effects)
     for item in known.take_expired(now):
         log_end(item, "forgotten", effects)
 
 
+def drop_ended(state: EntryState) -> None:
+    """Forget the requests that waited for a trial and have ended, as when their caller left."""
+    waiting = {}
+    for digest, numbers in state.quarantine.waiting.items():
+        live = [number for number in numbers if number in state.requests]
+        if live:
+            waiting[digest] = live
+    state.quarantine.waiting = waiting
+
+
 def announce(item: Item, effects: list[Effect]) -> None:
     """Log a conviction, and count it at the nodes that saw one of the crashes."""
     item.is_announced = True
--- a/poplarlane/decisions/quarantine/section.py
+++ b/poplarlane/decisions/quarantine/section.py
@@ -62,7 +62,7 @@
         changed = [known.items[digest] for digest in known.changed if digest in known.items]
         asks = [Ask(digest, node) for digest, node in self.asks.items()][:MAX_ASKS]
         self.asks.clear()
-        return ENCODER.encode(Report(limited_evidence(changed, now), asks))
+        return ENCODER.encode(Report(limited_evidence(changed, asks, now), asks))
 
     def merge_report(self, sender: str, payload: bytes, now: float) -> None:
         """Merge the evidence of a child."""
@@ -109,9 +109,9 @@
         grants = [
             Grant(digest, node, round((until - now) * 1000.0))
             for digest, (node, until) in self.grants.items()
-        ]
-        evidence = limited_evidence(list(known.items.values()), now)
-        return ENCODER.encode(Verdicts(evidence, grants[:MAX_ASKS]))
+        ][:MAX_ASKS]
+        evidence = limited_evidence(list(known.items.values()), grants, now)
+        return ENCODER.encode(Verdicts(evidence, grants))
 
     def collect_asks(self) -> None:
         """Add the asks of this node to those of its children."""
@@ -124,14 +124,16 @@
         """Allow one node per request a trial.
 
         A new root does not know the trials of the one before, so it waits until those have ended.
+        A conviction that expired after the new root began cannot have been tried before.
         """
         self.grants = {digest: found for digest, found in self.grants.items() if found[1] > now}
         asks, self.asks = self.asks, {}
-        if now - self.root_since < TRIAL_LEASE_S:
-            return
+        is_new = now - self.root_since < TRIAL_LEASE_S
         for digest, node in asks.items():
             item = self.state.quarantine.items.get(digest)
-            if item is not None and item.is_on_trial(now) and digest not in self.grants:
+            if item is None or not item.is_on_trial(now) or digest in self.grants:
+                continue
+            if not is_new or item.ends_at() > self.root_since + ROOT_GAP_S:
                 self.grants[digest] = (node, now + TRIAL_LEASE_S)
 
     def adopt_digest(self, payload: bytes, age_s: float, now: float) -> list[Effect]:
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -19,7 +19,7 @@
 from poplarlane.decisions.effects import Count, Effect
 from poplarlane.decisions.health import health
 from poplarlane.decisions.overload.rejections import has_free_slots, return_after_s
-from poplarlane.decisions.quarantine import crashes
+from poplarlane.decisions.quarantine import crashes, enforcement
 from poplarlane.decisions.quarantine.fingerprints import fingerprint
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats import retries
@@ -96,6 +96,8 @@
     elif not retry_failed_response(state, attempt, metadata, event, effects):
         observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, metadata, effects)
+    if state.quarantine.waiting:
+        enforcement.resume_acquitted(state, event.now, effects)
     dispatch_waiting(
         state, request.service, event.now, next_random_value(event.random_value), effects
     )
