Add poplarctl check, which checks a configuration before it is sent

Cause: operators learnt of a fault only after a configuration was in the store.

Change: `poplarctl check FILE [--against FILE|--store HOST:PORT]` prints findings as text or JSON and exits with 0 (clean), 1 (warnings), 2 (errors) or 3 (nothing was checked). Findings show keys as digests only.

Reading two pages of a store was tried once by hand against a stand-in on loopback; no scenario covers the call itself.

--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -12,6 +12,7 @@
     SetLabelCommand,
     SetSelectorCommand,
 )
+from poplarlane.programs.ctl.check_command import CheckCommand
 from poplarlane.programs.ctl.explain_command import ExplainCommand
 from poplarlane.programs.ctl.fleet_commands import StatusCommand, WaitCommand
 from poplarlane.programs.ctl.losses_command import LossesCommand
@@ -39,6 +40,7 @@
     ExplainCommand,
     StatusCommand,
     WaitCommand,
+    CheckCommand,
     TraceCommand,
     LossesCommand,
     QuarantineCommand,
