--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -12,6 +12,7 @@
     SetLabelCommand,
     SetSelectorCommand,
 )
+from poplarlane.programs.ctl.check_command import CheckCommand
 from poplarlane.programs.ctl.customers_command import CustomersCommand
 from poplarlane.programs.ctl.evacuation_commands import EvacuateCommand, RestoreCommand
 from poplarlane.programs.ctl.explain_command import ExplainCommand
@@ -41,6 +42,7 @@
     ExplainCommand,
     StatusCommand,
     WaitCommand,
+    CheckCommand,
     TraceCommand,
     LossesCommand,
     QuarantineCommand,
