Watch evacuations with longer waits than the configuration

Change: the wait of a kind follows from the time that its changes have; the age of contacts in heartbeats is weighted accordingly, so that staleness is noticed in the same share of that time. Measured: 119 scenarios of node_decisions, evacuations, restored_store and customer_path pass.

--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -59,6 +59,7 @@
         "remote_hello_due",
         "heartbeat_due",
         "contact_at",
+        "age_factors",
         "following",
         "task",
         "random_value",
@@ -90,6 +91,9 @@
         self.heartbeat_due = 0.0
         # Time of the last successful call to the store, by kind.
         self.contact_at: dict[str, float] = {}
+        # Weight of the time since the last successful call, by kind; 1 if missing. Kinds whose
+        # changes have more time are watched with longer waits.
+        self.age_factors: dict[str, float] = {}
         self.following: bool | None = None
         self.task: asyncio.Task | None = None
         # Returns random numbers from 0 to 1.
@@ -206,15 +210,20 @@
 
     def own_heartbeat(self, now: float) -> Heartbeat | None:
         """Build a heartbeat with revisions and their age; None if the store does not respond."""
-        oldest = min((self.contact_at.get(kind, 0.0) for kind in self.followers), default=0.0)
+        age_s = self.contact_age_s(now)
         is_current = all(follower.is_current for follower in self.followers.values())
-        if (
-            not is_current
-            or now - oldest > relays.MAX_CONTACT_AGE_FRACTION * self.state.apply_limit_s
-        ):
+        if not is_current or age_s > relays.MAX_CONTACT_AGE_FRACTION * self.state.apply_limit_s:
             return None
         revisions = {kind: found.changed_revision for kind, found in self.followers.items()}
-        return Heartbeat(self.note(), now - oldest, revisions, versions=self.versions())
+        return Heartbeat(self.note(), age_s, revisions, versions=self.versions())
+
+    def contact_age_s(self, now: float) -> float:
+        """Return the weighted time since the store last answered a call for each kind."""
+        ages = (
+            (now - self.contact_at.get(kind, 0.0)) * self.age_factors.get(kind, 1.0)
+            for kind in self.followers
+        )
+        return max(ages, default=now)
 
     def versions(self) -> dict[str, int]:
         """Return the highest object version that this node has of each kind with versions."""
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -240,8 +240,10 @@
     if settings.evacuate_within_s is not None:
         kinds.append(store.EVACUATIONS_KIND)
     for kind in kinds:
+        # Each watch that ends without a change is a call, so rare changes are waited for longer.
+        kind_wait_ms = round(wait_ms / age_factor(settings, kind))
         follower = ObjectFollower(
-            client, store, kind, keeper, wait_ms, generator, allow_stale_list, group_s
+            client, store, kind, keeper, kind_wait_ms, generator, allow_stale_list, group_s
         )
         if kind == store.CONFIGURATION_KIND:
             follower.version_of = translation.version_of
@@ -258,6 +260,13 @@
     return min(settings.apply_limit_s, settings.evacuate_within_s)
 
 
+def age_factor(settings: NodeSettings, kind: str) -> float:
+    """Return how much the time without news of a kind counts, relative to the shortest limit."""
+    if kind != store.EVACUATIONS_KIND or settings.evacuate_within_s is None:
+        return 1.0
+    return change_limit_s(settings) / settings.evacuate_within_s
+
+
 def make_relay(
     settings: NodeSettings, keeper: DirectorySync, generator: random.Random, seeds: list[str]
 ) -> "Relay":
@@ -279,6 +288,7 @@
     )
     for follower in keeper.followers:
         relay.followers[follower.kind] = follower
+        relay.age_factors[follower.kind] = age_factor(settings, follower.kind)
     shell = keeper.shell
     if shell.state.fleet.sections:
         relay.fleet_exchange = FleetExchange(
