--- a/features/overload.feature
+++ b/features/overload.feature
@@ -17,6 +17,11 @@
       | normal      | normal   | be in time | 80     |
       | normal      | normal   | be late    | 80     |
 
+  Scenario: Customers of different priorities share a service
+    # Guards against a lottery for free slots among customers, whose priority goes before the route's.
+    Given a service with customers of the priorities high and low
+    Then its requests count as competing, and without customers they do not
+
   Scenario Outline: Targets that reject part of what they get whatever their load
     # Guards against leaving free slots unused: three of four targets rejected half of their requests
     # for 8 s, each was paused after each rejection, and the other quarter was crowded.
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -6,6 +6,8 @@
 from poplarlane.decisions.configuration.catalogue import reduce
 from poplarlane.decisions.configuration.directory import Catalogue
 from poplarlane.decisions.configuration.route_table import Route, WeightedService
+from poplarlane.decisions.customers.keys import Customer
+from poplarlane.decisions.overload.priorities import mark_mixed_services
 from poplarlane.decisions.requests import entry_handlers  # noqa: F401  registers the handlers
 from poplarlane.decisions.requests.entry_effects import ProbeTarget, RefuseRequest, SendRequest
 from poplarlane.decisions.requests.entry_events import (
@@ -126,3 +128,18 @@
     assert (context.load.shed_until > NOW) == (state == "paused")
     [refusal] = context.refusals
     assert least <= refusal.retry_after_s * 1000.0 <= most, refusal
+
+
+@given("a service with customers of the priorities {first} and {second}")
+def step_customers(context, first, second):
+    step_service(context, "normal")
+    context.customers = [Customer(name, [], Priority(name), 0.0, 0.0) for name in (first, second)]
+
+
+@then("its requests count as competing, and without customers they do not")
+def step_competing(context):
+    routes = catalogue_of(["normal"]).routes
+    mark_mixed_services(context.state, routes, context.customers)
+    assert context.service.has_mixed_priorities
+    mark_mixed_services(context.state, routes, [])
+    assert not context.service.has_mixed_priorities
--- a/poplarlane/decisions/configuration/catalogue.py
+++ b/poplarlane/decisions/configuration/catalogue.py
@@ -92,7 +92,7 @@
     if current is not None and catalogue.version <= current.version:
         return False
     state.routes = RouteTable(catalogue.version, catalogue.routes)
-    mark_mixed_services(state, catalogue.routes)
+    mark_mixed_services(state, catalogue.routes, catalogue.customers)
     state.customers = CustomerTable(catalogue.customers)
     if catalogue.caller_limits is not None:
         effects.append(SetCallerLimits(catalogue.caller_limits))
--- a/poplarlane/decisions/overload/priorities.py
+++ b/poplarlane/decisions/overload/priorities.py
@@ -9,6 +9,7 @@
 
 from poplarlane.decisions.admission import queueing
 from poplarlane.decisions.configuration.route_table import Route
+from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.requests.entry_state import EntryState, Request
 from poplarlane.types import Priority
 
@@ -19,12 +20,14 @@
 LATE_FACTOR = 2
 
 
-def mark_mixed_services(state: EntryState, routes: list[Route]) -> None:
-    """Mark the services that carry requests of several priorities."""
+def mark_mixed_services(state: EntryState, routes: list[Route], customers: list[Customer]) -> None:
+    """Mark the services that carry requests of several priorities, by route or by customer."""
+    by_customer = {found.priority for found in customers if found.priority is not None}
     priorities: dict[str, set[Priority]] = defaultdict(set)
     for route in routes:
         for part in route.services:
             priorities[part.service].add(route.kind.priority)
+            priorities[part.service] |= by_customer
     for name, service in state.services.items():
         service.has_mixed_priorities = len(priorities[name]) > 1
 
