--- a/poplarlane/decisions/customers/buckets.py
+++ b/poplarlane/decisions/customers/buckets.py
@@ -4,16 +4,13 @@
 
 from poplarlane.decisions.customers.keys import Customer
 from poplarlane.decisions.customers.quota_messages import ListedCustomer
-from poplarlane.decisions.customers.rates import DecayingRate, DemandWindow
+from poplarlane.decisions.customers.rates import DecayingRate, DemandWindow, WindowUse
 
-# Time in which a surplus or deficit of tokens is used up. The messages that carry the counts and
-# shares take up to 0.8 s, and a shorter time would make the shares oscillate.
-BALANCE_S = 1.0
 # Use that is not known here yet: reports and digests take this long.
 DELAY_S = 0.4
 USE_RATE_S = 2.0
-# A customer is not limited while its tokens last this long at its demand: a few requests that
-# arrive together say little about the demand of a small customer.
+# A customer is not limited while this time at its demand is a few requests, and not more than it has
+# left: some requests that arrive together say little about the demand of a small customer.
 CERTAIN_S = 0.6
 # Part of the tolerance of the bound that tokens may fall below zero in normal operation, so that
 # chance does not limit small customers; the rest is for the time until a surge is known everywhere.
@@ -46,11 +43,26 @@
 class Bucket:
     """The tokens of one customer; negative after a surge that was known too late."""
 
-    __slots__ = ("customer", "tokens", "at", "demand", "use", "share", "limited_since")
-
-    def __init__(self, customer: Customer, tokens: float, now: float) -> None:
+    __slots__ = (
+        "customer",
+        "tolerance",
+        "tokens",
+        "window",
+        "at",
+        "demand",
+        "use",
+        "share",
+        "limited_since",
+    )
+
+    def __init__(self, customer: Customer, tolerance: Tolerance, tokens: float, now: float) -> None:
         self.customer = customer
+        self.tolerance = tolerance
+        # What the next root starts from.
         self.tokens = min(tokens, customer.burst)
+        self.window = WindowUse(tolerance.window_s)
+        # The missing tokens count as used now: an earlier root knew when they were.
+        self.window.add(customer.burst - self.tokens, now)
         self.at = now
         self.demand = DemandWindow(now)
         self.use = DecayingRate(now, USE_RATE_S)
@@ -66,29 +78,40 @@
         """
         gained = (customer.rate_per_s - charged_per_s) * max(0.0, now - self.at)
         part = max(0.0, 1.0 - charged_per_s / customer.rate_per_s)
-        self.tokens = min(customer.burst * part, self.tokens + gained)
+        self.tokens = max(-customer.burst, min(customer.burst * part, self.tokens + gained))
         self.customer = customer
         self.at = now
 
+    def charge(self, amount: float, now: float) -> None:
+        """Take tokens for what was used or may have been."""
+        self.tokens -= amount
+        self.window.add(amount, now)
+
     def count(self, used: int, asked: int, now: float) -> None:
         """Take the tokens of admitted requests."""
-        self.tokens -= used
+        self.charge(used, now)
         self.use.add(used, now)
         self.demand.add(asked, now)
 
-    def due_share(self, tolerance: Tolerance, charged_per_s: float, now: float) -> float:
-        """Return the share of arrivals to admit from now on."""
+    def due_share(self, charged_per_s: float, now: float) -> float:
+        """Return the share of arrivals to admit from now on.
+
+        A customer may use its rate and its burst in each window. Spread evenly, that is more than
+        its rate at any moment, and a surge is not served at first and refused afterwards.
+        """
         demand_per_s = self.demand.per_s(now)
         if demand_per_s <= 0.0:
             return 1.0
-        rate_per_s = self.customer.rate_per_s
-        excess_per_s = max(0.0, demand_per_s * self.share - rate_per_s)
+        window_s, rate_per_s = self.tolerance.window_s, self.customer.rate_per_s
+        # A burst beyond a second of the rate is for surges, not to be used in each window.
+        burst = min(self.customer.burst, max(rate_per_s, self.tokens))
         part = max(0.0, 1.0 - charged_per_s / rate_per_s)
-        own = (max(0.0, self.tokens) + tolerance.cushion(self.customer)) * part
-        tokens = own + min(0.0, self.tokens) - excess_per_s * DELAY_S
-        if tokens >= demand_per_s * CERTAIN_S:
+        limit = (rate_per_s * window_s + burst + self.tolerance.cushion(self.customer)) * part
+        left = limit - self.window.total
+        if demand_per_s * CERTAIN_S <= min(left, self.tolerance.slack * CUSHION_SLACK_SHARE):
             return 1.0
-        allowed_per_s = rate_per_s - charged_per_s + tokens / BALANCE_S
+        excess_per_s = max(0.0, demand_per_s * self.share - limit / window_s)
+        allowed_per_s = self.window.most_per_s(limit - excess_per_s * DELAY_S, now)
         return min(1.0, max(0.0, allowed_per_s / demand_per_s))
 
     def set_share(self, share: float, now: float) -> None:
--- a/poplarlane/decisions/customers/rates.py
+++ b/poplarlane/decisions/customers/rates.py
@@ -9,6 +9,7 @@
 # A fall is concluded from two intervals, because a single report may be lost.
 FALL_WINDOW_S = 0.5
 BIN_S = 0.02
+USE_BIN_S = 0.1
 # Time in which all nodes have found a new root and reported to it.
 FIRST_REPORTS_S = 1.0
 # The long window is corrected where the short one exceeds it, or is below it, by more standard
@@ -38,6 +39,40 @@
         return self.per_s * math.exp(-max(0.0, now - self.at) / self.time_s)
 
 
+class WindowUse:
+    """What was used within a window, by when it was, oldest first."""
+
+    __slots__ = ("window_s", "bins", "total")
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.bins: deque[tuple[float, float]] = deque()
+        self.total = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Count use."""
+        self.total += amount
+        if self.bins and now - self.bins[-1][0] < USE_BIN_S:
+            at, before = self.bins.pop()
+            self.bins.append((at, before + amount))
+        else:
+            self.bins.append((now, amount))
+
+    def most_per_s(self, limit: float, now: float) -> float:
+        """Return the largest constant rate that keeps each coming window within a limit.
+
+        Use leaves the window when it is `window_s` old; until then it counts in full.
+        """
+        while self.bins and self.bins[0][0] <= now - self.window_s:
+            self.total -= self.bins.popleft()[1]
+        most = limit / self.window_s
+        held = self.total
+        for at, amount in self.bins:
+            most = min(most, (limit - held) / max(USE_BIN_S, at + self.window_s - now))
+            held -= amount
+        return most
+
+
 class DemandWindow:
     """Rate of arrivals that follows a rise or fall within a report interval."""
 
--- a/poplarlane/decisions/customers/section.py
+++ b/poplarlane/decisions/customers/section.py
@@ -286,7 +286,7 @@
             if now - bucket.limited_since < CHILD_TIMEOUT_S + 2.0 * DELAY_S:
                 surge_per_s = bucket.demand.per_s(now) * ratio
                 tokens = max(tokens, surge_per_s * DIGEST_TIMEOUT_S)
-            bucket.tokens -= tokens
+            bucket.charge(tokens, now)
 
     def present(self) -> set[bytes]:
         """Return the ids of this node and those below it."""
@@ -312,7 +312,7 @@
                 continue
             bucket.refill(customer, self.lost_per_s(customer, present, now), now)
             charged_per_s = self.charged_per_s(customer, present, now)
-            bucket.set_share(bucket.due_share(self.tolerance, charged_per_s, now), now)
+            bucket.set_share(bucket.due_share(charged_per_s, now), now)
         self.urgent = False
         listed = [bucket.listed(now) for bucket in self.buckets.values()]
         listed = [item for item in listed if item.share < 1.0 or item.use_per_s > IDLE_PER_S]
@@ -350,7 +350,7 @@
                 tokens = min(0.0, item.tokens) if is_cut_off else item.tokens
                 excess_per_s = item.share * item.demand_per_s - customer.rate_per_s
                 tokens -= max(0.0, excess_per_s) * quotas.LATE_DIGEST_S
-                bucket = self.buckets[item.name] = Bucket(customer, tokens, now)
+                bucket = self.buckets[item.name] = Bucket(customer, self.tolerance, tokens, now)
                 bucket.demand = DemandWindow(now, item.demand_per_s)
                 bucket.set_share(item.share, now)
 
@@ -361,11 +361,13 @@
             return
         bucket = self.buckets.get(name)
         if bucket is None:
-            bucket = self.buckets[name] = Bucket(customer, self.first_tokens(customer, now), now)
+            bucket = self.buckets[name] = Bucket(
+                customer, self.tolerance, self.first_tokens(customer, now), now
+            )
         bucket.count(used, asked, now)
         if asked and not self.urgent:
             charged_per_s = self.charged_per_s(customer, self.present(), now)
-            share = bucket.due_share(self.tolerance, charged_per_s, now)
+            share = bucket.due_share(charged_per_s, now)
             is_lower = share < bucket.share * (1.0 - URGENT_FALL)
             self.urgent = is_lower or share > bucket.share + URGENT_RISE
 
