Quarantine: trials stay in the allowed regions

A request whose conviction had expired was resumed with the targets of all regions, so a trial without a probe round could be sent to a region that its route does not allow.

Resuming filters the targets by the regions of the request, as all other ways of choosing a target do.

home_regions.feature: 17 of 18 scenarios passed before, 18 of 18 now; quarantine.feature: 50 of 50.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -28,6 +28,7 @@
       | ro     | a read arrives and "ro" is evacuated     |
       | ro     | a read finds no room in "ro"             |
       | ro     | a read waits and "ro" is evacuated       |
+      | ro     | a read on trial finds no room in "ro"    |
       | RO     | a read arrives                           |
 
   Scenario: Targets in a data centre whose region is not known
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -1,6 +1,7 @@
 """Steps about routes whose requests stay in certain regions."""
 
 import json
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -11,6 +12,8 @@
 from features.steps.rate_limit_steps import play
 from poplarlane.decisions.configuration.directory import Configuration, ServiceRecord
 from poplarlane.decisions.configuration.route_table import Route, WeightedService
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_events import RequestArrived
 from poplarlane.outcomes import NotRun
 from poplarlane.platform.translation import configuration_of
 from poplarlane.store_objects import StoredObject
@@ -51,6 +54,7 @@
         'a read arrives and "ro" is evacuated': evacuate,
         'a read finds no room in "ro"': find_no_room,
         'a read waits and "ro" is evacuated': wait_and_evacuate,
+        'a read on trial finds no room in "ro"': try_after_conviction,
         "a read arrives and no region is known": forget_regions,
     }
     ways[what](context)
@@ -108,6 +112,21 @@
     evacuation_steps.evacuate(context, "dc-a", NOW + 0.05)
 
 
+def try_after_conviction(context):
+    """Let a read whose conviction has expired arrive while there is room only elsewhere."""
+    fill(context, context.targets[:2])
+    for load in context.targets:
+        # Targets with recent reports are chosen without a probe.
+        load.measured_at = NOW
+    digest = bytes(16)
+    item = context.state.quarantine.item(digest, "r")
+    item.crashes = {load.target.name: NOW - 60.0 for load in context.targets[:2]}
+    item.terms, item.convicted_at = 1, NOW - 60.0
+    event = RequestArrived(NOW, 5, 1, "h.example", "GET", "/x", "", 3_000.0, 1, False)
+    event.content = SimpleNamespace(fingerprint=lambda customer: digest)
+    play(context, reduce(event, context.state), NOW + 4.0)
+
+
 def forget_regions(context):
     """Let a read arrive at a node that knows no regions."""
     context.state.region_of = {}
--- a/poplarlane/decisions/quarantine/enforcement.py
+++ b/poplarlane/decisions/quarantine/enforcement.py
@@ -137,12 +137,12 @@
 
 def resume(state: EntryState, request: Request, now: float, effects: list[Effect]) -> None:
     """Choose a target for a request that was held back."""
-    targets = reachable_targets(request.service, request.labels)
+    targets = reachable_targets(request.service, request.labels, request.regions)
     # Copies of one request that are sent at the same moment must not choose the same target.
     seed = int.from_bytes(fingerprint(request)[:8], "big") ^ request.request_id
     random_value = next_random_value(seed)
     if not targets:
-        finish_refused(state, request, unreachable_refusal(targets), effects)
+        finish_refused(state, request, unreachable_refusal(targets, request.regions), effects)
     elif type(request.service.policy) is Measured:
         dispatch(state, request, targets, now, random_value, effects)
     elif (load := choose(request, targets, now, random_value)) is not None:
