Customers: apply allowed_regions of the customer

The translation of the configuration ignored allowed_regions of customers, so their requests were sent to any region that the route allows.

Customers hold the regions; a request gets the intersection with those of its route, at its arrival and for all later attempts.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -31,6 +31,20 @@
       | ro     | a read on trial finds no room in "ro"    |
       | RO     | a read arrives                           |
 
+  Scenario Outline: Regions of the route and of the customer apply together
+    # Guards against requests that leave the regions that only their customer has.
+    Given a customer that allows <customer> on a route that allows <route>
+    When a read of that customer finds room only in "cz"
+    Then <result>
+
+    Examples:
+      | customer | route   | result                                             |
+      | ro       | all     | it is refused with code 1218 and no target gets it |
+      | ro       | cz      | it is refused with code 1218 and no target gets it |
+      | ro       | ro + cz | it is refused with code 1218 and no target gets it |
+      | all      | ro      | it is refused with code 1218 and no target gets it |
+      | ro + cz  | all     | a target in "cz" gets it                           |
+
   Scenario: Targets in a data centre whose region is not known
     Given a route that allows region "ro" before 2 targets in "ro" and 2 in "cz"
     When a read arrives and no region is known on that route
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -3,6 +3,7 @@
 import json
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
 from features.node_world import NOW, READ, arrive, make_state
@@ -12,10 +13,11 @@
 from features.steps.rate_limit_steps import play
 from poplarlane.decisions.configuration.directory import Configuration, ServiceRecord
 from poplarlane.decisions.configuration.route_table import Route, WeightedService
+from poplarlane.decisions.customers.keys import digest_of_key
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.requests.entry_events import RequestArrived
 from poplarlane.outcomes import NotRun
-from poplarlane.platform.translation import configuration_of
+from poplarlane.platform.translation import TenantDocument, configuration_of, customer_of
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import Verdict
 
@@ -42,6 +44,41 @@
     }
 
 
+@given("a customer that allows {own} on a route that allows {route}")
+def step_customer(context, own, route):
+    step_route(context, "ro", 2, 2)
+    found = context.directory.configuration
+    found.version += 1
+    found.routes[0].allowed_regions = regions_of(route)
+    document = {
+        "name": "c1",
+        "api_keys": ["key-1"],
+        "allowed_regions": sorted(regions_of(own) or ()),
+    }
+    found.customers = [customer_of(msgspec.convert(document, TenantDocument))]
+    publish(context, NOW)
+
+
+def regions_of(text):
+    """Read a list of regions; None stands for all."""
+    return None if text == "all" else frozenset(text.split(" + "))
+
+
+@when('a read of that customer finds room only in "cz"')
+def step_customer_read(context):
+    fill(context, context.targets[:2])
+    key = digest_of_key(b"key-1")
+    event = RequestArrived(
+        NOW, 5, 1, "h.example", "GET", "/x", "", 3_000.0, 1, False, key_digest=key
+    )
+    play(context, reduce(event, context.state), NOW + 4.0)
+
+
+@then('a target in "cz" gets it')
+def step_away(context):
+    assert {context.region_of[name] for _, name in context.sends} == {"cz"}, context.sends
+
+
 @when("{what} on that route")
 def step_what(context, what):
     ways = {
--- a/poplarlane/decisions/customers/keys.py
+++ b/poplarlane/decisions/customers/keys.py
@@ -14,10 +14,10 @@
 class Customer:
     """A customer of the configuration; a rate of 0 means that its requests are not limited.
 
-    `priority` None leaves the priority to the route.
+    `priority` None leaves the priority to the route, `allowed_regions` None the regions.
     """
 
-    __slots__ = ("name", "key_digests", "priority", "rate_per_s", "burst")
+    __slots__ = ("name", "key_digests", "priority", "rate_per_s", "burst", "allowed_regions")
 
     def __init__(
         self,
@@ -26,12 +26,20 @@
         priority: Priority | None = None,
         rate_per_s: float = 0.0,
         burst: float = 0.0,
+        allowed_regions: frozenset[str] | None = None,
     ) -> None:
         self.name = name
         self.key_digests = key_digests
         self.priority = priority
         self.rate_per_s = rate_per_s
         self.burst = burst
+        self.allowed_regions = allowed_regions
+
+    def restrict(self, regions: frozenset[str] | None) -> frozenset[str] | None:
+        """Return the regions that both this customer and a route allow; None allows all."""
+        if regions is None or self.allowed_regions is None:
+            return self.allowed_regions if regions is None else regions
+        return regions & self.allowed_regions
 
 
 class CustomerTable:
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -85,6 +85,8 @@
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
     regions = route.allowed_regions if route is not None else None
+    if customer is not None:
+        regions = customer.restrict(regions)
     targets = reachable_targets(service, event.labels, regions)
     if state.evacuated and not targets and not service.loads:
         detail = "every target is leaving or in an evacuated data centre"
@@ -146,6 +148,7 @@
     """Record the customer of a request; its priority takes precedence over that of the route."""
     request.customer = customer
     request.key_digest = key_digest
+    request.regions = customer.restrict(request.regions)
     if customer.priority is not None:
         request.priority = customer.priority
 
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -80,6 +80,7 @@
     priority: int | None = None
     rate_per_s: float | None = None
     burst: float | None = None
+    allowed_regions: list[str] | None = None
 
 
 class ConfigurationDocument(msgspec.Struct):
@@ -199,6 +200,7 @@
         None if tenant.priority is None else priority_of_rank(tenant.priority),
         max(0.0, tenant.rate_per_s or 0.0),
         max(0.0, tenant.burst or 0.0),
+        frozenset(tenant.allowed_regions) if tenant.allowed_regions else None,
     )
 
 
