--- a/features/customer_keys.feature
+++ b/features/customer_keys.feature
@@ -82,6 +82,20 @@
       | runs and is not executed     | is refused with 401                |
       | runs and should be hedged    | is still running                   |
 
+  Scenario Outline: A key that another customer gets ends what has not been sent
+    # Guards against a target that gets the name of the customer that had the key before.
+    Given a node with the customer "c1" whose keys are "key-1" and "key-2"
+    And a request with "key-1" that <state>
+    When the key "key-1" becomes one of "c2"
+    Then the request <end>
+
+    Examples:
+      | state                    | end                     |
+      | waits in the queue       | is refused with 503     |
+      | waits for a connection   | is refused with 503     |
+      | runs                     | is still running        |
+      | runs and is not executed | is refused with 503     |
+
   Scenario Outline: A node that may have missed a change refuses nothing for good
     # Guards against 401 or 404 for a key or route that a newer configuration has.
     Given a node with the customer "c1" whose keys are "key-1" and "key-2"
--- a/features/steps/customer_key_steps.py
+++ b/features/steps/customer_key_steps.py
@@ -233,8 +233,18 @@
 
 @when('the key "{key}" is removed')
 def step_removed(context, key):
+    reconfigure(context, [customer(["key-2"])])
+
+
+@when('the key "{key}" becomes one of "{name}"')
+def step_moved(context, key, name):
+    reconfigure(context, [customer(["key-2"]), customer([key], name=name)])
+
+
+def reconfigure(context, customers):
+    """Put other customers into force, and let happen to the request what is due then."""
     state = context.state
-    context.effects = configure(state, 3, [customer(["key-2"])])
+    context.effects = configure(state, 3, customers)
     attempt_id = context.sent[0].attempt_id if context.sent else 0
     ended = getattr(context, "then", "")
     if ended.endswith("fails"):
