--- a/features/customer_keys.feature
+++ b/features/customer_keys.feature
@@ -61,6 +61,19 @@
     When the store lists a configuration with the key "key-1"
     Then the object has no key and its translation knows the digest of "key-1"
 
+  Scenario Outline: A key in a malformed configuration is not passed on either
+    # Guards against keys that reach other nodes in an object that none of them can use.
+    When the store lists a configuration whose tenants are <tenants>
+    Then the object has no key and is refused
+
+    Examples:
+      | tenants                                      |
+      | [{"name": "c1", "api_keys": "key-1"}]        |
+      | [{"name": "c1", "api_keys": {"a": "key-1"}}] |
+      | {"c1": {"api_keys": ["key-1"]}}              |
+      | ["key-1"]                                    |
+      | "key-1"                                      |
+
   Scenario: The priority of a customer takes precedence over that of the route
     Given a node with the customer "c1" of priority 0 on a route of priority 2
     When a request of "c1" arrives
--- a/features/steps/customer_key_steps.py
+++ b/features/steps/customer_key_steps.py
@@ -187,6 +187,21 @@
     context.item = store.decode_page(body).items[0]
 
 
+@when("the store lists a configuration whose tenants are {tenants}")
+def step_list_malformed(context, tenants):
+    spec = {"version": 3, "routes": [], "services": [], "tenants": json.loads(tenants)}
+    item = {"metadata": {"name": "main", "revision": 4}, "spec": spec}
+    body = json.dumps({"current_rev": 4, "items": [item]}).encode()
+    context.item = store.decode_page(body).items[0]
+
+
+@then("the object has no key and is refused")
+def step_no_key(context):
+    assert "key-1" not in json.dumps(context.item.spec)
+    found = configuration_of(context.item)
+    assert isinstance(found, str) and "key-1" not in found, found
+
+
 @then('the object has no key and its translation knows the digest of "{key}"')
 def step_digest(context, key):
     assert key not in json.dumps(context.item.spec)
