Customers: credit only requests that were charged

Requests of a customer without a limit counted as charged. If the customer got a limit while they waited and they were then refused, their number was credited to a quota that they had not used.

A request counts as charged only if its customer has a limit at its arrival.

customer_quotas.feature: the new scenario failed before; all pass now.

--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -61,6 +61,12 @@
       | is abandoned while it runs                | 1    |
       | fails after it was sent                   | 1    |
 
+  Scenario: Requests from before a customer had a limit give it nothing back
+    # Guards the bound: credit that was never charged would admit as many requests more.
+    Given a node that counts the requests of "c1" and has queued 5 without a limit
+    When the 5 requests are refused after the customer got a limit
+    Then nothing is credited to "c1"
+
   Scenario Outline: An operator is told why a request was refused because of its customer
     Then poplarctl explain <text> names the code <code> and needs no settings
 
--- a/features/steps/customer_quota_steps.py
+++ b/features/steps/customer_quota_steps.py
@@ -197,6 +197,30 @@
     return state
 
 
+@given('a node that counts the requests of "{name}" and has queued {count:d} without a limit')
+def step_unlimited(context, name, count):
+    state = context.state = limited_state(name)
+    found = state.customers.by_name[name]
+    rate_per_s, found.rate_per_s = found.rate_per_s, 0.0
+    for number in range(count):
+        arrive(state, digest_of_key(b"key-1"), request_id=number + 1)
+    found.rate_per_s = rate_per_s
+    state.quotas.usages[name] = quotas.Usage(NOW, 0)
+
+
+@when("the {count:d} requests are refused after the customer got a limit")
+def step_refuse_queued(context, count):
+    assert len(context.state.requests) == count
+    for number in range(count):
+        reduce(CallerDisconnected(NOW, 5, number + 1), context.state)
+
+
+@then('nothing is credited to "{name}"')
+def step_no_credit(context, name):
+    found = context.state.quotas
+    assert found.usages[name].used == 0 and not found.pending, found.pending
+
+
 @when('a request of "{name}" arrives with a valid key')
 def step_valid(context, name):
     context.effects = arrive(context.state, digest_of_key(b"key-1"))
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -105,7 +105,7 @@
         excess = charges.charge(state, customer, event.random_value, event.now, effects)
         if excess is not None:
             return effects + refuse_excess(event, state, request, excess)
-        request.is_charged = True
+        request.is_charged = customer.rate_per_s > 0.0
     measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
     if decision is None and state.quarantine.items:
