Customers: keep the tokens of a node without others when a request never ran

A credit cut the local tokens to one, which is the capacity of an isolated node. A node without others may hold the whole burst, so one refused request took the rest of the burst from the customer.

The credit adds its token; the next admission applies the capacity.

--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -67,6 +67,12 @@
     When the 5 requests are refused after the customer got a limit
     Then nothing is credited to "c1"
 
+  Scenario: A request that never ran leaves a node without others its tokens
+    # Guards against refusals within the quota: the tokens were cut to one.
+    Given a node without others whose customer may have 20 requests together
+    When one of 2 requests never runs and 18 more arrive
+    Then none of them is refused
+
   Scenario Outline: An operator is told why a request was refused because of its customer
     Then poplarctl explain <text> names the code <code> and needs no settings
 
--- a/features/steps/customer_quota_steps.py
+++ b/features/steps/customer_quota_steps.py
@@ -215,12 +215,33 @@
         reduce(CallerDisconnected(NOW, 5, number + 1), context.state)
 
 
+@given("a node without others whose customer may have {count:d} requests together")
+def step_alone(context, count):
+    context.customer = customer(["key-1"], None, 1.0, float(count))
+    context.usage = quotas.Usage(NOW, 0)
+    context.usage.local_tokens = float(count)
+    context.around = quotas.Circumstances(True, True, 1, 0.0)
+
+
+@when("one of {first:d} requests never runs and {more:d} more arrive")
+def step_one_unrun(context, first, more):
+    parts = context.usage, context.customer, context.around, 5, NOW
+    context.found = [quotas.admit(*parts) for _ in range(first)]
+    quotas.credit_back(context.usage)
+    context.found += [quotas.admit(*parts) for _ in range(more)]
+
+
 @then('nothing is credited to "{name}"')
 def step_no_credit(context, name):
     found = context.state.quotas
     assert found.usages[name].used == 0 and not found.pending, found.pending
 
 
+@then("none of them is refused")
+def step_none_refused(context):
+    assert not any(context.found), context.found
+
+
 @when('a request of "{name}" arrives with a valid key')
 def step_valid(context, name):
     context.effects = arrive(context.state, digest_of_key(b"key-1"))
--- a/poplarlane/decisions/customers/quotas.py
+++ b/poplarlane/decisions/customers/quotas.py
@@ -194,4 +194,5 @@
     """Take back the count of an admitted request that never ran."""
     usage.used -= 1
     usage.since_digest = max(0, usage.since_digest - 1)
-    usage.local_tokens = min(1.0, usage.local_tokens + 1.0)
+    # The next admission limits them to the capacity, which depends on its circumstances.
+    usage.local_tokens += 1.0
