Customers: check the keys of requests that arrived before there were customers

A request that arrived under a configuration without customers belongs to none, and was sent without a check of its key after the first customers had come into force: a key that no configuration ever held ran.

Requests keep the digest of their key and whether their route is public. The check before each send applies to all that are not public: 401 with an unknown key; 503 with a valid one, because the quota was not charged.

--- a/features/customer_keys.feature
+++ b/features/customer_keys.feature
@@ -109,6 +109,21 @@
       | runs                     | is still running        |
       | runs and is not executed | is refused with 503     |
 
+  Scenario Outline: A request that waits while customers are introduced needs a key from then on
+    # Guards against requests that run with a key that no configuration ever held.
+    Given a node without customers
+    And a request with "<key>" that <state>
+    When the first customer gets the key "key-1"
+    Then the request <end>
+
+    Examples:
+      | key   | state                     | end                 |
+      | other | waits in the queue        | is refused with 401 |
+      | other | waits for a connection    | is refused with 401 |
+      | other | runs and is not executed  | is refused with 401 |
+      | other | runs and should be hedged | is still running    |
+      | key-1 | waits in the queue        | is refused with 503 |
+
   Scenario Outline: A node that may have missed a change refuses nothing for good
     # Guards against 401 or 404 for a key or route that a newer configuration has.
     Given a node with the customer "c1" whose keys are "key-1" and "key-2"
--- a/features/steps/customer_key_steps.py
+++ b/features/steps/customer_key_steps.py
@@ -251,6 +251,11 @@
     reconfigure(context, [customer(["key-2"])])
 
 
+@when('the first customer gets the key "{key}"')
+def step_introduced(context, key):
+    reconfigure(context, [customer([key])])
+
+
 @when('the key "{key}" becomes one of "{name}"')
 def step_moved(context, key, name):
     reconfigure(context, [customer(["key-2"]), customer([key], name=name)])
--- a/poplarlane/decisions/customers/key_checks.py
+++ b/poplarlane/decisions/customers/key_checks.py
@@ -56,14 +56,16 @@
 def send_refusal(state: EntryState, request: Request, now: float) -> NotRun | None:
     """Return the refusal of a request whose key was removed or moved since it arrived.
 
+    One that arrived before there were customers needs a key as soon as there are.
+
     A request is charged to the customer that it arrived for; sent again, it belongs to the new one.
     """
-    if request.customer is None or not state.customers.by_name:
+    if request.is_public or not state.customers.by_name:
         return None
     found = customer_of_key(state, request.key_digest, now)
     if isinstance(found, NotRun):
         return found
-    if found.name != request.customer.name:
+    if request.customer is None or found.name != request.customer.name:
         detail = "the key belongs to another customer since the request arrived"
         return NotRun(ResultCode.CONFIGURATION_UNCONFIRMED, detail)
     return None
--- a/poplarlane/decisions/repeats/hedging.py
+++ b/poplarlane/decisions/repeats/hedging.py
@@ -109,7 +109,7 @@
     # A second copy of a request that crashes targets would end another target.
     if state.quarantine.items and is_suspect(state, request):
         return
-    if request.customer is not None and send_refusal(state, request, now) is not None:
+    if state.customers.by_name and send_refusal(state, request, now) is not None:
         return
     first = request.attempts[0].load
     targets = reachable_targets(service, request.labels, request.regions) or []
--- a/poplarlane/decisions/requests/attempts.py
+++ b/poplarlane/decisions/requests/attempts.py
@@ -34,7 +34,7 @@
     state: EntryState, request: Request, load: TargetLoad, now: float, effects: list[Effect]
 ) -> None:
     """Send a request to a target as a new attempt, or refuse it if its key has been removed."""
-    if request.customer is not None:
+    if state.customers.by_name:
         refusal = key_checks.send_refusal(state, request, now)
         if refusal is not None:
             finish_refused(state, request, refusal, effects)
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -198,6 +198,7 @@
         "fingerprint",
         "regions",
         "key_digest",
+        "is_public",
         "customer",
         "is_charged",
     )
@@ -263,6 +264,8 @@
         # Digest of the caller's key, and the customer that it belongs to; None on public routes and
         # without customers.
         self.key_digest = b""
+        # Whether it needs no key, as on a public route.
+        self.is_public = True
         self.customer: Customer | None = None
         # Whether the customer's quota was charged for it.
         self.is_charged = False
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -101,7 +101,7 @@
     request = new_request(event, service, route)
     effects: list[Effect] = []
     if customer is not None:
-        set_customer(request, customer, event.key_digest)
+        set_customer(request, customer)
         excess = charges.charge(state, customer, event.random_value, event.now, effects)
         if excess is not None:
             return effects + refuse_excess(event, state, request, excess)
@@ -144,10 +144,9 @@
     return effects
 
 
-def set_customer(request: Request, customer: Customer, key_digest: bytes) -> None:
+def set_customer(request: Request, customer: Customer) -> None:
     """Record the customer of a request; its priority takes precedence over that of the route."""
     request.customer = customer
-    request.key_digest = key_digest
     request.regions = customer.restrict(request.regions)
     if customer.priority is not None:
         request.priority = customer.priority
@@ -228,6 +227,8 @@
             )
         request.max_attempts = route.max_attempts
         request.regions = route.allowed_regions
+        request.key_digest = event.key_digest
+        request.is_public = route.is_public
         known_s = service.service_time_s.get(kind.name, 0.0)
         request.service_time_s = (
             known_s or route.latency_objective_s * completion.INITIAL_SERVICE_TIME_SHARE
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -321,7 +321,7 @@
     effects: list[Effect],
 ) -> bool:
     """Retry a request if that is safe and within the budget; return whether it was retried."""
-    if request.customer is not None and refuse_retry(state, request, outcome, now, effects):
+    if state.customers.by_name and refuse_retry(state, request, outcome, now, effects):
         return request.request_id not in state.requests
     service = request.service
     targets = reachable_targets(service, request.labels, request.regions)
