--- a/features/customer_keys.feature
+++ b/features/customer_keys.feature
@@ -61,6 +61,19 @@
     When the store lists a configuration with the key "key-1"
     Then the object has no key and its translation knows the digest of "key-1"
 
+  Scenario Outline: A key in a malformed configuration is not passed on either
+    # Guards against keys that reach other nodes in an object that none of them can use.
+    When the store lists a configuration whose tenants are <tenants>
+    Then the object has no key and is refused
+
+    Examples:
+      | tenants                                      |
+      | [{"name": "c1", "api_keys": "key-1"}]        |
+      | [{"name": "c1", "api_keys": {"a": "key-1"}}] |
+      | {"c1": {"api_keys": ["key-1"]}}              |
+      | ["key-1"]                                    |
+      | "key-1"                                      |
+
   Scenario: The priority of a customer takes precedence over that of the route
     Given a node with the customer "c1" of priority 0 on a route of priority 2
     When a request of "c1" arrives
@@ -82,6 +95,35 @@
       | runs and is not executed     | is refused with 401                |
       | runs and should be hedged    | is still running                   |
 
+  Scenario Outline: A key that another customer gets ends what has not been sent
+    # Guards against a target that gets the name of the customer that had the key before.
+    Given a node with the customer "c1" whose keys are "key-1" and "key-2"
+    And a request with "key-1" that <state>
+    When the key "key-1" becomes one of "c2"
+    Then the request <end>
+
+    Examples:
+      | state                    | end                     |
+      | waits in the queue       | is refused with 503     |
+      | waits for a connection   | is refused with 503     |
+      | runs                     | is still running        |
+      | runs and is not executed | is refused with 503     |
+
+  Scenario Outline: A request that waits while customers are introduced needs a key from then on
+    # Guards against requests that run with a key that no configuration ever held.
+    Given a node without customers
+    And a request with "<key>" that <state>
+    When the first customer gets the key "key-1"
+    Then the request <end>
+
+    Examples:
+      | key   | state                     | end                 |
+      | other | waits in the queue        | is refused with 401 |
+      | other | waits for a connection    | is refused with 401 |
+      | other | runs and is not executed  | is refused with 401 |
+      | other | runs and should be hedged | is still running    |
+      | key-1 | waits in the queue        | is refused with 503 |
+
   Scenario Outline: A node that may have missed a change refuses nothing for good
     # Guards against 401 or 404 for a key or route that a newer configuration has.
     Given a node with the customer "c1" whose keys are "key-1" and "key-2"
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -1,7 +1,9 @@
 """Steps about routes whose requests stay in certain regions."""
 
 import json
+from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
 from features.node_world import NOW, READ, arrive, make_state
@@ -11,8 +13,11 @@
 from features.steps.rate_limit_steps import play
 from poplarlane.decisions.configuration.directory import Configuration, ServiceRecord
 from poplarlane.decisions.configuration.route_table import Route, WeightedService
+from poplarlane.decisions.customers.keys import digest_of_key
+from poplarlane.decisions.reducer import reduce
+from poplarlane.decisions.requests.entry_events import RequestArrived
 from poplarlane.outcomes import NotRun
-from poplarlane.platform.translation import configuration_of
+from poplarlane.platform.translation import TenantDocument, configuration_of, customer_of
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import Verdict
 
@@ -39,6 +44,41 @@
     }
 
 
+@given("a customer that allows {own} on a route that allows {route}")
+def step_customer(context, own, route):
+    step_route(context, "ro", 2, 2)
+    found = context.directory.configuration
+    found.version += 1
+    found.routes[0].allowed_regions = regions_of(route)
+    document = {
+        "name": "c1",
+        "api_keys": ["key-1"],
+        "allowed_regions": sorted(regions_of(own) or ()),
+    }
+    found.customers = [customer_of(msgspec.convert(document, TenantDocument))]
+    publish(context, NOW)
+
+
+def regions_of(text):
+    """Read a list of regions; None stands for all."""
+    return None if text == "all" else frozenset(text.split(" + "))
+
+
+@when('a read of that customer finds room only in "cz"')
+def step_customer_read(context):
+    fill(context, context.targets[:2])
+    key = digest_of_key(b"key-1")
+    event = RequestArrived(
+        NOW, 5, 1, "h.example", "GET", "/x", "", 3_000.0, 1, False, key_digest=key
+    )
+    play(context, reduce(event, context.state), NOW + 4.0)
+
+
+@then('a target in "cz" gets it')
+def step_away(context):
+    assert {context.region_of[name] for _, name in context.sends} == {"cz"}, context.sends
+
+
 @when("{what} on that route")
 def step_what(context, what):
     ways = {
@@ -51,6 +91,7 @@
         'a read arrives and "ro" is evacuated': evacuate,
         'a read finds no room in "ro"': find_no_room,
         'a read waits and "ro" is evacuated': wait_and_evacuate,
+        'a read on trial finds no room in "ro"': try_after_conviction,
         "a read arrives and no region is known": forget_regions,
     }
     ways[what](context)
@@ -108,6 +149,21 @@
     evacuation_steps.evacuate(context, "dc-a", NOW + 0.05)
 
 
+def try_after_conviction(context):
+    """Let a read whose conviction has expired arrive while there is room only elsewhere."""
+    fill(context, context.targets[:2])
+    for load in context.targets:
+        # Targets with recent reports are chosen without a probe.
+        load.measured_at = NOW
+    digest = bytes(16)
+    item = context.state.quarantine.item(digest, "r")
+    item.crashes = {load.target.name: NOW - 60.0 for load in context.targets[:2]}
+    item.terms, item.convicted_at = 1, NOW - 60.0
+    event = RequestArrived(NOW, 5, 1, "h.example", "GET", "/x", "", 3_000.0, 1, False)
+    event.content = SimpleNamespace(fingerprint=lambda customer: digest)
+    play(context, reduce(event, context.state), NOW + 4.0)
+
+
 def forget_regions(context):
     """Let a read arrive at a node that knows no regions."""
     context.state.region_of = {}
--- a/poplarlane/decisions/requests/requests.py
+++ b/poplarlane/decisions/requests/requests.py
@@ -85,6 +85,8 @@
     if service is None:
         return refuse_arrival(event, state, ResultCode.NO_SERVICE, "no service has this host")
     regions = route.allowed_regions if route is not None else None
+    if customer is not None:
+        regions = customer.restrict(regions)
     targets = reachable_targets(service, event.labels, regions)
     if state.evacuated and not targets and not service.loads:
         detail = "every target is leaving or in an evacuated data centre"
@@ -99,11 +101,11 @@
     request = new_request(event, service, route)
     effects: list[Effect] = []
     if customer is not None:
-        set_customer(request, customer, event.key_digest)
+        set_customer(request, customer)
         excess = charges.charge(state, customer, event.random_value, event.now, effects)
         if excess is not None:
             return effects + refuse_excess(event, state, request, excess)
-        request.is_charged = True
+        request.is_charged = customer.rate_per_s > 0.0
     measured = type(service.policy) is Measured
     decision = late_refusal(state, request, event.now)
     if decision is None and state.quarantine.items:
@@ -142,10 +144,10 @@
     return effects
 
 
-def set_customer(request: Request, customer: Customer, key_digest: bytes) -> None:
+def set_customer(request: Request, customer: Customer) -> None:
     """Record the customer of a request; its priority takes precedence over that of the route."""
     request.customer = customer
-    request.key_digest = key_digest
+    request.regions = customer.restrict(request.regions)
     if customer.priority is not None:
         request.priority = customer.priority
 
@@ -225,6 +227,8 @@
             )
         request.max_attempts = route.max_attempts
         request.regions = route.allowed_regions
+        request.key_digest = event.key_digest
+        request.is_public = route.is_public
         known_s = service.service_time_s.get(kind.name, 0.0)
         request.service_time_s = (
             known_s or route.latency_objective_s * completion.INITIAL_SERVICE_TIME_SHARE
