--- a/poplarlane/decisions/customers/buckets.py
+++ b/poplarlane/decisions/customers/buckets.py
@@ -9,8 +9,8 @@
 # Use that is not known here yet: reports and digests take this long.
 DELAY_S = 0.4
 USE_RATE_S = 2.0
-# A customer is not limited while this time at its demand is a few requests, and not more than it has
-# left: some requests that arrive together say little about the demand of a small customer.
+# A customer is not limited while this time at its demand is a few requests and not more than it
+# has left: some requests that arrive together say little about the demand of a small customer.
 CERTAIN_S = 0.6
 # Part of the tolerance of the bound that tokens may fall below zero in normal operation, so that
 # chance does not limit small customers; the rest is for the time until a surge is known everywhere.
@@ -108,7 +108,7 @@
         part = max(0.0, 1.0 - charged_per_s / rate_per_s)
         limit = (rate_per_s * window_s + burst + self.tolerance.cushion(self.customer)) * part
         left = limit - self.window.total
-        if demand_per_s * CERTAIN_S <= min(left, self.tolerance.slack * CUSHION_SLACK_SHARE):
+        if demand_per_s * CERTAIN_S <= min(left, self.tolerance.slack):
             return 1.0
         excess_per_s = max(0.0, demand_per_s * self.share - limit / window_s)
         allowed_per_s = self.window.most_per_s(limit - excess_per_s * DELAY_S, now)
