Send digests only to the relays of other data centres, not to all their nodes

Cause: since digests also go to nodes that do not report, the root sent each one to every node of another data centre that it had heard of. Change: of each other data centre only the lowest-ranked node that greeted lately gets it.

--- a/poplarlane/decisions/fleet/tree.py
+++ b/poplarlane/decisions/fleet/tree.py
@@ -5,7 +5,7 @@
 """
 
 from poplarlane.decisions.membership import relays
-from poplarlane.decisions.membership.relays import RelayState
+from poplarlane.decisions.membership.relays import Member, RelayState
 
 # Candidates send hellos to the seeds once a second, so one lost message does not end a seed's role.
 SEED_TIMEOUT_S = 2.5
@@ -31,6 +31,21 @@
     return None
 
 
+def far_relays(state: RelayState, now: float) -> list[str]:
+    """Return the names of the probable relays of the other data centres.
+
+    Relays greet the seeds every second, the nodes below them much less often.
+    """
+    first: dict[str, Member] = {}
+    for member in state.members.values():
+        is_far = not relays.is_in_data_centre(state, member)
+        if is_far and now - member.heard_at <= SEED_TIMEOUT_S:
+            held = first.setdefault(member.data_centre, member)
+            if member.rank() < held.rank():
+                first[member.data_centre] = member
+    return [member.name for member in first.values()]
+
+
 class Child:
     """A node that reports to this one; times are in seconds of the relay's clock."""
 
--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -12,7 +12,6 @@
 from poplarlane.decisions.fleet.sections import DIGEST_TIMEOUT_S, FleetState
 from poplarlane.decisions.fleet.tree import Child
 from poplarlane.decisions.membership import relays
-from poplarlane.decisions.membership.relays import is_in_data_centre as is_near
 from poplarlane.logs import log
 from poplarlane.relay_messages import FleetDigest, FleetReport
 
@@ -178,9 +177,7 @@
         if relay == state.me.name:
             names = [member.name for member in relays.data_centre_members(state)]
         if self.recipient is None:
-            # A seed knows the relays of the other data centres.
-            far = (found for found in state.members.values() if not is_near(state, found))
-            names += [member.name for member in far]
+            names += tree.far_relays(state, self.relay.clock())
         return [name for name in names if name not in self.children and name != state.me.name]
 
     def report_received(self, message: FleetReport, now: float) -> None:
