Quotas: scaled integers in digests

Cause: a digest of 79 customers and 190 nodes took 3.4 KB, four times a second for each node; the relay of a data centre with 65 nodes sent 0.9 MB/s over a link of 10 Mbit/s. Change: share, tokens, use and demand are sent as scaled integers.

--- a/poplarlane/decisions/customers/buckets.py
+++ b/poplarlane/decisions/customers/buckets.py
@@ -3,7 +3,7 @@
 import math
 
 from poplarlane.decisions.customers.keys import Customer
-from poplarlane.decisions.customers.quota_messages import ListedCustomer
+from poplarlane.decisions.customers.quota_messages import ListedCustomer, listed_customer
 from poplarlane.decisions.customers.rates import DecayingRate, DemandWindow, WindowUse
 
 # Use that is not known here yet: reports and digests take this long.
@@ -124,10 +124,10 @@
 
     def listed(self, now: float) -> ListedCustomer:
         """Return the bucket as digests carry it."""
-        return ListedCustomer(
+        return listed_customer(
             self.customer.name,
-            round(self.share, 4),
-            round(self.tokens, 2),
-            round(self.use.value(now), 3),
-            round(self.demand.per_s(now), 3),
+            self.share,
+            self.tokens,
+            self.use.value(now),
+            self.demand.per_s(now),
         )
