Customers: one share below which a node counts as cut off; words of the window

Cause: the final read found the same constant in two modules, and descriptions of a token bucket that the use in the last window has replaced. Change: key_checks takes the constant of members; comments follow. No behaviour is changed.

--- a/poplarlane/decisions/customers/buckets.py
+++ b/poplarlane/decisions/customers/buckets.py
@@ -1,4 +1,4 @@
-"""Token buckets of customers at the root of the fleet, and the shares that follow from them."""
+"""Use of customers in the last window at the root of the fleet, and the shares that follow."""
 
 import math
 
@@ -12,8 +12,8 @@
 # A customer is not limited while this time at its demand is a few requests and not more than it
 # has left: some requests that arrive together say little about the demand of a small customer.
 CERTAIN_S = 0.6
-# Part of the tolerance of the bound that tokens may fall below zero in normal operation, so that
-# chance does not limit small customers; the rest is for the time until a surge is known everywhere.
+# Part of the tolerance of the bound that may be used in normal operation, so that chance does not
+# limit small customers; the rest is for the time until a surge is known everywhere.
 CUSHION_SLACK_SHARE = 0.5
 CUSHION_OVERAGE_SHARE = 0.05
 # A share that falls by more than this is sent at once.
@@ -35,13 +35,13 @@
         self.slack = slack
 
     def cushion(self, customer: Customer) -> float:
-        """Return how far tokens may fall below zero before the customer is limited to its rate."""
+        """Return what a customer may use in a window beyond its rate and burst."""
         allowed = customer.rate_per_s * self.window_s + customer.burst
         return self.slack * CUSHION_SLACK_SHARE + allowed * self.overage * CUSHION_OVERAGE_SHARE
 
 
 class Bucket:
-    """The tokens of one customer; negative after a surge that was known too late."""
+    """Use of one customer; its tokens are negative after a surge that was known too late."""
 
     __slots__ = (
         "customer",
--- a/poplarlane/decisions/customers/key_checks.py
+++ b/poplarlane/decisions/customers/key_checks.py
@@ -2,13 +2,11 @@
 
 from poplarlane.decisions.configuration.route_table import Route
 from poplarlane.decisions.customers.keys import Customer
+from poplarlane.decisions.customers.members import MIN_REACHED_SHARE
 from poplarlane.decisions.requests.entry_state import EntryState, Request
 from poplarlane.outcomes import NotRun, ResultCode
 
 UNAUTHORIZED = 401
-# A node that reaches fewer of the nodes than this share is cut off: the others may follow a store
-# that it does not reach.
-MIN_REACHED_SHARE = 0.5
 
 
 def find_customer(
--- a/poplarlane/decisions/customers/members.py
+++ b/poplarlane/decisions/customers/members.py
@@ -14,8 +14,8 @@
 ID_BYTES = 4
 # A node that is cut off longer than this has left the lists of members everywhere.
 CHARGED_S = 35.0
-# A root that reaches fewer of the nodes is taken to be the part that was cut off. It goes on
-# charging the others, which have a root of their own.
+# A node that reaches fewer of the nodes is taken to be in the part that was cut off: the others may
+# follow a store that it does not reach. Its root goes on charging them: they have one of their own.
 MIN_REACHED_SHARE = 0.5
 
 
