Log attempts that are sent after they were withdrawn, and what refusals rest on

Nothing could tell the hypotheses of docs/incidents/refused.md apart: AttemptSent for an attempt that the decisions no longer hold was dropped silently. The node now counts and logs it (withdrawn_attempt_sent), request_refused says how many attempts may have run (started), paused says how many attempts were taken back (unsent), and a target's own 408, 421 or 429 is logged as request_failed like its 503.

--- a/poplarlane/decisions/requests/pauses.py
+++ b/poplarlane/decisions/requests/pauses.py
@@ -29,7 +29,9 @@
 @reduce.register
 def entry_paused(event: EntryPaused, state: EntryState) -> list[Effect]:
     """Hold all requests, and ask the agent for a view from after the pause."""
-    effects: list[Effect] = [Log("paused", "warning", {"gap_ms": round(event.gap_s * 1000)})]
+    unsent = [attempt for attempt in state.attempts.values() if not attempt.sent_at]
+    fields = {"gap_ms": round(event.gap_s * 1000), "unsent": len(unsent)}
+    effects: list[Effect] = [Log("paused", "warning", fields)]
     # Quotas and levels from before the pause are out of date.
     state.fleet.digest_at = -math.inf
     if state.confirmed_at < math.inf:
@@ -40,9 +42,8 @@
     state.unconfirmed_until = event.now + VIEW_CONFIRM_TIMEOUT_S
     for service in state.services.values():
         service.limits.held = True
-    for attempt in list(state.attempts.values()):
-        if not attempt.sent_at:
-            requeue_unsent(state, attempt, effects)
+    for attempt in unsent:
+        requeue_unsent(state, attempt, effects)
     effects.append(SendToAgent(hello(state)))
     if add_timer(state, state.unconfirmed_until, TimerKind.VIEW_LIMIT):
         effects.append(SetTimer(state.timer_at))
--- a/poplarlane/decisions/requests/request_log.py
+++ b/poplarlane/decisions/requests/request_log.py
@@ -15,6 +15,8 @@
 # Limit on the log lines per second of one node; 24 nodes write at most 720.
 LINES_PER_S = 30
 SAMPLE_EVERY = 100
+# Callers read these statuses as "not run", whoever has sent them.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def request_refused(
@@ -31,6 +33,7 @@
     fields["detail"] = outcome.detail
     if isinstance(outcome, NotRun):
         fields["retry_after_s"] = outcome.retry_after_s
+    fields["started"] = request.possibly_started
     fields["in_flight"] = target_names([attempt.load for attempt in request.attempts])
     append_line(state, "request_refused", "warning", fields, effects)
 
@@ -78,7 +81,7 @@
     effects.append(Observe("target_seconds", state.now - attempt.sent_at, {"target": target}))
     late = request.soft_deadline < state.now
     event = "request_answered"
-    if status >= 500:
+    if status >= 500 or status in NOT_RUN_STATUSES:
         event = "request_failed"
     elif late:
         event = "request_late"
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -26,7 +26,7 @@
     StopAccepting,
     StreamAnswer,
 )
-from poplarlane.decisions.requests.entry_events import AttemptSent, FailureCause, ProcessChecked
+from poplarlane.decisions.requests.entry_events import FailureCause, ProcessChecked
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
 from poplarlane.outcomes import ResultCode
@@ -86,7 +86,7 @@
     connection = pool.take(head.request_id)
     if connection is not None:
         # AttemptSent must precede a failure, and a write can fail synchronously.
-        shell.feed(AttemptSent(shell.now(), 0, effect.attempt_id))
+        shell.attempt_sent(exchange, effect.target)
         connection.send(exchange)
         return
     exchange.task = shell.loop.create_task(connect_and_send(exchange, pool, shell))
@@ -154,7 +154,7 @@
         shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
     if not exchange.is_probe:
-        shell.feed(AttemptSent(shell.now(), 0, exchange.attempt_id))
+        shell.attempt_sent(exchange, target)
     connection.send(exchange)
 
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -346,6 +346,17 @@
             self.pools[key] = pool
         return pool
 
+    def attempt_sent(self, exchange: Exchange, target: Target) -> None:
+        """Report that the first byte of an attempt is about to be written."""
+        if exchange.attempt_id not in self.state.attempts:
+            self.metrics.count("withdrawn_attempt_sent_total", {"target": target.name})
+            trace_id = exchange.request_header_id.decode("latin-1")
+            attempt_id = exchange.attempt_id
+            self.log_limited(
+                "withdrawn_attempt_sent", id=trace_id, attempt=attempt_id, target=target.name
+            )
+        self.feed(AttemptSent(self.now(), 0, exchange.attempt_id))
+
     def handle_response_data(self, exchange: Exchange, data: bytes) -> None:
         """Buffer body bytes, or stream them once the response exceeds the buffer limit."""
         request = exchange.streaming_to
