Send an attempt only while the decisions hold it, and finish an event before the next

Cause: effects were executed against a state that had moved on. (1) One reduction can start an attempt and give it up: the timers that are due in one firing are handled together, so a check of the queue sends a booking, and the last refusal before the end of a drain, due in the same firing, finds that no byte was sent and refuses it. The send was executed all the same, before the refusal. (2) Executing an effect can raise an event, which was reduced at once. If it noticed a pause of the process, unsent attempts were taken back, and the outer event then went on to send one of them.

Change: the shell sends an attempt only if the decisions still hold it (is_withdrawn), and an event that an effect raises waits until the effects of the event before it have been executed (process_events). AttemptSent is the exception: it is applied at once, since from then on nothing can take the attempt back.

--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -104,7 +104,8 @@
     shell.target_idle_s = 7.0
     shell.exchanges = {}
     shell.tracer = None
-    shell.feed = lambda event: None
+    shell.is_withdrawn = lambda _attempt: False
+    shell.attempt_sent = lambda _attempt: None
     target = Target("t-0", "127.0.0.1", 80, "dc", {}, "t-0", "/healthz")
     pool = ConnectionPool(target, 10)
     connection = TargetConnection(shell, pool)
--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -1,6 +1,7 @@
 """Steps about errors that nobody expects, in the shell of an entry and its reducer."""
 
 import heapq
+from collections import deque
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -25,6 +26,8 @@
         shell = object.__new__(EntryShell)
         shell.state = state
         shell.timer = None
+        shell.events = deque()
+        shell.is_processing = False
         shell.now = lambda: self.now
         shell.random = SimpleNamespace(getrandbits=lambda _bits: 5)
         shell.pauses = SimpleNamespace(step=lambda: 0.0)
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -73,7 +73,9 @@
 
 @execute.register(SendRequest)
 def execute_send(effect: SendRequest, shell: "EntryShell") -> None:
-    """Send a request on an idle connection, or open a new one."""
+    """Send a request on an idle connection, or open a new one, unless it has been withdrawn."""
+    if shell.is_withdrawn(effect.attempt_id):
+        return
     request = shell.requests_by_id[effect.request_id]
     head = request.head
     is_head = head.method == b"HEAD"
@@ -86,7 +88,7 @@
     connection = pool.take(head.request_id)
     if connection is not None:
         # AttemptSent must precede a failure, and a write can fail synchronously.
-        shell.attempt_sent(exchange, effect.target)
+        shell.attempt_sent(effect.attempt_id)
         connection.send(exchange)
         return
     exchange.task = shell.loop.create_task(connect_and_send(exchange, pool, shell))
@@ -144,7 +146,7 @@
         return
     # If this process was paused, the attempt is cancelled here, before its first byte is sent.
     shell.check_for_pause()
-    if exchange.cancelled:
+    if exchange.cancelled or not exchange.is_probe and shell.is_withdrawn(exchange.attempt_id):
         connection.abort()
         return
     exchange.task = None
@@ -154,7 +156,7 @@
         shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
     if not exchange.is_probe:
-        shell.attempt_sent(exchange, target)
+        shell.attempt_sent(exchange.attempt_id)
     connection.send(exchange)
 
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -138,6 +139,8 @@
         "max_body_bytes",
         "target_idle_s",
         "make_link",
+        "events",
+        "is_processing",
     )
 
     def __init__(
@@ -186,6 +189,9 @@
         self.faults_logged_second = 0
         self.memory = MemoryAccount(settings.memory_mb * BYTES_PER_MB)
         self.pauses = PauseDetector()
+        # Events that wait, and whether one of them is being processed.
+        self.events: deque[EntryEvent] = deque()
+        self.is_processing = False
         # Number of responses by result code.
         self.results: dict[int, int] = {}
 
@@ -211,17 +217,42 @@
         self.acceptor.drop_waiting()
 
     def feed(self, event: EntryEvent) -> None:
-        """Process one event, after reporting a pause of this process if there was one."""
-        # An attempt that is being sent can no longer be cancelled because of a pause.
-        if type(event) is not AttemptSent:
-            self.check_for_pause()
-        self.apply(event)
+        """Process one event, after reporting a pause of this process if there was one.
+
+        An event that an effect raises waits until the other effects of the same event have been
+        executed: the reducer must not change the state under effects that it has already decided.
+        """
+        self.events.append(event)
+        self.process_events()
 
     def check_for_pause(self) -> None:
         """Report a pause of this process to the reducer before any other event."""
+        self.note_pause()
+        self.process_events()
+
+    def note_pause(self) -> None:
+        """Put a pause of this process before the events that wait."""
         gap_s = self.pauses.step()
         if gap_s:
-            self.apply(EntryPaused(self.now(), self.random_value(), gap_s))
+            self.events.appendleft(EntryPaused(self.now(), self.random_value(), gap_s))
+
+    def process_events(self) -> None:
+        """Process the events that wait, unless one is being processed; raise the first failure."""
+        if self.is_processing:
+            return
+        self.is_processing = True
+        failure: Exception | None = None
+        while self.events:
+            self.note_pause()
+            event = self.events.popleft()
+            try:
+                self.apply(event)
+            except Exception as error:
+                log("event_failed", "error", kind=type(event).__name__, reason=error_text(error))
+                failure = failure or error
+        self.is_processing = False
+        if failure is not None:
+            raise failure
 
     def apply(self, event: EntryEvent) -> None:
         """Reduce one event and execute its effects; a failing effect does not stop the others."""
@@ -346,16 +377,21 @@
             self.pools[key] = pool
         return pool
 
-    def attempt_sent(self, exchange: Exchange, target: Target) -> None:
+    def is_withdrawn(self, attempt_id: int) -> bool:
+        """Return whether an attempt that was not sent yet has been given up, and count it if so.
+
+        The reducer may give up an attempt in the event that starts it, or before its connection is
+        open. The caller may have been told by then that the request was not run.
+        """
+        if attempt_id in self.state.attempts:
+            return False
+        self.metrics.count("withdrawn_attempt_total", {})
+        return True
+
+    def attempt_sent(self, attempt_id: int) -> None:
         """Report that the first byte of an attempt is about to be written."""
-        if exchange.attempt_id not in self.state.attempts:
-            self.metrics.count("withdrawn_attempt_sent_total", {"target": target.name})
-            trace_id = exchange.request_header_id.decode("latin-1")
-            attempt_id = exchange.attempt_id
-            self.log_limited(
-                "withdrawn_attempt_sent", id=trace_id, attempt=attempt_id, target=target.name
-            )
-        self.feed(AttemptSent(self.now(), 0, exchange.attempt_id))
+        # Must not wait for other events: from here on the attempt cannot be taken back.
+        self.apply(AttemptSent(self.now(), 0, attempt_id))
 
     def handle_response_data(self, exchange: Exchange, data: bytes) -> None:
         """Buffer body bytes, or stream them once the response exceeds the buffer limit."""
