Do not pass on a target's refusal of a booking unless it says that nothing ran

Cause: a target's answer with such a status and without the statement "not run" was passed on unchanged for a request that is not idempotent, although the target may have run it.

Change: the node answers such a request with 502 and result code 1305 in its own name; reads are passed on as before. The same for answers that are too large to buffer.

--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -15,6 +15,19 @@
     And its deadline passes
     Then the booking that waited was sent at most once, and not at all if it was refused as not run
 
+  Scenario Outline: A target's status that callers read as a refusal is not passed on unproven
+    # Guards true refusals: a target that fails may answer so after it has run the booking.
+    When a target answers a booking with <status> and a body of <size> bytes, and not that it did not run
+    Then the booking's caller gets 502
+
+    Examples:
+      | status | size   |
+      | 503    | 2      |
+      | 429    | 2      |
+      | 408    | 2      |
+      | 503    | 300000 |
+
   Scenario: No drawn run of the shell breaks a promise
     # Guards true refusals and at-most-once where effects, late timers, stops and preemptions meet.
     Then 150 drawn runs of the shell keep their promises
+    And 60 drawn runs with targets whose refusals prove nothing keep their promises
--- a/features/shell_world.py
+++ b/features/shell_world.py
@@ -24,6 +24,7 @@
 from poplarlane.decisions.requests.entry_events import CatalogueChanged
 from poplarlane.decisions.requests.entry_state import EntryState
 from poplarlane.metrics import Metrics
+from poplarlane.outcomes import REFUSAL_STATUSES
 from poplarlane.platform.headers import PLATFORM_HEADERS
 from poplarlane.plumbing import pauses
 from poplarlane.plumbing.callers import CallerConnection
@@ -38,7 +39,6 @@
 DEADLINE_MS = 1_500
 # For each reading of a clock.
 PREEMPTION_CHANCE = 0.0008
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 READ = RequestKind("read", frozenset(), "/", True, Priority.NORMAL, DEADLINE_MS, True)
 BOOKING = RequestKind("book", frozenset(), "/", False, Priority.HIGH, DEADLINE_MS, False)
 # Preemptions last longer than the shortest gap that counts as a pause.
@@ -118,10 +118,10 @@
         if path.startswith("/book/"):
             self.world.bookings[path].writes += 1
 
-    def answer(self, status: str, headers: str) -> None:
+    def answer(self, status: str, headers: str, body: bytes = b"ok") -> None:
         """Write a whole answer."""
-        text = f"HTTP/1.1 {status}\r\n{headers}content-length: 2\r\n\r\nok"
-        self.transport.protocol.data_received(text.encode())
+        head = f"HTTP/1.1 {status}\r\n{headers}content-length: {len(body)}\r\n\r\n"
+        self.transport.protocol.data_received(head.encode() + body)
 
 
 class CallerSide:
@@ -195,9 +195,13 @@
 
 
 class ShellWorld:
-    """Run one drawn sequence; `broken` lists the promises that were not kept."""
+    """Run one drawn sequence; `broken` lists the promises that were not kept.
 
-    def __init__(self, seed: int) -> None:
+    `has_unproven_refusals` lets targets answer 503, 429 and 408 without saying "not run".
+    """
+
+    def __init__(self, seed: int, has_unproven_refusals: bool = False) -> None:
+        self.has_unproven_refusals = has_unproven_refusals
         self.generator = random.Random(f"shell/{seed}")
         self.now = 100.0
         self.idle_socket, self.peer = socket.socketpair()
@@ -375,6 +379,9 @@
                 status, head = "503 Busy", head + "x-not-executed: 1\r\n"
                 if path in self.bookings:
                     self.bookings[path].not_run += 1
+            elif chance < 0.34 and self.has_unproven_refusals:
+                # Whether the target has run the request is not said.
+                status = self.generator.choice(("503 Broken", "429 Slow Down", "408 Too Late"))
         side.answer(status, head)
 
     def time_passes(self) -> None:
@@ -403,7 +410,7 @@
             may_have_run = booking.writes - booking.not_run
             if may_have_run > 1:
                 found.append(f"{path} was sent to {may_have_run} targets")
-            if may_have_run > 0 and any(code in NOT_RUN_STATUSES for code in booking.statuses):
+            if may_have_run > 0 and any(code in REFUSAL_STATUSES for code in booking.statuses):
                 found.append(f"{path} was refused as not run and may have run")
             if len(booking.statuses) > 1:
                 found.append(f"{path} has {len(booking.statuses)} answers")
@@ -425,11 +432,11 @@
         """Ignore a notification."""
 
 
-def run_world(seed: int) -> ShellWorld:
+def run_world(seed: int, has_unproven_refusals: bool = False) -> ShellWorld:
     """Run one drawn sequence."""
 
     async def run() -> ShellWorld:
-        world = ShellWorld(seed)
+        world = ShellWorld(seed, has_unproven_refusals)
         await world.run()
         return world
 
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -7,7 +7,6 @@
 
 from features.node_world import SLOTS
 from features.shell_world import (
-    NOT_RUN_STATUSES,
     Booking,
     CallerSide,
     ShellWorld,
@@ -16,6 +15,7 @@
 )
 from poplarlane.decisions.choice import completion
 from poplarlane.decisions.requests.entry_state import RequestState, TimerKind
+from poplarlane.outcomes import REFUSAL_STATUSES
 from poplarlane.plumbing import pauses
 
 STEP_S = 0.004
@@ -111,7 +111,7 @@
 @then("the booking is refused as not run and no target has got it")
 def step_not_sent(context):
     booking = context.play.world.bookings[WAITING]
-    assert booking.statuses and booking.statuses[0] in NOT_RUN_STATUSES, booking.statuses
+    assert booking.statuses and booking.statuses[0] in REFUSAL_STATUSES, booking.statuses
     assert booking.writes == 0, booking.writes
 
 
@@ -181,7 +181,37 @@
     assert not world.broken(), (world.broken(), booking.writes, booking.statuses)
 
 
+@when(
+    "a target answers a booking with {status:d} and a body of {size:d} bytes, and not that it did "
+    "not run"
+)
+def step_unproven(context, status, size):
+    async def steps(play):
+        world = play.world
+        play.report(0)
+        play.send(CallerSide(world), WAITING)
+        await world.settle()
+        side = next(side for side in world.targets if WAITING in side.waiting)
+        head = f"x-attempt-id: {WAITING}\r\n{load_header(0)}"
+        side.answer(f"{status} Failed", head, b"x" * size)
+
+    context.play = Play()
+    context.play.run(steps)
+
+
+@then("the booking's caller gets 502")
+def step_unknown(context):
+    booking = context.play.world.bookings[WAITING]
+    assert booking.statuses == [502] and booking.writes == 1, (booking.statuses, booking.writes)
+
+
 @then("{count:d} drawn runs of the shell keep their promises")
 def step_drawn(context, count):
     broken = [(seed, text) for seed in range(count) for text in run_world(seed).broken()]
     assert not broken, broken
+
+
+@then("{count:d} drawn runs with targets whose refusals prove nothing keep their promises")
+def step_drawn_unproven(context, count):
+    broken = [(seed, text) for seed in range(count) for text in run_world(seed, True).broken()]
+    assert not broken, broken
--- a/poplarlane/decisions/requests/request_log.py
+++ b/poplarlane/decisions/requests/request_log.py
@@ -9,14 +9,12 @@
 
 from poplarlane.decisions.effects import Count, Effect, Log, Observe
 from poplarlane.decisions.requests.entry_state import Attempt, EntryState, Request
-from poplarlane.outcomes import NotRun, RequestFailure
+from poplarlane.outcomes import REFUSAL_STATUSES, NotRun, RequestFailure
 from poplarlane.types import TargetLoad
 
 # Limit on the log lines per second of one node; 24 nodes write at most 720.
 LINES_PER_S = 30
 SAMPLE_EVERY = 100
-# Callers read these statuses as "not run", whoever has sent them.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def request_refused(
@@ -81,7 +79,7 @@
     effects.append(Observe("target_seconds", state.now - attempt.sent_at, {"target": target}))
     late = request.soft_deadline < state.now
     event = "request_answered"
-    if status >= 500 or status in NOT_RUN_STATUSES:
+    if status >= 500 or status in REFUSAL_STATUSES:
         event = "request_failed"
     elif late:
         event = "request_late"
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -56,7 +56,13 @@
 )
 from poplarlane.decisions.requests.reports import verdict_report
 from poplarlane.decisions.requests.requests import dispatch_waiting
-from poplarlane.outcomes import NotRun, OutcomeUnknown, RequestFailure, ResultCode
+from poplarlane.outcomes import (
+    REFUSAL_STATUSES,
+    NotRun,
+    OutcomeUnknown,
+    RequestFailure,
+    ResultCode,
+)
 from poplarlane.types import TargetLoad, Verdict
 
 SERVER_ERROR = 500
@@ -93,6 +99,8 @@
         request.retried_below = request.retried_below or metadata.retried
         outcome = rejection(attempt, metadata)
         send_again_or_finish(state, attempt, outcome, event.now, event.random_value, effects)
+    elif is_unproven_refusal(request, metadata):
+        finish_refused(state, request, unproven_refusal(attempt, metadata), effects)
     elif not retry_failed_response(state, attempt, metadata, event, effects):
         observe_abandoned(request, None, event.now)
         deliver(state, request, attempt, metadata, effects)
@@ -212,6 +220,21 @@
     return NotRun(ResultCode.REFUSED_BY_TARGET, detail, 503, after_s)
 
 
+def is_unproven_refusal(request: Request, metadata: ResponseMetadata) -> bool:
+    """Return whether a response would promise the caller more than the target has said.
+
+    A target that fails may answer with such a status after it has run the request.
+    """
+    promises = metadata.status in REFUSAL_STATUSES and not metadata.not_run
+    return promises and not request.idempotent
+
+
+def unproven_refusal(attempt: Attempt, metadata: ResponseMetadata) -> OutcomeUnknown:
+    """Return the outcome of a request that its target may have run, whatever its status says."""
+    detail = f"{attempt.load.target.name} answered {metadata.status} and may have run it"
+    return OutcomeUnknown(ResultCode.REFUSAL_UNPROVEN, detail)
+
+
 @reduce.register
 def response_started(event: ResponseStarted, state: EntryState) -> list[Effect]:
     """Start to stream a response that is too large to buffer, and cancel the other attempts."""
@@ -220,6 +243,10 @@
         return []
     request = attempt.request
     effects: list[Effect] = []
+    if is_unproven_refusal(request, event.metadata):
+        state.now = event.now
+        finish_refused(state, request, unproven_refusal(attempt, event.metadata), effects)
+        return effects
     request.streaming = attempt
     observe_abandoned(request, attempt, event.now)
     cancel_attempts(state, request, effects, kept=attempt)
--- a/poplarlane/outcomes.py
+++ b/poplarlane/outcomes.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+# Callers read these statuses as "not run, and never will be", whoever has sent them.
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class ResultCode(IntEnum):
     """Outcomes that are visible to callers and operators."""
@@ -38,6 +41,7 @@
     ANSWER_TRUNCATED = 1302
     ANSWER_INVALID = 1303
     CRASHES_TARGETS = 1304
+    REFUSAL_UNPROVEN = 1305
     BAD_REQUEST = 1400
     HEAD_TOO_LARGE = 1401
     BODY_TOO_LARGE = 1402
