Never send a request again on a connection on which it was refused

Cause: a connection remembered only the last response's refusal. A probe on it cleared the mark; if the target was chosen again, as when a new list replaced its record, the booking was sent on the same connection, and a second copy of the refusal, with the same id, was taken for the answer.

Change: the request remembers the connections on which it was refused, as long as it lives, and such a connection is closed instead of used for it.

--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -27,6 +27,13 @@
       | 408    | 2      |
       | 503    | 300000 |
 
+  Scenario: A booking is not sent on a connection on which it was refused, whatever came there since
+    # Guards true refusals: a probe on the connection cleared the mark, and a second copy of the refusal
+    # was taken for the answer to the booking's next attempt.
+    Given a connection on which a target has refused a booking as not run
+    When a probe is answered on that connection
+    Then the booking is not sent on that connection again
+
   Scenario: No drawn run of the shell breaks a promise
     # Guards true refusals and at-most-once where effects, late timers, stops and preemptions meet.
     Then 150 drawn runs of the shell keep their promises
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -17,6 +17,9 @@
 from poplarlane.decisions.requests.entry_state import RequestState, TimerKind
 from poplarlane.outcomes import REFUSAL_STATUSES
 from poplarlane.plumbing import pauses
+from poplarlane.plumbing.caller_requests import CallerRequest
+from poplarlane.plumbing.exchanges import Exchange
+from poplarlane.plumbing.heads import RequestHead
 
 STEP_S = 0.004
 CONNECTIONS = 4
@@ -205,6 +208,53 @@
     assert booking.statuses == [502] and booking.writes == 1, (booking.statuses, booking.writes)
 
 
+def answer(connection, request, status, headers):
+    """Carry a booking or, without one, a probe on a connection, and answer it."""
+    exchange = Exchange(1_001, 0, False, WAITING.encode() if request else b"", b"GET /healthz -")
+    exchange.is_probe = request is None
+    exchange.request = request
+    connection.send(exchange)
+    text = f"HTTP/1.1 {status}\r\n{load_header(0)}{headers}content-length: 2\r\n\r\nok"
+    connection.data_received(text.encode())
+
+
+@given("a connection on which a target has refused a booking as not run")
+def step_refused(context):
+    async def steps(play):
+        world = play.world
+        target = next(iter(world.shell.state.services["books"].loads.values())).target
+        pool = world.shell.pool(target)
+        context.connection = pool.take()
+        context.request = CallerRequest(
+            CallerSide(world).protocol, RequestHead(b"POST", b"/"), [], 0, True, 0.0
+        )
+        headers = f"x-attempt-id: {WAITING}\r\nx-not-executed: 1\r\n"
+        answer(context.connection, context.request, "503 Busy", headers)
+        assert pool.idle[-1] is context.connection
+        context.pool = pool
+        await context.after(play)
+
+    context.steps = steps
+
+
+@when("a probe is answered on that connection")
+def step_probed(context):
+    async def after(_play):
+        assert context.pool.take() is context.connection
+        answer(context.connection, None, "200 OK", "")
+        assert context.pool.idle[-1] is context.connection
+        context.taken = context.pool.take(context.request.refused_on)
+
+    context.after = after
+    Play().run(context.steps)
+
+
+@then("the booking is not sent on that connection again")
+def step_other_connection(context):
+    assert context.taken is not None and context.taken is not context.connection
+    assert context.connection.closed
+
+
 @then("{count:d} drawn runs of the shell keep their promises")
 def step_drawn(context, count):
     broken = [(seed, text) for seed in range(count) for text in run_world(seed).broken()]
--- a/poplarlane/plumbing/caller_requests.py
+++ b/poplarlane/plumbing/caller_requests.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from poplarlane.plumbing.callers import CallerConnection
     from poplarlane.plumbing.exchanges import Exchange
+    from poplarlane.plumbing.targets import TargetConnection
 
 
 class CallerRequest:
@@ -31,6 +32,7 @@
         "source",
         "buffered",
         "buffered_bytes",
+        "refused_on",
         "is_done",
     )
 
@@ -57,6 +59,8 @@
         self.source: Exchange | None = None
         self.buffered: list[bytes] = []
         self.buffered_bytes = 0
+        # Connections on which a target has refused this request as not run.
+        self.refused_on: tuple[TargetConnection, ...] = ()
         self.is_done = False
 
     def fingerprint(self, customer: str) -> bytes:
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -81,11 +81,12 @@
     is_head = head.method == b"HEAD"
     data = request_bytes(effect, request, shell)
     exchange = Exchange(effect.attempt_id, effect.request_id, is_head, head.request_id, data)
+    exchange.request = request
     if request.body_bytes > JOINED_BODY_BYTES:
         exchange.body = request.body
     shell.exchanges[effect.attempt_id] = exchange
     pool = shell.pool(effect.target)
-    connection = pool.take(head.request_id)
+    connection = pool.take(request.refused_on)
     if connection is not None:
         # AttemptSent must precede a failure, and a write can fail synchronously.
         shell.attempt_sent(effect.attempt_id)
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -6,6 +6,7 @@
 from poplarlane.plumbing.heads import ResponseHead
 
 if TYPE_CHECKING:
+    from poplarlane.plumbing.caller_requests import CallerRequest
     from poplarlane.plumbing.targets import TargetConnection
 
 
@@ -18,6 +19,7 @@
     __slots__ = (
         "attempt_id",
         "request_id",
+        "request",
         "is_head",
         "request_header_id",
         "data",
@@ -44,6 +46,8 @@
     ) -> None:
         self.attempt_id = attempt_id
         self.request_id = request_id
+        # The caller's request; None for a probe.
+        self.request: CallerRequest | None = None
         self.is_head = is_head
         self.request_header_id = request_header_id
         self.data = data
--- a/poplarlane/plumbing/target_pools.py
+++ b/poplarlane/plumbing/target_pools.py
@@ -20,15 +20,15 @@
         self.open = 0
         self.limit = limit
 
-    def take(self, request_id: bytes = b"") -> "TargetConnection | None":
+    def take(self, refused_on: "tuple[TargetConnection, ...]" = ()) -> "TargetConnection | None":
         """Take an idle connection that is still open, if there is one.
 
-        The one on which the target has just refused the same request is closed: a refusal that the
-        target sends once more there could not be told from the answer.
+        One on which the target has refused the same request is closed: a refusal that the target
+        sends once more there could not be told from the answer.
         """
         while self.idle:
             connection = self.idle.pop()
-            if request_id and connection.refused_id == request_id:
+            if connection in refused_on:
                 connection.abort()
             elif connection.is_open():
                 return connection
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -60,7 +60,6 @@
         "is_skipping",
         "skipped_bytes",
         "closed",
-        "refused_id",
         "unsent",
         "is_writing_paused",
     )
@@ -87,8 +86,6 @@
         self.is_skipping = False
         self.skipped_bytes = 0
         self.closed = False
-        # Request ID of the last response if the target refused the request as not run.
-        self.refused_id = b""
         # Parts of the request's body that are still to be written.
         self.unsent: Iterator[bytearray] | None = None
         self.is_writing_paused = False
@@ -284,7 +281,8 @@
             and self.unsent is None
             and not self.transport.get_write_buffer_size()
         )
-        self.refused_id = head.request_id if head.metadata.not_run else b""
+        if head.metadata.not_run and exchange.request is not None:
+            exchange.request.refused_on += (self,)
         self.exchange = None
         exchange.connection = None
         self.parser = None
