Keep one failing event from stopping the others, and log withdrawn attempts

A log line that could not be written left the shell marked as processing, and it answered nobody; a failure of an event that had waited was raised to whoever had fed another one, which then skipped its own work (memory account, abandoned requests).

Change: the mark is taken back whatever fails, only the failure of the event that was fed is raised, and withdrawn attempts are logged with the request's id and the target.

--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -104,7 +104,7 @@
     shell.target_idle_s = 7.0
     shell.exchanges = {}
     shell.tracer = None
-    shell.is_withdrawn = lambda _attempt: False
+    shell.is_withdrawn = lambda *_attempt: False
     shell.attempt_sent = lambda _attempt: None
     target = Target("t-0", "127.0.0.1", 80, "dc", {}, "t-0", "/healthz")
     pool = ConnectionPool(target, 10)
--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -1,5 +1,6 @@
 """Steps about errors that nobody expects, in the shell of an entry and its reducer."""
 
+import contextlib
 import heapq
 from collections import deque
 from types import SimpleNamespace
@@ -140,3 +141,71 @@
 @then("the second effect is executed and the failure is logged")
 def step_second(context):
     assert context.rig.logged == ["effect_failed", "second"], context.rig.logged
+
+
+class SecondEvent(EntryEvent):
+    """Stand for an event that an effect raises and whose reduction fails."""
+
+    __slots__ = ()
+
+
+@given("an entry's shell with an event whose effect raises a second one that fails")
+def step_second_fails(context):
+    context.rig = ShellRig(make_state(1))
+    context.processed = []
+
+
+def feed_two(context, log):
+    """Feed an event whose effect feeds a second one; only the first one can be reduced."""
+    shell = context.rig.shell
+
+    def reduce_first(event, _state):
+        context.processed.append(event)
+        return ["raise the second event"] if len(context.processed) == 1 else []
+
+    def reduce_second(_event, _state):
+        raise ValueError("the second event failed")
+
+    def execute(_effect, _shell):
+        shell.feed(SecondEvent(NOW, 5))
+
+    def handler_of(function, kind):
+        if function is entry_shell.execute:
+            return execute
+        return reduce_second if kind is SecondEvent else reduce_first
+
+    with patch.object(entry_shell, "handler_of", handler_of), patch.object(entry_shell, "log", log):
+        shell.feed(TwoEffects(NOW, 5))
+
+
+@when("the event is fed and its log line cannot be written")
+def step_fed_without_log(context):
+    def log(*_arguments, **_fields):
+        raise BrokenPipeError("nobody reads the log")
+
+    with contextlib.suppress(BrokenPipeError):
+        feed_two(context, log)
+    with patch.object(entry_shell, "handler_of", lambda *_kind: context_handler(context)):
+        context.rig.shell.feed(TwoEffects(NOW, 6))
+
+
+def context_handler(context):
+    """Give a handler that records events."""
+
+    def handle(event, _state):
+        context.processed.append(event)
+        return []
+
+    return handle
+
+
+@then("when the event is fed nothing is raised and the failure of the second one is logged")
+def step_second_logged(context):
+    logged = []
+    feed_two(context, lambda event, *_arguments, **_fields: logged.append(event))
+    assert logged == ["event_failed"], logged
+
+
+@then("the next event is processed")
+def step_next(context):
+    assert [event.random_value for event in context.processed] == [5, 6], context.processed
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -74,7 +74,7 @@
 @execute.register(SendRequest)
 def execute_send(effect: SendRequest, shell: "EntryShell") -> None:
     """Send a request on an idle connection, or open a new one, unless it has been withdrawn."""
-    if shell.is_withdrawn(effect.attempt_id):
+    if shell.is_withdrawn(effect.attempt_id, effect.request_id, effect.target):
         return
     request = shell.requests_by_id[effect.request_id]
     head = request.head
@@ -147,7 +147,9 @@
         return
     # If this process was paused, the attempt is cancelled here, before its first byte is sent.
     shell.check_for_pause()
-    if exchange.cancelled or not exchange.is_probe and shell.is_withdrawn(exchange.attempt_id):
+    attempt_id, request_id = exchange.attempt_id, exchange.request_id
+    is_probe = exchange.is_probe
+    if exchange.cancelled or (not is_probe and shell.is_withdrawn(attempt_id, request_id, target)):
         connection.abort()
         return
     exchange.task = None
@@ -156,8 +158,8 @@
         detail = "connection closed before sending"
         shell.exchange_failed(exchange, FailureCause.CONNECT_FAILED, detail)
         return
-    if not exchange.is_probe:
-        shell.attempt_sent(exchange.attempt_id)
+    if not is_probe:
+        shell.attempt_sent(attempt_id)
     connection.send(exchange)
 
 
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -223,7 +223,7 @@
         executed: the reducer must not change the state under effects that it has already decided.
         """
         self.events.append(event)
-        self.process_events()
+        self.process_events(event)
 
     def check_for_pause(self) -> None:
         """Report a pause of this process to the reducer before any other event."""
@@ -236,21 +236,30 @@
         if gap_s:
             self.events.appendleft(EntryPaused(self.now(), self.random_value(), gap_s))
 
-    def process_events(self) -> None:
-        """Process the events that wait, unless one is being processed; raise the first failure."""
+    def process_events(self, fed: EntryEvent | None = None) -> None:
+        """Process the events that wait, unless one is being processed.
+
+        Only a failure of the event `fed` is raised; whoever feeds it must not fail by another one.
+        """
         if self.is_processing:
             return
         self.is_processing = True
         failure: Exception | None = None
-        while self.events:
-            self.note_pause()
-            event = self.events.popleft()
-            try:
-                self.apply(event)
-            except Exception as error:
-                log("event_failed", "error", kind=type(event).__name__, reason=error_text(error))
-                failure = failure or error
-        self.is_processing = False
+        try:
+            while self.events:
+                self.note_pause()
+                event = self.events.popleft()
+                try:
+                    self.apply(event)
+                except Exception as error:
+                    if event is fed:
+                        failure = error
+                    else:
+                        kind, reason = type(event).__name__, error_text(error)
+                        log("event_failed", "error", kind=kind, reason=reason)
+        finally:
+            # Even a log line may fail. Events that are left are processed with the next one.
+            self.is_processing = False
         if failure is not None:
             raise failure
 
@@ -377,8 +386,8 @@
             self.pools[key] = pool
         return pool
 
-    def is_withdrawn(self, attempt_id: int) -> bool:
-        """Return whether an attempt that was not sent yet has been given up, and count it if so.
+    def is_withdrawn(self, attempt_id: int, request_id: int, target: Target) -> bool:
+        """Return whether an attempt that was not sent yet has been given up, and log it if so.
 
         The reducer may give up an attempt in the event that starts it, or before its connection is
         open. The caller may have been told by then that the request was not run.
@@ -386,6 +395,10 @@
         if attempt_id in self.state.attempts:
             return False
         self.metrics.count("withdrawn_attempt_total", {})
+        request = self.requests_by_id.get(request_id)
+        trace_id = request.head.request_id.decode("latin-1") if request is not None else ""
+        fields = {"id": trace_id, "attempt": attempt_id, "target": target.name}
+        self.log_limited("attempt_withdrawn", "info", **fields)
         return True
 
     def attempt_sent(self, attempt_id: int) -> None:
@@ -460,15 +473,15 @@
         self.metrics.count("target_connection_fault_total", {"target": target.name})
         self.log_limited("target_connection_fault", target=target.name, reason=reason)
 
-    def log_limited(self, event: str, **fields: object) -> None:
-        """Log a fault of a target, up to FAULT_LOGS_PER_S."""
+    def log_limited(self, event: str, level: str = "warning", **fields: object) -> None:
+        """Log a fault of a target or a withdrawn attempt, up to FAULT_LOGS_PER_S."""
         second = int(self.now())
         if second != self.faults_logged_second:
             self.faults_logged_second = second
             self.faults_logged = 0
         self.faults_logged += 1
         if self.faults_logged <= FAULT_LOGS_PER_S:
-            log(event, "warning", **fields)
+            log(event, level, **fields)
 
     # Control.
 
