Bound the memory that bytes without end take, on all connections

A response kept its last read of up to 256 KB until its end, beside what was buffered of it; chunks of two bytes were kept as one object each; nothing counted against the VM's memory stopped responses that stay below hold_answer_bytes. A ROUTER or DEALER of libzmq takes bytes that are no ZMTP for ZMTP 1.0, which has no handshake, and "aaaa..." for one message of endless parts, which MAXMSGSIZE and the high-water marks do not bound. Agents' probes and the client of the store read up to 64 MB of each response.

Change: targets are read in pieces of 64 KB and the last one is not kept. Parts of a response are merged. While more than the account's limit is held, a response above 64 KB is streamed at once. ZeroMQ sockets have a ZAP domain, with which libzmq refuses ZMTP 1.0; DEALERs, which nobody reads, take messages of at most 4 MB and one at a time. Probes of agents read 16 KB, nodes an eighth of memory_mb from the store.

Endless heads, interim answers, trailers and probes of nodes were bounded before, as their scenarios of this feature show; process checks by reading only (h11 holds 16 KB of a head, nothing is read after it).

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -67,6 +67,47 @@
     And 10 callers take bookings without end while 60 reads are sent one after the other
     Then the 99th percentile of the reads is at most 500 ms
 
+  Scenario Outline: Many answers without end fit into the memory, read by their callers or not
+    # Guards the process: each response kept its last read of 256 KB beside the bytes that waited.
+    Given a node with 2 targets of the service "reads" and 60 of "books"
+    When every target of "books" is set to "<shape>"
+    And 300 callers send a booking with 3000 ms and <reading> for 3 s
+    Then at least 250 of the bookings ran
+    And the node's memory grew by at most <most> MB
+    And a read is answered with status 200
+
+    Examples:
+      | shape               | reading         | most |
+      | endless-chunks      | read nothing    | 64   |
+      | endless-chunks      | read all        | 48   |
+      | endless-held-chunks | read nothing    | 84   |
+
+  Scenario Outline: A node's socket for messages closes a connection whose bytes are no messages
+    # Guards memory: bytes that look like one message of endless parts were kept without limit.
+    Given a socket for messages that <side>
+    When the other side sends up to 64 MB of "<text>"
+    Then the connection is closed and the process has grown by at most 16 MB
+    And two nodes exchange a message
+
+    Examples:
+      | side     | text     |
+      | listens  | a        |
+      | connects | a        |
+      | listens  | HTTP/1.1 |
+
+  Scenario Outline: A probe or a call to the store reads no more than its limit
+    # Guards memory: a probe of an agent kept up to 64 MB of each target's answer.
+    When a client of <kind> gets "<shape>"
+    Then the call fails before 4 s and held at most <most> MB
+
+    Examples:
+      | kind       | shape               | most |
+      | probes     | endless-chunks      | 1    |
+      | probes     | endless-interim     | 1    |
+      | the store  | endless-chunks      | 9    |
+      | the store  | endless-head-lines  | 1    |
+      | the store  | endless-interim     | 1    |
+
   Scenario: A late second copy of an answer is taken for nothing else
     # Guards own answers: the copy arrives where the answer to a probe or to the next caller is due.
     Given a node with 1 targets of the service "reads" and 1 of "books"
--- a/features/memory.feature
+++ b/features/memory.feature
@@ -55,6 +55,18 @@
     When that attempt is cancelled
     Then no memory is held
 
+  Scenario: While memory is short, a response is not collected up to the limit for streaming
+    # Guards memory: 500 responses of 200 KB each took 100 MB, and nothing stopped more of them.
+    Given a caller's connection with room for a body of 1 MB
+    When 2 MB are held and 70 KB of the response to its read have arrived
+    Then the response is streamed from then on
+
+  Scenario: Chunks of two bytes of a response cost no more than their bytes
+    # Guards memory: each chunk was an object of 41 bytes, and the account counted two.
+    Given a caller's connection with room for a body of 1 MB
+    When 200 KB of the response to its read have arrived in chunks of 2 bytes
+    Then the parts of the response are at most 5
+
   Scenario: A large body in chunks leaves room for small ones
     # Guards the others: a body of unknown length took the room that is kept for small bodies.
     Given a caller's connection with room for a body of 1 MB
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -8,10 +8,12 @@
 from features.recording_transport import RecordingTransport
 from features.steps.caller_turn_steps import TurnShell, message
 from poplarlane.decisions.requests.entry_effects import CancelAttempt, SendRequest
+from poplarlane.decisions.requests.entry_events import ResponseStarted
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_execute import execute
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.exchanges import Exchange
+from poplarlane.plumbing.heads import ResponseHead
 from poplarlane.plumbing.memory_account import COPIES, LARGE_SHARE, PROCESS_BYTES, MemoryAccount
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.plumbing.targets import TargetConnection
@@ -234,14 +236,37 @@
 
 
 @when("{size_kb:d} KB of the response to its read have arrived")
-def step_arrived(context, size_kb):
+@when("{size_kb:d} KB of the response to its read have arrived in chunks of {chunk:d} bytes")
+def step_arrived(context, size_kb, chunk=1_000):
     shell = context.shell
+    shell.events = []
+    shell.feed = shell.events.append
+    shell.random_value = lambda: 0
     shell.settings.hold_answer_bytes = 262_144
     shell.release_parts = partial(EntryShell.release_parts, shell)
     exchange = Exchange(7, 1, False, b"", b"")
     shell.exchanges = {7: exchange}
-    for _ in range(size_kb):
-        EntryShell.handle_response_data(shell, exchange, b"x" * 1_000)
+    exchange.head = ResponseHead(200, b"OK")
+    for _ in range(size_kb * 1_000 // chunk):
+        EntryShell.handle_response_data(shell, exchange, bytearray(b"x" * chunk))
+
+
+@when("{held_mb:d} MB are held and {size_kb:d} KB of the response to its read have arrived")
+def step_short(context, held_mb, size_kb):
+    context.shell.memory.take(held_mb * MB)
+    step_arrived(context, size_kb)
+
+
+@then("the response is streamed from then on")
+def step_streamed(context):
+    # The reducer is not here, so that each further piece asks again.
+    assert [type(event) for event in context.shell.events] == [ResponseStarted] * 5
+
+
+@then("the parts of the response are at most {count:d}")
+def step_response_parts(context, count):
+    parts = context.shell.exchanges[7].parts
+    assert 1 <= len(parts) <= count and not context.shell.events, len(parts)
 
 
 @then("{size_kb:d} KB are held")
--- a/poplarlane/plumbing/agent_link.py
+++ b/poplarlane/plumbing/agent_link.py
@@ -12,6 +12,7 @@
 
 from poplarlane.logs import log
 from poplarlane.messages import ENCODER, VIEW_DECODER, EntryHello, EntryReport, ViewUpdate
+from poplarlane.plumbing.peer_sockets import DOMAIN
 from poplarlane.plumbing.unreadable_objects import UnreadableObjects
 
 # Limit for an unreachable agent; each report supersedes the ones before it.
@@ -28,6 +29,8 @@
     def __init__(self, address: str, port: int, receive: Callable[[ViewUpdate], None]) -> None:
         self.context = zmq.asyncio.Context()
         self.socket = self.context.socket(zmq.DEALER)
+        # Views may be larger than messages between agents.
+        self.socket.setsockopt(zmq.ZAP_DOMAIN, DOMAIN)
         self.socket.setsockopt(zmq.LINGER, 0)
         self.socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -394,18 +394,23 @@
         self.apply(AttemptSent(self.now(), 0, attempt_id))
 
     def handle_response_data(self, exchange: Exchange, data: bytes) -> None:
-        """Buffer body bytes, or stream them once the response exceeds the buffer limit."""
+        """Buffer body bytes, or stream them once the response exceeds the buffer limit.
+
+        While memory is short, a response that counts is streamed at once: many that each stay below
+        the limit would need more than the VM has.
+        """
         request = exchange.streaming_to
         if request is not None:
             request.write_body(data)
             return
-        exchange.parts.append(bytes(data))
-        exchange.buffered_bytes += len(data)
+        exchange.add_part(data)
+        is_short = False
         if exchange.buffered_bytes > UNCOUNTED_RESPONSE_BYTES:
             uncounted = exchange.buffered_bytes - exchange.counted_bytes
             exchange.counted_bytes += uncounted
             self.memory.take(uncounted)
-        if exchange.buffered_bytes > self.settings.hold_answer_bytes:
+            is_short = self.memory.held > self.memory.limit
+        if is_short or exchange.buffered_bytes > self.settings.hold_answer_bytes:
             metadata = exchange.head.metadata
             self.feed(
                 ResponseStarted(self.now(), self.random_value(), exchange.attempt_id, metadata)
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -9,6 +9,10 @@
     from poplarlane.plumbing.targets import TargetConnection
 
 
+# Parts of a body are merged up to this size.
+PART_BYTES = 65_536
+
+
 class Exchange:
     """One attempt, from its start to the end of its response.
 
@@ -52,7 +56,7 @@
         self.connection: TargetConnection | None = None
         self.task: asyncio.Task | None = None
         self.head: ResponseHead | None = None
-        self.parts: list[bytes] = []
+        self.parts: list[bytearray] = []
         self.buffered_bytes = 0
         # Bytes of the buffered parts that are in the memory account.
         self.counted_bytes = 0
@@ -61,6 +65,18 @@
         # A probe has an attempt ID but belongs to no request.
         self.is_probe = is_probe
 
+    def add_part(self, data: bytearray) -> None:
+        """Buffer body bytes, merged with the last part while that is small.
+
+        A part of its own for each chunk of some bytes would take up to 50 times their memory.
+        """
+        parts = self.parts
+        if parts and len(parts[-1]) + len(data) <= PART_BYTES:
+            parts[-1] += data
+        else:
+            parts.append(data)
+        self.buffered_bytes += len(data)
+
     def is_complete(self) -> bool:
         """Return whether a buffered body has reached its content-length."""
         length = self.head.length
--- a/poplarlane/plumbing/peer_sockets.py
+++ b/poplarlane/plumbing/peer_sockets.py
@@ -16,10 +16,21 @@
 MAX_MESSAGE_BYTES = 4_000_000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2_000
+# Messages that wait at a DEALER, which nobody reads.
+UNREAD_MESSAGES = 1
+# Without a handler a domain changes nothing between nodes. libzmq then refuses ZMTP 1.0, which has
+# no handshake: it takes almost any bytes for messages, and holds one of endless parts in memory.
+DOMAIN = b"poplarlane"
 
 MessageHandler = Callable[[bytes, bytes], None]
 
 
+def limit_input(socket: zmq.Socket) -> None:
+    """Bound what one connection may bring into memory; to be set before bind or connect."""
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.ZAP_DOMAIN, DOMAIN)
+
+
 class PeerSockets:
     """One ROUTER to receive from peers, a DEALER to send to each peer, a ROUTER for entries."""
 
@@ -62,7 +73,7 @@
         """Create and bind a ROUTER."""
         router = self.context.socket(zmq.ROUTER)
         router.setsockopt(zmq.LINGER, LINGER_MS)
-        router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        limit_input(router)
         router.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         # An entry that reconnects under its identity replaces its old connection.
         router.setsockopt(zmq.ROUTER_HANDOVER, 1)
@@ -105,6 +116,8 @@
         """
         self.disconnect(name)
         dealer = zmq.Socket(zmq.Context.shadow(self.context.underlying), zmq.DEALER)
+        limit_input(dealer)
+        dealer.setsockopt(zmq.RCVHWM, UNREAD_MESSAGES)
         dealer.setsockopt(zmq.LINGER, LINGER_MS)
         dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -87,6 +87,7 @@
         "rate",
         "retry_tokens",
         "max_timeout_factor",
+        "max_response_bytes",
         "idle",
         "counts",
         "timeouts",
@@ -105,7 +106,9 @@
         clock: Callable[[], float],
         generator: random.Random,
         max_timeout_factor: float = MAX_TIMEOUT_FACTOR,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
+        self.max_response_bytes = max_response_bytes
         self.max_timeout_factor = max_timeout_factor
         self.address = address
         self.port = port
@@ -194,10 +197,13 @@
             writer.write(data)
             sent.append(True)
             self.sent_bytes += len(data)
-            status, headers, content = await read_content(reader, connection)
+            status, headers, content = await read_content(
+                reader, connection, self.max_response_bytes
+            )
             self.received_bytes += len(content)
             encoding = headers.get(b"content-encoding", b"").strip().lower()
-            response = PlatformResponse(status, decode_content(encoding, content), headers)
+            content = decode_content(encoding, content, self.max_response_bytes)
+            response = PlatformResponse(status, content, headers)
             finished = connection.our_state is connection.their_state is h11.DONE
             return response
         finally:
@@ -248,17 +254,17 @@
 
 
 async def read_response(
-    reader: asyncio.StreamReader, connection: h11.Connection
+    reader: asyncio.StreamReader, connection: h11.Connection, limit: int
 ) -> PlatformResponse:
     """Read a complete response to a request that accepted no content encoding."""
-    status, headers, content = await read_content(reader, connection)
+    status, headers, content = await read_content(reader, connection, limit)
     return PlatformResponse(status, content, headers)
 
 
 async def read_content(
-    reader: asyncio.StreamReader, connection: h11.Connection
+    reader: asyncio.StreamReader, connection: h11.Connection, limit: int
 ) -> tuple[int, dict[bytes, bytes], bytes]:
-    """Read a complete response; return status, headers and content.
+    """Read a complete response of at most `limit` bytes; return status, headers and content.
 
     Raises h11.RemoteProtocolError for a malformed or truncated response.
     """
@@ -274,21 +280,21 @@
             headers = dict(event.headers)
         elif isinstance(event, h11.Data):
             content += event.data
-            if len(content) > MAX_RESPONSE_BYTES:
-                raise h11.RemoteProtocolError("the platform's response is too large")
+            if len(content) > limit:
+                raise h11.RemoteProtocolError("the response is too large")
         elif isinstance(event, h11.EndOfMessage):
             return status, headers, bytes(content)
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("connection closed before the end of the response")
 
 
-def decode_content(encoding: bytes, content: bytes) -> bytes:
+def decode_content(encoding: bytes, content: bytes, limit: int) -> bytes:
     """Decode the content of a response; raises h11.RemoteProtocolError when that fails."""
     if encoding in (b"", b"identity"):
         return content
     if encoding != GZIP:
         raise h11.RemoteProtocolError(f"unknown content encoding {encoding!r}")
-    return decompress(content, MAX_RESPONSE_BYTES)
+    return decompress(content, limit)
 
 
 def decompress(content: bytes, limit: int) -> bytes:
--- a/poplarlane/plumbing/probe_client.py
+++ b/poplarlane/plumbing/probe_client.py
@@ -10,6 +10,9 @@
 from poplarlane.plumbing.platform_client import read_response
 from poplarlane.plumbing.resets import reset_on_close
 
+# Responses to probes are some bytes long; one without end must not fill the agent's memory.
+MAX_PROBE_BYTES = 16_384
+
 
 class ProbeDocument(msgspec.Struct):
     """A target's response to a probe."""
@@ -72,7 +75,7 @@
                 return ProbeOutcome(False, sent_at, None, 0.0, "deadline")
             sent = True
             writer.write(data)
-            response = await read_response(reader, connection)
+            response = await read_response(reader, connection, MAX_PROBE_BYTES)
         document = PROBE_DECODER.decode(response.body) if response.status == 200 else None
         reason = "" if document else f"status {response.status}"
         return ProbeOutcome(sent, sent_at, document, clock() - started, reason, True)
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -24,6 +24,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Reads of 256 KB would be held for each response whose caller does not read.
+READ_BYTES = 65_536
 MAX_INFORMATIONAL = 8
 # Late responses to earlier requests that may be skipped before the expected one.
 MAX_SKIPPED_RESPONSES = 2
@@ -96,6 +98,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection in its pool."""
         self.transport = transport
+        transport.max_size = READ_BYTES
         self.pool.open += 1
 
     def send(self, exchange: Exchange) -> None:
@@ -144,10 +147,12 @@
                 return
             data = buffer
             self.parser = new_parser(data, exchange.is_head)
-        self.previous_tail = (self.previous_tail + self.last_input[-4:])[-4:]
         self.last_input = data
         self.parser.receive_data(data)
         self.read_events(exchange)
+        # Only the end of the input can belong to the end of the message; the rest is not kept.
+        self.previous_tail = (self.previous_tail + self.last_input[-4:])[-4:]
+        self.last_input = b""
 
     def check_head(self, buffer: bytes) -> bool:
         """Check the raw head; return whether it is complete."""
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -68,6 +68,9 @@
 STORE_CALLS_PER_S = 20.0
 # The first port of the range is used by the admin server.
 EXCHANGE_PORT_OFFSET = 1
+# Objects of three kinds may be read at once, and each response is held twice while it is decoded.
+STORE_RESPONSE_SHARE = 1 / 8
+BYTES_PER_MB = 1_000_000
 # Settings that a node reloads without a restart.
 RELOADED_KEYS = frozenset(
     {
@@ -216,6 +219,7 @@
         clock,
         generator,
         STORE_MAX_TIMEOUT_FACTOR,
+        int(settings.memory_mb * BYTES_PER_MB * STORE_RESPONSE_SHARE),
     )
     translation = Translation(
         store.CONFIGURATION_KIND,
