Set aside entries whose address cannot be connected to

Cause: ipaddress takes any text as the scope of an IPv6 address. For an entry with "::1%\0:80" the connect call raises ValueError, which nobody catches: the attempt neither ends nor fails, and its request is not answered. The unspecified address reaches the node itself; groups and the broadcast address reach nobody.

Change: an address with a scope, the unspecified address, groups and the broadcast address name no target. The entry is logged with the reason.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -5,3 +5,20 @@
     # Guards against 1 MB nested 200,000 deep, which took 1.9 s of a core each time it was read.
     Then reading 1 MB of deeply nested values takes at most 8 times as long as a flat list
     And for 300 drawn texts, arrays nested at any depth are split at their outermost commas
+
+  Scenario Outline: A value that no target has is set aside with the reason
+    # Guards the other targets: <guarded>.
+    When a node takes a list of three targets, the last one with <field> <value>
+    Then it holds the first two, and logs the last one once with the reason "<reason>"
+
+    Examples: Addresses
+      | field   | value                 | reason            | guarded                              |
+      | address | "::1%\u0000:9001"     | not an IP address | requests lost by an error of connect |
+      | address | "fe80::1%\r\na:9001"  | not an IP address | header lines of probes               |
+      | address | "0.0.0.0:9001"        | not an IP address | requests that the node sends itself  |
+      | address | "224.0.0.1:9001"      | not an IP address | requests that reach nobody           |
+      | address | "255.255.255.255:901" | not an IP address | requests that reach nobody           |
+      | address | "[::1]:9001"          | not an IP address | a crash of the list                  |
+      | address | "a.example:9001"      | not an IP address | names that nobody resolves           |
+      | address | "127.0.0.1:0"         | not an IP address | a crash of the list                  |
+      | address | "127.0.0.1:-1"        | not an IP address | a crash of the list                  |
--- a/features/steps/platform_translation_steps.py
+++ b/features/steps/platform_translation_steps.py
@@ -212,7 +212,8 @@
         if isinstance(found, str):
             assert found
         elif found is not None:
-            assert translation.is_ip(found.address) and 0 < found.port < 65_536, found.address
+            assert translation.is_target_address(found.address), found.address
+            assert 0 < found.port < 65_536, found.port
             assert found.slots >= 1 and isinstance(found.service, str)
             assert isinstance(found.started_ms, int) and found.warm_up_s >= 0.0
 
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -25,6 +25,7 @@
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
 # str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
 PORT = re.compile(r"[0-9]{1,5}")
+BROADCAST = "255.255.255.255"
 # No target gets as many requests; bounds what intervals between permits are computed from.
 MAX_COLD_PER_S = 1e6
 
@@ -225,11 +226,10 @@
         found = msgspec.convert(merge_status(item), InstanceDocument)
     except (msgspec.ValidationError, TypeError) as error:
         return str(error)
-    if found.info.slots < 1:
-        return f"{found.info.slots} slots"
+    fault = instance_fault(found)
+    if fault:
+        return fault
     address, _, port = found.address.rpartition(":")
-    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_ip(address):
-        return f"{found.address!r} is not an IP address and a port"
     if found.status.state not in (READY, DRAINING):
         return None
     return InstanceRecord(
@@ -247,6 +247,16 @@
     )
 
 
+def instance_fault(found: InstanceDocument) -> str:
+    """Return why no target can have such a record; empty if one can."""
+    address, _, port = found.address.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_target_address(address):
+        return f"{found.address!r} is not an IP address and a port"
+    if found.info.slots < 1:
+        return f"{found.info.slots} slots"
+    return ""
+
+
 def merge_status(item: StoredObject) -> dict[str, object]:
     """Merge the spec and the status of an instance record, which the store keeps apart."""
     content: dict[str, object] = {}
@@ -259,10 +269,12 @@
     return content
 
 
-def is_ip(text: str) -> bool:
-    """Return whether the text is an IP address."""
+def is_target_address(text: str) -> bool:
+    """Return whether the text is an IP address to which a connection can be opened."""
     try:
-        ipaddress.ip_address(text)
+        found = ipaddress.ip_address(text)
     except ValueError:
         return False
-    return True
+    # ipaddress takes any text behind a %, for which connect raises errors of all kinds.
+    is_group = found.is_unspecified or found.is_multicast or text == BROADCAST
+    return "%" not in text and not is_group
