Set aside entries whose name cannot be an identity

Cause: the name of an entry is sent to the target in a header. A name with CR LF added header lines of the entry's writer to requests; one that is not ASCII was sent with question marks, so that each request was refused with 421; one of 50,000 characters made heads and digests between nodes too large.

Change: a name that is not 1 to 200 visible ASCII characters names no target. The entry is logged with the reason.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -11,6 +11,13 @@
     When a node takes a list of three targets, the last one with <field> <value>
     Then it holds the first two, and logs the last one once with the reason "<reason>"
 
+    Examples: Names, which are sent in a header and stand in digests between nodes
+      | field | value            | reason          | guarded                                    |
+      | name  | "i-2\r\nx-a: b"  | cannot be named | header lines that the store's writer draws |
+      | name  | "i-2\u0000"      | cannot be named | requests with a NUL in a header            |
+      | name  | "π"              | cannot be named | each request to it answered 421            |
+      | name  | of 50,000 digits | cannot be named | digests and heads that are too large       |
+
     Examples: Addresses
       | field   | value                 | reason            | guarded                              |
       | address | "::1%\u0000:9001"     | not an IP address | requests lost by an error of connect |
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -25,6 +25,8 @@
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
 # str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
 PORT = re.compile(r"[0-9]{1,5}")
+# An identity is sent in a header and stands in digests between nodes, which have little room.
+IDENTITY = re.compile(r"[!-~]{1,200}")
 BROADCAST = "255.255.255.255"
 # No target gets as many requests; bounds what intervals between permits are computed from.
 MAX_COLD_PER_S = 1e6
@@ -226,7 +228,7 @@
         found = msgspec.convert(merge_status(item), InstanceDocument)
     except (msgspec.ValidationError, TypeError) as error:
         return str(error)
-    fault = instance_fault(found)
+    fault = instance_fault(item.name, found)
     if fault:
         return fault
     address, _, port = found.address.rpartition(":")
@@ -247,8 +249,10 @@
     )
 
 
-def instance_fault(found: InstanceDocument) -> str:
+def instance_fault(name: str, found: InstanceDocument) -> str:
     """Return why no target can have such a record; empty if one can."""
+    if not IDENTITY.fullmatch(name):
+        return f"an instance cannot be named {name!r}"
     address, _, port = found.address.rpartition(":")
     if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_target_address(address):
         return f"{found.address!r} is not an IP address and a port"
