Set aside entries with numbers that no process has

Cause: `slots` had no upper bound. The limits of a service follow its largest entry, so one with 10^12 slots changed those of all other targets: none of them counted as full any more. An entry with a negative `sequence` was dropped without a log line, as if it were older than a departure.

Change: slots of 1 to 100,000, sequence and born of 0 to 2^48. Other numbers name no target, and the entry is logged with the reason.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -29,3 +29,18 @@
       | address | "a.example:9001"      | not an IP address | names that nobody resolves           |
       | address | "127.0.0.1:0"         | not an IP address | a crash of the list                  |
       | address | "127.0.0.1:-1"        | not an IP address | a crash of the list                  |
+
+    Examples: Numbers
+      | field    | value         | reason      | guarded                             |
+      | slots    | 1000000000000 | out of range | the limits of the service's others |
+      | slots    | 100001        | out of range | the limits of the service's others |
+      | slots    | -0            | out of range | a crash of the list                |
+      | slots    | 1.5           | Expected    | a crash of the list                 |
+      | sequence | -1            | out of range | an entry that is dropped silently  |
+      | sequence | 2^63          | out of range | sequences that no process reaches  |
+      | born     | -1            | out of range | target names that no process has   |
+      | born     | 2^63          | out of range | target names that no process has   |
+      | born     | 1e3           | Expected    | a crash of the list                 |
+      | cold     | 1e400         | out of range | a crash of the list                |
+      | cold     | of 400 digits | 64 bits     | messages that cannot be encoded     |
+      | cold     | NaN           | malformed   | a crash of the list                 |
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -27,6 +27,10 @@
 PORT = re.compile(r"[0-9]{1,5}")
 # An identity is sent in a header and stands in digests between nodes, which have little room.
 IDENTITY = re.compile(r"[!-~]{1,200}")
+# A process serves one request at a time on a connection, and has no more connections.
+MAX_SLOTS = 100_000
+# Counts and Unix milliseconds stay below it for thousands of years.
+MAX_COUNT = 1 << 48
 BROADCAST = "255.255.255.255"
 # No target gets as many requests; bounds what intervals between permits are computed from.
 MAX_COLD_PER_S = 1e6
@@ -256,8 +260,14 @@
     address, _, port = found.address.rpartition(":")
     if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_target_address(address):
         return f"{found.address!r} is not an IP address and a port"
-    if found.info.slots < 1:
-        return f"{found.info.slots} slots"
+    numbers = (
+        ("slots", found.info.slots, 1, MAX_SLOTS),
+        ("sequence", found.status.sequence, 0, MAX_COUNT),
+        ("born", found.born, 0, MAX_COUNT),
+    )
+    for field, number, least, most in numbers:
+        if not least <= number <= most:
+            return f"{field} {number} is out of range"
     return ""
 
 
