--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -25,6 +25,13 @@
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
 # str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
 PORT = re.compile(r"[0-9]{1,5}")
+# An identity is sent in a header and stands in digests between nodes, which have little room.
+IDENTITY = re.compile(r"[!-~]{1,200}")
+# A process serves one request at a time on a connection, and has no more connections.
+MAX_SLOTS = 100_000
+# Counts and Unix milliseconds stay below it for thousands of years.
+MAX_COUNT = 1 << 48
+BROADCAST = "255.255.255.255"
 # No target gets as many requests; bounds what intervals between permits are computed from.
 MAX_COLD_PER_S = 1e6
 
@@ -225,11 +232,10 @@
         found = msgspec.convert(merge_status(item), InstanceDocument)
     except (msgspec.ValidationError, TypeError) as error:
         return str(error)
-    if found.info.slots < 1:
-        return f"{found.info.slots} slots"
+    fault = instance_fault(item.name, found)
+    if fault:
+        return fault
     address, _, port = found.address.rpartition(":")
-    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_ip(address):
-        return f"{found.address!r} is not an IP address and a port"
     if found.status.state not in (READY, DRAINING):
         return None
     return InstanceRecord(
@@ -247,6 +253,24 @@
     )
 
 
+def instance_fault(name: str, found: InstanceDocument) -> str:
+    """Return why no target can have such a record; empty if one can."""
+    if not IDENTITY.fullmatch(name):
+        return f"an instance cannot be named {name!r}"
+    address, _, port = found.address.rpartition(":")
+    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_target_address(address):
+        return f"{found.address!r} is not an IP address and a port"
+    numbers = (
+        ("slots", found.info.slots, 1, MAX_SLOTS),
+        ("sequence", found.status.sequence, 0, MAX_COUNT),
+        ("born", found.born, 0, MAX_COUNT),
+    )
+    for field, number, least, most in numbers:
+        if not least <= number <= most:
+            return f"{field} {number} is out of range"
+    return ""
+
+
 def merge_status(item: StoredObject) -> dict[str, object]:
     """Merge the spec and the status of an instance record, which the store keeps apart."""
     content: dict[str, object] = {}
@@ -259,10 +283,12 @@
     return content
 
 
-def is_ip(text: str) -> bool:
-    """Return whether the text is an IP address."""
+def is_target_address(text: str) -> bool:
+    """Return whether the text is an IP address to which a connection can be opened."""
     try:
-        ipaddress.ip_address(text)
+        found = ipaddress.ip_address(text)
     except ValueError:
         return False
-    return True
+    # ipaddress takes any text behind a %, for which connect raises errors of all kinds.
+    is_group = found.is_unspecified or found.is_multicast or text == BROADCAST
+    return "%" not in text and not is_group
