Refuse chunk sizes that are not hexadecimal digits

Cause: chunk sizes were read by int(), which takes signs, prefixes and underscores. A negative size moved the reader of the body back.

Change: one module holds the grammar of numbers in texts from outside, with bounds on length and value; chunk sizes are the first to use it. Lines behind the last chunk are trailers and are left to h11, as before.

--- a/poplarlane/plumbing/chunk_sizes.py
+++ b/poplarlane/plumbing/chunk_sizes.py
@@ -4,14 +4,15 @@
 and keep the connection busy with it.
 """
 
+from poplarlane.number_grammar import chunk_size
+
 MAX_SIZE_LINE_BYTES = 256
-SIZE_DIGITS = 16
 
 
 class ChunkSizes:
     """Track the framing of one chunked body; `announced` is the sum of the sizes so far."""
 
-    __slots__ = ("announced", "remaining", "line", "fault")
+    __slots__ = ("announced", "remaining", "line", "fault", "has_ended")
 
     def __init__(self) -> None:
         self.announced = 0
@@ -20,6 +21,8 @@
         self.line = b""
         # Error in a size line; empty if there is none.
         self.fault = ""
+        # Whether the last chunk was announced, behind which there are only trailer lines.
+        self.has_ended = False
 
     def feed(self, data: bytes) -> None:
         """Process the next bytes of the body."""
@@ -41,14 +44,15 @@
 
     def handle_size_line(self) -> None:
         """Parse a complete size line; trailer lines after the last chunk are left to h11."""
-        digits = self.line.partition(b";")[0].strip()
-        self.line = b""
-        try:
-            size = int(digits, 16)
-        except ValueError:
+        if self.has_ended:
+            self.line = b""
             return
-        if len(digits) > SIZE_DIGITS:
-            self.fault = "chunk size too large"
+        size = chunk_size(self.line.partition(b";")[0].rstrip(b"\r\n"))
+        self.line = b""
+        if isinstance(size, str):
+            self.fault = f"chunk size is {size}"
         elif size:
             self.announced += size
             self.remaining = size + 2
+        else:
+            self.has_ended = True
