Read the numbers of headers and ports by one grammar

Cause: each place that reads a number had its own pattern. A load report with a number of 400 digits raised OverflowError, one of 5,000 digits ValueError, in the handling of the answer. Nothing said why a header was ignored.

Change: the headers of callers and targets, content-length, the idle time-out, Store-Era and the ports of entries use number_grammar. Signs, exponents and separators stay refused. A statement or report that is set aside is logged with the reason; the era of the store once until it can be read again.

--- a/poplarlane/decisions/choice/statements.py
+++ b/poplarlane/decisions/choice/statements.py
@@ -44,10 +44,10 @@
     effects: list[Effect],
 ) -> None:
     """Record what a response says about its target; malformed statements change nothing."""
-    for name in metadata.malformed_statements:
-        effects.append(Count("malformed_statement_total", 1.0, {"header": name}))
-        fields = {"target": load.target.name, "header": name, "source": source.value}
-        append_line(state, "malformed_statement", "warning", fields, effects)
+    log_malformed(
+        state, load, "malformed_statement", metadata.malformed_statements, source, effects
+    )
+    log_malformed(state, load, "malformed_report", metadata.malformed_reports, source, effects)
     if metadata.leaving and not load.leaving:
         load.statements.heard_at = state.now
         mark_leaving(state, load.target, source.value, effects)
@@ -59,6 +59,21 @@
         observe_rate_limit(state, load, limit_per_s, source, random_value, effects)
 
 
+def log_malformed(
+    state: EntryState,
+    load: TargetLoad,
+    event: str,
+    found: dict[str, str],
+    source: Source,
+    effects: list[Effect],
+) -> None:
+    """Log and count the headers that were set aside."""
+    for name, reason in found.items():
+        effects.append(Count(f"{event}_total", 1.0, {"header": name}))
+        fields = {"target": load.target.name, "header": name, "reason": reason}
+        append_line(state, event, "warning", fields | {"source": source.value}, effects)
+
+
 def observe_pause(
     state: EntryState,
     load: TargetLoad,
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -143,7 +143,8 @@
     rate that the target takes from all entries together, None if the response names none;
     `retry_after_s` is the time for which a target that turns a request away wants no other;
     `cold_s` is the time for which it stays cold;
-    `malformed_statements` lists the headers of that kind that could not be parsed.
+    `malformed_statements` and `malformed_reports` hold, by header, why one was set aside; the
+    former are those that a target asks for something with.
     """
 
     __slots__ = (
@@ -160,6 +161,7 @@
         "retry_after_s",
         "cold_s",
         "malformed_statements",
+        "malformed_reports",
     )
 
     def __init__(self) -> None:
@@ -175,7 +177,8 @@
         self.rate_limit_per_s: float | None = None
         self.retry_after_s: float | None = None
         self.cold_s: float | None = None
-        self.malformed_statements: tuple[str, ...] = ()
+        self.malformed_statements: dict[str, str] = {}
+        self.malformed_reports: dict[str, str] = {}
 
 
 class AttemptResponse(EntryEvent):
--- a/poplarlane/platform/headers.py
+++ b/poplarlane/platform/headers.py
@@ -1,22 +1,31 @@
 """Header names and the load header format of the users' platform."""
 
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
+from poplarlane.number_grammar import whole_number
 from poplarlane.plumbing.header_names import HeaderNames
 
 BASELINE_SLOWDOWN_PERCENT = 100.0
 
 
-def read_load(metadata: ResponseMetadata, value: bytes) -> None:
-    """Parse `running,waiting,slots,slowdown`, the last in percent of the usual service time."""
-    parts = value.split(b",")
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):
-        return
-    numbers = [int(part) for part in parts]
+def read_load(metadata: ResponseMetadata, value: bytes) -> str:
+    """Parse `running,waiting,slots,slowdown`, the last in percent of the usual service time.
+
+    Returns why a report is set aside; empty if it is not.
+    """
+    numbers = []
+    for part in value.split(b","):
+        number = whole_number(part)
+        if isinstance(number, str):
+            return number
+        numbers.append(number)
+    if len(numbers) < 2:
+        return "one number"
     metadata.running = numbers[0]
     metadata.waiting = numbers[1]
     metadata.in_flight = float(numbers[0] + numbers[1])
     if len(numbers) > 3:
         metadata.slowdown = max(0.1, numbers[3] / BASELINE_SLOWDOWN_PERCENT)
+    return ""
 
 
 PLATFORM_HEADERS = HeaderNames(
--- a/poplarlane/platform/store.py
+++ b/poplarlane/platform/store.py
@@ -7,6 +7,7 @@
 
 from poplarlane.error_text import error_text
 from poplarlane.json_slices import array_items, object_members, text_of
+from poplarlane.number_grammar import whole_number
 from poplarlane.platform.key_digests import replace_keys
 from poplarlane.store_objects import (
     ERA_SHIFT,
@@ -26,7 +27,7 @@
 GONE_STATUS = 410
 # Rises by one each time the store comes back from a copy that misses acknowledged writes.
 ERA_HEADER = b"store-era"
-MAX_ERA_DIGITS = 4
+MAX_ERA = 9_999
 # Larger revisions would change the era that the upper bits hold.
 Revision = Annotated[int, msgspec.Meta(ge=0, lt=1 << ERA_SHIFT)]
 # Objects are compared, encoded and decoded by recursive functions, at different stack depths.
@@ -124,8 +125,14 @@
 
 def era_of(headers: dict[bytes, bytes]) -> int | None:
     """Return which restoration of the store a response comes from; None if it does not say."""
-    value = headers.get(ERA_HEADER, b"").strip()
-    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
+    era = whole_number(headers.get(ERA_HEADER, b""), MAX_ERA)
+    return era if isinstance(era, int) else None
+
+
+def era_fault(headers: dict[bytes, bytes]) -> str:
+    """Return why a response's era is set aside; empty if it is not."""
+    era = whole_number(headers.get(ERA_HEADER, b"0"), MAX_ERA)
+    return era if isinstance(era, str) else ""
 
 
 def decode_page(body: bytes, era: int = 0) -> ObjectPage:
--- a/poplarlane/platform/translation.py
+++ b/poplarlane/platform/translation.py
@@ -12,6 +12,7 @@
 )
 from poplarlane.decisions.configuration.route_table import Route, WeightedService, priority_of_rank
 from poplarlane.decisions.customers.keys import Customer
+from poplarlane.number_grammar import port_number
 from poplarlane.platform.key_digests import read_digest
 from poplarlane.store_objects import StoredObject
 from poplarlane.types import CallerLimits, RequestKind
@@ -23,8 +24,6 @@
 ROUTE_TYPES = (SAFE, "unsafe")
 # For routes without `timeout_s`: long enough that only callers' deadlines bound the wait.
 DEFAULT_ROUTE_TIMEOUT_S = 600.0
-# str.isdigit accepts digits that int refuses, such as "²", and int refuses very long numbers.
-PORT = re.compile(r"[0-9]{1,5}")
 # An identity is sent in a header and stands in digests between nodes, which have little room.
 IDENTITY = re.compile(r"[!-~]{1,200}")
 # A process serves one request at a time on a connection, and has no more connections.
@@ -242,7 +241,7 @@
         item.name,
         found.info.service,
         address,
-        int(port),
+        port_number(port),
         found.info.zone,
         found.info.version,
         found.info.slots,
@@ -258,7 +257,7 @@
     if not IDENTITY.fullmatch(name):
         return f"an instance cannot be named {name!r}"
     address, _, port = found.address.rpartition(":")
-    if not PORT.fullmatch(port) or not 0 < int(port) < 65_536 or not is_target_address(address):
+    if isinstance(port_number(port), str) or not is_target_address(address):
         return f"{found.address!r} is not an IP address and a port"
     numbers = (
         ("slots", found.info.slots, 1, MAX_SLOTS),
--- a/poplarlane/plumbing/header_names.py
+++ b/poplarlane/plumbing/header_names.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
+from poplarlane.number_grammar import decimal_number, whole_number
 
 HOP_BY_HOP = frozenset(
     {
@@ -20,8 +21,7 @@
 )
 MAX_REPORTED_IN_FLIGHT = 1_000_000.0
 RETRY_AFTER = b"retry-after"
-# Longer numbers, signs and exponents are not what a target sends.
-DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+KEEP_ALIVE = "keep-alive"
 
 
 class HeaderNames:
@@ -56,7 +56,7 @@
         deadline: bytes = b"x-deadline-ms",
         not_run: bytes = b"x-not-run",
         load: bytes = b"x-load",
-        read_load: Callable[[ResponseMetadata, bytes], None] | None = None,
+        read_load: Callable[[ResponseMetadata, bytes], str] | None = None,
         instance: bytes = b"",
         expected_instance: bytes = b"",
         signature: bytes = b"",
@@ -123,11 +123,11 @@
     """Parse a decimal number; a malformed or second line voids the header and is noted."""
     text = name.decode("latin-1")
     is_repeated = before is not None or text in metadata.malformed_statements
-    if not is_repeated and DECIMAL.fullmatch(value.strip(b" \t")):
-        return float(value)
-    if text not in metadata.malformed_statements:
-        metadata.malformed_statements += (text,)
-    return None
+    found = "given more than once" if is_repeated else decimal_number(value)
+    if isinstance(found, str):
+        metadata.malformed_statements.setdefault(text, found)
+        return None
+    return found
 
 
 def read_leaving(metadata: ResponseMetadata, name: bytes, value: bytes) -> None:
@@ -135,24 +135,33 @@
     if value.strip(b" \t") == b"1":
         metadata.leaving = True
     else:
-        metadata.malformed_statements += (name.decode("latin-1"),)
+        metadata.malformed_statements[name.decode("latin-1")] = "not 1"
 
 
-def read_in_flight(metadata: ResponseMetadata, value: bytes) -> None:
-    """Set `notes.in_flight` from `in_flight=N;queued=N`; a malformed report is ignored."""
-    metadata.in_flight = parse_load(value)
-
-
-def parse_load(value: bytes) -> float | None:
-    """Parse `in_flight=N;queued=N` and return the sum, or None for a malformed report."""
+def read_in_flight(metadata: ResponseMetadata, value: bytes) -> str:
+    """Set `in_flight` from `in_flight=N;queued=N`; return why a report is set aside, or nothing."""
     total = 0.0
     for pair in value.split(b";"):
-        name, _, number = pair.strip().partition(b"=")
+        name, _, text = pair.strip().partition(b"=")
         if name in (b"in_flight", b"queued"):
-            if not number.isdigit() or len(number) > 9:
-                return None
-            total += int(number)
-    return min(total, MAX_REPORTED_IN_FLIGHT)
+            number = whole_number(text)
+            if isinstance(number, str):
+                return number
+            total += number
+    metadata.in_flight = min(total, MAX_REPORTED_IN_FLIGHT)
+    return ""
+
+
+def read_idle_limit(metadata: ResponseMetadata, value: bytes) -> int:
+    """Parse the timeout of a keep-alive header in seconds; 0 if it is missing or malformed."""
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            found = whole_number(text)
+            if isinstance(found, int):
+                return found
+            metadata.malformed_reports[KEEP_ALIVE] = found
+    return 0
 
 
 DEFAULT_HEADERS = HeaderNames()
--- a/poplarlane/plumbing/heads.py
+++ b/poplarlane/plumbing/heads.py
@@ -9,12 +9,14 @@
 
 from poplarlane.decisions.customers.keys import MALFORMED_KEY, digest_of_key
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
+from poplarlane.number_grammar import MAX_BYTES, decimal_number, whole_number
 from poplarlane.outcomes import NotRun, RequestFailure, ResultCode
 from poplarlane.plumbing.header_names import (
     DEFAULT_HEADERS,
     RETRY_AFTER,
     HeaderNames,
     read_cold,
+    read_idle_limit,
     read_leaving,
     read_rate_limit,
     read_retry_after,
@@ -28,8 +30,6 @@
 NOT_RUN_STATUSES = (400, 408, 421, 429, 503)
 MISDIRECTED = 421
 UNAVAILABLE = 503
-# Some callers send milliseconds with a fraction.
-DEADLINE_MS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,20})?")
 POPLAR_PREFIX = b"x-poplar-"
 REASONS = {
     200: b"OK",
@@ -68,9 +68,8 @@
         return "more than one content-length"
     if values and chunked:
         return "content-length with transfer-encoding"
-    if values and not values[0].strip(b" \t").isdigit():
-        return "content-length is not a number"
-    return None
+    length = whole_number(values[0], MAX_BYTES) if values else 0
+    return f"content-length is {length}" if isinstance(length, str) else None
 
 
 def partial_head_fault(buffer: bytes) -> str | None:
@@ -198,15 +197,18 @@
     elif lower == b"x-poplar-hedged":
         head.hedged_above = value == b"1"
     elif lower == names.deadline:
-        if DEADLINE_MS.fullmatch(value):
-            head.deadline_ms = float(value)
+        # Some callers send milliseconds with a fraction.
+        deadline_ms = decimal_number(value)
+        if isinstance(deadline_ms, str):
+            head.fault = f"{lower.decode()} is {deadline_ms}"
         else:
-            head.fault = f"{lower.decode()} is not a number"
+            head.deadline_ms = deadline_ms
     elif lower == b"x-attempt":
-        if value.isdigit() and len(value) <= 9:
-            head.attempt = max(1, int(value))
+        attempt = whole_number(value)
+        if isinstance(attempt, str):
+            head.fault = f"{lower.decode()} is {attempt}"
         else:
-            head.fault = f"{lower.decode()} is not a number"
+            head.attempt = max(1, attempt)
 
 
 def use_absolute_form(head: RequestHead) -> None:
@@ -284,12 +286,14 @@
             elif lower == names.not_run:
                 metadata.not_run = status in NOT_RUN_STATUSES and value == b"1"
             elif lower == b"keep-alive":
-                head.idle_limit_s = idle_limit_s(value)
+                head.idle_limit_s = read_idle_limit(metadata, value)
             elif lower == b"x-poplar-retried":
                 metadata.retried = value == b"1"
             continue
         if lower == names.load:
-            names.read_load(metadata, value)
+            fault = names.read_load(metadata, value)
+            if fault:
+                metadata.malformed_reports[lower.decode("latin-1")] = fault
         elif lower == names.rate_limit:
             read_rate_limit(metadata, lower, value)
         elif lower == names.leaving:
@@ -313,15 +317,6 @@
     return head
 
 
-def idle_limit_s(value: bytes) -> int:
-    """Parse the timeout of a keep-alive header in seconds; 0 if it is missing or invalid."""
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit() and len(number) < 6:
-            return int(number)
-    return 0
-
-
 def drop_connection_options(head: ResponseHead, connection_named: frozenset[bytes]) -> None:
     """Drop the headers that the connection header lists."""
     head.lines = [
--- a/poplarlane/plumbing/object_follower.py
+++ b/poplarlane/plumbing/object_follower.py
@@ -10,20 +10,19 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 import msgspec
 
 from poplarlane.change_encoding import changes_between
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
+from poplarlane.plumbing.follower_interfaces import Listener, StoreApi
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformClient, PlatformResponse
 from poplarlane.plumbing.unreadable_objects import UnreadableObjects
 from poplarlane.store_objects import (
-    ChangeBatch,
     ObjectChange,
-    ObjectPage,
     StoredObject,
     UnreadableObject,
     era_of,
@@ -41,46 +40,6 @@
 EMPTY_LIST_PAUSE_S = 1.0
 
 
-class StoreApi(Protocol):
-    """Paths and formats of a store's calls; the decoders raise msgspec.MsgspecError."""
-
-    GONE_STATUS: int
-
-    def era_of(self, headers: dict[bytes, bytes]) -> int | None:
-        """Return the era of a response: how often the store has come back from an old copy."""
-
-    def list_path(self, kind: str, after: str, allow_stale: bool) -> str:
-        """Return the path that lists a kind, starting after a name."""
-
-    def watch_path(self, kind: str, revision: int, wait_ms: int) -> str:
-        """Return the path that watches for changes after a revision."""
-
-    def decode_page(self, body: bytes, era: int) -> ObjectPage:
-        """Decode a page of a list."""
-
-    def decode_changes(self, body: bytes, era: int) -> ChangeBatch:
-        """Decode changes and the revision from which to resume."""
-
-
-class Listener(Protocol):
-    """Callbacks of a follower."""
-
-    def listed(self, kind: str, items: list[StoredObject]) -> None:
-        """Process a complete list."""
-
-    def changed(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
-        """Process all changes after one revision, up to and including another."""
-
-    def relisted(self, kind: str, after: int, revision: int, changes: list[ObjectChange]) -> None:
-        """Process the changes that a new list shows since a revision; `listed` follows."""
-
-    def store_call_finished(self, kind: str, succeeded: bool) -> None:
-        """Process the success or failure of a call."""
-
-    def confirmed(self, kind: str) -> None:
-        """Process the confirmation that the objects of a kind are up to date."""
-
-
 class ObjectFollower:
     """Keep a listener up to date with the objects of one kind."""
 
@@ -371,6 +330,7 @@
         """Log when the store has come back from an older copy of itself."""
         if not isinstance(response, PlatformResponse):
             return
+        self.unreadable.log_era_fault(self.store_api.era_fault(response.headers))
         era = self.store_api.era_of(response.headers)
         if era is None or era == self.era:
             return
--- a/poplarlane/plumbing/unreadable_objects.py
+++ b/poplarlane/plumbing/unreadable_objects.py
@@ -14,11 +14,13 @@
 class UnreadableObjects:
     """Hold the unreadable objects of a kind; each is logged once until it can be read again."""
 
-    __slots__ = ("kind", "by_name")
+    __slots__ = ("kind", "by_name", "era_fault")
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
         self.by_name: dict[str, UnreadableObject] = {}
+        # Why the era of the store's last response was set aside; empty if it was not.
+        self.era_fault = ""
 
     def replace(self, found: Iterable[UnreadableObject]) -> None:
         """Record the unreadable objects of a complete list."""
@@ -42,6 +44,12 @@
                 )
             self.by_name[name] = item
 
+    def log_era_fault(self, fault: str) -> None:
+        """Log why the era of a response is set aside, once until it can be read again."""
+        if fault and fault != self.era_fault:
+            log("store_era_malformed", "error", kind=self.kind, reason=fault)
+        self.era_fault = fault
+
     def document(self) -> list[dict[str, object]]:
         """Describe the objects for the status page."""
         shown = list(self.by_name.values())[:MAX_SHOWN]
