Bound the numbers of settings, options and probe answers

Cause: addresses in settings took any digits as a port, so that `front` with port 65536 was accepted and failed later; numbers without an upper bound reached infinity on the way (memory_mb 1e308); one of 5,000 digits, or a file nested too deeply, raised an error while the settings were refused. Options of poplarctl took what float() and str.isdigit() take. Counts in the answers to an agent's probes had no bound, and larger ones than 64 bits cannot be sent to others.

Change: settings, options and addresses use number_grammar and its bounds; functions on addresses have a module of their own.

--- a/features/number_grammar.feature
+++ b/features/number_grammar.feature
@@ -77,3 +77,20 @@
     When a caller sends a body in chunks with the size line "-14             "
     And a caller sends 3 reads one after the other
     Then every one of them is answered with status 200
+
+  Scenario Outline: Settings with numbers out of range are refused with a line that names them
+    # Guards against an error without a key, at start or when the file changes.
+    When a node's settings have "<key>" as <value>
+    Then they are refused with "<named>"
+
+    Examples:
+      | key                  | value                  | named             |
+      | front                | "127.0.0.1:65536"      | front             |
+      | front                | "127.0.0.1:0"          | front             |
+      | store                | "1.2.3:80"             | store             |
+      | seeds                | ["127.0.0.1:99999"]    | seeds             |
+      | memory_mb            | 1e308                  | memory_mb         |
+      | extra_sends          | 1e400                  | extra_sends       |
+      | extra_sends_window_s | -0.0                   | extra_sends_window_s |
+      | seed                 | <10^5000>              | seed              |
+      | fleet_size           | 1.5                    | fleet_size        |
--- a/poplarlane/plumbing/probe_client.py
+++ b/poplarlane/plumbing/probe_client.py
@@ -3,19 +3,24 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from typing import Annotated
 
 import h11
 import msgspec
 
+from poplarlane.number_grammar import MAX_NUMBER
 from poplarlane.plumbing.platform_client import read_response
 from poplarlane.plumbing.resets import reset_on_close
 
+# Larger integers cannot be encoded in a message.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class ProbeDocument(msgspec.Struct):
     """A target's response to a probe."""
 
-    in_flight: int = 0
-    queued: int = 0
+    in_flight: Count = 0
+    queued: Count = 0
     leaving: bool = False
 
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from poplarlane.addresses import split_address
 from poplarlane.decisions.cold.cold_permits import cold_tolerance
 from poplarlane.decisions.cold.cold_targets import limited_targets
 from poplarlane.decisions.configuration.directory import Directory
@@ -45,7 +46,6 @@
     EntrySettings,
     NodeSettings,
     seeded_generator,
-    split_address,
 )
 from poplarlane.types import Verdict
 
--- a/poplarlane/programs/ctl/check_command.py
+++ b/poplarlane/programs/ctl/check_command.py
@@ -17,6 +17,7 @@
 from poplarlane.decisions.configuration.checks.findings import Finding, Severity, note
 from poplarlane.decisions.configuration.checks.reach import check_reach
 from poplarlane.decisions.configuration.checks.validity import check_validity
+from poplarlane.number_grammar import decimal_number
 from poplarlane.platform.configuration_check import (
     CheckedDocument,
     hide_key_names,
@@ -117,11 +118,8 @@
 
 def positive(name: str, text: str, highest: float) -> float:
     """Parse a number above 0."""
-    try:
-        value = float(text)
-    except ValueError:
-        value = 0.0
-    if not 0 < value <= highest:
+    value = decimal_number(text.encode("utf-8", "replace"), highest)
+    if isinstance(value, str) or not value:
         raise UsageError(f"option --{name} is {text!r}; expected a number up to {highest:g}")
     return value
 
--- a/poplarlane/programs/ctl/command.py
+++ b/poplarlane/programs/ctl/command.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import re
 from typing import ClassVar
 
 from cleo.commands.command import Command
@@ -10,6 +9,7 @@
 from cleo.io.inputs.option import Option
 
 from poplarlane.decisions.configuration.content import NAME_PATTERN
+from poplarlane.number_grammar import decimal_number, whole_number
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import PlatformClient
 from poplarlane.programs.ctl.reports import Report, error_report, show, usage_error
@@ -18,7 +18,7 @@
 SETTINGS_VARIABLE = "POPLARCTL_SETTINGS"
 DEFAULT_SETTINGS = "/etc/poplarlane/poplarctl.json"
 OUTPUTS = ("text", "json")
-NUMBER = re.compile(r"[0-9]{1,15}\Z")
+MAX_OPTION = 10**15
 
 
 class UsageError(Exception):
@@ -85,18 +85,16 @@
         text = self.option(name)
         if text is None:
             return default
-        if not NUMBER.match(text):
+        number = whole_number(text.encode("utf-8", "replace"), MAX_OPTION)
+        if isinstance(number, str):
             raise UsageError(f"option --{name} is {text!r}; expected a whole number")
-        return int(text)
+        return number
 
     def seconds(self, name: str) -> float:
         """Parse an option in seconds."""
         text = self.option(name)
-        try:
-            value = float(text)
-        except ValueError:
-            value = -1.0
-        if not 0 <= value <= 86_400:
+        value = decimal_number(text.encode("utf-8", "replace"), 86_400)
+        if isinstance(value, str):
             raise UsageError(f"option --{name} is {text!r}; expected 0 to 86400 seconds")
         return value
 
--- a/poplarlane/programs/ctl/customers_command.py
+++ b/poplarlane/programs/ctl/customers_command.py
@@ -5,12 +5,12 @@
 import msgspec
 from cleo.helpers import argument, option
 
+from poplarlane.addresses import is_socket_address, split_address
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import read_admin
 from poplarlane.plumbing.http_call import CallFailure
 from poplarlane.programs.ctl.command import CtlCommand, UsageError
 from poplarlane.programs.ctl.reports import Report, error_report, success_report, usage_error
-from poplarlane.settings import is_ip, split_address
 
 
 class CustomerStatus(msgspec.Struct):
@@ -62,8 +62,7 @@
         if self.option("output") not in ("text", "json"):
             raise UsageError(f"option --output is {self.option('output')!r}; accepted: text, json")
         for address in self.argument("node"):
-            host, _, port = address.rpartition(":")
-            if not is_ip(host) or not port.isdigit():
+            if not is_socket_address(address):
                 raise UsageError(f"argument node is {address!r}; expected IP:PORT")
 
     def checked_report(self) -> Report:
--- a/poplarlane/programs/ctl/evacuation_commands.py
+++ b/poplarlane/programs/ctl/evacuation_commands.py
@@ -7,6 +7,7 @@
 import msgspec
 from cleo.helpers import argument, option
 
+from poplarlane.addresses import split_address
 from poplarlane.decisions.configuration.directory import InstanceRecord
 from poplarlane.outcomes import ResultCode
 from poplarlane.platform import store
@@ -15,7 +16,7 @@
 from poplarlane.plumbing.http_call import CallFailure, CallResponse, call
 from poplarlane.programs.ctl.command import CtlCommand, UsageError, common_options
 from poplarlane.programs.ctl.reports import Report, error_report, success_report
-from poplarlane.settings import CtlSettings, split_address
+from poplarlane.settings import CtlSettings
 from poplarlane.store_objects import StoredObject
 
 CALL_TIMEOUT_S = 2.0
--- a/poplarlane/programs/ctl/quarantine_command.py
+++ b/poplarlane/programs/ctl/quarantine_command.py
@@ -6,6 +6,7 @@
 
 from cleo.helpers import argument, option
 
+from poplarlane.number_grammar import port_number
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.http_call import CallResponse, call
 from poplarlane.programs.ctl.command import CtlCommand, UsageError
@@ -35,9 +36,10 @@
 def parsed(text: str) -> tuple[str, int]:
     """Split an address."""
     host, found, port = text.rpartition(":")
-    if not found or not host or not (port.isascii() and port.isdigit()) or int(port) > 65_535:
+    number = port_number(port)
+    if not found or not host or isinstance(number, str):
         raise UsageError(f"{text} is not HOST:PORT")
-    return host, int(port)
+    return host, number
 
 
 async def ask(addresses: list[tuple[str, int]]) -> dict[str, list[dict[str, Any]] | str]:
--- a/poplarlane/programs/ctl/unreadable_command.py
+++ b/poplarlane/programs/ctl/unreadable_command.py
@@ -5,12 +5,12 @@
 import msgspec
 from cleo.helpers import argument, option
 
+from poplarlane.addresses import split_address
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import read_admin
 from poplarlane.plumbing.http_call import CallFailure
 from poplarlane.programs.ctl.command import CtlCommand, UsageError
 from poplarlane.programs.ctl.reports import Report, error_report, success_report, usage_error
-from poplarlane.settings import split_address
 
 
 class UnreadableEntry(msgspec.Struct):
--- a/poplarlane/settings.py
+++ b/poplarlane/settings.py
@@ -16,9 +16,14 @@
 import msgspec
 from msgspec import Meta
 
+from poplarlane.addresses import is_ip, is_socket_address, split_address
+from poplarlane.number_grammar import MAX_NUMBER
+
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Milliseconds = Annotated[int, Meta(ge=0, le=3_600_000)]
 PositiveCount = Annotated[int, Meta(ge=1, le=10_000_000)]
+Positive = Annotated[float, Meta(gt=0.0, le=MAX_NUMBER)]
+NotNegative = Annotated[float, Meta(ge=0.0, le=MAX_NUMBER)]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
 SocketAddress = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -70,7 +75,7 @@
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
     # Memory of the VM in millions of bytes; the default is that of the smallest one.
-    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
+    memory_mb: Positive = 152.0
     drain_accept_ms: Milliseconds = 2_000
     drain_limit_ms: Milliseconds = 30_000
     tracing: TracingSettings = msgspec.field(default_factory=TracingSettings)
@@ -102,33 +107,33 @@
     policy: str = "measured"
     trusted_sources: list[str] = msgspec.field(default_factory=lambda: ["0.0.0.0/0"])
     extra_send_ratio: Share = 0.0
-    extra_sends: Annotated[float, Meta(ge=0.0)] = 0.0
-    extra_sends_window_s: Annotated[float, Meta(gt=0.0)] = 10.0
-    probes_per_target_s: Annotated[float, Meta(ge=0.0)] = 0.0
-    other_data_centre_delay_ms: Annotated[float, Meta(ge=0.0)] = 1.0
+    extra_sends: NotNegative = 0.0
+    extra_sends_window_s: Positive = 10.0
+    probes_per_target_s: NotNegative = 0.0
+    other_data_centre_delay_ms: NotNegative = 1.0
     # Whether a node that may have missed the removal of a key refuses the keys that it knows.
     strict_revocation: bool = False
     # Time within which every node has to apply an accepted change.
-    apply_limit_s: Annotated[float, Meta(gt=0.0)] = 2.0
+    apply_limit_s: Positive = 2.0
     # Time within which an evacuation is in force; without it evacuations are not followed.
-    evacuate_within_s: Annotated[float, Meta(gt=0.0)] | None = None
+    evacuate_within_s: Positive | None = None
     # What a cold target bears in any one second: a multiple of its rate, and requests on top.
-    cold_overage: Annotated[float, Meta(gt=0.0)] = 1.5
-    cold_slack: Annotated[float, Meta(ge=0.0)] = 8.0
+    cold_overage: Positive = 1.5
+    cold_slack: NotNegative = 8.0
     # In any window a customer's requests may exceed its quota by the overage and the slack.
-    quota_window_s: Annotated[float, Meta(gt=0.0)] = 5.0
-    quota_overage: Annotated[float, Meta(ge=0.0)] = 0.1
-    quota_slack: Annotated[float, Meta(ge=0.0)] = 20.0
+    quota_window_s: Positive = 5.0
+    quota_overage: NotNegative = 0.1
+    quota_slack: NotNegative = 20.0
     store_timeout_ms: Milliseconds = 800
     target_idle_ms: Milliseconds = 7_000
     max_caller_connections: PositiveCount = 2_000
     # Pipelined requests of one caller connection that may be in progress at a time.
     max_requests_in_turn: PositiveCount = 8
     # Memory of the VM in millions of bytes; the default is that of the smallest one.
-    memory_mb: Annotated[float, Meta(gt=0.0)] = 152.0
+    memory_mb: Positive = 152.0
     drain_accept_ms: Milliseconds = 2_500
     # Time between the stop signal and SIGKILL.
-    grace_s: Annotated[float, Meta(gt=0.0)] = 6.0
+    grace_s: Positive = 6.0
 
     @property
     def listen_address(self) -> str:
@@ -285,7 +290,7 @@
         settings = msgspec.json.decode(text, type=settings_type)
     except msgspec.ValidationError as error:
         return SettingsError(explain_validation_error(str(error), text, settings_type))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return SettingsError(f"settings file {path} is not JSON: {error}")
     return check_networks(settings)
 
@@ -302,7 +307,11 @@
     if message.startswith("Object missing required field"):
         key = message.split("`")[1]
         return f"settings key {f'{path}.{key}' if path else key!r} is required"
-    value = value_at(msgspec.json.decode(text), path)
+    try:
+        value = value_at(msgspec.json.decode(text), path)
+    except msgspec.DecodeError:
+        # A number that cannot be decoded without a type either.
+        return f"settings key {path!r}: {message}"
     return f"settings key {path!r} has value {value!r}: {message}"
 
 
@@ -335,6 +344,11 @@
         value = getattr(settings, key.name)
         if key.name.endswith("_address") and not is_ip(value):
             return SettingsError(f"settings key {key.name!r} has value {value!r}: expected an IP")
+        for address in socket_addresses(key.type, value):
+            if not is_socket_address(address):
+                return SettingsError(
+                    f"settings key {key.name!r} has value {address!r}: expected an IP and a port"
+                )
     for network in getattr(settings, "trusted_sources", []):
         try:
             ipaddress.ip_network(network)
@@ -346,19 +360,11 @@
     return settings
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Split a validated `address:port`."""
-    address, _, port = text.rpartition(":")
-    return address, int(port)
-
-
-def is_ip(text: str) -> bool:
-    """Return whether the text is an IP address."""
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
+def socket_addresses(declared: object, value: Any) -> list[str]:
+    """List the addresses with ports in the value of a key of a declared type."""
+    if declared == list[SocketAddress]:
+        return value
+    return [value] if value and declared in (SocketAddress, SocketAddress | Literal[""]) else []
 
 
 def check_listen(key: str, address: str, port: int) -> SettingsError | None:
