Handle messages only after the agent's start, and let no nonce be 0

Cause: the agent bound its sockets and received at once, then waited for its admin page, then handled AgentStarted. Messages that peers had kept for it were handled in between, with the first verification, whose nonce is 0.

Change: sockets are bound first, and receive once AgentStarted has been handled. A nonce of 0 is nobody's, in digests and in revision lists. The relay between nodes takes its first step before its first message; there the order showed no fault.

--- a/poplarlane/decisions/configuration/verification.py
+++ b/poplarlane/decisions/configuration/verification.py
@@ -71,10 +71,15 @@
     return [SendToPeer(peer.name, digest) for peer in peers[:PEERS_PER_ATTEMPT]]
 
 
+def is_answer(state: AgentState, nonce: int) -> bool:
+    """Return whether a message answers a digest of this attempt; 0 stands for no digest."""
+    return nonce != 0 and nonce == state.verification.nonce
+
+
 def on_digest(state: AgentState, digest: Digest, generator: random.Random) -> list[Effect]:
     """Process a peer's reply; an equal digest of a ready peer confirms the view."""
     verification = state.verification
-    if verification.ready or digest.reply_to != verification.nonce:
+    if verification.ready or not is_answer(state, digest.reply_to):
         return []
     if digest.sender.ready:
         verification.ready_peers.add(digest.sender.name)
@@ -96,7 +101,7 @@
 def on_holdings(state: AgentState, message: RevisionList) -> list[Effect]:
     """Count a ready peer that holds nothing newer in the differing buckets as a confirmation."""
     verification = state.verification
-    if verification.ready or message.ask or message.nonce != verification.nonce:
+    if verification.ready or message.ask or not is_answer(state, message.nonce):
         return []
     behind = any(
         revision > distribution.revision_of(state, name) for name, revision in message.revisions
--- a/poplarlane/plumbing/agent_shell.py
+++ b/poplarlane/plumbing/agent_shell.py
@@ -110,8 +110,10 @@
         self.step(events.EntryMessageReceived, identity, ENTRY_MESSAGE_DECODER.decode(payload))
 
     async def run(self) -> None:
-        """Feed ticks to the reducer until the agent stops."""
+        """Feed messages and ticks to the reducer until the agent stops."""
         self.step(events.AgentStarted)
+        # Peers keep messages for an agent that is away; before its start it has asked nobody.
+        self.sockets.start_receiving(self.on_peer_message, self.on_entry_message)
         while not self.stopped.is_set():
             try:
                 self.step(events.AgentTick)
--- a/poplarlane/plumbing/peer_sockets.py
+++ b/poplarlane/plumbing/peer_sockets.py
@@ -40,23 +40,20 @@
         self.source = source
         self.tasks: set[asyncio.Future] = set()
 
-    def bind(
-        self,
-        address: str,
-        exchange_port: int,
-        entry_port: int,
-        peer: MessageHandler,
-        entry: MessageHandler,
-    ) -> None:
+    def bind(self, address: str, exchange_port: int, entry_port: int) -> None:
         """Bind both ROUTERs; raises zmq.ZMQError when a port is in use."""
-        self.bind_peer_router(address, exchange_port, peer)
+        self.bind_peer_router(address, exchange_port)
         self.entries = self.make_router(address, entry_port)
-        self.track(asyncio.ensure_future(self.receive(self.entries, entry, False)))
 
-    def bind_peer_router(self, address: str, port: int, peer: MessageHandler) -> None:
+    def bind_peer_router(self, address: str, port: int) -> None:
         """Bind the ROUTER for peers; raises zmq.ZMQError when the port is in use."""
         self.router = self.make_router(address, port)
+
+    def start_receiving(self, peer: MessageHandler, entry: MessageHandler | None = None) -> None:
+        """Pass messages on from now on, those that have waited since the sockets were bound too."""
         self.track(asyncio.ensure_future(self.receive(self.router, peer, True)))
+        if entry is not None:
+            self.track(asyncio.ensure_future(self.receive(self.entries, entry, False)))
 
     def make_router(self, address: str, port: int) -> zmq.asyncio.Socket:
         """Create and bind a ROUTER."""
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -112,11 +112,13 @@
         """Bind the socket, connect to the seeds and start the periodic steps."""
         address = self.state.me.address
         self.sockets = PeerSockets(address)
-        self.sockets.bind_peer_router(address, self.port, self.received)
+        self.sockets.bind_peer_router(address, self.port)
         for seed in self.seeds:
             if seed != address:
                 self.sockets.connect(seed, seed, self.port, keep_unsent=False)
+        # The first step runs before the first message is handled.
         self.task = asyncio.get_running_loop().create_task(self.run())
+        self.sockets.start_receiving(self.received)
 
     def close(self) -> None:
         """Stop the periodic steps and close the sockets."""
--- a/poplarlane/programs/agent.py
+++ b/poplarlane/programs/agent.py
@@ -22,13 +22,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: shell.step(AgentStopRequested))
-    shell.sockets.bind(
-        settings.listen_address,
-        settings.exchange_port,
-        settings.entry_port,
-        shell.on_peer_message,
-        shell.on_entry_message,
-    )
+    shell.sockets.bind(settings.listen_address, settings.exchange_port, settings.entry_port)
     await admin.start(settings.listen_address, settings.admin_port)
     # Objects created at start live as long as the process; exclude them from garbage collection.
     gc.freeze()
