--- a/features/steps/number_grammar_steps.py
+++ b/features/steps/number_grammar_steps.py
@@ -15,13 +15,13 @@
 from poplarlane.decisions.requests.entry_events import ResponseMetadata
 from poplarlane.platform import store, translation
 from poplarlane.platform.headers import PLATFORM_HEADERS, read_load
-from poplarlane.plumbing.chunk_sizes import ChunkSizes
 from poplarlane.plumbing.header_names import (
     MAX_REPORTED_IN_FLIGHT,
     read_idle_limit,
     read_in_flight,
 )
 from poplarlane.plumbing.heads import head_fault, read_request_head, read_response_head
+from poplarlane.plumbing.message_bodies import BodyFault, ChunkedBody
 from poplarlane.settings import NodeSettings, SettingsError, load
 from poplarlane.store_objects import StoredObject
 
@@ -35,6 +35,9 @@
 }
 
 
+MAX_TRAILER_BYTES = 16_384
+
+
 def expanded(text):
     """Replace marks by what they stand for."""
     for mark, value in MARKS.items():
@@ -83,9 +86,12 @@
 
 def size_of(value):
     """Read the size of a chunk."""
-    sizes = ChunkSizes()
-    sizes.feed(value.encode() + b"\r\n")
-    return None if sizes.fault else sizes.announced
+    body = ChunkedBody(MAX_TRAILER_BYTES)
+    try:
+        body.feed(value.encode() + b"\r\n")
+    except BodyFault:
+        return None
+    return body.announced
 
 
 # Places of whole numbers, each with its highest value, and whether 0 is none of them.
@@ -172,12 +178,14 @@
     before = signal.signal(signal.SIGALRM, give_up)
     signal.alarm(10)
     try:
-        sizes = ChunkSizes()
-        sizes.feed(body.replace("\\r\\n", "\r\n").encode())
+        ChunkedBody(MAX_TRAILER_BYTES).feed(body.replace("\\r\\n", "\r\n").encode())
+        fault = ""
+    except BodyFault as error:
+        fault = str(error)
     finally:
         signal.alarm(0)
         signal.signal(signal.SIGALRM, before)
-    assert sizes.fault.startswith(reason) and bool(sizes.fault) == bool(reason), sizes.fault
+    assert fault.startswith(reason) and bool(fault) == bool(reason), fault
 
 
 @when('a caller sends a body in chunks with the size line "{line}"')
--- a/poplarlane/plumbing/exchanges.py
+++ b/poplarlane/plumbing/exchanges.py
@@ -60,7 +60,7 @@
         self.connection: TargetConnection | None = None
         self.task: asyncio.Task | None = None
         self.head: ResponseHead | None = None
-        self.parts: list[bytearray] = []
+        self.parts: list[bytes | bytearray] = []
         self.buffered_bytes = 0
         # Bytes of the buffered parts that are in the memory account.
         self.counted_bytes = 0
@@ -69,21 +69,16 @@
         # A probe has an attempt ID but belongs to no request.
         self.is_probe = is_probe
 
-    def add_part(self, data: bytearray) -> None:
+    def add_part(self, data: bytes) -> None:
         """Buffer body bytes, merged with the last part while that is small.
 
         A part of its own for each chunk of some bytes would take up to 50 times their memory.
         """
         parts = self.parts
         if parts and len(parts[-1]) + len(data) <= PART_BYTES:
+            if type(parts[-1]) is bytes:
+                parts[-1] = bytearray(parts[-1])
             parts[-1] += data
         else:
             parts.append(data)
         self.buffered_bytes += len(data)
-
-    def is_complete(self) -> bool:
-        """Return whether a buffered body has reached its content-length."""
-        length = self.head.length
-        return (
-            length is not None and self.streaming_to is None and self.buffered_bytes == int(length)
-        )
