Take halts of the process out of all latencies, and correct estimates that shut a kind out

Cause: a halt of the process, or a long turn of its loop, counted as service time. Once the estimate was above the route's timeout, admission refused every request of the kind, and nothing lowered it again.

Change: a halt is noticed in one place and taken out of everything that is being measured by moving the starts (ProcessHalted); what spans a halt corrects no estimate and no verdict.

--- a/features/shell_world.py
+++ b/features/shell_world.py
@@ -248,7 +248,7 @@
         shell.stopped = asyncio.Event()
         shell.link = Link()
         shell.acceptor = SimpleNamespace(start=lambda: None, stop=lambda: None, tasks=set())
-        shell.pauses.stepped_at = self.now
+        shell.pauses.stepped_at = shell.halts.stepped_at = self.now
         directory = Directory(0.2, "measured")
         directory.update_configuration(self.configuration())
         directory.replace_instances(list(self.instances()), self.now)
--- a/features/steps/unexpected_error_steps.py
+++ b/features/steps/unexpected_error_steps.py
@@ -31,6 +31,7 @@
         shell.now = lambda: self.now
         shell.random = SimpleNamespace(getrandbits=lambda _bits: 5)
         shell.pauses = SimpleNamespace(step=lambda: 0.0)
+        shell.halts = SimpleNamespace(step=lambda _now: 0.0)
         shell.loop = SimpleNamespace(
             call_later=lambda delay_s, function: self.later.append((delay_s, function)) or "timer"
         )
--- a/poplarlane/decisions/admission/admission.py
+++ b/poplarlane/decisions/admission/admission.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from poplarlane.decisions.admission import limits
+from poplarlane.decisions.admission import corrections, limits
 from poplarlane.decisions.choice.policies import Measured, Policy
 from poplarlane.decisions.requests.entry_state import Request, ServiceState, next_random_value
 from poplarlane.outcomes import NotRun, ResultCode
@@ -39,7 +39,8 @@
     policy: Measured, service: ServiceState, request: Request, now: float
 ) -> limits.Admit | limits.Queue | NotRun:
     # Whether a target has capacity is known only after its probe.
-    if now + request.service_time_s > request.deadline:
+    is_unmeetable = now + request.service_time_s > request.deadline
+    if is_unmeetable and not corrections.admit_against_estimate(service, request, now):
         after_s = request_retry_after_s(request)
         return NotRun(ResultCode.DEADLINE_UNMEETABLE, "the deadline cannot be met", 503, after_s)
     return limits.ADMIT
--- a/poplarlane/decisions/requests/entry_events.py
+++ b/poplarlane/decisions/requests/entry_events.py
@@ -270,6 +270,16 @@
         self.gap_s = gap_s
 
 
+class ProcessHalted(EntryEvent):
+    """The event loop did not run for `halt_s` seconds of the clock that events are timed by."""
+
+    __slots__ = ("halt_s",)
+
+    def __init__(self, now: float, random_value: int, halt_s: float) -> None:
+        super().__init__(now, random_value)
+        self.halt_s = halt_s
+
+
 class ReportDue(EntryEvent):
     """The next periodic report to the agent is due."""
 
--- a/poplarlane/decisions/requests/entry_handlers.py
+++ b/poplarlane/decisions/requests/entry_handlers.py
@@ -9,6 +9,7 @@
 from poplarlane.decisions.quarantine import checks
 from poplarlane.decisions.requests import (
     drain,
+    halts,
     reports,
     requests,
     responses,
@@ -21,6 +22,7 @@
     responses,
     catalogue,
     drain,
+    halts,
     probe_events,
     reports,
     requests,
--- a/poplarlane/decisions/requests/entry_state.py
+++ b/poplarlane/decisions/requests/entry_state.py
@@ -108,6 +108,7 @@
         "hedge_budget",
         "pending_hedges",
         "service_time_s",
+        "next_correction_at",
         "caller_deadlines",
         "contention",
         "slowdowns",
@@ -142,6 +143,8 @@
         self.pending_hedges: list[Request] = []
         # Estimated service time of a request at normal speed, by kind.
         self.service_time_s: dict[str, float] = {}
+        # When a request may next be admitted against that estimate, by kind.
+        self.next_correction_at: dict[str, float] = {}
         # Time that callers give a request at first, by kind.
         self.caller_deadlines: dict[str, CallerDeadlines] = {}
         self.contention = Contention()
@@ -188,6 +191,7 @@
         "max_attempts",
         "sends",
         "service_time_s",
+        "corrects_estimate",
         "awaiting_probes",
         "probe_round",
         "probed",
@@ -246,6 +250,8 @@
         self.sends = 0
         # Estimated service time at normal speed.
         self.service_time_s = 0.0
+        # Whether it was admitted to correct an estimate that refuses its whole kind.
+        self.corrects_estimate = False
         # Whether the choice of a target waits for probes, the number of the probe round, the
         # targets considered in it, and the probes not answered yet.
         self.awaiting_probes = False
@@ -283,6 +289,7 @@
         "requests_ahead",
         "load_measured_at",
         "chosen_at",
+        "spans_halt",
     )
 
     def __init__(self, attempt_id: int, request: Request, load: TargetLoad) -> None:
@@ -298,6 +305,8 @@
         # When that load was measured, and when the target was chosen.
         self.load_measured_at = load.measured_at
         self.chosen_at = 0.0
+        # Whether this process stood still meanwhile; the latency is then only a lower bound.
+        self.spans_halt = False
 
 
 class Probe:
--- a/poplarlane/decisions/requests/responses.py
+++ b/poplarlane/decisions/requests/responses.py
@@ -133,9 +133,10 @@
     completion.record_load_report(load, service.slowdowns, metadata, now)
     if not is_misdirected(metadata) and attempt.request.streaming is not attempt:
         statements.observe(state, load, metadata, Source.RESPONSE, random_value, effects)
-    if ok and attempt.request.service_time_s:
+    is_measured = ok and not attempt.spans_halt
+    if is_measured and attempt.request.service_time_s:
         update_service_time(attempt, latency_s)
-    if ok:
+    if is_measured:
         health.observe_latency(service.health, latency_s)
     if metadata.in_flight is not None:
         # The report dates from when the response left the target, half a round trip ago.
@@ -168,7 +169,9 @@
     normalized_s = max(0.0, latency_s - attempt.load.rtt_s) / max(1.0, attempt.slowdown)
     slots = service.limits.slots_per_target
     concurrency = attempt.requests_ahead + 1
-    if concurrency * 2 <= slots:
+    if request.corrects_estimate:
+        service.service_time_s[request.kind.name] = min(known_s, normalized_s)
+    elif concurrency * 2 <= slots:
         service.service_time_s[request.kind.name] = completion.observe_service_time(
             known_s, normalized_s
         )
@@ -289,7 +292,11 @@
     request = attempt.request
     effects: list[Effect] = []
     suspicion = crashes.suspect(state, attempt, event.cause, effects)
-    if event.cause is FailureCause.CONNECT_FAILED:
+    is_unreachable = event.cause is FailureCause.CONNECT_FAILED
+    if is_unreachable and attempt.spans_halt:
+        # The time to connect may have run out while this process stood still.
+        pass
+    elif is_unreachable:
         health.observe_unreachable(attempt.load, event.now)
     elif suspicion is None:
         health.observe_failure(attempt.load, event.now)
--- a/poplarlane/decisions/requests/timers.py
+++ b/poplarlane/decisions/requests/timers.py
@@ -12,6 +12,7 @@
     recheck_queue,
     refuse_queued,
 )
+from poplarlane.decisions.probes.probe_rounds import PROBE_REPLY_TIMEOUT_S
 from poplarlane.decisions.quarantine.enforcement import trial_limit_passed
 from poplarlane.decisions.reducer import reduce
 from poplarlane.decisions.repeats.hedging import hedge
@@ -25,6 +26,7 @@
     Request,
     RequestState,
     TimerKind,
+    add_timer,
     drop_ended_timers,
     next_random_value,
 )
@@ -78,9 +80,7 @@
     elif kind is TimerKind.VIEW_LIMIT:
         view_confirm_timed_out(state, now, random_value, effects)
     elif kind is TimerKind.PROBE_LIMIT:
-        if number in state.probes:
-            effects.append(CancelAttempt(number))
-            fail_probe(state, number, now, random_value, effects)
+        probe_limit_passed(state, number, now, random_value, effects)
     elif kind is TimerKind.RECHECK:
         recheck_queue(state, state.services_by_number[number], now, random_value, effects)
     elif kind is TimerKind.WARM_CHECK:
@@ -91,6 +91,21 @@
         request_timer(state, state.requests[number], kind, now, random_value, effects)
 
 
+def probe_limit_passed(
+    state: EntryState, probe_id: int, now: float, random_value: int, effects: list[Effect]
+) -> None:
+    """Fail a probe that was not answered, or wait on if this process stood still meanwhile."""
+    probe = state.probes.get(probe_id)
+    if probe is None:
+        return
+    ends_at = probe.sent_at + PROBE_REPLY_TIMEOUT_S
+    if ends_at > now:
+        add_timer(state, ends_at, TimerKind.PROBE_LIMIT, probe_id)
+        return
+    effects.append(CancelAttempt(probe_id))
+    fail_probe(state, probe_id, now, random_value, effects)
+
+
 def request_timer(
     state: EntryState,
     request: Request,
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -20,6 +20,7 @@
     InterimReceived,
     ProbeAnswered,
     ProbeFailed,
+    ProcessHalted,
     ReportDue,
     RequestArrived,
     RequestMalformed,
@@ -44,7 +45,7 @@
 from poplarlane.plumbing.header_names import DEFAULT_HEADERS, HeaderNames
 from poplarlane.plumbing.heads import read_response_head, service_host
 from poplarlane.plumbing.memory_account import MemoryAccount
-from poplarlane.plumbing.pauses import PauseDetector
+from poplarlane.plumbing.pauses import HaltDetector, PauseDetector
 from poplarlane.plumbing.target_pools import ConnectionPool
 from poplarlane.settings import EntrySettings, seeded_generator
 from poplarlane.types import Target
@@ -134,6 +135,7 @@
         "faults_logged",
         "faults_logged_second",
         "pauses",
+        "halts",
         "header_names",
         "max_head_bytes",
         "max_body_bytes",
@@ -189,6 +191,7 @@
         self.faults_logged_second = 0
         self.memory = MemoryAccount(settings.memory_mb * BYTES_PER_MB)
         self.pauses = PauseDetector()
+        self.halts = HaltDetector(self.now())
         # Events that wait, and whether one of them is being processed.
         self.events: deque[EntryEvent] = deque()
         self.is_processing = False
@@ -200,6 +203,7 @@
         settings = self.settings
         self.loop = asyncio.get_running_loop()
         self.stopped = asyncio.Event()
+        self.halts.step(self.now())
         if listener is None:
             listener = bind_listener(settings.listen_address, settings.listen_port)
         else:
@@ -231,10 +235,14 @@
         self.process_events()
 
     def note_pause(self) -> None:
-        """Put a pause of this process before the events that wait."""
+        """Put a pause or halt of this process before the events that wait."""
         gap_s = self.pauses.step()
+        now = self.now()
+        halt_s = self.halts.step(now)
         if gap_s:
-            self.events.appendleft(EntryPaused(self.now(), self.random_value(), gap_s))
+            self.events.appendleft(EntryPaused(now, self.random_value(), gap_s))
+        if halt_s:
+            self.events.appendleft(ProcessHalted(now, 0, halt_s))
 
     def process_events(self) -> None:
         """Process the events that wait, unless one is being processed; raise the first failure."""
