Hold an answer while reads passed on behind it are in process

Cause: reads of a connection are passed on at once, and an answer of more than 256 KiB was streamed as soon as it was first. From its first written byte on it can fail only by a reset of the connection.

Change: nothing is passed on behind an answer of which a part was written. A streamed answer that is first is held while requests behind it are in process, up to 4 MiB and within the memory account; if it breaks off, it gets its 502 or 504 in turn.

Tests: "What waits behind a slow answer is bounded" asked that the second answer is written as soon as it is first, though reads behind it are in process: the fault itself. It now asks that nothing is written until 4 MB are held, that no more is, and, as before, which targets are read from. Three scenarios are new; they need no network. Before the change "breaks off" and "waits until it is whole" failed, "written when it is whole" passed.

--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -51,7 +51,7 @@
     And the last three are answered with a body without end while the first one is not
     Then at most 300 KB of each are held and their targets are not read from
     When the first read is answered
-    Then the second one is written and its target is read from
+    Then the second one's target is read from and it is written once 4 MB of it are held
 
   Scenario Outline: A later read that fails after a part of its answer does not end the first one
     # Guards LOST: nothing of the later answer was written, so its failure needs no reset.
@@ -67,6 +67,33 @@
       | 502    |
       | 504    |
 
+  Scenario: A long answer that breaks off does not take the reads behind it with it
+    # Guards LOST: its only end was a reset, and the reads behind it had been run.
+    Given a caller's connection that may have 5 requests in turn
+    When the caller sends 5 reads at once
+    And the others are answered while the first one is answered in part
+    And the first one fails with 502
+    Then 5 answers are written in order, the first one with status 502
+    And no memory is held for the connection
+
+  Scenario: A long answer with reads behind it is written when it is whole
+    Given a caller's connection that may have 5 requests in turn
+    When the caller sends 5 reads at once
+    And the others are answered while the first one is answered in part
+    And the rest of the first answer arrives
+    Then 5 answers are written in order, the first one with status 200
+    And no memory is held for the connection
+
+  Scenario: A read behind an answer of which a part was written waits until it is whole
+    # Guards LOST: such an answer can end only by a reset.
+    Given a caller's connection that may have 5 requests in turn
+    When the caller sends 1 reads at once
+    And the others are answered while the first one is answered in part
+    And the caller sends another read
+    Then only the read is worked on
+    When the rest of the first answer arrives
+    Then 2 reads are worked on
+
   Scenario: A cut answer resets the connection only after the answer before it was sent
     # Guards LOST: a reset discards what the kernel has not sent yet.
     Given a caller's connection that may have 4 requests in turn
--- a/poplarlane/plumbing/caller_requests.py
+++ b/poplarlane/plumbing/caller_requests.py
@@ -9,13 +9,18 @@
     from poplarlane.plumbing.callers import CallerConnection
     from poplarlane.plumbing.exchanges import Exchange
 
+# A streamed response is held up to this size while requests behind it are processed. See
+# docs/design/requests-in-turn.md.
+HELD_RESPONSE_BYTES = 4 << 20
+
 
 class CallerRequest:
     """A complete request; responses are written in the order of the requests.
 
     The body is kept in the parts that were read; each further copy would count as much memory.
     `read_at` is in seconds of the shell's clock. `buffered` holds the part of the response that was
-    produced while an earlier response on the connection was incomplete.
+    produced before it may be written. Once a part was written (`is_begun`), the response can fail
+    only by a reset of the connection, which takes the requests behind it with it.
     """
 
     __slots__ = (
@@ -31,6 +36,7 @@
         "source",
         "buffered",
         "buffered_bytes",
+        "is_begun",
         "is_done",
     )
 
@@ -57,6 +63,7 @@
         self.source: Exchange | None = None
         self.buffered: list[bytes] = []
         self.buffered_bytes = 0
+        self.is_begun = False
         self.is_done = False
 
     def fingerprint(self, customer: str) -> bytes:
@@ -76,17 +83,52 @@
         is_last = caller.requests[-1] is self and not caller.pending_refusal
         return (close or caller.close_after) and is_last
 
+    def is_held(self) -> bool:
+        """Return whether nothing of the response may be written yet."""
+        requests = self.caller.requests
+        if requests[0] is not self:
+            return True
+        if self.is_begun or self.source is None or len(requests) == 1:
+            return False
+        memory = self.caller.shell.memory
+        return (
+            requests[1].request_id != 0
+            and self.buffered_bytes < HELD_RESPONSE_BYTES
+            and memory.held <= memory.large_limit
+        )
+
     def write(self, data: bytes) -> None:
-        """Write part of the response, or buffer it while an earlier response is outstanding."""
-        caller = self.caller
-        if caller.requests[0] is self:
-            caller.transport.write(data)
-            if caller.is_writing_paused:
-                caller.count_unread(caller.transport.get_write_buffer_size())
-        else:
+        """Write part of the response, or buffer it while the response is held."""
+        if self.is_held():
             self.buffered.append(data)
             self.buffered_bytes += len(data)
-            caller.shell.memory.take(len(data))
+            self.caller.shell.memory.take(len(data))
+            return
+        self.write_buffered()
+        self.is_begun = True
+        self.transmit(data)
+
+    def transmit(self, data: bytes) -> None:
+        """Write to the connection, and count what the caller does not read in time."""
+        caller = self.caller
+        caller.transport.write(data)
+        if caller.is_writing_paused:
+            caller.count_unread(caller.transport.get_write_buffer_size())
+
+    def write_buffered(self) -> None:
+        """Write the buffered part of the response unless it is still held."""
+        if self.buffered and not self.is_held():
+            buffered, self.buffered = self.buffered, []
+            self.release_buffered()
+            self.is_begun = True
+            for data in buffered:
+                self.transmit(data)
+
+    def discard_buffered(self) -> None:
+        """Drop a response of which nothing was written."""
+        self.source = None
+        self.buffered = []
+        self.release_buffered()
 
     def release_buffered(self) -> None:
         """Take the buffered part of the response out of the memory account."""
@@ -120,5 +162,7 @@
         """Mark the response as complete and continue with the next one."""
         self.is_done = True
         self.source = None
+        if self.is_first():
+            self.write_buffered()
         self.caller.close_after = self.caller.close_after or close
         self.caller.advance()
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -152,7 +152,11 @@
     def request_read(self, request: CallerRequest) -> None:
         """Pass a complete request to the shell, unless it has to wait for its turn."""
         self.requests.append(request)
-        if len(self.requests) == 1 or self.shell.may_run_pipelined(request):
+        requests = self.requests
+        # A response that was begun can fail only by a reset, which would take this one with it.
+        if len(requests) == 1 or (
+            not requests[0].is_begun and self.shell.may_run_pipelined(request)
+        ):
             self.shell.request_read(request)
 
     def respond_and_close(self, data: bytes) -> None:
@@ -181,7 +185,9 @@
             if done.body_bytes:
                 self.shell.memory.release(done.body_bytes)
             if requests:
-                self.write_buffered(requests[0])
+                requests[0].write_buffered()
+                if not self.is_writing_paused:
+                    requests[0].resume_source()
         if requests:
             first = requests[0]
             if not first.request_id:
@@ -197,16 +203,6 @@
             self.expires_at = self.shell.now() + self.shell.idle_timeout_s
         self.read_pending()
 
-    def write_buffered(self, request: CallerRequest) -> None:
-        """Write the buffered part of a response that is next in order, and resume its target."""
-        if request.buffered:
-            buffered, request.buffered = request.buffered, []
-            request.release_buffered()
-            for data in buffered:
-                request.write(data)
-        if not self.is_writing_paused:
-            request.resume_source()
-
     def linger(self) -> None:
         """Shut down writing after the last response and wait for the caller to close.
 
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -264,13 +264,13 @@
         parts.append(b"content-length: %b\r\n\r\n" % head.length)
     else:
         parts.append(b"transfer-encoding: chunked\r\n\r\n" if request.stream_chunked else b"\r\n")
+    request.stream_from(exchange)
     request.write(b"".join(parts))
     buffered, exchange.parts = exchange.parts, []
     exchange.streaming_to = request
     for data in buffered:
         request.write_body(data)
     shell.release_parts(exchange)
-    request.stream_from(exchange)
     shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
 
 
@@ -291,13 +291,12 @@
     request = shell.requests_by_id.get(effect.request_id)
     if request is None:
         return
-    request.source = None
-    if not request.is_first():
-        # The earlier responses on the connection must not be lost to a reset.
-        request.buffered = []
-        request.release_buffered()
+    if not request.is_begun:
+        # A reset would destroy other responses on the connection.
+        request.discard_buffered()
         execute_refuse(effect, shell)
         return
+    request.source = None
     del shell.requests_by_id[effect.request_id]
     end_span(shell, request, 502, ResultCode.ANSWER_TRUNCATED)
     request.caller.cut()
