Leave a streamed answer at its target while the answer before it is unread

Cause: when an answer began to be streamed while its caller had not taken the one before it, the target was read from as fast as it sent; the transport calls pause_writing only once, when its buffer fills.

Change: such an answer begins with its target not read from; resume_writing lets it go on.

Evidence: the scenario "A streamed answer behind one that is not read waits at its target" of features/caller_turns.feature failed before the change and passes. Found by reading; not seen in a run.

--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -94,6 +94,15 @@
     When the rest of the first answer arrives
     Then 2 reads are worked on
 
+  Scenario: A streamed answer behind one that is not read waits at its target
+    # Guards memory: the node read it as fast as its target sent, though the caller took nothing.
+    Given a caller's connection that may have 5 requests in turn
+    When the caller sends 2 reads at once
+    And the first read is answered, its caller takes nothing of it, and the second one is streamed
+    Then the streamed one's target is not read from
+    When the caller takes the first answer
+    Then the streamed one's target is read from
+
   Scenario: A cut answer resets the connection only after the answer before it was sent
     # Guards LOST: a reset discards what the kernel has not sent yet.
     Given a caller's connection that may have 4 requests in turn
--- a/features/steps/caller_stream_steps.py
+++ b/features/steps/caller_stream_steps.py
@@ -154,6 +154,24 @@
     assert not context.shell.memory.held, context.shell.memory.held
 
 
+@when("the first read is answered, its caller takes nothing of it, and the second one is streamed")
+def step_stream_behind_unread(context):
+    context.shell.answer(context.caller.requests[0])
+    context.caller.pause_writing()
+    context.caller.requests[0].stream_from(EndlessSource())
+
+
+@when("the caller takes the first answer")
+def step_takes_first(context):
+    context.caller.resume_writing()
+
+
+@then("the streamed one's target is {state} from")
+def step_source_state(context, state):
+    source = context.caller.requests[0].source
+    assert source.connection.transport.is_reading == (state == "read")
+
+
 @when("a caller sends {count:d} reads at once on one connection")
 def step_node_reads(context, count):
     heads = [
--- a/poplarlane/plumbing/caller_requests.py
+++ b/poplarlane/plumbing/caller_requests.py
@@ -143,9 +143,9 @@
             self.write(bytes(data))
 
     def stream_from(self, exchange: "Exchange") -> None:
-        """Stream a response; its target is not read while earlier responses are outstanding."""
+        """Stream a response; its target is not read while earlier ones are due or unread."""
         self.source = exchange
-        if not self.is_first():
+        if not self.is_first() or self.caller.is_writing_paused:
             self.pause_source()
 
     def pause_source(self) -> None:
