Put off long input that was buffered, guard the queue, and bound the admin servers' reading

Up to 128 KB in small chunks that waited behind a request were parsed in one turn when it was answered; an unexpected error of one connection would have stopped the queue for all; reading stayed paused while little was buffered behind a request, so that a caller's leaving went unnoticed; the admin and readiness servers parsed bodies of 1 MB in chunks of one byte in one go.

Change: buffered long input goes into the queue before what waits; a failing connection is closed and logged (long_input_failed); the old bound of 64 KB decides whether to read on; read_request pauses as the store's client does.

--- a/features/steps/work_per_turn_steps.py
+++ b/features/steps/work_per_turn_steps.py
@@ -247,6 +247,35 @@
     assert context.sent <= most_kb * 1_000 and not context.shell.memory.held, context.sent
 
 
+@given("a caller whose booking waits behind a read, with {count:d} chunks of 1 byte")
+def step_behind(context, count):
+    context.shell, context.connection = open_caller()
+    # Behind the booking no further request is read.
+    head = message("GET", "/0") + message("POST", "/1")
+    context.connection.data_received(head)
+    data = REQUEST_HEAD + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+    for start in range(0, len(data), SMALL_READ):
+        context.connection.data_received(data[start : start + SMALL_READ])
+    assert len(context.connection.buffer) == len(data) and not context.shell.loop.ready
+
+
+@when("the read is answered")
+def step_read_answered(context):
+    for name in ("/0", "/1"):
+        [request] = context.shell.working.values()
+        assert request.head.path == name.encode()
+        context.shell.answer(request)
+
+
+@then("the booking is read in many turns and then worked on")
+def step_many_turns(context):
+    turns = 0
+    while context.shell.loop.ready:
+        context.shell.loop.turn()
+        turns += 1
+    assert turns > 15 and context.shell.started == ["/0", "/1", "/b"], turns
+
+
 @when("a head of {count:d} lines arrives from {sender}, {whole}")
 def step_head(context, count, sender, whole):
     lines = b"a:b\r\n" * count + (b"\r\n" if whole == "complete" else b"")
--- a/features/work_per_turn.feature
+++ b/features/work_per_turn.feature
@@ -36,6 +36,12 @@
     When chunks of 1 byte arrive without end
     Then it is refused with 413 and code 1405 after at most 40 KB
 
+  Scenario: Small chunks behind a request that is worked on are put off as well
+    # Guards the loop: what was buffered meanwhile was parsed in one turn, up to 128 KB.
+    Given a caller whose booking waits behind a read, with 5000 chunks of 1 byte
+    When the read is answered
+    Then the booking is read in many turns and then worked on
+
   Scenario Outline: A head of many short lines is refused before it is parsed
     # Guards the loop: a head of 64 KB with 13,000 lines held it for 55 ms.
     When a head of 300 lines arrives from <sender>, <whole>
--- a/poplarlane/metrics.py
+++ b/poplarlane/metrics.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from poplarlane.plumbing.turns import WorkPauses, has_excessive_framing
+
 ADMIN_READ_BYTES = 65_536
 ADMIN_MAX_BODY_BYTES = 1_048_576
 ADMIN_TIMEOUT_S = 10.0
@@ -198,10 +200,19 @@
     """Read one complete request; raises h11.RemoteProtocolError on malformed input."""
     head: h11.Request | None = None
     body = bytearray()
+    read_bytes = 0
+    pauses = WorkPauses()
     while True:
         event = connection.next_event()
+        await pauses.step()
         if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(ADMIN_READ_BYTES))
+            if has_excessive_framing(read_bytes, len(body)):
+                raise h11.RemoteProtocolError("framing out of proportion to the body")
+            pauses.stop()
+            data = await reader.read(ADMIN_READ_BYTES)
+            pauses.resume()
+            read_bytes += len(data)
+            connection.receive_data(data)
         elif isinstance(event, h11.Request):
             head = event
         elif isinstance(event, h11.Data):
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -20,7 +20,12 @@
     partial_head_fault,
     read_request_head,
 )
-from poplarlane.plumbing.long_requests import FRAMING_REFUSAL, LongRequests, is_put_off
+from poplarlane.plumbing.long_requests import (
+    FRAMING_REFUSAL,
+    MAX_PENDING_INPUT_BYTES,
+    LongRequests,
+    is_put_off,
+)
 from poplarlane.plumbing.resets import reset
 from poplarlane.plumbing.unsent import unsent_bytes
 
@@ -36,8 +41,6 @@
 # Time that a body waits for memory before its request is refused, at most half of its deadline.
 MEMORY_WAIT_S = 2.0
 MEMORY_RETRY_AFTER_S = 1.0
-# Pipelined input to buffer; without reading, a disconnect of the caller would go unnoticed.
-MAX_PENDING_INPUT_BYTES = 65_536
 # Time to wait for the caller to close the connection once the last response has been sent.
 LINGER_S = 1.0
 # Interval at which unsent bytes of a connection that is to be closed are checked.
@@ -207,7 +210,7 @@
             return
         self.transport.resume_reading()
         data, self.buffer = self.buffer, b""
-        if data:
+        if data and not is_put_off(self, data, is_buffered=True):
             self.take(data)
 
     def data_received(self, data: bytes) -> None:
--- a/poplarlane/plumbing/long_requests.py
+++ b/poplarlane/plumbing/long_requests.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from poplarlane.plumbing.callers import CallerConnection
 
+# Pipelined input to buffer; without reading, a disconnect of the caller would go unnoticed.
+MAX_PENDING_INPUT_BYTES = 65_536
 FRAMING_REFUSAL = MalformedRequest(
     ResultCode.FRAMING_EXCESSIVE, "framing out of proportion to the body", 413
 )
@@ -52,6 +54,10 @@
             caller.shell.metrics.count("excessive_framing_total", {"side": "caller"})
             caller.shell.malformed(caller, FRAMING_REFUSAL)
 
+    def give_up(self) -> None:
+        """Close the connection after an unexpected error."""
+        self.caller.transport.abort()
+
     def finish_step(self) -> bool:
         """Return whether there is more; read further input if there is not."""
         caller = self.caller
@@ -59,23 +65,30 @@
             return False
         if not self.is_done():
             return True
-        if not caller.is_writing_paused and not caller.is_awaiting_memory and not caller.buffer:
+        is_full = len(caller.buffer) > MAX_PENDING_INPUT_BYTES
+        if not is_full and not caller.is_writing_paused and not caller.is_awaiting_memory:
             caller.transport.resume_reading()
         return False
 
 
-def is_put_off(caller: "CallerConnection", data: bytes) -> bool:
-    """Leave input that may hold much work, and what follows it, to later turns."""
+def is_put_off(caller: "CallerConnection", data: bytes, is_buffered: bool = False) -> bool:
+    """Leave input that may hold much work, and what follows it, to later turns.
+
+    Input that was buffered goes before what waits; it is taken at once unless it is long itself.
+    """
     found = caller.long_input
     is_waiting = found is not None and not found.is_done()
-    if not is_waiting:
+    if is_buffered or not is_waiting:
         # A body of known length costs little whatever is in it.
         is_known = caller.parser is not None and caller.chunk_sizes is None
         if is_known or not is_long(data):
             return False
     if found is None:
         found = caller.long_input = LongRequests(caller)
-    found.add(data)
+    if is_buffered:
+        found.prepend(data)
+    else:
+        found.add(data)
     caller.transport.pause_reading()
     if not is_waiting:
         caller.shell.turns.add(found)
--- a/poplarlane/plumbing/long_responses.py
+++ b/poplarlane/plumbing/long_responses.py
@@ -51,6 +51,10 @@
             self.read_on()
         return not self.is_done()
 
+    def give_up(self) -> None:
+        """Close the connection after an unexpected error."""
+        self.connection.transport.abort()
+
     def read_on(self) -> None:
         """Read further input, unless the caller has to take something first."""
         connection = self.connection
--- a/poplarlane/plumbing/platform_client.py
+++ b/poplarlane/plumbing/platform_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from poplarlane.error_text import error_text
-from poplarlane.plumbing.turns import FRAMING_BYTES, FRAMING_RATIO, WorkPauses
+from poplarlane.plumbing.turns import WorkPauses, has_excessive_framing
 
 READ_BYTES = 65_536
 MAX_RESPONSE_BYTES = 64_000_000
@@ -278,7 +278,7 @@
         event = connection.next_event()
         await pauses.step()
         if event is h11.NEED_DATA:
-            if read_bytes > FRAMING_BYTES + (1 + FRAMING_RATIO) * len(content):
+            if has_excessive_framing(read_bytes, len(content)):
                 raise h11.RemoteProtocolError("framing out of proportion to the body")
             pauses.stop()
             data = await reader.read(READ_BYTES)
--- a/poplarlane/plumbing/turns.py
+++ b/poplarlane/plumbing/turns.py
@@ -11,6 +11,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from poplarlane.error_text import error_text
+from poplarlane.logs import log
+
 # Callers of other services wait for at most this and one piece.
 TURN_S = 0.002
 # The rest is left to other connections, and on a small VM to the quota of the system's scheduler.
@@ -41,6 +44,11 @@
     return True
 
 
+def has_excessive_framing(read_bytes: int, body_bytes: int) -> bool:
+    """Return whether the framing in what was read is out of proportion to the body."""
+    return read_bytes - body_bytes > FRAMING_BYTES + FRAMING_RATIO * body_bytes
+
+
 class LongInput:
     """Input that is worked on in pieces, with what has been taken of it."""
 
@@ -58,6 +66,11 @@
         self.data = self.data[self.position :] + data
         self.position = 0
 
+    def prepend(self, data: bytes) -> None:
+        """Put input that arrived earlier before the rest."""
+        self.data = data + self.data[self.position :]
+        self.position = 0
+
     def take(self, size: int = 0) -> bytes:
         """Return the next piece, of the given size or of the size that fits the work."""
         start = self.position
@@ -91,8 +104,7 @@
 
     def has_excessive_framing(self) -> bool:
         """Return whether the framing is out of proportion to the body."""
-        framing = self.taken_bytes - self.body_bytes
-        return framing > FRAMING_BYTES + FRAMING_RATIO * self.body_bytes
+        return has_excessive_framing(self.taken_bytes, self.body_bytes)
 
 
 class Worker(Protocol):
@@ -101,6 +113,9 @@
     def work(self) -> bool:
         """Work on one piece; return whether there is more."""
 
+    def give_up(self) -> None:
+        """Close the connection after an unexpected error."""
+
 
 class TurnQueue:
     """Share the time for long input between the connections that have some."""
@@ -134,13 +149,22 @@
         self.is_scheduled = False
         while self.waiting and now < started_at + TURN_S:
             worker = self.waiting.popleft()
-            if worker.work():
+            if self.has_more(worker):
                 self.waiting.append(worker)
             now = self.clock()
         if self.waiting and not self.is_scheduled:
             self.is_scheduled = True
             self.loop.call_at(now + pause_after(now - started_at), self.run)
 
+    def has_more(self, worker: Worker) -> bool:
+        """Let a connection work; a failure ends that connection and not the work of the others."""
+        try:
+            return worker.work()
+        except Exception as error:
+            log("long_input_failed", "error", reason=error_text(error))
+            worker.give_up()
+            return False
+
 
 def pause_after(worked_s: float, share: float = WORK_SHARE) -> float:
     """Return how long to leave the loop to others after that much work."""
