--- a/features/shell_world.py
+++ b/features/shell_world.py
@@ -30,6 +30,7 @@
 from poplarlane.plumbing.callers import CallerConnection
 from poplarlane.plumbing.entry_shell import EntryShell
 from poplarlane.plumbing.targets import TargetConnection
+from poplarlane.plumbing.turns import TurnQueue
 from poplarlane.settings import EntrySettings
 from poplarlane.types import Priority, RequestKind
 
@@ -248,6 +249,7 @@
         shell.stopped = asyncio.Event()
         shell.link = Link()
         shell.acceptor = SimpleNamespace(start=lambda: None, stop=lambda: None, tasks=set())
+        shell.turns = TurnQueue(shell.loop.real, shell.meter.note)
         shell.pauses.stepped_at = shell.halts.stepped_at = self.now
         directory = Directory(0.2, "measured")
         directory.update_configuration(self.configuration())
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from poplarlane.plumbing.caller_requests import CallerRequest
+from poplarlane.plumbing.long_requests import LongRequests, is_put_off
 from poplarlane.plumbing.request_reader import RequestReader
 from poplarlane.plumbing.resets import reset
 from poplarlane.plumbing.unsent import unsent_bytes
@@ -52,6 +53,7 @@
         "stalls_at",
         "is_writing_paused",
         "pending_refusal",
+        "long_input",
     )
 
     def __init__(self, shell: "EntryShell") -> None:
@@ -84,6 +86,8 @@
         self.is_writing_paused = False
         # Error response to malformed input, to be sent after the outstanding responses.
         self.pending_refusal = b""
+        # Input that is worked on in later turns.
+        self.long_input: LongRequests | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the caller, or close the connection when the limit is reached."""
@@ -146,8 +150,9 @@
         self.reader.read_pending()
 
     def data_received(self, data: bytes) -> None:
-        """Read requests from the input."""
-        self.reader.read(data)
+        """Read requests from the input, in later turns if it may hold much work."""
+        if not is_put_off(self, data):
+            self.reader.read(data)
 
     def request_read(self, request: CallerRequest) -> None:
         """Pass a complete request to the shell, unless it has to wait for its turn."""
--- a/poplarlane/plumbing/message_bodies.py
+++ b/poplarlane/plumbing/message_bodies.py
@@ -25,6 +25,13 @@
         self.status = status
 
 
+class ExcessiveFraming(BodyFault):
+    """Framing out of proportion to the body."""
+
+    def __init__(self) -> None:
+        super().__init__(413, "body framing larger than accepted")
+
+
 class LengthBody:
     """Body with a content-length; `rest` holds the bytes behind its end."""
 
@@ -80,6 +87,7 @@
         "line",
         "read_line",
         "trailer_bytes",
+        "chunks",
         "is_complete",
         "rest",
     )
@@ -98,6 +106,8 @@
         self.line = b""
         self.read_line = ChunkedBody.read_size
         self.trailer_bytes = 0
+        # Number of chunks so far.
+        self.chunks = 0
         self.is_complete = False
         self.rest = b""
 
@@ -124,7 +134,7 @@
                 self.rest = data[position:]
                 return b"".join(parts)
         if self.wire_bytes > self.max_wire_bytes:
-            raise BodyFault(413, "body framing larger than accepted")
+            raise ExcessiveFraming
         return b"".join(parts)
 
     def read_size(self, line: bytes) -> None:
@@ -140,6 +150,7 @@
             raise BodyFault(400, f"chunk size is {size}")
         if not line.endswith(CRLF) or line[:1] in WHITE_SPACE or not TEXT.fullmatch(extension):
             raise BodyFault(400, "malformed chunk size line")
+        self.chunks += 1
         self.announced += size
         if self.announced > self.max_bytes:
             raise BodyFault(413, f"body larger than {self.max_bytes} bytes")
--- a/poplarlane/plumbing/request_reader.py
+++ b/poplarlane/plumbing/request_reader.py
@@ -10,12 +10,23 @@
 from poplarlane.plumbing.heads import (
     CONTINUE,
     HEAD_END,
+    TOO_MANY_LINES,
     RequestHead,
     head_fault,
     partial_head_fault,
     read_request_head,
 )
-from poplarlane.plumbing.message_bodies import BodyFault, ChunkedBody, LengthBody
+from poplarlane.plumbing.long_requests import (
+    FRAMING_REFUSAL,
+    MAX_PENDING_INPUT_BYTES,
+    is_put_off,
+)
+from poplarlane.plumbing.message_bodies import (
+    BodyFault,
+    ChunkedBody,
+    ExcessiveFraming,
+    LengthBody,
+)
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.callers import CallerConnection
@@ -27,8 +38,6 @@
 # Time that a body waits for memory before its request is refused, at most half of its deadline.
 MEMORY_WAIT_S = 2.0
 MEMORY_RETRY_AFTER_S = 1.0
-# Pipelined input to buffer; without reading, a disconnect of the caller would go unnoticed.
-MAX_PENDING_INPUT_BYTES = 65_536
 STATUS_CODES = {
     408: ResultCode.REQUEST_TIMEOUT,
     413: ResultCode.BODY_TOO_LARGE,
@@ -77,6 +86,9 @@
 
     def is_reading(self) -> bool:
         """Return whether part of a request has arrived."""
+        long_input = self.caller.long_input
+        if long_input is not None and not long_input.is_done():
+            return True
         return self.body is not None or bool(self.buffer)
 
     def read(self, data: bytes) -> None:
@@ -98,7 +110,7 @@
     def read_pending(self) -> None:
         """Read the input buffered behind the last request."""
         data, self.buffer = self.buffer, b""
-        if data:
+        if data and not is_put_off(self.caller, data, is_buffered=True):
             self.read(data)
 
     def read_head(self, data: bytes) -> bytes:
@@ -111,7 +123,7 @@
         if end < 0:
             fault = partial_head_fault(buffer)
             if fault is not None:
-                return self.refuse(400, fault)
+                return self.refuse_head(fault)
             if not self.buffer:
                 self.caller.expires_at = self.shell.now() + self.shell.head_timeout_s
             self.buffer = buffer
@@ -120,7 +132,7 @@
         raw, rest = buffer[:end], buffer[end:]
         fault = head_fault(raw)
         if fault is not None:
-            return self.refuse(400, fault)
+            return self.refuse_head(fault)
         self.buffer = b""
         parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limit + len(HEAD_END))
         parser.receive_data(raw)
@@ -202,6 +214,9 @@
         body = self.body
         try:
             part = body.feed(data)
+        except ExcessiveFraming:
+            self.shell.malformed(self.caller, FRAMING_REFUSAL)
+            return b""
         except BodyFault as fault:
             return self.refuse(fault.status, str(fault))
         if part and not self.add_part(part):
@@ -255,6 +270,10 @@
         self.shell.malformed(self.caller, MalformedRequest(code, detail, status))
         return b""
 
+    def refuse_head(self, fault: str) -> bytes:
+        """Report a malformed head."""
+        return self.refuse(431 if fault is TOO_MANY_LINES else 400, fault)
+
     def refuse_for_memory(self) -> bytes:
         """Refuse a request for lack of memory."""
         detail = "no memory is left for this request"
--- a/poplarlane/plumbing/targets.py
+++ b/poplarlane/plumbing/targets.py
@@ -16,20 +16,21 @@
     partial_head_fault,
     read_response_head,
 )
-from poplarlane.plumbing.message_bodies import (
-    Body,
-    BodyFault,
-    ChunkedBody,
-    LengthBody,
-    OpenBody,
+from poplarlane.plumbing.long_responses import LongResponse, put_off
+from poplarlane.plumbing.message_bodies import Body, BodyFault, ChunkedBody, OpenBody
+from poplarlane.plumbing.response_parsers import (
+    MAX_RESPONSE_HEAD_BYTES,
+    body_of,
+    parse_head,
+    response_fault,
 )
 from poplarlane.plumbing.target_pools import ConnectionPool
+from poplarlane.plumbing.turns import is_long
 
 if TYPE_CHECKING:
     from poplarlane.plumbing.entry_shell import EntryShell
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_RESPONSE_HEAD_BYTES = 65_536
 # Reads of 256 KB would be held for each response whose caller does not read.
 READ_BYTES = 65_536
 MAX_INFORMATIONAL = 8
@@ -41,8 +42,6 @@
 MAX_PROBE_BYTES = 16_384
 # Idle connections are closed well before the idle time-out that the target announced.
 IDLE_LIMIT_FRACTION = 0.7
-# The parser accepts an interim response only to a request that it has seen.
-PARSER_REQUEST = h11.Request(method="GET", target="/", headers=[("host", "-")])
 
 
 class TargetConnection(asyncio.Protocol):
@@ -65,6 +64,7 @@
         "closed",
         "unsent",
         "is_writing_paused",
+        "long_input",
     )
 
     def __init__(self, shell: "EntryShell", pool: "ConnectionPool") -> None:
@@ -89,6 +89,8 @@
         # Parts of the request's body that are still to be written.
         self.unsent: Iterator[bytearray] | None = None
         self.is_writing_paused = False
+        # Input of this response that is worked on in later turns.
+        self.long_input: LongResponse | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Count the connection in its pool."""
@@ -127,12 +129,22 @@
         self.write_body()
 
     def data_received(self, data: bytes) -> None:
-        """Read the response to the current exchange."""
+        """Read the response to the current exchange, in later turns if it may be much work."""
         if self.exchange is None:
             if not self.closed:
                 self.shell.log_connection_fault(self.pool.target, "bytes on an idle connection")
                 self.abort()
             return
+        found = self.long_input
+        if found is not None and not found.is_done():
+            found.add_later(data)
+        elif (self.body is None or type(self.body) is ChunkedBody) and is_long(data):
+            put_off(self, data)
+        else:
+            self.take(data)
+
+    def take(self, data: bytes) -> None:
+        """Read input of bounded work."""
         while data:
             data = self.read_head(data) if self.body is None else self.read_body(data)
 
@@ -168,11 +180,14 @@
 
     def read_body(self, data: bytes) -> bytes:
         """Read a part of the body; return the bytes that are still to be read."""
-        exchange, body = self.exchange, self.body
+        exchange, body, long_input = self.exchange, self.body, self.long_input
+        chunks = body.chunks if long_input is not None and type(body) is ChunkedBody else 0
         try:
             part = body.feed(data)
         except BodyFault as fault:
             return self.fail(FailureCause.ANSWER_INVALID, str(fault))
+        if long_input is not None and type(body) is ChunkedBody:
+            long_input.note_body(len(part), body.chunks - chunks)
         if part and not self.handle_data(exchange, part):
             return b""
         return self.handle_end(exchange) if body.is_complete else b""
@@ -255,6 +270,7 @@
             self.reusable
             and head.reusable
             and not rest
+            and (self.long_input is None or self.long_input.is_clean())
             and self.unsent is None
             and not self.transport.get_write_buffer_size()
         )
@@ -262,7 +278,8 @@
             exchange.request.refused_on += (self,)
         self.exchange = None
         exchange.connection = None
-        if exchange.streaming_to is not None:
+        was_long, self.long_input = self.long_input is not None, None
+        if was_long or exchange.streaming_to is not None:
             # A slow caller may have paused reading, and nothing else would resume it.
             self.transport.resume_reading()
         if clean:
@@ -274,7 +291,12 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the close; connection_lost handles others."""
-        if self.exchange is not None and type(self.body) is OpenBody:
+        if self.exchange is None:
+            return False
+        if self.long_input is not None and not self.long_input.is_done():
+            self.long_input.has_ended = True
+            return True
+        if type(self.body) is OpenBody:
             self.handle_end(self.exchange)
         return False
 
@@ -314,32 +336,8 @@
         """Close the connection at once."""
         self.reusable = False
         self.unsent = None
+        self.long_input = None
         if not self.closed:
             self.closed = True
             self.pool.discard(self)
             self.transport.abort()
-
-
-def response_fault(head: ResponseHead) -> str:
-    """Return why a response is not accepted as the target's own; empty if it is."""
-    if not head.signed:
-        return "answer without a signature"
-    return "answer with an encoded body" if head.encoded else ""
-
-
-def parse_head(raw: bytes) -> h11.Response | h11.InformationalResponse:
-    """Parse a complete head; raise h11.RemoteProtocolError if it is invalid."""
-    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
-    if raw[9:10] == b"1":
-        parser.send(PARSER_REQUEST)
-    parser.receive_data(raw)
-    return parser.next_event()
-
-
-def body_of(head: ResponseHead, bodiless: bool) -> Body:
-    """Return the framing of the body behind a head."""
-    if bodiless:
-        return LengthBody(0)
-    if head.chunked:
-        return ChunkedBody(MAX_RESPONSE_HEAD_BYTES)
-    return OpenBody() if head.length is None else LengthBody(int(head.length))
