--- a/features/steps/endless_memory_steps.py
+++ b/features/steps/endless_memory_steps.py
@@ -71,7 +71,8 @@
     """Send bytes to the socket until it closes or the limit is reached."""
     sockets = PeerSockets(context.host)
     if context.side == "listens":
-        sockets.bind_peer_router(context.host, context.port, lambda *_: None)
+        sockets.bind_peer_router(context.host, context.port)
+        sockets.start_receiving(lambda *_: None)
         peer = socket.create_connection((context.host, context.port))
     else:
         with socket.create_server((context.host, context.port)) as server:
@@ -114,7 +115,8 @@
     async def run():
         found = asyncio.get_running_loop().create_future()
         near, far = PeerSockets(context.host), PeerSockets(context.host)
-        near.bind_peer_router(context.host, port, lambda _, data: found.set_result(data))
+        near.bind_peer_router(context.host, port)
+        near.start_receiving(lambda _, data: found.set_result(data))
         far.connect("near", context.host, port)
         far.send("near", b"news")
         try:
