--- a/features/caller_turns.feature
+++ b/features/caller_turns.feature
@@ -164,3 +164,10 @@
     Given a node with 2 targets of the service "reads" and 1 of "books"
     When a caller sends a read that is the last of its connection and 200 KB behind it
     Then the read is answered whole
+
+  Scenario: A caller that has just reset its connection does not fail the end of its answer
+    # Guards against failed effects: 74 answers of 24 runs of the node soak ended in an OSError.
+    Given a caller's connection that may have 1 requests in turn
+    When the caller sends 1 reads at once
+    And the caller resets the connection as its last answer is written
+    Then the connection is closed and no memory is held
--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -348,3 +348,18 @@
 def step_ends_within(context, limit_s):
     pass_time(context, limit_s)
     assert context.caller.transport.aborted
+
+
+@when("the caller resets the connection as its last answer is written")
+def step_reset_at_end(context):
+    def write_eof():
+        raise OSError(107, "Transport endpoint is not connected")
+
+    context.caller.transport.write_eof = write_eof
+    context.shell.draining = True
+    context.shell.answer(context.caller.requests[0])
+
+
+@then("the connection is closed and no memory is held")
+def step_closed_without_memory(context):
+    assert context.caller.transport.aborted and not context.shell.memory.held
--- a/poplarlane/plumbing/callers.py
+++ b/poplarlane/plumbing/callers.py
@@ -220,7 +220,12 @@
         self.reader.buffer = b""
         if self.transport.is_closing():
             return
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, and the loop has not told yet.
+            self.transport.abort()
+            return
         self.transport.resume_reading()
 
     def cut(self) -> None:
