--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -132,12 +132,12 @@
             return read_answer(caller)
 
 
-def request_bytes(method, path, request_id):
+def request_bytes(method, path, request_id, deadline_ms=3500):
     """Write a request; bookings have a body."""
     body = b"x=1" if method == "POST" else b""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
-    return f"{head}X-Deadline-Ms: 3500\r\n{length}\r\n".encode() + body
+    return f"{head}X-Deadline-Ms: {deadline_ms}\r\n{length}\r\n".encode() + body
 
 
 def read_answer(caller):
