--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import random
 import resource
@@ -42,6 +43,8 @@
 # A process that the system stops in its work notices a pause from 1.5 s on.
 NOTICED_S = (1.53, 1.7)
 POLL_S = 0.01
+BUSY_WAIT_S = 0.05
+BUSY_POLL_S = 0.001
 WITHDRAWN = ("withdrawn_attempt_total", "withdrawn_attempt_sent_total")
 # Seeds in which a node logs one of these are kept as well.
 FAULT_EVENTS = ("effect_failed", "event_failed", "timer_failed")
@@ -66,6 +69,10 @@
         self.callers = self.nodes * (4 if self.nodes > 8 else draw.randint(6, 12))
         self.books = max(2, self.nodes // draw.randint(2, 4))
         self.work_ms = draw.choice((60.0, 120.0, 200.0))
+        if self.kind in ("stops", "wide"):
+            # Nodes that run are busy without a break, and bookings wait in them for few targets.
+            self.callers, self.books = self.nodes * 6, draw.randint(2, 3)
+            self.work_ms = draw.choice((10.0, 20.0))
         self.grace_s = draw.choice((2.0, 3.0) if self.kind == "drains" else (3.0, 6.0))
         self.drain_accept_ms = draw.choice((300, 1_000))
 
@@ -82,6 +89,7 @@
         self.disturbed: list[list[float]] = []
         self.stopped_at: list[float] = []
         self.is_replaced = False
+        self.is_starting = True
         self.withdrawn = 0.0
 
     @property
@@ -102,6 +110,7 @@
         path = self.rig.launcher.settings_path(self.name, self.settings)
         process = self.rig.start_module("poplarlane.programs.node", self.name, path)
         self.processes.append(process)
+        self.is_starting = True
 
     async def wait_ready(self) -> None:
         """Wait until the process is ready; the start counts as a disturbance."""
@@ -111,6 +120,7 @@
         except TimeoutError:
             self.rig.failures.append(f"NOT-READY {self.name} after {READY_LIMIT_S} s")
         self.disturbed.append([began, time.monotonic()])
+        self.is_starting = False
 
     def read_withdrawn(self) -> None:
         """Add the counter of withdrawn attempts of a process that is about to end."""
@@ -164,6 +174,16 @@
             text = f"ENDED {self.name} with status {popen.returncode} after SIGTERM"
             self.rig.failures.append(text)
 
+    async def wait_busy(self) -> None:
+        """Wait until the process is running on a processor, for BUSY_WAIT_S at most."""
+        limit = time.monotonic() + BUSY_WAIT_S
+        stat = Path(f"/proc/{self.process.popen.pid}/stat")
+        while time.monotonic() < limit:
+            with contextlib.suppress(OSError):
+                if stat.read_text().rpartition(") ")[2].startswith("R"):
+                    return
+            await asyncio.sleep(BUSY_POLL_S)
+
     async def freeze(self, seconds: float) -> None:
         """Stop the process for a time."""
         process = self.process
@@ -325,11 +345,13 @@
             await self.freeze_noticed(node, generator)
 
     async def freeze_noticed(self, node: SoakNode, generator: random.Random) -> None:
-        """Stop a node for long enough to be noticed, most often while it works off what waits."""
-        await asyncio.sleep(0.005 * 100.0 ** generator.random())
+        """Stop a node for long enough to be noticed, most often in the middle of its work."""
+        # Requests are held for a median of 75 ms after the stop before.
+        await asyncio.sleep(generator.uniform(0.02, 0.5))
         if generator.random() < 0.2:
             await node.freeze(generator.uniform(0.005, 0.1))
             await asyncio.sleep(generator.uniform(0.0, 0.02))
+        await node.wait_busy()
         self.rig.counts["noticeable_stops"] += 1
         await node.freeze(generator.uniform(*NOTICED_S))
 
@@ -337,7 +359,9 @@
         """Stop one node again and again."""
         generator = random.Random(f"{self.rig.seed}/often/{node.name}")
         while time.monotonic() + 1.0 < self.until:
-            await self.freeze_noticed(node, generator)
+            await asyncio.sleep(POLL_S)
+            if not node.is_starting:
+                await self.freeze_noticed(node, generator)
 
     async def reload(self, generator: random.Random) -> None:
         """Change a node's settings and send SIGHUP, sometimes twice."""
--- a/features/node_soak_callers.py
+++ b/features/node_soak_callers.py
@@ -41,7 +41,7 @@
         "is_signed",
         "end",
         "ended_at",
-        "is_after_close",
+        "is_behind",
     )
 
     def __init__(self, request_id: str, is_booking: bool, node: str, deadline_ms: int) -> None:
@@ -54,8 +54,9 @@
         self.is_signed = False
         self.end = "open"
         self.ended_at = 0.0
-        # Whether an answer before it on its connection had announced the close.
-        self.is_after_close = False
+        # Whether its connection ended while another one had to be answered first, or after an
+        # answer that announced the end: it could not be answered any more.
+        self.is_behind = False
 
     def finish(self, end: str) -> None:
         """Note how the wait ended."""
@@ -152,8 +153,6 @@
             self.parser.start_next_cycle()
         else:
             self.is_closing = True
-            for left in self.pending:
-                left.is_after_close = True
 
     def check(self, sent: Sent, head: h11.Response, body: bytes) -> None:
         """Check that an answer is whole and belongs to its request."""
@@ -195,7 +194,8 @@
     def end(self, reason: str) -> None:
         """Close, and note how the wait for all pending answers ended."""
         self.writer.transport.abort()
-        for sent in self.pending:
+        for number, sent in enumerate(self.pending):
+            sent.is_behind = number > 0 or self.is_closing
             sent.finish(reason)
 
 
@@ -288,7 +288,7 @@
         if node.is_disturbed(sent.sent_at - STABLE_WINDOW_S, sent.ended_at):
             continue
         took_s = sent.ended_at - sent.sent_at
-        if not began and (sent.is_after_close or took_s <= LOSS_SLACK_S):
+        if not began and (sent.is_behind or took_s <= LOSS_SLACK_S):
             continue
         stopped_at = node.stopped_before(sent.ended_at, grace_s + AFTER_GRACE_S)
         text = f"LOST {sent.document()} ran {began}, SIGTERM {sent.ended_at - stopped_at:.3f} s ago"
