--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -68,17 +68,20 @@
             for name in self.names[service]:
                 port = TARGET_PORT + len(targets)
                 targets[name] = {"service": service, "address": f"{self.fleet_address}:{port}"}
-        self.launcher.start(
-            "poplarlane-standin-signed-fleet",
+        self.start_standin(
             {
                 "name": "fleet",
                 "listen_address": self.fleet_address,
                 "listen_port": STORE_PORT,
                 "targets": targets,
                 "configuration": self.configuration(5, self.usual_routes()),
-            },
+            }
         )
 
+    def start_standin(self, settings):
+        """Start the process of the stand-in."""
+        self.launcher.start("poplarlane-standin-signed-fleet", settings)
+
     def start(self, counts, ready_event="ready"):
         """Start the stand-in and the node; with None, do not wait for the node."""
         self.start_fleet(counts)
--- a/poplarlane/standins/signed_fleet.py
+++ b/poplarlane/standins/signed_fleet.py
@@ -474,14 +474,14 @@
                 setattr(self.targets[name], key, value)
 
 
-def main() -> None:
+def main(fleet_type: type[SignedFleet] = SignedFleet) -> None:
     """Run the stand-in."""
     settings = settings_from_arguments(
         SignedFleetSettings, "Stand in for the platform's store and some of its targets."
     )
 
     async def start() -> Any:
-        return await SignedFleet(settings).start()
+        return await fleet_type(settings).start()
 
     run_daemon(settings, start)
 
