--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -14,12 +14,12 @@
 import signal
 import sys
 import time
-import urllib.request
 from collections import Counter
 from dataclasses import asdict
 from pathlib import Path
 from subprocess import Popen
 from types import SimpleNamespace
+from urllib.request import urlopen
 
 from features.node_soak_callers import Caller, Record, check_losses, check_runs
 from features.shell_world import NOT_RUN_STATUSES
@@ -101,7 +101,8 @@
     def read_withdrawn(self) -> None:
         """Add the counter of withdrawn attempts of a process that is about to end."""
         with contextlib.suppress(OSError):
-            lines = self.rig.get(self.address, ADMIN_PORT, "/metrics", 1.0).splitlines()
+            with urlopen(f"http://{self.address}:{ADMIN_PORT}/metrics", timeout=1.0) as answer:
+                lines = answer.read().decode().splitlines()
             found = [line.split()[-1] for line in lines if line.startswith("withdrawn_attempt")]
             self.withdrawn += sum(float(value) for value in found)
 
@@ -209,11 +210,6 @@
             "grace_s": self.profile.grace_s,
         }
 
-    def get(self, address: str, port: int, path: str, limit_s: float) -> str:
-        """Read a page of a node or of the fleet."""
-        with urllib.request.urlopen(f"http://{address}:{port}{path}", timeout=limit_s) as answer:
-            return answer.read().decode()
-
 
 class Soak:
     """Run callers and lanes of faults until a time."""
@@ -360,7 +356,8 @@
         rig = SoakRig(launcher, seed, checkout)
         rig.start_fleet({"reads": rig.profile.books, "books": rig.profile.books})
         record = asyncio.run(run(rig))
-        ran = json.loads(rig.get(rig.fleet_address, STORE_PORT, "/_soak", 30.0))
+        with urlopen(f"http://{rig.fleet_address}:{STORE_PORT}/_soak", timeout=30.0) as answer:
+            ran = json.load(answer)
     nodes = {node.name: node for node in rig.nodes}
     losses, calm = check_losses(record, ran, nodes, rig.profile.grace_s)
     figures = summary(rig, record) | {"cut_in_calm": calm}
--- a/features/node_soak_callers.py
+++ b/features/node_soak_callers.py
@@ -79,10 +79,6 @@
         self.nodes = nodes
         # One value, which the soak changes to vary the load.
         self.think_s = think_s
-        # The open connection.
-        self.reader: asyncio.StreamReader
-        self.writer: asyncio.StreamWriter
-        self.parser: h11.Connection
         self.pending: deque[Sent] = deque()
         self.is_closing = False
 
