--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -18,10 +18,9 @@
 from dataclasses import asdict
 from pathlib import Path
 from subprocess import Popen
-from types import SimpleNamespace
 from urllib.request import urlopen
 
-from features.node_soak_callers import Caller, Record, check_losses, check_runs
+from features.node_soak_callers import LOSS_SLACK_S, Caller, Sent, check_losses, check_runs
 from features.shell_world import NOT_RUN_STATUSES
 from features.steps.node_path_steps import ADMIN_PORT, FRONT_PORT, READY_PORT, STORE_PORT, NodeRig
 from poplarlane.bench.processes import Launcher, Process
@@ -44,23 +43,6 @@
 EVENTS = (*FAULT_EVENTS, "paused", "drain_cut", "view_unconfirmed", "withdrawn_attempt_sent")
 
 
-def draw_profile(seed: int) -> SimpleNamespace:
-    """Draw what a seed runs."""
-    draw = random.Random(f"{seed}/profile")
-    kind = "wide" if seed % 10 == 9 else ("mixed", "drains", "stops")[seed % 3]
-    nodes = {"wide": 40, "stops": draw.randint(12, 16)}.get(kind, draw.randint(3, 8))
-    found = SimpleNamespace(kind=kind, nodes=nodes, callers=nodes * draw.randint(6, 12))
-    found.books = max(2, nodes // draw.randint(2, 4))
-    found.work_ms = draw.choice((60.0, 120.0, 200.0))
-    found.grace_s = draw.choice((2.0, 3.0) if kind == "drains" else (3.0, 6.0))
-    found.drain_accept_ms = draw.choice((300, 1_000))
-    if kind in ("stops", "wide"):
-        # Nodes that run are busy without a break, and bookings wait in them for few targets.
-        found.callers, found.books = nodes * 6, draw.randint(2, 3)
-        found.work_ms = draw.choice((10.0, 20.0))
-    return found
-
-
 class SoakNode:
     """One node, its processes one after the other, and when it was disturbed."""
 
@@ -127,7 +109,7 @@
         if graceful:
             self.stopped_at.append(now)
             popen.terminate()
-            limit += self.rig.profile.grace_s
+            limit += self.rig.grace_s
         else:
             self.disturbed.append([now, now])
         while popen.poll() is None and time.monotonic() < limit:
@@ -167,18 +149,34 @@
 
 
 class SoakRig(NodeRig):
-    """Hold the nodes, the stand-in fleet, and what the soak counts."""
+    """Hold the nodes and the stand-in fleet, and run callers and lanes of faults."""
 
     def __init__(self, launcher: Launcher, seed: int, checkout: Path) -> None:
         super().__init__(launcher)
         self.seed = seed
         self.checkout = checkout
-        self.profile = draw_profile(seed)
-        self.addresses = [launcher.new_host() for _ in range(self.profile.nodes)]
+        draw = random.Random(f"{seed}/profile")
+        self.kind = "wide" if seed % 10 == 9 else ("mixed", "drains", "stops")[seed % 3]
+        count = {"wide": 40, "stops": draw.randint(12, 16)}.get(self.kind, draw.randint(3, 8))
+        self.callers = count * draw.randint(6, 12)
+        self.books = max(2, count // draw.randint(2, 4))
+        self.work_ms = draw.choice((60.0, 120.0, 200.0))
+        self.grace_s = draw.choice((2.0, 3.0) if self.kind == "drains" else (3.0, 6.0))
+        self.drain_accept_ms = draw.choice((300, 1_000))
+        if self.kind in ("stops", "wide"):
+            # Nodes that run are busy without a break, and bookings wait in them for few targets.
+            self.callers, self.books = count * 6, draw.randint(2, 3)
+            self.work_ms = draw.choice((10.0, 20.0))
+        self.version = 10
+        self.think_s = 0.05
+        self.sent: list[Sent] = []
+        self.mixed: list[str] = []
         self.failures: list[str] = []
         self.counts: Counter[str] = Counter()
-        self.version = 10
-        self.nodes = [SoakNode(self, number) for number in range(self.profile.nodes)]
+        self.addresses = [launcher.new_host() for _ in range(count)]
+        self.nodes = [SoakNode(self, number) for number in range(count)]
+        # The other nodes are only asked to stop and to reload.
+        self.rough = self.nodes[2 if count > 8 else count // 2 :]
 
     def start_module(self, module: str, name: str, path: str) -> Process:
         """Start a program; those of the product come from the checkout under test."""
@@ -189,7 +187,7 @@
 
     def start_standin(self, settings: dict) -> None:
         """Start the stand-in fleet of the soak."""
-        changes = {"name": f"fleet-{self.seed}", "slots": 4, "work_ms": self.profile.work_ms}
+        changes = {"name": f"fleet-{self.seed}", "slots": 4, "work_ms": self.work_ms}
         path = self.launcher.settings_path("fleet", settings | changes)
         self.start_module("features.node_soak_fleet", "fleet", path).wait_for("ready")
 
@@ -206,27 +204,15 @@
             "fleet_size": len(self.addresses),
             "bootstrap": True,
             "apply_limit_s": 2.0,
-            "drain_accept_ms": self.profile.drain_accept_ms,
-            "grace_s": self.profile.grace_s,
+            "drain_accept_ms": self.drain_accept_ms,
+            "grace_s": self.grace_s,
         }
 
-
-class Soak:
-    """Run callers and lanes of faults until a time."""
-
-    def __init__(self, rig: SoakRig, seconds: float) -> None:
-        self.rig = rig
-        self.until = time.monotonic() + seconds
-        self.record = Record()
-        self.think_s = [0.05]
-        # The other nodes are only asked to stop and to reload.
-        self.rough = rig.nodes[2 if rig.profile.nodes > 8 else rig.profile.nodes // 2 :]
-
     def lanes(self) -> list:
         """Give the coroutines of all lanes."""
-        kind, rough = self.rig.profile.kind, self.rough
+        rough = self.rough
         lanes = [
-            (self.restart, 0.5, 3.0, self.rig.nodes, True),
+            (self.restart, 0.5, 3.0, self.nodes, True),
             (self.restart, 2.0, 8.0, rough, False),
             (self.reload, 0.5, 3.0),
             (self.store_away, 3.0, 10.0),
@@ -234,23 +220,23 @@
             (self.press, 1.0, 4.0),
             (self.watch_starvation, 0.0, 0.0),
         ]
-        if kind in ("stops", "wide"):
+        if self.kind in ("stops", "wide"):
             lanes += [(self.freeze_in_work, 0.0, 0.02, [node]) for node in rough]
         else:
             lanes += [(self.stop_in_series, 0.0, 0.3, 20, 0.3)]
             lanes += [(self.stop_in_series, 0.2, 2.0, 2, 4.0)] * 2
-        if kind == "mixed":
+        if self.kind == "mixed":
             lanes += [(self.freeze_in_work, 0.0, 0.3, rough), lanes[0]]
-        if kind == "drains":
+        if self.kind == "drains":
             lanes += [(self.drain_with_stops, 0.0, 0.5)] * 3
         return [self.lane(number, *lane) for number, lane in enumerate(lanes)]
 
     async def lane(self, number: int, fault, least_s: float, most_s: float, *arguments) -> None:
         """Make one fault after the other."""
-        generator = random.Random(f"{self.rig.seed}/lane/{number}")
+        generator = random.Random(f"{self.seed}/lane/{number}")
         while time.monotonic() + 1.0 < self.until:
             await asyncio.sleep(generator.uniform(least_s, most_s))
-            self.rig.counts[fault.__name__] += 1
+            self.counts[fault.__name__] += 1
             await fault(generator, *arguments)
 
     async def restart(self, generator: random.Random, nodes: list, graceful: bool) -> None:
@@ -263,7 +249,7 @@
         node = generator.choice(self.rough)
         popen = node.processes[-1].popen
         replaced = asyncio.create_task(node.replace(graceful=True))
-        await asyncio.sleep(generator.uniform(0.0, 0.8 * self.rig.profile.grace_s))
+        await asyncio.sleep(generator.uniform(0.0, 0.8 * self.grace_s))
         while popen.poll() is None and not replaced.done():
             await node.freeze(generator.choice((0.02, 0.1, 0.3, 0.5)) * generator.uniform(0.5, 1.5))
             await asyncio.sleep(generator.uniform(0.0, 0.15))
@@ -290,98 +276,91 @@
 
     async def reload(self, generator: random.Random) -> None:
         """Change a node's settings and send SIGHUP, sometimes twice."""
-        node = generator.choice(self.rig.nodes)
+        node = generator.choice(self.nodes)
         node.settings["extra_sends"] = generator.randint(60, 100)
-        self.rig.launcher.settings_path(node.name, node.settings)
+        self.launcher.settings_path(node.name, node.settings)
         # A process that has only just been started would die of it before it runs the program.
         for _ in range(0 if node.is_replaced else generator.randint(1, 2)):
             node.processes[-1].signal(signal.SIGHUP)
 
     async def store_away(self, generator: random.Random) -> None:
         """Take the store down for a time."""
-        await asyncio.to_thread(self.rig.control, down=True)
+        await asyncio.to_thread(self.control, down=True)
         await asyncio.sleep(generator.uniform(0.5, 4.0))
-        await asyncio.to_thread(self.rig.control, down=False)
+        await asyncio.to_thread(self.control, down=False)
 
     async def configure(self, generator: random.Random) -> None:
         """Change routes, the pace of targets, or which of them leave."""
-        rig = self.rig
-        name = generator.choice(rig.names["books"][1:])
-        rig.version += generator.randint(1, 3)
-        routes = [*rig.usual_routes(), ("/other/", "reads", {"route_type": "safe"})]
+        name = generator.choice(self.names["books"][1:])
+        self.version += generator.randint(1, 3)
+        routes = [*self.usual_routes(), ("/other/", "reads", {"route_type": "safe"})]
         switches = [
-            {"configuration": rig.configuration(rig.version, routes[: generator.randint(2, 3)])},
+            {"configuration": self.configuration(self.version, routes[: generator.randint(2, 3)])},
             {"targets": {name: {"slowdown": generator.choice((50, 100, 250))}}, "drain": [name]},
         ]
-        await asyncio.to_thread(rig.control, **generator.choice(switches))
+        await asyncio.to_thread(self.control, **generator.choice(switches))
         await asyncio.sleep(generator.uniform(0.5, 2.0))
-        await asyncio.to_thread(rig.control, register=[name])
+        await asyncio.to_thread(self.control, register=[name])
 
     async def press(self, generator: random.Random) -> None:
         """Change the load."""
-        self.think_s[0] = generator.choice((0.005, 0.05, 0.3, 1.0))
+        self.think_s = generator.choice((0.005, 0.05, 0.3, 1.0))
 
     async def watch_starvation(self, _generator: random.Random) -> None:
-        """Note as disturbed the nodes that waited for a processor most of the time."""
-        waited = {node: node.waited_s() for node in self.rig.nodes}
+        """Note as disturbed the nodes that waited for a processor, and all if the callers did."""
+        waited = {node: node.waited_s() for node in self.nodes}
         since = time.monotonic()
         await asyncio.sleep(STARVED_S)
+        now = time.monotonic()
+        # Callers that read late see a cut late.
+        are_callers_late = now - since > STARVED_S + LOSS_SLACK_S / 2
         for node, before_s in waited.items():
-            if node.waited_s() - before_s > 0.5 * (time.monotonic() - since):
-                self.rig.counts["starved"] += 1
-                node.disturbed.append([since, time.monotonic()])
-
-    async def run(self) -> None:
-        """Run everything, and end the nodes after a quiet time."""
-        rig = self.rig
-        callers = [
-            Caller(self.record, rig.seed, number, rig.nodes, self.think_s).run(self.until)
-            for number in range(rig.profile.callers)
-        ]
+            if are_callers_late or node.waited_s() - before_s > (now - since) / 2:
+                self.counts["starved"] += 1
+                node.disturbed.append([since, now])
+
+    async def run(self, seconds: float) -> None:
+        """Run callers and faults for a time, and end the nodes after a quiet time."""
+        await asyncio.gather(*(node.start() for node in self.nodes))
+        self.until = time.monotonic() + seconds
+        callers = [Caller(self, number).run(self.until) for number in range(self.callers)]
         await asyncio.gather(*callers, *self.lanes())
         await asyncio.sleep(QUIET_S)
-        await asyncio.gather(*(node.replace(graceful=True, again=False) for node in rig.nodes))
+        await asyncio.gather(*(node.replace(graceful=True, again=False) for node in self.nodes))
 
 
 def run_seed(seed: int, seconds: float, checkout: Path = ROOT, label: str = "") -> dict:
     """Run one seed; return its counts and failures, and keep the logs if there are failures."""
-
-    async def run(rig: SoakRig) -> Record:
-        await asyncio.gather(*(node.start() for node in rig.nodes))
-        soak = Soak(rig, seconds)
-        await soak.run()
-        return soak.record
-
     with Launcher() as launcher:
         rig = SoakRig(launcher, seed, checkout)
-        rig.start_fleet({"reads": rig.profile.books, "books": rig.profile.books})
-        record = asyncio.run(run(rig))
+        rig.start_fleet({"reads": rig.books, "books": rig.books})
+        asyncio.run(rig.run(seconds))
         with urlopen(f"http://{rig.fleet_address}:{STORE_PORT}/_soak", timeout=30.0) as answer:
             ran = json.load(answer)
     nodes = {node.name: node for node in rig.nodes}
-    losses, calm = check_losses(record, ran, nodes, rig.profile.grace_s)
-    figures = summary(rig, record) | {"cut_in_calm": calm}
-    mixed = [f"MIXED {text}" for text in record.mixed]
-    figures["failures"] = check_runs(record, ran["began"]) + mixed + losses + rig.failures
-    if figures["failures"] or any(figures["logged"][name] for name in FAULT_EVENTS):
-        keep(rig, record, ran, figures, f"{label}seed-{seed}")
+    losses, calm = check_losses(rig.sent, ran, nodes, rig.grace_s)
+    mixed = [f"MIXED {text}" for text in rig.mixed]
+    failures = check_runs(rig.sent, ran["began"]) + mixed + losses + rig.failures
+    figures = summary(rig) | {"cut_in_calm": calm, "failures": failures}
+    if failures or any(figures["logged"][name] for name in FAULT_EVENTS):
+        keep(rig, ran, figures, f"{label}seed-{seed}")
     return figures
 
 
-def summary(rig: SoakRig, record: Record) -> dict:
+def summary(rig: SoakRig) -> dict:
     """Count what was done and what the nodes logged."""
     lines = [line for node in rig.nodes for found in node.processes for line in found.lines]
     logged = Counter(line.fields.get("event") for line in lines)
-    bookings = [sent for sent in record.sent if sent.is_booking]
+    bookings = [sent for sent in rig.sent if sent.is_booking]
     usage = resource.getrusage(resource.RUSAGE_CHILDREN)
     return {
         "seed": rig.seed,
-        "kind": rig.profile.kind,
-        "nodes": rig.profile.nodes,
-        "requests": len(record.sent),
+        "kind": rig.kind,
+        "nodes": len(rig.nodes),
+        "requests": len(rig.sent),
         "bookings": len(bookings),
         "refused_bookings": sum(sent.status in NOT_RUN_STATUSES for sent in bookings),
-        "ends": Counter(str(sent.status or sent.end) for sent in record.sent),
+        "ends": Counter(str(sent.status or sent.end) for sent in rig.sent),
         "faults": rig.counts,
         "logged": {name: logged[name] for name in EVENTS},
         "unsent": sum(int(line.fields.get("unsent", "0")) for line in lines),
@@ -390,14 +369,14 @@
     }
 
 
-def keep(rig: SoakRig, record: Record, ran: dict, figures: dict, name: str) -> None:
+def keep(rig: SoakRig, ran: dict, figures: dict, name: str) -> None:
     """Keep the logs of a failed seed."""
     folder = ROOT / "out" / "node-soak" / name
     folder.mkdir(parents=True, exist_ok=True)
     # Times of callers and targets are monotonic, those of the nodes' logs are of the wall clock.
     times = {node.name: [node.disturbed, node.stopped_at] for node in rig.nodes}
     times["wall_minus_monotonic_s"] = time.time() - time.monotonic()
-    pages = {"figures": figures, "sent": [asdict(sent) for sent in record.sent], "ran": ran}
+    pages = {"figures": figures, "sent": [asdict(sent) for sent in rig.sent], "ran": ran}
     for page, document in (pages | {"times": times}).items():
         (folder / f"{page}.json").write_text(json.dumps(document).replace("}, ", "},\n"))
     for node in rig.nodes:
--- a/features/node_soak_callers.py
+++ b/features/node_soak_callers.py
@@ -61,24 +61,16 @@
         return request_bytes(method, self.path(), self.request_id, deadline_ms)
 
 
-class Record:
-    """What callers saw, and the answers that were wrong."""
-
-    def __init__(self) -> None:
-        self.sent: list[Sent] = []
-        self.mixed: list[str] = []
+class Caller:
+    """Use one connection after the other, to nodes drawn at random, and send requests in turn.
 
+    The rig holds the nodes, the load, what callers sent, and the answers that were wrong.
+    """
 
-class Caller:
-    """Use one connection after the other, to nodes drawn at random, and send requests in turn."""
-
-    def __init__(self, record: Record, seed: int, number: int, nodes: list, think_s: list) -> None:
-        self.record = record
-        self.name = f"s{seed}c{number}"
-        self.generator = random.Random(f"{seed}/caller/{number}")
-        self.nodes = nodes
-        # One value, which the soak changes to vary the load.
-        self.think_s = think_s
+    def __init__(self, rig, number: int) -> None:
+        self.rig = rig
+        self.name = f"s{rig.seed}c{number}"
+        self.generator = random.Random(f"{rig.seed}/caller/{number}")
         self.pending: deque[Sent] = deque()
         self.is_closing = False
 
@@ -86,9 +78,9 @@
         """Send requests in one piece."""
         data = b""
         for _ in range(count):
-            request_id = f"{self.name}-{len(self.record.sent)}"
+            request_id = f"{self.name}-{len(self.rig.sent)}"
             sent = Sent(request_id, self.generator.random() < 0.6, node)
-            self.record.sent.append(sent)
+            self.rig.sent.append(sent)
             self.pending.append(sent)
             data += sent.data(self.generator.choice(DEADLINES_MS))
         self.writer.write(data)
@@ -116,7 +108,7 @@
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
-                self.record.mixed.append(f"{sent} got no HTTP: {error}")
+                self.rig.mixed.append(f"{sent} got no HTTP: {error}")
                 raise CutError from error
             if event is h11.NEED_DATA:
                 # Targets give lengths, so that no whole answer ends with its connection.
@@ -145,7 +137,7 @@
         elif name or 200 <= sent.status < 300:
             is_right = False
         if not is_right:
-            self.record.mixed.append(f"{sent} got {headers} {body[:200]!r}")
+            self.rig.mixed.append(f"{sent} got {headers} {body[:200]!r}")
 
     async def be_idle(self, seconds: float) -> None:
         """Send nothing for a time; nothing may arrive meanwhile."""
@@ -157,13 +149,13 @@
             return
         # A node may say why it closes an idle connection.
         if not data.startswith(b"HTTP/1.1 408"):
-            self.record.mixed.append(f"bytes without a request: {data[:200]!r}")
+            self.rig.mixed.append(f"bytes without a request: {data[:200]!r}")
         raise CutError
 
     async def run(self, until: float) -> None:
         """Send requests until a time."""
         while time.monotonic() < until:
-            node = self.generator.choice(self.nodes)
+            node = self.generator.choice(self.rig.nodes)
             try:
                 async with asyncio.timeout(CONNECT_LIMIT_S):
                     opened = await asyncio.open_connection(node.address, FRONT_PORT)
@@ -204,13 +196,13 @@
             except TimeoutError:
                 return
             if not self.pending and may_send and not self.is_closing:
-                await self.be_idle(self.think_s[0] * self.generator.uniform(0.2, 1.8))
+                await self.be_idle(self.rig.think_s * self.generator.uniform(0.2, 1.8))
 
 
-def check_runs(record: Record, began: dict[str, list]) -> list[str]:
+def check_runs(all_sent: list[Sent], began: dict[str, list]) -> list[str]:
     """List the requests that ran although they must not have."""
-    found = [f"UNASKED {name}" for name in began.keys() - {sent.request_id for sent in record.sent}]
-    for sent in record.sent:
+    found = [f"UNASKED {name}" for name in began.keys() - {sent.request_id for sent in all_sent}]
+    for sent in all_sent:
         runs = began.get(sent.request_id, [])
         if sent.is_booking and len(runs) > 1:
             found.append(f"TWICE {sent} ran {runs}")
@@ -220,11 +212,13 @@
     return found
 
 
-def check_losses(record: Record, ran: dict, nodes: dict, grace_s: float) -> tuple[list[str], int]:
+def check_losses(
+    all_sent: list[Sent], ran: dict, nodes: dict, grace_s: float
+) -> tuple[list[str], int]:
     """List the requests that nodes cut around SIGTERM, and count those cut in calm."""
     found, calm = [], []
     broken_off, broken_by_node = set(ran["broken_off"]), set(ran["cancelled"])
-    for sent in record.sent:
+    for sent in all_sent:
         began = ran["began"].get(sent.request_id, [])
         took_s = sent.ended_at - sent.sent_at
         is_cut = sent.end == "cut" and (began or took_s > LOSS_SLACK_S and not sent.is_behind)
--- a/features/steps/node_soak_steps.py
+++ b/features/steps/node_soak_steps.py
@@ -5,7 +5,7 @@
 from behave import then, when
 
 from features.node_soak import run_seed
-from features.node_soak_callers import Record, Sent, check_losses, check_runs
+from features.node_soak_callers import Sent, check_losses, check_runs
 
 FAULTS = ("restart", "reload", "store_away", "configure", "press", "stop_in_series")
 SENT_AT, STOPPED_AT, ENDED_AT, DEADLINE_AT = 100.0, 100.5, 101.5, 104.0
@@ -37,15 +37,13 @@
 @when("a booking gets {status:d} and is {end} 1 s after SIGTERM, and runs {runs:d} times")
 def step_booking(context, status, end, runs):
     sent = Sent("b", True, "node", DEADLINE_AT, SENT_AT, status, status == 200, end, ENDED_AT)
-    record = Record()
-    record.sent.append(sent)
     began = {"b": [("target", SENT_AT)] * runs} if runs else {}
     ran = {"began": began, "broken_off": [], "cancelled": ["b"] if status == 502 else []}
     node = SimpleNamespace(
         is_disturbed=lambda _began, _ended: False, stopped_before=lambda _at, _within: STOPPED_AT
     )
     context.found = (
-        check_runs(record, began) + check_losses(record, ran, {"node": node}, GRACE_S)[0]
+        check_runs([sent], began) + check_losses([sent], ran, {"node": node}, GRACE_S)[0]
     )
 
 
