--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -277,10 +277,13 @@
     async def reload(self, generator: random.Random) -> None:
         """Change a node's settings and send SIGHUP, sometimes twice."""
         node = generator.choice(self.nodes)
+        if node.is_replaced:
+            # A process that is starting would read half a file, or die of a signal before it runs
+            # the program.
+            return
         node.settings["extra_sends"] = generator.randint(60, 100)
         self.launcher.settings_path(node.name, node.settings)
-        # A process that has only just been started would die of it before it runs the program.
-        for _ in range(0 if node.is_replaced else generator.randint(1, 2)):
+        for _ in range(generator.randint(1, 2)):
             node.processes[-1].signal(signal.SIGHUP)
 
     async def store_away(self, generator: random.Random) -> None:
