--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -138,7 +138,10 @@
                 await asyncio.sleep(BUSY_POLL_S)
 
     async def freeze(self, seconds: float) -> None:
-        """Stop the process for a time."""
+        """Stop the process for a time; one that is starting would not be ready in time."""
+        if self.is_starting:
+            await asyncio.sleep(seconds)
+            return
         process = self.processes[-1]
         began = [time.monotonic(), float("inf")]
         self.disturbed.append(began)
@@ -267,8 +270,6 @@
         node = generator.choice(nodes)
         # Requests are held for a median of 75 ms after the stop before.
         await asyncio.sleep(generator.uniform(0.02, 0.5))
-        if node.is_starting:
-            return
         if generator.random() < 0.2:
             await node.freeze(generator.uniform(0.005, 0.1))
         await node.wait_busy()
