--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -319,9 +319,11 @@
         # Callers that read late see a cut late.
         are_callers_late = now - since > STARVED_S + LOSS_SLACK_S / 2
         for node, before_s in waited.items():
-            if are_callers_late or node.waited_s() - before_s > (now - since) / 2:
+            # A wait is added once it has ended, and may be longer than the interval.
+            waited_s = node.waited_s() - before_s
+            if are_callers_late or waited_s > (now - since) / 2:
                 self.counts["starved"] += 1
-                node.disturbed.append([since, now])
+                node.disturbed.append([min(since, now - waited_s), now])
 
     async def run(self, seconds: float) -> None:
         """Run callers and faults for a time, and end the nodes after a quiet time."""
