--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -34,6 +34,7 @@
 # Nodes notice pauses from 1.5 s on.
 NOTICED_S = (1.53, 1.7)
 POLL_S = 0.01
+METRICS_GAP_S = 0.1
 # Over this time a node's waits for a processor are compared with the time that passed.
 STARVED_S = 0.4
 BUSY_WAIT_S = 0.05
@@ -56,7 +57,8 @@
         self.stopped_at: list[float] = []
         self.is_replaced = False
         self.is_starting = True
-        self.withdrawn = 0.0
+        # The counter of withdrawn attempts of each process.
+        self.withdrawn: dict[int, float] = {}
 
     def is_disturbed(self, began: float, ended: float) -> bool:
         """Return whether a kill, a start or a stop falls into a time."""
@@ -80,13 +82,15 @@
         self.disturbed.append([began, time.monotonic()])
         self.is_starting = False
 
-    def read_withdrawn(self) -> None:
-        """Add the counter of withdrawn attempts of a process that is about to end."""
-        with contextlib.suppress(OSError):
-            with urlopen(f"http://{self.address}:{ADMIN_PORT}/metrics", timeout=1.0) as answer:
-                lines = answer.read().decode().splitlines()
-            found = [line.split()[-1] for line in lines if line.startswith("withdrawn_attempt")]
-            self.withdrawn += sum(float(value) for value in found)
+    def read_withdrawn(self, popen: Popen) -> None:
+        """Read the counter of withdrawn attempts until the process ends."""
+        while popen.poll() is None:
+            with contextlib.suppress(OSError):
+                with urlopen(f"http://{self.address}:{ADMIN_PORT}/metrics", timeout=1.0) as answer:
+                    lines = answer.read().decode().splitlines()
+                found = [line.split()[-1] for line in lines if line.startswith("withdrawn_attempt")]
+                self.withdrawn[popen.pid] = sum(float(value) for value in found)
+            time.sleep(METRICS_GAP_S)
 
     async def replace(self, graceful: bool, again: bool = True) -> None:
         """End the process and start another."""
@@ -94,9 +98,10 @@
             return
         self.is_replaced = True
         popen = self.processes[-1].popen
-        await asyncio.to_thread(self.read_withdrawn)
         if popen.poll() is None:
-            await self.end(popen, graceful)
+            await asyncio.gather(
+                self.end(popen, graceful), asyncio.to_thread(self.read_withdrawn, popen)
+            )
         else:
             self.rig.failures.append(f"ENDED {self.name} by itself with {popen.returncode}")
         if again:
@@ -370,7 +375,7 @@
         "faults": rig.counts,
         "logged": {name: logged[name] for name in EVENTS},
         "unsent": sum(int(line.fields.get("unsent", "0")) for line in lines),
-        "withdrawn": sum(node.withdrawn for node in rig.nodes),
+        "withdrawn": sum(sum(node.withdrawn.values()) for node in rig.nodes),
         "cpu_s": round(time.process_time() + usage.ru_utime + usage.ru_stime),
     }
 
