--- a/features/steps/node_path_steps.py
+++ b/features/steps/node_path_steps.py
@@ -68,17 +68,20 @@
             for name in self.names[service]:
                 port = TARGET_PORT + len(targets)
                 targets[name] = {"service": service, "address": f"{self.fleet_address}:{port}"}
-        self.launcher.start(
-            "poplarlane-standin-signed-fleet",
+        self.start_standin(
             {
                 "name": "fleet",
                 "listen_address": self.fleet_address,
                 "listen_port": STORE_PORT,
                 "targets": targets,
                 "configuration": self.configuration(5, self.usual_routes()),
-            },
+            }
         )
 
+    def start_standin(self, settings):
+        """Start the process of the stand-in."""
+        self.launcher.start("poplarlane-standin-signed-fleet", settings)
+
     def start(self, counts, ready_event="ready"):
         """Start the stand-in and the node; with None, do not wait for the node."""
         self.start_fleet(counts)
@@ -132,12 +135,12 @@
             return read_answer(caller)
 
 
-def request_bytes(method, path, request_id):
+def request_bytes(method, path, request_id, deadline_ms=3500):
     """Write a request; bookings have a body."""
     body = b"x=1" if method == "POST" else b""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
-    return f"{head}X-Deadline-Ms: 3500\r\n{length}\r\n".encode() + body
+    return f"{head}X-Deadline-Ms: {deadline_ms}\r\n{length}\r\n".encode() + body
 
 
 def read_answer(caller):
