--- a/features/node_soak.py
+++ b/features/node_soak.py
@@ -21,9 +21,9 @@
 from urllib.request import urlopen
 
 from features.node_soak_callers import LOSS_SLACK_S, Caller, Sent, check_losses, check_runs
-from features.shell_world import NOT_RUN_STATUSES
 from features.steps.node_path_steps import ADMIN_PORT, FRONT_PORT, READY_PORT, STORE_PORT, NodeRig
 from poplarlane.bench.processes import Launcher, Process
+from poplarlane.outcomes import REFUSAL_STATUSES
 
 ROOT = Path(__file__).resolve().parent.parent
 EXCHANGE_PORTS = [24_010, 24_013]
@@ -380,7 +380,7 @@
         "nodes": len(rig.nodes),
         "requests": len(rig.sent),
         "bookings": len(bookings),
-        "refused_bookings": sum(sent.status in NOT_RUN_STATUSES for sent in bookings),
+        "refused_bookings": sum(sent.status in REFUSAL_STATUSES for sent in bookings),
         "ends": Counter(str(sent.status or sent.end) for sent in rig.sent),
         "faults": rig.counts,
         "logged": {name: logged[name] for name in EVENTS},
--- a/features/node_soak_callers.py
+++ b/features/node_soak_callers.py
@@ -9,8 +9,8 @@
 
 import h11
 
-from features.shell_world import NOT_RUN_STATUSES
 from features.steps.node_path_steps import FRONT_PORT, request_bytes
+from poplarlane.outcomes import REFUSAL_STATUSES
 
 CONNECT_LIMIT_S = 1.0
 READ_BYTES = 65_536
@@ -206,7 +206,7 @@
         runs = began.get(sent.request_id, [])
         if sent.is_booking and len(runs) > 1:
             found.append(f"TWICE {sent} ran {runs}")
-        if sent.is_booking and runs and sent.status in NOT_RUN_STATUSES:
+        if sent.is_booking and runs and sent.status in REFUSAL_STATUSES:
             after_s = runs[0][1] - sent.ended_at
             found.append(f"REFUSED {sent} ran {runs}, {after_s:.3f} s after the answer")
     return found
