--- a/features/runner.py
+++ b/features/runner.py
@@ -61,7 +61,8 @@
             if element["type"] == "background":
                 continue
             verdict = passed if element.get("status") == "passed" else failed
-            verdict.append(element["name"])
+            # The names of examples of an outline end in a blank.
+            verdict.append(element["name"].strip())
     return passed, failed
 
 
