Test requests have a kind, which the correction of estimates asks for

'A request that cannot be answered in time is refused on arrival' failed in the merge with an AttributeError: its stub of a request had no kind. What it asserts is unchanged.

--- a/features/node_world.py
+++ b/features/node_world.py
@@ -55,9 +55,12 @@
         slowdowns=slowdowns.Slowdowns(),
         policy=Measured(),
         name="reads",
+        caller_deadlines={},
+        next_correction_at={},
     )
     return SimpleNamespace(
         request_id=request_id,
+        kind=READ,
         service=service,
         arrived_at=arrived_at,
         soft_deadline=arrived_at + aim_s,
