Take over new seeds at run time, and grant a lone node a safe part of quotas

Cause: a node to which nobody reports took itself for the whole fleet one second after its start, and seeds of a changed settings file were taken at a restart only, so that nodes with dead seeds never met. Ruled out: too low a charge for silent nodes; no node had ever reported to another.

Change: `seeds` is reloaded; the relay adapts the ranks, connects and greets at once. A node whose settings name others counts as new, at the share of one of 256 nodes, until one reports to it or it hears of a root; nodes that meet late stay so for 3.5 s, until all have read the new seeds.

--- a/features/customer_path.feature
+++ b/features/customer_path.feature
@@ -17,6 +17,16 @@
     Then between 10 and 53 of them ran, and the others got 429 with a time to come back
     And requests of "c1" are served
 
+  Scenario: Nodes whose seeds are all down keep to a quota, and find each other by new settings
+    # Guards a loss of all nodes after which each one took itself for the whole fleet (review/8).
+    Given two nodes with the customers "c1" and "c2" whose seeds are all down
+    When 80 requests of "c1" are sent through both nodes
+    Then between 1 and 40 of them ran, and the others got 429 with a time to come back
+    When the settings files name the first node as a seed, without a signal
+    Then both nodes are in a digest
+    When 160 requests of "c2" are sent through both nodes
+    Then between 3 and 53 of them ran, and the others got 429 with a time to come back
+
   Scenario: While the store is away for everybody, known keys are served and no other is refused for good
     # Guards callers whose key the nodes cannot have heard of yet.
     Given two nodes with the customers "c1" and "c2"
--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -98,6 +98,19 @@
     When 3 nodes start for the first time and each gets 70 requests of a customer in 0.45 s
     Then no more than its burst run
 
+  Scenario Outline: Nodes whose seeds are all down keep to each quota together until they meet
+    # Guards a loss of all nodes after which each one took itself for the whole fleet (review/8).
+    Given <nodes> nodes and customers that use 1 / 1.6 of their quotas
+    When all start anew without a live seed and "c0" sends 5 times as much
+    Then no window of a customer exceeds its bound before, while and after they find each other
+    And "c0" gets 0.8 of its quota at least once they have met
+
+    Examples:
+      | nodes |
+      | 5     |
+      | 40    |
+      | 190   |
+
   Scenario: Nodes with customers but no quotas take part in the exchange
     # Guards known keys during an outage of the store: without digests a node counts as cut off.
     Given a node whose customers have no quotas
--- a/features/quota_model.py
+++ b/features/quota_model.py
@@ -27,6 +27,7 @@
         self.fleet, self.number = fleet, number
         self.state = EntryState(f"node-{number}", 1)
         self.state.fleet = FleetState()
+        self.state.fleet.expects_others = True
         self.state.customers = fleet.table
         epoch = fleet.random.getrandbits(31)
         self.section = CustomersSection(self.state, TOLERANCE, is_bootstrap, epoch)
@@ -39,7 +40,8 @@
 
     def step(self, now):
         """Drop silent children and send what is due."""
-        self.state.reached_nodes_needed = self.fleet.known_nodes
+        is_alone = now < self.fleet.alone_until[self.number]
+        self.state.reached_nodes_needed = 1 if is_alone else self.fleet.known_nodes
         for child, heard_at in list(self.children.items()):
             if now - heard_at > CHILD_TIMEOUT_S:
                 del self.children[child]
@@ -106,6 +108,8 @@
         # Partition of each node, and when the tree follows it.
         self.part = [0] * nodes
         self.seen_part = [0] * nodes
+        # Until when a node finds no seed alive.
+        self.alone_until = [0.0] * nodes
         self.nodes = [ModelNode(self, number, True) for number in range(nodes)]
         self.demand = {customer.name: customer.rate_per_s / 1.6 for customer in customers}
         # Times at which requests ran, and of arrivals, by customer.
@@ -172,8 +176,12 @@
 
     def recipient(self, number, now):
         """Return the node that another one reports to."""
+        if now < self.alone_until[number]:
+            return None
         near = [
-            other for other in range(self.count) if self.seen_part[other] == self.seen_part[number]
+            other
+            for other in range(self.count)
+            if self.seen_part[other] == self.seen_part[number] and now >= self.alone_until[other]
         ]
         relay = min(other for other in near if other % 3 == number % 3)
         if relay != number:
@@ -195,6 +203,11 @@
         for number in numbers:
             self.nodes[number] = ModelNode(self, number, False)
 
+    def restart_alone(self, now, first, last):
+        """Start all nodes anew; their seeds are down until new ones reach each of them."""
+        self.alone_until = [now + self.random.uniform(first, last) for _ in range(self.count)]
+        self.restart(now, range(self.count))
+
     def pause(self, now, numbers, pause_s):
         """Suspend nodes."""
         for number in numbers:
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -81,7 +81,6 @@
         relay = Relay(
             state,
             1,
-            self.seeds,
             lambda _kind, changes: heard.extend(changes),
             lambda _kind, items: heard.extend(ObjectChange(item, False) for item in items),
             generator.random,
--- a/features/steps/customer_path_steps.py
+++ b/features/steps/customer_path_steps.py
@@ -33,6 +33,7 @@
         super().__init__(launcher)
         self.addresses = [self.node_address, launcher.new_host()]
         self.nodes = []
+        self.seeds = self.addresses
 
     def configuration(self, version, routes, removed=()):
         """Build a configuration with customers."""
@@ -61,7 +62,7 @@
             "front": f"{address}:{FRONT_PORT}",
             "ready": f"{address}:{READY_PORT}",
             "exchange_ports": EXCHANGE_PORTS,
-            "seeds": [f"{found}:{EXCHANGE_PORTS[0]}" for found in self.addresses],
+            "seeds": [f"{found}:{EXCHANGE_PORTS[0]}" for found in self.seeds],
             "fleet_size": 2,
             # Without it a new fleet assumes that the quotas have just been used up.
             "bootstrap": True,
@@ -92,13 +93,39 @@
 
 @given('two nodes with the customers "c1" and "c2"')
 def step_nodes(context):
+    start_nodes(context)
+    step_in_digest(context)
+
+
+@given('two nodes with the customers "c1" and "c2" whose seeds are all down')
+def step_nodes_alone(context):
+    start_nodes(context, has_seeds=False)
+
+
+def start_nodes(context, has_seeds=True):
+    """Start the stand-in and two nodes."""
     rig = context.rig = CustomerRig(context.resources.enter_context(Launcher()))
+    if not has_seeds:
+        rig.seeds = [rig.launcher.new_host()]
     rig.start({"reads": 2, "books": 1})
     rig.nodes = [rig.node, rig.launcher.start("poplarlane-node", rig.settings_of(1), "ready")]
+
+
+@then("both nodes are in a digest")
+def step_in_digest(context):
+    rig = context.rig
     for number in range(2):
         wait_until(lambda number=number: rig.hears_digests(number), "both nodes are in a digest")
 
 
+@when("the settings files name the first node as a seed, without a signal")
+def step_new_seeds(context):
+    rig = context.rig
+    rig.seeds = rig.addresses[:1]
+    for number in range(2):
+        rig.launcher.settings_path(f"node-{number + 1}", rig.settings_of(number))
+
+
 @when('each node gets a request with the key "{key}" and one without a key')
 def step_requests(context, key):
     rig = context.rig
@@ -158,10 +185,10 @@
     assert any('customer_requests{customer="c1"' in text for text in texts)
 
 
-@when('{count:d} requests of "c2" are sent through both nodes')
-def step_many(context, count):
-    rig = context.rig
-    context.answers = [rig.ask(n % 2, f"many-{n}", "third-secret") for n in range(count)]
+@when('{count:d} requests of "{name}" are sent through both nodes')
+def step_many(context, count, name):
+    rig, key = context.rig, KEYS[name][0]
+    context.answers = [rig.ask(n % 2, f"many-{name}-{n}", key) for n in range(count)]
 
 
 @then("between {least:d} and {most:d} of them ran, and the others got 429 with a time to come back")
--- a/features/steps/customer_quota_steps.py
+++ b/features/steps/customer_quota_steps.py
@@ -48,6 +48,11 @@
 # Trials in which a surge and a fault coincide, out of the first 200.
 TRIALS = range(24)
 MOST_TRIALS = 120
+# Nodes that start anew at 5 s find live seeds this much later, and then within the time in which
+# every node has read its settings; all have met, and none counts as new any more, by MET_S.
+ALONE_S = 6.0
+SETTINGS_CHECK_S = 2.0
+MET_S = 5.0 + ALONE_S + SETTINGS_CHECK_S + section.JOIN_S
 
 
 @then("in {count:d} drawn trials no window of a customer exceeds its bound")
@@ -121,6 +126,27 @@
         assert share < percent / 100.0, (name, share)
 
 
+@when('all start anew without a live seed and "{name}" sends {factor:g} times as much')
+def step_restart_alone(context, name, factor):
+    model = context.model
+    model.restart_alone(5.0, ALONE_S, ALONE_S + SETTINGS_CHECK_S)
+    model.set_demand(5.0, name, model.demand[name] * factor)
+    model.run(MET_S + 2.0 * TOLERANCE.window_s)
+
+
+@then("no window of a customer exceeds its bound before, while and after they find each other")
+def step_alone_bound(context):
+    worst, name, began_at = context.model.worst_window()
+    assert worst <= 1.0, f"{worst:.3f} of {name} from {began_at:.2f}"
+
+
+@then('"{name}" gets {least:g} of its quota at least once they have met')
+def step_met_share(context, name, least):
+    found = context.model.table.by_name[name]
+    ran = sum(at >= MET_S + TOLERANCE.window_s for at in context.model.ran[name])
+    assert ran >= least * found.rate_per_s * TOLERANCE.window_s, ran
+
+
 def new_section(name, customers, bootstrap=True):
     """Create the section of a node."""
     state = EntryState(name, 1)
--- a/features/steps/node_directory_steps.py
+++ b/features/steps/node_directory_steps.py
@@ -276,7 +276,6 @@
     relay = Relay(
         state,
         1,
-        [],
         lambda _kind, changes: heard.extend(changes),
         lambda _kind, items: heard.extend(ObjectChange(item, False) for item in items),
         lambda: 0.5,
--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -136,7 +136,6 @@
         relay = Relay(
             relays.RelayState(me, clock()),
             1,
-            [],
             self.keeper.apply_changes,
             self.keeper.listed,
             lambda: 0.5,
--- a/poplarlane/decisions/customers/section.py
+++ b/poplarlane/decisions/customers/section.py
@@ -50,6 +50,10 @@
 # The same where the whole system starts for the first time: nodes find each other as they come up.
 BOOTSTRAP_S = 0.5
 START_NODES = 256
+# A node without others for this long has found no seed alive. Later it takes the fleet to be that
+# large until all have read the same seeds (every 2 s) and have greeted them (once a second).
+ALONE_S = 3.0
+JOIN_S = 3.5
 # A customer counts as unlimited again after this time without a limit.
 UNLIMITED_AFTER_S = 2.0
 
@@ -94,6 +98,9 @@
         "is_root",
         "urgent",
         "started_at",
+        "new_until",
+        "alone_from",
+        "has_met_others",
     )
 
     def __init__(
@@ -130,6 +137,12 @@
         self.is_root = False
         self.urgent = False
         self.started_at: float | None = None
+        # Until when this node may not have heard of all others, unless it hears of a root.
+        self.new_until = math.inf
+        # From when on this node counts as one that found no seed, while no other reports here.
+        self.alone_from = math.inf
+        # Whether another node has ever reported here.
+        self.has_met_others = False
 
     # Admission.
 
@@ -170,13 +183,21 @@
         """Return whether this node may not have heard of all others yet."""
         if self.has_heard_root:
             return False
-        start_s = BOOTSTRAP_S if self.is_bootstrap else START_S
-        return self.started_at is None or now - self.started_at < start_s
+        # Seeds may be out of date or down, so that each node finds nobody and is a root.
+        return now < self.new_until or (self.state.fleet.expects_others and not self.has_met_others)
 
     def note_start(self, now: float) -> None:
         """Record when this node took part first."""
         if self.started_at is None:
             self.started_at = now
+            self.new_until = now + (BOOTSTRAP_S if self.is_bootstrap else START_S)
+            self.alone_from = now + ALONE_S
+
+    def note_others(self, now: float) -> None:
+        """Record that another node reports here; one that comes late is the first of many."""
+        if not self.has_met_others and now >= self.alone_from and self.is_new(now):
+            self.new_until = now + JOIN_S
+        self.has_met_others = True
 
     def count(self, name: str, used: int, asked: int, now: float) -> None:
         """Count requests of this node or of nodes below it."""
@@ -242,6 +263,7 @@
     def merge_report(self, sender: str, payload: bytes, now: float) -> None:
         """Add the counts of a child that have not been added yet."""
         report = REPORT_DECODER.decode(payload)
+        self.note_others(now)
         child = self.children.get(sender)
         new = 1
         if child is None or child.epoch != report.epoch:
--- a/poplarlane/decisions/fleet/sections.py
+++ b/poplarlane/decisions/fleet/sections.py
@@ -39,13 +39,15 @@
 class FleetState:
     """Sections of this node, and when it last received a digest, on the entry's clock."""
 
-    __slots__ = ("sections", "digest_at", "nodes")
+    __slots__ = ("sections", "digest_at", "nodes", "expects_others")
 
     def __init__(self) -> None:
         self.sections: dict[str, Section] = {}
         self.digest_at = -math.inf
         # Number of nodes that reported to the root, including itself; 0 before the first digest.
         self.nodes = 0
+        # Whether the settings name other nodes, so that a node that knows none may be one of many.
+        self.expects_others = False
 
     def add(self, section: Section) -> None:
         """Register a section under its name."""
--- a/poplarlane/decisions/membership/relays.py
+++ b/poplarlane/decisions/membership/relays.py
@@ -163,6 +163,14 @@
         member.seed_index = state.seeds.index(member.address)
 
 
+def replace_seeds(state: RelayState, seeds: list[str]) -> None:
+    """Take other seeds into force; the ranks of all nodes follow from them."""
+    state.seeds = seeds
+    for member in (state.me, *state.members.values()):
+        member.seed_index = NON_SEED_INDEX
+        set_seed_index(state, member)
+
+
 def record_member(state: RelayState, found: Member) -> bool:
     """Record a node; return whether it was unknown."""
     if found.name == state.me.name:
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -86,6 +86,7 @@
         "fleet_entries",
         "relay",
         "make_relay",
+        "seeds",
         "unconfirmed_kinds",
         "listed_at",
         "instances_era",
@@ -123,6 +124,8 @@
         self.relay: Relay | None = None
         # Creates the relay, which a node needs only once it serves; None without a relay.
         self.make_relay: Callable[[], Relay] | None = None
+        # Addresses of the nodes through which the relay finds the others.
+        self.seeds: list[str] = []
         # Earlier heartbeats may have been sent long before they were received.
         self.heartbeats_count_from = 0.0
 
@@ -150,6 +153,12 @@
             return
         self.relay = relay
 
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Take other seeds into force, now or when the relay starts."""
+        self.seeds = seeds
+        if self.relay is not None:
+            self.relay.replace_seeds(seeds)
+
     def digest_received(self, digest: FleetDigest) -> None:
         """Pass a digest of the fleet to the entry."""
         shell = self.shell
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -51,7 +51,6 @@
         "sockets",
         "state",
         "port",
-        "seeds",
         "followers",
         "deliver",
         "deliver_all",
@@ -73,7 +72,6 @@
         self,
         state: relays.RelayState,
         port: int,
-        seeds: list[str],
         deliver: Callable[[str, list[ObjectChange]], None],
         deliver_all: Callable[[str, list[StoredObject]], None],
         random_value: Callable[[], float],
@@ -81,8 +79,6 @@
         self.sockets: PeerSockets
         self.state = state
         self.port = port
-        # Addresses of the seeds, the nodes to contact at start-up.
-        self.seeds = seeds
         self.followers: dict[str, ObjectFollower] = {}
         self.deliver = deliver
         self.deliver_all = deliver_all
@@ -113,13 +109,29 @@
         address = self.state.me.address
         self.sockets = PeerSockets(address)
         self.sockets.bind_peer_router(address, self.port)
-        for seed in self.seeds:
-            if seed != address:
-                self.sockets.connect(seed, seed, self.port, keep_unsent=False)
+        for seed in self.state.seeds:
+            self.connect_seed(seed)
         # The first step runs before the first message is handled.
         self.task = asyncio.get_running_loop().create_task(self.run())
         self.sockets.start_receiving(self.received)
 
+    def connect_seed(self, seed: str) -> None:
+        """Open the connection to a seed, unless it is this node."""
+        if seed != self.state.me.address:
+            self.sockets.connect(seed, seed, self.port, keep_unsent=False)
+
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Take other seeds into force and greet them at once."""
+        before = self.state.seeds
+        relays.replace_seeds(self.state, seeds)
+        for seed in before:
+            if seed not in seeds:
+                self.sockets.disconnect(seed)
+        for seed in seeds:
+            if seed not in before:
+                self.connect_seed(seed)
+        self.hello_due = self.remote_hello_due = 0.0
+
     def close(self) -> None:
         """Stop the periodic steps and close the sockets."""
         if self.task is not None:
@@ -189,7 +201,7 @@
         chosen = relays.hello_recipients(state, now)
         near = relays.data_centre_members(state)
         for member in near:
-            if member.name in chosen or member.address in self.seeds:
+            if member.name in chosen or member.address in state.seeds:
                 self.send(member.name, payload)
         if near and not is_candidate and now < self.remote_hello_due:
             return
@@ -197,7 +209,7 @@
             0.8 + 0.4 * self.random_value()
         )
         greeted = {member.address for member in near}
-        for seed in self.seeds:
+        for seed in state.seeds:
             if seed not in greeted:
                 self.sockets.send(seed, payload)
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -82,6 +82,7 @@
         "extra_sends_window_s",
         "cold_overage",
         "cold_slack",
+        "seeds",
     }
 )
 # Time for the last responses to reach their callers before the platform kills the process.
@@ -176,6 +177,13 @@
     state.cold_tolerance = cold_tolerance(settings.cold_overage, settings.cold_slack)
     state.apply_limit_s = settings.apply_limit_s
     state.strict_revocation = settings.strict_revocation
+    others = [seed for seed in seed_addresses(settings) if seed != settings.listen_address]
+    state.fleet.expects_others = bool(settings.exchange_ports and others)
+
+
+def seed_addresses(settings: NodeSettings) -> list[str]:
+    """Return the IP addresses of the seeds."""
+    return [split_address(seed)[0] for seed in settings.seeds]
 
 
 def make_settings_watch(settings: NodeSettings, path: str, shell: EntryShell) -> SettingsWatch:
@@ -183,6 +191,9 @@
 
     def apply(found: NodeSettings) -> frozenset[str]:
         apply_node_settings(shell.state, found)
+        seeds = seed_addresses(found)
+        if seeds != shell.link.seeds:
+            shell.link.replace_seeds(seeds)
         return RELOADED_KEYS
 
     return SettingsWatch(path, settings, apply)
@@ -239,10 +250,12 @@
     limit_s = change_limit_s(settings)
     wait_ms = round(limit_s * WATCH_WAIT_FRACTION * 1000.0)
     group_s = limit_s * BATCH_DELAY_FRACTION
-    seeds = [split_address(seed)[0] for seed in settings.seeds]
+    keeper.seeds = seed_addresses(settings)
     # Other nodes supply what a stale list lacks. Seeds list current state: they are asked first.
     has_others = bool(settings.exchange_ports)
-    allow_stale_list = settings.bootstrap and has_others and settings.listen_address not in seeds
+    allow_stale_list = (
+        settings.bootstrap and has_others and settings.listen_address not in keeper.seeds
+    )
     kinds = [store.CONFIGURATION_KIND, store.INSTANCES_KIND]
     if settings.evacuate_within_s is not None:
         kinds.append(store.EVACUATIONS_KIND)
@@ -256,7 +269,7 @@
             follower.version_of = translation.version_of
         keeper.followers.append(follower)
     if has_others:
-        keeper.make_relay = lambda: make_relay(settings, keeper, generator, seeds)
+        keeper.make_relay = lambda: make_relay(settings, keeper, generator)
     return keeper
 
 
@@ -274,9 +287,7 @@
     return change_limit_s(settings) / settings.evacuate_within_s
 
 
-def make_relay(
-    settings: NodeSettings, keeper: DirectorySync, generator: random.Random, seeds: list[str]
-) -> "Relay":
+def make_relay(settings: NodeSettings, keeper: DirectorySync, generator: random.Random) -> "Relay":
     """Build the relay of changes between nodes."""
     # Importing pyzmq takes 30 ms, and 100 ms on a small VM.
     from poplarlane.plumbing.relay import Relay
@@ -284,11 +295,10 @@
     local_member = Member(settings.name, settings.listen_address, settings.data_centre, 0.0)
     port = settings.exchange_ports[0] + EXCHANGE_PORT_OFFSET
     limit_s = change_limit_s(settings)
-    state = RelayState(local_member, clock(), seeds, limit_s, settings.bootstrap)
+    state = RelayState(local_member, clock(), keeper.seeds, limit_s, settings.bootstrap)
     relay = Relay(
         state,
         port,
-        seeds,
         keeper.apply_changes,
         keeper.listed,
         generator.random,
