Log, export and show how each node started

Change: a node notes when it reached nine stages (settings, listening, listed, ready, exchange, member, digest, fleet, answer) and what it refused for a reason of its own in its first 15 s. They are in the line `start_timeline`, on the status page, in `start_stage_seconds`, and `poplarctl starts` prints them with the slowest nodes of each stage.

--- a/features/customer_path.feature
+++ b/features/customer_path.feature
@@ -10,6 +10,7 @@
     Then both nodes refuse it with 401 within 2.5 s and take "other-secret"
     And poplarctl customers shows both customers with a recent digest at both nodes
     And neither log nor status page of the nodes holds a key
+    And poplarctl starts shows that both nodes reached all stages, and names the slowest
 
   Scenario: A customer that sends too much through both nodes is limited to its quota
     Given two nodes with the customers "c1" and "c2"
--- a/features/steps/customer_path_steps.py
+++ b/features/steps/customer_path_steps.py
@@ -19,6 +19,7 @@
 )
 
 from poplarlane.bench.processes import Launcher, binary_path
+from poplarlane.start_timeline import Stage
 
 EXCHANGE_PORTS = [24_010, 24_019]
 KEYS = {"c1": ["first-secret", "other-secret"], "c2": ["third-secret"]}
@@ -176,6 +177,24 @@
     assert sum(status["customers"]["c1"]["used"] for status in found.values()) >= 4, found
 
 
+@then("poplarctl starts shows that both nodes reached all stages, and names the slowest")
+def step_starts(context):
+    nodes = [f"{address}:{ADMIN_PORT}" for address in context.rig.addresses]
+    command = [binary_path("poplarctl"), "starts", *nodes]
+
+    def report():
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert done.returncode == 0, done
+        return done.stdout
+
+    wait_until(lambda: "not reached" not in report(), "both nodes have reached all stages")
+    text = report()
+    for number in (1, 2):
+        (line,) = [found for found in text.splitlines() if f"node node-{number}:" in found]
+        assert all(f"{stage.value} " in line for stage in Stage), line
+    assert f"slowest at {Stage.ANSWER.value}: node-" in text, text
+
+
 @then("neither log nor status page of the nodes holds a key")
 def step_no_key(context):
     rig = context.rig
--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -24,6 +24,7 @@
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.platform_client import PlatformResponse
 from poplarlane.plumbing.relay import Relay
+from poplarlane.start_timeline import StartTimeline
 from poplarlane.store_objects import ObjectChange, StoredObject
 
 CONFIGURATION = "configuration"
@@ -120,6 +121,7 @@
             random_value=lambda: 7,
             feed=self.fed.append,
             loop=SimpleNamespace(call_later=ignore, call_soon=ignore),
+            timeline=StartTimeline(lambda: self.now),
         )
         translation = Translation(
             CONFIGURATION,
--- a/poplarlane/plumbing/directory_sync.py
+++ b/poplarlane/plumbing/directory_sync.py
@@ -27,6 +27,7 @@
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.unreadable_objects import UnreadableObjects
 from poplarlane.relay_messages import FleetDigest
+from poplarlane.start_timeline import Stage
 from poplarlane.store_objects import ObjectChange, StoredObject, UnreadableObject, era_of
 
 if TYPE_CHECKING:
@@ -152,6 +153,7 @@
             self.shell.loop.call_later(RELAY_RETRY_INTERVAL_S, self.start_relay)
             return
         self.relay = relay
+        self.shell.timeline.reach(Stage.EXCHANGE)
 
     def replace_seeds(self, seeds: list[str]) -> None:
         """Take other seeds into force, now or when the relay starts."""
@@ -162,6 +164,8 @@
     def digest_received(self, digest: FleetDigest) -> None:
         """Pass a digest of the fleet to the entry."""
         shell = self.shell
+        if digest.nodes > 1:
+            shell.timeline.reach(Stage.DIGEST)
         event = FleetDigestReceived(
             shell.now(),
             shell.random_value(),
@@ -197,6 +201,7 @@
         self.listed_kinds.add(kind)
         if len(self.listed_kinds) == len(self.followers):
             self.listed_at = self.listed_at or self.shell.now()
+            self.shell.timeline.reach(Stage.LISTED)
         invalid = self.invalid_objects(kind)
         invalid.update([], invalid.by_name.keys() - {item.name for item in items})
         required = {found.kind for found in self.followers} - {self.translation.evacuations_kind}
@@ -405,6 +410,7 @@
         """Drop targets that did not return after an outage of the store."""
         self.shell.loop.call_later(EXPIRY_CHECK_INTERVAL_S, self.check_expired_targets)
         self.check_confirmation()
+        self.note_fleet()
         has_expired = self.directory.purge_expired(self.shell.now())
         self.allow_without_evacuations()
         state = self.shell.state
@@ -419,6 +425,14 @@
         if has_expired or is_waiting or is_resized or is_newly_known:
             self.publish()
 
+    def note_fleet(self) -> None:
+        """Record in the timeline when other nodes are known."""
+        timeline = self.shell.timeline
+        if self.relay is not None and self.relay.state.members:
+            timeline.reach(Stage.MEMBER)
+            if self.is_fleet_known():
+                timeline.reach(Stage.FLEET)
+
     def allow_without_evacuations(self) -> None:
         """Let a node serve whose evacuations cannot be read although all other kinds can."""
         since = self.required_listed_at
@@ -461,4 +475,5 @@
         is_known = self.is_fleet_known()
         shell.feed(CatalogueChanged(now, random_value, catalogue, fleet, is_confirmed, is_known))
         if is_first:
+            shell.timeline.reach(Stage.READY)
             shell.loop.call_soon(self.start_relay)
--- a/poplarlane/plumbing/entry_execute.py
+++ b/poplarlane/plumbing/entry_execute.py
@@ -235,7 +235,7 @@
         parts += exchange.parts
     request.write(b"".join(parts))
     end_span(shell, request, head.metadata.status, effect.code)
-    shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
+    shell.count_result(effect.code)
     request.finish(effect.close)
 
 
@@ -274,7 +274,7 @@
     for data in buffered:
         request.write_body(data)
     shell.release_parts(exchange)
-    shell.results[effect.code] = shell.results.get(effect.code, 0) + 1
+    shell.count_result(effect.code)
 
 
 @execute.register(FinishStream)
@@ -313,7 +313,7 @@
     close = request.closes_connection(effect.close)
     with_body = request.head.method != b"HEAD"
     request.write(error_response(outcome, effect.retried, close, with_body))
-    shell.results[outcome.code] = shell.results.get(outcome.code, 0) + 1
+    shell.count_result(outcome.code)
     end_span(shell, request, outcome.status, outcome.code)
     request.finish(effect.close)
 
@@ -331,8 +331,7 @@
     caller = shell.callers.get(effect.caller_id)
     if caller is not None and not caller.closing:
         caller.respond_and_close(error_response(effect.outcome, False, True, True))
-        code = effect.outcome.code
-        shell.results[code] = shell.results.get(code, 0) + 1
+        shell.count_result(effect.outcome.code)
 
 
 @execute.register(SetTimer)
--- a/poplarlane/plumbing/entry_shell.py
+++ b/poplarlane/plumbing/entry_shell.py
@@ -36,7 +36,7 @@
 from poplarlane.logs import log
 from poplarlane.messages import EntryHello, EntryReport, ViewUpdate
 from poplarlane.metrics import Metrics
-from poplarlane.outcomes import MalformedRequest, NotRun
+from poplarlane.outcomes import MalformedRequest, NotRun, ResultCode
 from poplarlane.plumbing.acceptor import Acceptor, bind_listener
 from poplarlane.plumbing.caller_requests import CallerRequest
 from poplarlane.plumbing.callers import CallerConnection
@@ -50,6 +50,7 @@
 from poplarlane.plumbing.turn_meter import TurnMeter
 from poplarlane.plumbing.turns import TurnQueue
 from poplarlane.settings import EntrySettings, seeded_generator
+from poplarlane.start_timeline import REPORT_AFTER_S, StartTimeline
 from poplarlane.types import Target
 
 if TYPE_CHECKING:
@@ -148,6 +149,7 @@
         "turns",
         "sweep_at",
         "meter",
+        "timeline",
     )
 
     def __init__(
@@ -160,6 +162,7 @@
         make_link: Callable[["EntryShell"], Link],
         header_names: HeaderNames = DEFAULT_HEADERS,
         meter: TurnMeter | None = None,
+        timeline: StartTimeline | None = None,
     ) -> None:
         self.settings = settings
         self.state = state
@@ -203,6 +206,7 @@
         # Connections with long input, and what the turns of the loop do.
         self.turns: TurnQueue
         self.meter = meter or TurnMeter()
+        self.timeline = timeline or StartTimeline(self.now)
         # Events that wait, and whether one of them is being processed.
         self.events: deque[EntryEvent] = deque()
         self.is_processing = False
@@ -225,6 +229,7 @@
         self.link.start()
         self.sweep()
         self.report()
+        self.loop.call_later(REPORT_AFTER_S, self.log_start)
 
     def drop_waiting_callers(self) -> None:
         """Reset the callers that wait for an entry that is still not ready."""
@@ -297,6 +302,15 @@
         """Draw 64 random bits."""
         return self.random.getrandbits(64)
 
+    def count_result(self, code: ResultCode) -> None:
+        """Count a response to a caller."""
+        self.results[code] = self.results.get(code, 0) + 1
+        self.timeline.count(code)
+
+    def log_start(self) -> None:
+        """Log how this entry started."""
+        log("start_timeline", **self.timeline.log_fields())
+
     def new_id(self) -> int:
         """Return an ID that is unique in this process."""
         self.next_id += 1
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -48,6 +48,7 @@
     NodeSettings,
     seeded_generator,
 )
+from poplarlane.start_timeline import StartTimeline
 from poplarlane.types import Verdict
 
 if TYPE_CHECKING:
@@ -132,7 +133,7 @@
 
 
 def build_node(
-    settings: NodeSettings, meter: TurnMeter
+    settings: NodeSettings, meter: TurnMeter, timeline: StartTimeline
 ) -> tuple[EntryShell, AdminServer, AdminServer]:
     """Build a node, its admin server and its readiness server."""
     state = EntryState(settings.name, time.time_ns())
@@ -153,7 +154,9 @@
     def make_link(shell: EntryShell) -> DirectorySync:
         return make_keeper(settings, shell)
 
-    shell = EntryShell(entry, state, metrics, None, networks, make_link, PLATFORM_HEADERS, meter)
+    shell = EntryShell(
+        entry, state, metrics, None, networks, make_link, PLATFORM_HEADERS, meter, timeline
+    )
     pages = entry_pages(shell)
     ready = AdminServer(metrics, {settings.ready_path: pages["/_ready"]})
     return shell, AdminServer(metrics, pages), ready
@@ -362,6 +365,7 @@
             for name, service in state.services.items()
         },
         "results": {str(int(code)): count for code, count in shell.results.items()},
+        "start": shell.timeline.document(),
     } | quota_status(shell)
 
 
@@ -419,6 +423,8 @@
     metrics = shell.metrics
     metrics.set("requests_in_flight", {}, len(shell.state.requests))
     metrics.set("caller_connections", {}, len(shell.callers))
+    for stage, found_ms in shell.timeline.stages_ms().items():
+        metrics.set("start_stage_seconds", {"stage": stage}, found_ms / 1000.0)
     unreadable = Counter()
     for found in shell.link.unreadable_objects():
         unreadable[found.kind] += len(found.by_name)
--- a/poplarlane/programs/ctl/main.py
+++ b/poplarlane/programs/ctl/main.py
@@ -26,6 +26,7 @@
 )
 from poplarlane.programs.ctl.quarantine_command import QuarantineCommand
 from poplarlane.programs.ctl.reports import error_report, show, usage_error
+from poplarlane.programs.ctl.starts_command import StartsCommand
 from poplarlane.programs.ctl.trace_command import TraceCommand
 from poplarlane.programs.ctl.unreadable_command import UnreadableCommand
 
@@ -50,6 +51,7 @@
     EvacuateCommand,
     RestoreCommand,
     CustomersCommand,
+    StartsCommand,
 )
 
 
