Pass digests and changes on in groups, and announce large changes

A route was answered 404 2.5 s after its acknowledgement.

Cause: the relay of a data centre sent every digest to every node itself. With the large seeds gone the relay is a node with a link of 10 Mbit/s, 1,250 KB a second; it was handed 4,839 and 4,130 KB in a second, nearly all digests (1,872 of them). Changes and heartbeats wait behind them. Beside it, 25 and more nodes that follow the store in place of the seeds each sent the same change of 8.5 KB to all 66 others at once, and the change was sent whole, because moved entries of a list cannot be told by a difference. Ruled out: late watches (followers had the change within 0.1 s) and lost updates (a fetch follows 0.25 s after the first announcement).

Change: `FanOut` sends to about the square root of the nodes, which pass the message on; groups differ from digest to digest, and a node that was not heard from lately forwards nothing. A node that follows in place of the candidates pushes up to 600 bytes and announces the rest. Differences of lists carry the order where entries have moved. `exchange_busy` and gauges show the bytes.

In the model of relays the busiest node sends 28 and 42 digests a second at 190 and 300 nodes, 260 and 400 before (computed from 65 and 100 children). The scenario on large changes and that on digests fail without it.

--- a/features/fleet_digests.feature
+++ b/features/fleet_digests.feature
@@ -38,6 +38,26 @@
     And one node is cut off for 1.5 seconds
     Then that node is isolated and the others are not
 
+  Scenario Outline: No node sends a digest to all others of a large data centre
+    # Guards links of 10 Mbit/s: the relay sent each digest to every node itself, 441 KB a second at
+    # 190 nodes, and changes of the configuration waited behind them.
+    Given <nodes> nodes in 3 data centres that count what they see
+    When 3 seconds pass
+    Then the busiest node sends at most <most> digests a second in the next 4 seconds
+    And no node that is left is isolated
+
+    Examples:
+      | nodes | most |
+      | 24    | 36   |
+      | 190   | 40   |
+      | 300   | 48   |
+
+  Scenario: A forwarder that fails costs the nodes below it no more than some digests
+    Given 190 nodes in 3 data centres that count what they see
+    When 3 seconds pass
+    And each forwarder of the root is cut off in turn for 2 seconds
+    Then no other node was isolated at any time
+
   Scenario: Digests that waited while a node was suspended are not taken for news
     # Guards against quotas and trials of the past, which such a digest would put into force.
     Given 30 nodes in 3 data centres that count what they see
--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -210,6 +210,14 @@
     And the store tells the nodes that follow it of a change
     Then all 60 nodes have the change
 
+  Scenario: A large change is not sent to everybody by each node that follows the store
+    # Guards links of 10 Mbit/s: after a loss of the seeds each of many followers sent 0.5 MB.
+    Given 190 nodes in 3 data centres with 3 seeds
+    When the exchange has run for 3 s
+    And all seeds end and the exchange has run for 1.1 s
+    And the store tells the nodes that follow it of a change of 20000 bytes within 1 s
+    Then all 187 nodes have the large change, and no node sent more than 600000 bytes
+
   Scenario: A node that starts anew does not serve by an old list
     # Guards against targets that had left and keys that were withdrawn, in use again after a restart.
     Given a node that has listed an old state of the store
@@ -255,6 +263,7 @@
     Given a configuration of 1400 routes of which one changes
     Then its message takes at most 2 KB and gives back the whole configuration
     And for 300 drawn pairs of contents a difference gives back the newer one, or there is none
+    And entries of a list that have moved are told by a difference as well
 
   Scenario: A change that a beat announces and that does not arrive is asked for until it is there
     Given a node at revision 40 that hears of revision 42
--- a/features/relay_fleet.py
+++ b/features/relay_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from unittest.mock import patch
 
 from poplarlane import relay_messages
@@ -37,9 +38,14 @@
     def send(self, name, payload):
         """Queue a message for a node, named or by its address, unless either is cut off."""
         receiver = self.fleet.by_address.get(name, name)
+        self.fleet.sent_bytes[self.name] += len(payload)
         if self.fleet.cut & {self.name, receiver} or self.fleet.is_cut(self.name, name):
             return
-        self.fleet.queue.append((name, payload))
+        late_s = self.fleet.late_s.get(self.name)
+        if late_s:
+            self.fleet.waiting.append((self.fleet.now + late_s, name, payload))
+        else:
+            self.fleet.queue.append((name, payload))
 
 
 class AnyName:
@@ -62,9 +68,13 @@
         self.by_address = {}
         # Pairs of data centres between which messages are lost.
         self.cut_links = set()
+        # How long messages of a node wait on its link, and those that wait with their time.
+        self.late_s = {}
+        self.waiting = []
         # Nodes that the store turns away, and those that it was asked by.
         self.denied = set()
         self.asked = set()
+        self.sent_bytes = Counter()
         self.changes = {}
         addresses = [f"10.0.{number % data_centres}.{number}" for number in range(nodes)]
         self.seeds = addresses[:seeds]
@@ -97,6 +107,10 @@
         with patch.object(relay_module, "clock", lambda: self.now):
             for _ in range(round(time_s / TICK_S)):
                 self.now += TICK_S
+                due = [entry for entry in self.waiting if entry[0] <= self.now]
+                self.waiting = [entry for entry in self.waiting if entry[0] > self.now]
+                self.queue += [entry[1:] for entry in due]
+                self.deliver()
                 for name, relay in list(self.relays.items()):
                     relay.step(self.now)
                     self.ask_store(name, relay)
--- a/features/steps/fleet_digest_steps.py
+++ b/features/steps/fleet_digest_steps.py
@@ -1,5 +1,6 @@
 """Steps for the exchange of reports and digests, without a network."""
 
+from collections import Counter
 from unittest.mock import patch
 
 import msgspec
@@ -14,7 +15,7 @@
 from poplarlane.plumbing import relay as relay_module
 from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.relay import Relay
-from poplarlane.relay_messages import DECODER, FleetDigest, FleetReport
+from poplarlane.relay_messages import FleetDigest, FleetReport, decode
 
 
 class CountSection:
@@ -153,6 +154,58 @@
     context.fleet.run(time_s)
 
 
+@then("the busiest node sends at most {most:d} digests a second in the next {time_s:d} seconds")
+def step(context, most, time_s):
+    sent = record_digests(context.fleet)
+    context.fleet.run(time_s)
+    counts = Counter(sender for sender, _ in sent)
+    assert max(counts.values()) <= most * time_s, counts.most_common(3)
+
+
+def record_digests(fleet):
+    """Return a list that gets the sender and the content of each digest from now on."""
+    sent = []
+    for name, relay in fleet.relays.items():
+
+        def record(receiver, payload, send=relay.sockets.send, name=name):
+            message = decode(payload)
+            if isinstance(message, FleetDigest):
+                sent.append((name, message))
+            send(receiver, payload)
+
+        relay.sockets.send = record
+    return sent
+
+
+@when("each forwarder of the root is cut off in turn for {time_s:d} seconds")
+def step(context, time_s):
+    fleet = context.fleet
+    root = next(iter(context.nodes.values())).root
+    sent = record_digests(fleet)
+    fleet.run(1.0)
+    forwarders = {sender for sender, found in sent if sender != root and found.sender.name == root}
+    assert len(forwarders) >= 8, forwarders
+    context.isolated = set()
+    for name in sorted(forwarders):
+        fleet.cut = {name}
+        for _ in range(time_s * 10):
+            fleet.run(0.1)
+            nodes = {found for found in context.nodes if found != name}
+            context.isolated |= {found for found in nodes if is_isolated(context, found)}
+        fleet.cut = set()
+        fleet.run(1.0)
+
+
+@then("no other node was isolated at any time")
+def step(context):
+    assert not context.isolated, context.isolated
+
+
+def is_isolated(context, name):
+    """Return whether a node has had no digest lately."""
+    return context.nodes[name].state.fleet.is_isolated(context.fleet.now)
+
+
 @when("one node is suspended for {time_s:g} seconds and reads what came meanwhile")
 def step(context, time_s):
     context.cut = list(context.nodes)[-1]
@@ -163,7 +216,7 @@
         patch.object(Relay, "step", skip_for(relay)),
     ):
         fleet.run(time_s)
-    assert any(isinstance(DECODER.decode(payload), FleetDigest) for payload in held)
+    assert any(isinstance(decode(payload), FleetDigest) for payload in held)
     with patch.object(relay_module, "clock", lambda: fleet.now):
         for payload in held:
             relay.received(b"", payload)
@@ -247,5 +300,5 @@
 @then("no report or digest has been sent since")
 def step(context):
     assert context.sent
-    kinds = {type(DECODER.decode(payload)) for payload in context.sent if payload[:1] != b"\xc1"}
+    kinds = {type(decode(payload)) for payload in context.sent if payload[:1] != b"\xc1"}
     assert not kinds & {FleetReport, FleetDigest}, kinds
--- a/features/steps/node_exchange_steps.py
+++ b/features/steps/node_exchange_steps.py
@@ -48,7 +48,7 @@
     context.fleet.run(time_s)
 
 
-@when("all seeds end and the exchange has run for {time_s:d} s")
+@when("all seeds end and the exchange has run for {time_s:g} s")
 def step_seeds_end(context, time_s):
     for address in context.fleet.seeds:
         if address in context.fleet.by_address:
@@ -56,6 +56,23 @@
     context.fleet.run(time_s)
 
 
+@when(
+    "messages of the first seed wait {late_s:d} s on its link and the exchange has run for "
+    "{time_s:d} s"
+)
+def step_late(context, late_s, time_s):
+    fleet = context.fleet
+    fleet.late_s[fleet.by_address[fleet.seeds[0]]] = float(late_s)
+    fleet.run(time_s)
+
+
+@then("another node follows the store in place of the first seed")
+def step_another(context):
+    first = context.fleet.by_address[context.fleet.seeds[0]]
+    others = set(context.fleet.followers()) - {first}
+    assert others, context.fleet.followers()
+
+
 @then("1 node follows the store and it is the {place} seed")
 def step_one_follows(context, place):
     address = context.fleet.seeds[["first", "second", "third"].index(place)]
@@ -96,6 +113,27 @@
     assert all(spec == {"version": 9} for spec in found.values())
 
 
+@when("the store tells the nodes that follow it of a change of {size:d} bytes within {time_s:d} s")
+def step_told_much(context, size, time_s):
+    fleet = context.fleet
+    assert len(fleet.followers()) > 20, fleet.followers()
+    fleet.sent_bytes.clear()
+    # Text that does not compress well, as the digests of keys.
+    text = random.Random(1).randbytes(size // 2).hex()
+    context.spec = {"text": text}
+    fleet.tell(FIRST_REVISION + 1, context.spec)
+    fleet.run(time_s)
+
+
+@then("all {nodes:d} nodes have the large change, and no node sent more than {most:d} bytes")
+def step_all_have_much(context, nodes, most):
+    found = context.fleet.knowing(FIRST_REVISION + 1)
+    missing = set(context.fleet.relays) - set(found)
+    assert len(found) == nodes and all(spec == context.spec for spec in found.values()), missing
+    busiest = context.fleet.sent_bytes.most_common(3)
+    assert busiest[0][1] <= most, busiest
+
+
 @then("all {nodes:d} nodes have the change, and only the first seed asked the store")
 def step_only_seed(context, nodes):
     step_all_have(context, nodes)
@@ -386,6 +424,22 @@
 CONTENTS = st.dictionaries(st.sampled_from("wxyz"), st.one_of(VALUES, ENTRIES), max_size=4)
 
 
+@then("entries of a list that have moved are told by a difference as well")
+def step_moved(context):
+    entry = st.fixed_dictionaries({"name": st.sampled_from("abcdef"), "value": VALUES})
+    entries = st.lists(entry, max_size=6, unique_by=lambda found: found["name"])
+
+    @settings(max_examples=500, derandomize=True)
+    @for_all(entries, entries)
+    def rule(old, new):
+        delta = delta_between({"entries": old}, {"entries": new})
+        assert delta is not None and apply_delta({"entries": old}, delta) == {"entries": new}
+        for changed in delta.lists.values():
+            assert all(found not in old for found in changed.entries), changed
+
+    rule()
+
+
 @then(
     "for {cases:d} drawn pairs of contents a difference gives back the newer one, or there is none"
 )
--- a/poplarlane/decisions/configuration/object_deltas.py
+++ b/poplarlane/decisions/configuration/object_deltas.py
@@ -11,10 +11,14 @@
 
 
 class ListDelta(msgspec.Struct, array_like=True):
-    """The added or changed entries of a list, and the keys of removed ones in `gone`."""
+    """The added or changed entries of a list, and the keys of removed ones in `gone`.
+
+    `order` holds all keys where entries have moved or were not added at the end.
+    """
 
     entries: list[dict[str, object]]
     gone: list[str]
+    order: list[str] = []
 
 
 class Delta(msgspec.Struct, array_like=True):
@@ -38,7 +42,7 @@
             delta.fields[key] = value
         else:
             delta.lists[key] = found
-    # A delta does not preserve the order of moved entries, so the result is verified.
+    # Content that a delta cannot express, such as a value of another type, shows in the result.
     return delta if apply_delta(old, delta) == new else None
 
 
@@ -48,7 +52,11 @@
     if old_entries is None or new_entries is None:
         return None
     entries = [entry for key, entry in new_entries.items() if old_entries.get(key) != entry]
-    return ListDelta(entries, [key for key in old_entries if key not in new_entries])
+    gone = [key for key in old_entries if key not in new_entries]
+    kept = [key for key in old_entries if key in new_entries]
+    added = [key for key in new_entries if key not in old_entries]
+    order = list(new_entries)
+    return ListDelta(entries, gone, order if order != kept + added else [])
 
 
 def index_by_key(value: object) -> dict[str, dict[str, object]] | None:
@@ -78,5 +86,8 @@
         for gone in change.gone:
             held.pop(gone, None)
         held.update(changed)
-        new[key] = list(held.values())
+        order = change.order or list(held)
+        if held.keys() != set(order):
+            return None
+        new[key] = [held[name] for name in order]
     return new
--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -164,10 +164,16 @@
         to reach it nevertheless; once it has adopted that, it reports like all others.
         """
         names = [*self.children, *(self.idle_nodes() if digest.sections else ())]
-        if names:
-            payload = relay_messages.encode(digest)
-            for name in names:
+        if not names:
+            return
+        state = self.relay.state
+        near = {member.name for member in relays.data_centre_members(state)}
+        payload = relay_messages.encode(digest)
+        for name in names:
+            if name not in near:
                 self.relay.send(name, payload)
+        grouped = [name for name in names if name in near]
+        self.relay.fan_out.send(digest, grouped, digest.sequence, self.relay.clock())
 
     def idle_nodes(self) -> list[str]:
         """List the nodes below this one in the tree that do not report."""
@@ -202,6 +208,7 @@
         """Adopt a digest of the node that this one reports to, and pass it on."""
         if self.is_stale(self.relay.clock()):
             return
+        self.relay.fan_out.pass_on(message)
         if not self.fleet.is_active() and not self.children:
             # This node has not reported lately, so its place in the tree may have changed.
             self.recipient = tree.report_recipient(self.relay.state, self.relay.clock())
@@ -213,5 +220,5 @@
         if is_same_root and message.sequence <= self.digest_sequence and not restarted:
             return
         self.digest_root, self.digest_sequence = message.root, message.sequence
-        self.forward(msgspec.structs.replace(message, sender=self.relay.note()))
+        self.forward(msgspec.structs.replace(message, sender=self.relay.note(), below=[]))
         self.adopt(message)
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -20,10 +20,12 @@
 )
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
+from poplarlane.plumbing.fan_out import FanOut
 from poplarlane.plumbing.fleet_exchange import FleetExchange
 from poplarlane.plumbing.object_follower import ObjectFollower
 from poplarlane.plumbing.pauses import clock
 from poplarlane.plumbing.peer_sockets import PeerSockets
+from poplarlane.plumbing.traffic_meter import TrafficMeter
 from poplarlane.relay_messages import (
     Fetch,
     FleetDigest,
@@ -42,6 +44,9 @@
 # A node without members repeats its hello sooner, because its connections are still opening.
 INITIAL_HELLO_INTERVAL_S = 0.03
 STARTUP_PERIOD_S = 2.0
+# While no candidate follows the store, many nodes do, and each one passes its changes on. Larger
+# ones are announced instead, and fetched by the nodes that miss them.
+MAX_PUSHED_BYTES = 600
 
 
 class Relay:
@@ -66,6 +71,8 @@
         "snapshots",
         "failures",
         "fleet_exchange",
+        "traffic",
+        "fan_out",
     )
 
     def __init__(
@@ -103,6 +110,8 @@
         self.snapshots: dict[str, tuple[tuple[int, int], bytes]] = {}
         # Exchange of reports and digests; None where nothing is shared.
         self.fleet_exchange: FleetExchange | None = None
+        self.traffic = TrafficMeter(clock())
+        self.fan_out = FanOut(state, self.send)
 
     def start(self) -> None:
         """Bind the socket, connect to the seeds and start the periodic steps."""
@@ -143,6 +152,7 @@
         while True:
             try:
                 self.step(clock())
+                self.measure_traffic(clock())
             except Exception as error:
                 # Without these steps the node would stop following the store unnoticed.
                 log("relay_step_failed", "error", reason=error_text(error))
@@ -172,6 +182,12 @@
         if self.fleet_exchange is not None:
             self.fleet_exchange.step(now)
 
+    def measure_traffic(self, now: float) -> None:
+        """Log when the messages between nodes take much of the link."""
+        busy = self.traffic.step(self.sockets.counts, now)
+        if busy is not None:
+            log("exchange_busy", "warning", **busy)
+
     def clock(self) -> float:
         """Return the time on the relay's clock."""
         return clock()
@@ -250,19 +266,41 @@
         if message is not None:
             self.broadcast(message, now)
 
-    def broadcast(self, message: Heartbeat | Update, now: float) -> None:
-        """Send a message to all nodes of this data centre and to the current subscribers."""
+    def broadcast(self, message: Heartbeat, now: float) -> None:
+        """Send a heartbeat to all nodes of this data centre and to the current subscribers."""
+        self.broadcast_near(message, self.current_subscribers(now))
+
+    def current_subscribers(self, now: float) -> list[str]:
+        """List the nodes of other data centres that have asked for heartbeats lately."""
         asked_after = now - relays.MEMBER_TIMEOUT_S
-        asking = [name for name, asked_at in self.subscribers.items() if asked_at >= asked_after]
-        self.broadcast_near(message, asking)
+        return [name for name, asked_at in self.subscribers.items() if asked_at >= asked_after]
 
-    def broadcast_near(self, message: Heartbeat | Update, others: Iterable[str] = ()) -> None:
-        """Send a message to all nodes of this data centre and to `others`."""
+    def near_names(self) -> list[str]:
+        """List the names of the other nodes of this data centre."""
+        return [member.name for member in relays.data_centre_members(self.state)]
+
+    def broadcast_near(self, message: Heartbeat, others: Iterable[str] = ()) -> None:
+        """Send a heartbeat to all nodes of this data centre and to `others`."""
         payload = relay_messages.encode(message)
-        near = [member.name for member in relays.data_centre_members(self.state)]
-        for name in (*near, *others):
+        for name in (*self.near_names(), *others):
             self.send(name, payload)
 
+    def push(self, update: Update, now: float) -> None:
+        """Pass changes on to all nodes of this data centre; those directly from the store to all.
+
+        A node that follows the store in place of the candidates is one of many: it pushes what is
+        small and announces the rest.
+        """
+        if update.is_direct:
+            payload = relay_messages.encode(update)
+            for name in self.current_subscribers(now):
+                self.send(name, payload)
+            if len(payload) > MAX_PUSHED_BYTES and not relays.is_candidate(self.state, now):
+                self.heartbeat_due = now + relays.HEARTBEAT_INTERVAL_S
+                self.heartbeat(now)
+                return
+        self.fan_out.send(update, self.near_names(), update.revision, now)
+
     def forwards(self, now: float) -> bool:
         """Return whether this node forwards direct messages within its data centre."""
         return (
@@ -343,7 +381,7 @@
         """
         now = clock()
         if self.following or self.forwards(now):
-            self.broadcast(Update(kind, after, revision, encode_changes(changes)), now)
+            self.push(Update(kind, after, revision, encode_changes(changes)), now)
 
     def received(self, _identity: bytes, payload: bytes) -> None:
         """Decode and handle a message from another node."""
@@ -409,6 +447,7 @@
 
     @handle.register
     def _(self, message: Update) -> None:
+        self.fan_out.pass_on(message)
         follower = self.followers.get(message.kind)
         if follower is None or not follower.revision:
             return
@@ -417,10 +456,10 @@
         changes = resolve_changes(message.changes, follower.objects)
         if changes is None:
             return
-        if message.is_direct and self.forwards(clock()):
-            self.broadcast_near(
-                Update(message.kind, message.after, message.revision, message.changes, False)
-            )
+        now = clock()
+        if message.is_direct and self.forwards(now):
+            changed = message.kind, message.after, message.revision, message.changes
+            self.push(Update(*changed, is_direct=False), now)
         follower.apply_changes(message.revision, changes)
         self.deliver(message.kind, changes)
 
@@ -453,7 +492,8 @@
         if after and self.forwards(clock()):
             # Other nodes here missed the same changes; this saves each a fetch of all objects.
             notes = encode_changes(changes_between(before, follower.objects))
-            self.broadcast_near(Update(message.kind, after, message.revision, notes, False))
+            update = Update(message.kind, after, message.revision, notes, is_direct=False)
+            self.push(update, clock())
         self.deliver_all(message.kind, items)
         self.check_current(clock())
 
--- a/poplarlane/programs/composition.py
+++ b/poplarlane/programs/composition.py
@@ -447,6 +447,7 @@
         leaving = sum(load.leaving for load in service.loads.values())
         metrics.set("leaving_targets", {"service": name}, leaving)
         metrics.set("repeat_budget", {"service": name}, service.retry_budget.tokens)
+    update_exchange_gauges(shell)
     now = shell.now()
     convicted = sum(item.is_convicted(now) for item in shell.state.quarantine.items.values())
     metrics.set("quarantined", {}, convicted)
@@ -463,6 +464,18 @@
         metrics.set("probe_budget", {}, shell.state.probe_allowance.tokens)
 
 
+def update_exchange_gauges(shell: EntryShell) -> None:
+    """Export what a node exchanges with the others; an entry has no relay."""
+    relay = getattr(shell.link, "relay", None)
+    if relay is None:
+        return
+    traffic = relay.traffic
+    shell.metrics.set("exchange_bytes_per_s", {"direction": "sent"}, traffic.sent_per_s)
+    shell.metrics.set("exchange_bytes_per_s", {"direction": "received"}, traffic.received_per_s)
+    shell.metrics.set("exchange_messages_dropped", {}, relay.sockets.counts["dropped"])
+    shell.metrics.set("fleet_members", {}, len(relay.state.members) + 1)
+
+
 def build_agent(settings: AgentSettings) -> "tuple[AgentShell, AdminServer]":
     # Imported here to keep them out of a node's start.
     from poplarlane.plumbing.agent_shell import AgentShell
--- a/poplarlane/relay_messages.py
+++ b/poplarlane/relay_messages.py
@@ -71,7 +71,7 @@
     """All changes of a kind after the revision `after`, up to `revision`.
 
     A direct update comes from a node that watches the store; one node of each data centre forwards
-    it to the other nodes there.
+    it to the other nodes there. The receiver passes it on to the nodes named in `below`.
     """
 
     kind: str
@@ -79,6 +79,7 @@
     revision: int
     changes: list[EncodedChange]
     is_direct: bool = True
+    below: list[str] = []
 
 
 class Fetch(msgspec.Struct, tag=5, array_like=True):
@@ -106,7 +107,10 @@
 
 
 class FleetDigest(msgspec.Struct, tag=8, array_like=True):
-    """What the root has combined from reports; `age_s` is the time since it did."""
+    """What the root has combined from reports; `age_s` is the time since it did.
+
+    The receiver passes it on to the nodes named in `below`; its sender remains the relay.
+    """
 
     sender: MemberInfo
     root: str
@@ -114,6 +118,7 @@
     age_s: float
     nodes: int
     sections: dict[str, bytes]
+    below: list[str] = []
 
 
 Message = Hello | Roster | Heartbeat | Update | Fetch | Snapshot | FleetReport | FleetDigest
