Open silent connections between nodes anew

Change: the kernel gives a connection up whose data is not acknowledged for 2 s (TCP_USER_TIMEOUT), and the opening of one after 1 s. ZeroMQ then connects again.

--- a/poplarlane/plumbing/peer_sockets.py
+++ b/poplarlane/plumbing/peer_sockets.py
@@ -19,6 +19,10 @@
 MAX_MESSAGE_BYTES = 4_000_000
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2_000
+# A connection that has gone silent, or does not open, is opened anew. The kernel would go on for
+# minutes, and for several seconds after a partition has healed.
+SILENCE_TIMEOUT_MS = 2_000
+CONNECT_TIMEOUT_MS = 1_000
 # Messages that wait at a DEALER, which nobody reads.
 UNREAD_MESSAGES = 1
 # Without a handler a domain changes nothing between nodes. libzmq then refuses ZMTP 1.0, which has
@@ -126,6 +130,8 @@
         dealer.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        dealer.setsockopt(zmq.TCP_MAXRT, SILENCE_TIMEOUT_MS)
+        dealer.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         dealer.setsockopt(zmq.IMMEDIATE, 0 if keep_unsent else 1)
         dealer.connect(f"tcp://{self.source}:0;{address}:{port}")
         self.dealers[name] = dealer
