Count the time on the way in the age of messages between nodes

Cause: heartbeats state the age of the last contact with the store as of their sending. The receiver counted from the arrival, so heartbeats that had waited seconds behind digests said that nothing newer exists, and the node relied on them. Ruled out: a node that follows the store and hears of changes late (0.1 s).

Change: a message names the process of its sender and the sender's steady clock.

Evidence: "Heartbeats that waited on a full link" fails without the change (no other node follows the store) and passes with it; node_decisions, fleet_digests, quarantine, customer_path, evacuations and restored_store: 186 passed, 0 failed.

--- a/features/node_decisions.feature
+++ b/features/node_decisions.feature
@@ -210,6 +210,13 @@
     And the store tells the nodes that follow it of a change
     Then all 60 nodes have the change
 
+  Scenario: Heartbeats that waited on a full link do not count as news of the store
+    # Guards CONFIG: a node relied on heartbeats that were seconds old and had no change for 3.3 s.
+    Given 60 nodes in 3 data centres with 3 seeds
+    When the exchange has run for 3 s
+    And messages of the first seed wait 3 s on its link and the exchange has run for 6 s
+    Then another node follows the store in place of the first seed
+
   Scenario: A large change is not sent to everybody by each node that follows the store
     # Guards links of 10 Mbit/s: after a loss of the seeds each of many followers sent 0.5 MB.
     Given 190 nodes in 3 data centres with 3 seeds
--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -204,8 +204,11 @@
                 log("fleet_section_malformed", "warning", section=name, reason=str(error))
         self.notify()
 
-    def digest_received(self, message: FleetDigest) -> None:
-        """Adopt a digest of the node that this one reports to, and pass it on."""
+    def digest_received(self, message: FleetDigest, waited_s: float = 0.0) -> None:
+        """Adopt a digest of the node that this one reports to, and pass it on.
+
+        It is older by the time that it has waited on the way.
+        """
         if self.is_stale(self.relay.clock()):
             return
         self.relay.fan_out.pass_on(message)
@@ -220,5 +223,8 @@
         if is_same_root and message.sequence <= self.digest_sequence and not restarted:
             return
         self.digest_root, self.digest_sequence = message.root, message.sequence
-        self.forward(msgspec.structs.replace(message, sender=self.relay.note(), below=[]))
-        self.adopt(message)
+        digest = msgspec.structs.replace(
+            message, sender=self.relay.note(), age_s=message.age_s + waited_s, below=[]
+        )
+        self.forward(digest)
+        self.adopt(digest)
--- a/poplarlane/plumbing/relay.py
+++ b/poplarlane/plumbing/relay.py
@@ -1,6 +1,7 @@
 """Gossip between nodes: membership, changes of the store and the age of this information."""
 
 import asyncio
+import secrets
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
@@ -17,6 +18,7 @@
 from poplarlane.decisions.membership import (
     relay_fetches,
     relays,
+    transit,
 )
 from poplarlane.error_text import error_text
 from poplarlane.logs import log
@@ -47,6 +49,8 @@
 # While no candidate follows the store, many nodes do, and each one passes its changes on. Larger
 # ones are announced instead, and fetched by the nodes that miss them.
 MAX_PUSHED_BYTES = 600
+# Distinguishes the processes that a node runs one after the other.
+PROCESS_BITS = 32
 
 
 class Relay:
@@ -73,6 +77,8 @@
         "fleet_exchange",
         "traffic",
         "fan_out",
+        "process",
+        "clocks",
     )
 
     def __init__(
@@ -112,6 +118,9 @@
         self.fleet_exchange: FleetExchange | None = None
         self.traffic = TrafficMeter(clock())
         self.fan_out = FanOut(state, self.send)
+        self.process = secrets.randbits(PROCESS_BITS)
+        # Clocks of the nodes that have sent messages.
+        self.clocks: dict[str, transit.Clock] = {}
 
     def start(self) -> None:
         """Bind the socket, connect to the seeds and start the periodic steps."""
@@ -168,6 +177,7 @@
         for name in relays.drop_silent_members(self.state, now):
             log("member_lost", member=name, members=len(self.state.members))
             self.subscribers.pop(name, None)
+            self.clocks.pop(name, None)
             self.sockets.disconnect(name)
         if now >= self.hello_due:
             interval_s = relays.HELLO_INTERVAL_S if self.state.members else self.pause_s()
@@ -193,9 +203,15 @@
         return clock()
 
     def note(self) -> MemberInfo:
-        """Describe this node."""
+        """Describe this node, as the sender of a message."""
         me = self.state.me
-        return MemberInfo(me.name, me.address, me.data_centre, 0.0)
+        return MemberInfo(me.name, me.address, me.data_centre, 0.0, self.process, clock())
+
+    def delay_s(self, sender: MemberInfo, now: float) -> float:
+        """Return how long a message has waited on the way from its sender."""
+        if not sender.process:
+            return 0.0
+        return transit.delay_s(self.clocks, sender.name, sender.process, sender.sent_at, now)
 
     def digest(self, data_centre: str) -> int:
         """Return a digest of the names of the known nodes of a data centre."""
@@ -434,7 +450,8 @@
     @handle.register
     def _(self, message: Heartbeat) -> None:
         now = clock()
-        age_s, revisions = message.contact_age_s, message.revisions
+        age_s = message.contact_age_s + self.delay_s(message.sender, now)
+        revisions = message.revisions
         self.record_member(message.sender, now)
         relays.record_heartbeat(
             self.state, message.sender.name, age_s, revisions, now, message.is_direct
@@ -506,9 +523,11 @@
 
     @handle.register
     def _(self, message: FleetDigest) -> None:
-        self.record_member(message.sender, clock())
+        now = clock()
+        self.record_member(message.sender, now)
+        waited_s = self.delay_s(message.sender, now)
         if self.fleet_exchange is not None:
-            self.fleet_exchange.digest_received(message)
+            self.fleet_exchange.digest_received(message, waited_s)
 
     def adopt_newer(self, kind: str, follower: ObjectFollower, items: list[StoredObject]) -> None:
         """Take objects that another node has in a higher version than the store gave this node."""
@@ -520,7 +539,8 @@
 
     def record_member(self, found: MemberInfo, now: float) -> None:
         """Record a node as a member, or update it."""
-        member = relays.Member(found.name, found.address, found.data_centre, now - found.age_s)
+        heard_at = now - found.age_s - self.delay_s(found, now)
+        member = relays.Member(found.name, found.address, found.data_centre, heard_at)
         held = self.state.members.get(found.name)
         if held is not None and held.address != found.address:
             self.sockets.disconnect(found.name)
--- a/poplarlane/relay_messages.py
+++ b/poplarlane/relay_messages.py
@@ -6,12 +6,17 @@
 
 
 class MemberInfo(msgspec.Struct, array_like=True):
-    """A node; `age_s` is the time since it was last heard of."""
+    """A node; `age_s` is the time since it was last heard of.
+
+    The sender of a message adds a number of its process and when it sent, on its own clock.
+    """
 
     name: str
     address: str
     data_centre: str
     age_s: float
+    process: int = 0
+    sent_at: float = 0.0
 
 
 class Hello(msgspec.Struct, tag=1, array_like=True):
