--- a/features/steps/caller_turn_steps.py
+++ b/features/steps/caller_turn_steps.py
@@ -36,6 +36,9 @@
     def now(self):
         return self.time
 
+    def count_result(self, code):
+        self.results[code] = self.results.get(code, 0) + 1
+
     def caller_opened(self, caller):
         caller.trusted = True
 
