--- a/poplarlane/plumbing/fan_out.py
+++ b/poplarlane/plumbing/fan_out.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from poplarlane import relay_messages
-from poplarlane.decisions.fleet.fanout import TURNS, forwarding_groups
+from poplarlane.decisions.fleet.forwarding import TURNS, forwarding_groups
 from poplarlane.decisions.membership.relays import RELAY_TIMEOUT_S, RelayState
 from poplarlane.relay_messages import FleetDigest, Update
 
