One base for commands that read nodes' pages; encode digests only where sent

Cause: starts_command repeated the check of usage of customers_command, and forward encoded each digest once for relays of other data centres although most nodes have none below them.

Change: NodePagesCommand holds the argument, the check and the call; the base class checks the output. The payload for other data centres is encoded only when there are any. Behaviour is as before.

--- a/poplarlane/plumbing/fleet_exchange.py
+++ b/poplarlane/plumbing/fleet_exchange.py
@@ -168,10 +168,10 @@
             return
         state = self.relay.state
         near = {member.name for member in relays.data_centre_members(state)}
-        payload = relay_messages.encode(digest)
-        for name in names:
-            if name not in near:
-                self.relay.send(name, payload)
+        far = [name for name in names if name not in near]
+        payload = relay_messages.encode(digest) if far else b""
+        for name in far:
+            self.relay.send(name, payload)
         grouped = [name for name in names if name in near]
         self.relay.fan_out.send(digest, grouped, digest.sequence, self.relay.clock())
 
--- a/poplarlane/programs/ctl/customers_command.py
+++ b/poplarlane/programs/ctl/customers_command.py
@@ -3,14 +3,14 @@
 import asyncio
 
 import msgspec
-from cleo.helpers import argument, option
+from cleo.helpers import option
 
-from poplarlane.addresses import is_socket_address, split_address
+from poplarlane.addresses import split_address
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import read_admin
 from poplarlane.plumbing.http_call import CallFailure
-from poplarlane.programs.ctl.command import CtlCommand, UsageError
-from poplarlane.programs.ctl.reports import Report, error_report, success_report, usage_error
+from poplarlane.programs.ctl.node_pages_command import NodePagesCommand
+from poplarlane.programs.ctl.reports import Report, error_report, success_report
 
 
 class CustomerStatus(msgspec.Struct):
@@ -46,32 +46,19 @@
 STATUS_DECODER = msgspec.json.Decoder(NodeStatus)
 
 
-class CustomersCommand(CtlCommand):
+class CustomersCommand(NodePagesCommand):
     """Show what customers may use, use and are refused."""
 
     name = "customers"
     description = "Show the quotas of customers, their use and refusals, as nodes see them"
-    arguments = [argument("node", "Admin addresses of nodes, IP:PORT", multiple=True)]
     options = [
         option("customer", None, "Only this customer", flag=False),
         option("output", None, "text or json", flag=False, default="text"),
     ]
 
-    def check_usage(self) -> None:
-        """Check the addresses."""
-        if self.option("output") not in ("text", "json"):
-            raise UsageError(f"option --output is {self.option('output')!r}; accepted: text, json")
-        for address in self.argument("node"):
-            if not is_socket_address(address):
-                raise UsageError(f"argument node is {address!r}; expected IP:PORT")
-
-    def checked_report(self) -> Report:
-        """Read the status pages; needs neither the platform nor settings."""
-        try:
-            self.check_usage()
-        except UsageError as error:
-            return usage_error(str(error))
-        return asyncio.run(read_nodes(self.argument("node"), self.option("customer")))
+    async def pages_report(self, addresses: list[str]) -> Report:
+        """Read the status pages of the nodes and report them."""
+        return await read_nodes(addresses, self.option("customer"))
 
 
 async def read_nodes(addresses: list[str], customer: str | None) -> Report:
--- a/poplarlane/programs/ctl/starts_command.py
+++ b/poplarlane/programs/ctl/starts_command.py
@@ -3,14 +3,14 @@
 import asyncio
 
 import msgspec
-from cleo.helpers import argument, option
+from cleo.helpers import option
 
-from poplarlane.addresses import is_socket_address, split_address
+from poplarlane.addresses import split_address
 from poplarlane.outcomes import ResultCode
 from poplarlane.plumbing.ctl_client import read_admin
 from poplarlane.plumbing.http_call import CallFailure
-from poplarlane.programs.ctl.command import CtlCommand, UsageError
-from poplarlane.programs.ctl.reports import Report, error_report, success_report, usage_error
+from poplarlane.programs.ctl.node_pages_command import NodePagesCommand
+from poplarlane.programs.ctl.reports import Report, error_report, success_report
 from poplarlane.start_timeline import Stage
 
 MOST_SLOW_NODES = 5
@@ -34,29 +34,16 @@
 STATUS_DECODER = msgspec.json.Decoder(NodeStatus)
 
 
-class StartsCommand(CtlCommand):
+class StartsCommand(NodePagesCommand):
     """Show when nodes reached each stage of their start."""
 
     name = "starts"
     description = "Show when nodes reached each stage of their start, and what they refused"
-    arguments = [argument("node", "Admin addresses of nodes, IP:PORT", multiple=True)]
     options = [option("output", None, "text or json", flag=False, default="text")]
 
-    def check_usage(self) -> None:
-        """Check the addresses."""
-        if self.option("output") not in ("text", "json"):
-            raise UsageError(f"option --output is {self.option('output')!r}; accepted: text, json")
-        for address in self.argument("node"):
-            if not is_socket_address(address):
-                raise UsageError(f"argument node is {address!r}; expected IP:PORT")
-
-    def checked_report(self) -> Report:
-        """Read the status pages; needs neither the platform nor settings."""
-        try:
-            self.check_usage()
-        except UsageError as error:
-            return usage_error(str(error))
-        return asyncio.run(read_starts(self.argument("node")))
+    async def pages_report(self, addresses: list[str]) -> Report:
+        """Read the status pages of the nodes and report them."""
+        return await read_starts(addresses)
 
 
 async def read_starts(addresses: list[str]) -> Report:
